Close silent, unfinished and unreadable clients in time, and keep the seats for those served

Checked: 954 connections never sent a whole request and held their seat for the welcome's 10 s; 1,152 asked once and stayed for good; neither heard that a seat was wanted while in welcome, and the accept loop waited meanwhile. Lines at fault: PATIENCE and the welcome in pg/front.rs, the loop there without any limit on idling or on a message begun, seat() inside the loop of net/listen.rs, frame() in pg/codec.rs that made room for whatever was claimed. A message takes its share of one budget of bytes (from memory_mb) when its length is known, and gives it back with its last copy. Unknown tags, bytes behind a text and short reads are errors at once, then a close that drains within bounds; answers to bad messages are spaced 10 ms apart. Statements: the id is checked and may not be that of an open request (42710), fields are given once, numbers are digits, the wait is at most the class's deadline, and the comment must not end early. The members' side reads by the same codec: lengths by tag, a row's two lengths compared at once. All six new tests were seen to fail without the change.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -7,7 +7,8 @@
 use crate::interface::*;
 use crate::net::clock::Clock;
 use crate::Router;
-use std::collections::{HashMap, VecDeque};
+use bytes::Bytes;
+use std::collections::{HashMap, HashSet, VecDeque};
 use tokio::sync::{mpsc, oneshot};
 
 /// Most messages that go into one step.
@@ -34,6 +35,8 @@
     clock: Clock,
     mailbox: mpsc::Receiver<Input>,
     live: HashMap<RequestId, Live>,
+    /// The names of those.
+    names: HashSet<Bytes>,
     sessions: SessionLedger,
     /// What followed from actions at once, for the next step.
     local: VecDeque<Event>,
@@ -60,6 +63,7 @@
             clock,
             mailbox,
             live: HashMap::new(),
+            names: HashSet::new(),
             sessions: SessionLedger::new(SESSIONS),
             local: VecDeque::new(),
             wake: None,
@@ -137,6 +141,12 @@
             let _ = reply.send(Answer::Failed);
             return None;
         };
+        // Members know a request by its name: one that is sent under another's would end, or pass for, the other.
+        if request.name.as_ref().is_some_and(|name| !self.names.insert(name.clone())) {
+            count(Count::taken_ids);
+            let _ = reply.send(Answer::Taken);
+            return None;
+        }
         // The later of what a session read carries and what any front has seen its session commit. Members check
         // only what it carries, so that for a later one the module must go by proven positions.
         let carried = request.after.unwrap_or(0);
@@ -202,7 +212,8 @@
     /// Forgets a request that is over and has nothing out.
     fn settle(&mut self, id: RequestId) {
         if self.live.get(&id).is_some_and(|l| l.reply.is_none() && l.out == 0) {
-            self.live.remove(&id);
+            let name = self.live.remove(&id).and_then(|l| l.request.name);
+            name.map(|name| self.names.remove(&name));
         }
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -32,6 +32,8 @@
 /// A request that a front has taken.
 #[derive(Debug, Clone)]
 pub struct Request {
+    /// The name that its client gave it, where it did: no two open requests may share one.
+    pub name: Option<Bytes>,
     /// Index of its class.
     pub class: usize,
     /// Index of its tenant.
@@ -72,6 +74,8 @@
     Served(Value, Option<Position>),
     /// Not done; trying again is harmless.
     Refused(Option<Time>),
+    /// Its name belongs to another request that is still open; nothing was sent.
+    Taken,
     /// Failed with no promise about its effect.
     Failed,
     /// Failed, as the client's time is up.
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -340,6 +340,7 @@
         404 => "Not Found",
         405 => "Method Not Allowed",
         406 => "Not Acceptable",
+        409 => "Conflict",
         412 => "Precondition Failed",
         413 => "Content Too Large",
         415 => "Unsupported Media Type",
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,7 +8,7 @@
 use linentrail::deploy::{self, DnsSd, Odata};
 use linentrail::dnssd::browse::Browser;
 use linentrail::dnssd::records;
-use linentrail::net::budget::Budget;
+use linentrail::net::budget::{Budget, Pace};
 use linentrail::net::clock::Clock;
 use linentrail::net::discovery::{Discovery, Lists};
 use linentrail::net::fleet::Fleet;
@@ -80,7 +80,7 @@
     }
     log::info!("limits: {} descriptors, {} MiB", told.sockets, told.memory >> 20);
     let clock = Clock::start();
-    let budget = Budget::new(told.sockets);
+    let budget = Budget::new(told.sockets, told.memory);
     let (mailbox, inbox) = mpsc::channel(MAILBOX);
     let (follow, asked) = mpsc::channel(1);
     let fleet = Fleet::new(mailbox.clone(), follow, budget.clone(), clock, times);
@@ -111,6 +111,8 @@
         classes: classes.clone(),
         clock,
         clients: clients.clone(),
+        bytes: budget.bytes.clone(),
+        pace: Pace::default(),
     });
     let (close, closing) = watch::channel(false);
     let serve = move |stream, closing| front.clone().serve(stream, closing);
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -1,23 +1,59 @@
-//! The descriptor budget: how many sockets of each sort the process may hold.
+//! The budgets: how many sockets of each sort the process may hold, how many bytes of messages, and how often those
+//! that cannot be understood are answered.
 
+use crate::interface::Time;
+use bytes::Bytes;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 
 /// Descriptors for the runtime, listeners, standard streams, discovery and what a library opens by itself.
-const RESERVE: usize = 64;
+const RESERVE: usize = 32;
+/// Memory that is not for messages: the program itself, connections at rest, the allocator's slack.
+const MEMORY_RESERVE: usize = 16 * 1024 * 1024;
+/// A message counts once here, and stands in memory up to so many times: read, rendered, and written.
+const COPIES: usize = 3;
+const BYTES_LEAST: usize = 2 * 1024 * 1024;
+/// Bad messages are answered no closer together than this, in us, though none waits longer than `PACE_MOST`.
+const PACE: Time = 10_000;
+const PACE_MOST: Time = 800_000;
 
-/// Permits for one sort of socket. Whoever finds none asks for room, and the connection that has waited longest for
-/// something to do gives up its own.
+/// Connections that could make room, the longest waiting first.
+#[derive(Default)]
+struct Waiting {
+    count: AtomicUsize,
+    wanted: Notify,
+}
+
+impl Waiting {
+    async fn wanted(&self) {
+        struct Out<'a>(&'a AtomicUsize);
+        impl Drop for Out<'_> {
+            fn drop(&mut self) {
+                self.0.fetch_sub(1, Ordering::Relaxed);
+            }
+        }
+        self.count.fetch_add(1, Ordering::Relaxed);
+        let _out = Out(&self.count);
+        self.wanted.notified().await;
+    }
+}
+
+/// Permits for one sort of socket. Whoever finds none asks for room. A connection on which nothing sound was ever
+/// asked gives up its own first, then the one that has waited longest for something to do.
 #[derive(Clone)]
 pub struct Pot {
     seats: Arc<Semaphore>,
-    wanted: Arc<Notify>,
+    strangers: Arc<Waiting>,
+    idle: Arc<Waiting>,
     size: usize,
 }
 
 impl Pot {
     fn new(size: usize) -> Self {
-        Pot { seats: Arc::new(Semaphore::new(size)), wanted: Arc::new(Notify::new()), size }
+        let (strangers, idle) = Default::default();
+        Pot { seats: Arc::new(Semaphore::new(size)), strangers, idle, size }
     }
 
     /// A permit, once there is one.
@@ -25,13 +61,16 @@
         if let Ok(permit) = self.seats.clone().try_acquire_owned() {
             return Some(permit);
         }
-        self.wanted.notify_one();
+        // With none of either sort there, the next to have nothing to do is told.
+        let strangers = self.strangers.count.load(Ordering::Relaxed) > 0;
+        if strangers { &self.strangers } else { &self.idle }.wanted.notify_one();
         self.seats.clone().acquire_owned().await.ok()
     }
 
-    /// Waits until someone lacks a permit; those that wait are told in turn, the longest waiting first.
-    pub async fn wanted(&self) {
-        self.wanted.notified().await;
+    /// Waits until someone lacks a permit; those that wait are told in turn, the longest waiting first. `stranger`:
+    /// nothing sound was ever asked on this connection.
+    pub async fn wanted(&self, stranger: bool) {
+        if stranger { &self.strangers } else { &self.idle }.wanted().await;
     }
 
     /// All permits are back.
@@ -40,6 +79,75 @@
     }
 }
 
+/// Bytes of messages that all connections together may hold. A message takes its share when its length is known,
+/// before its bytes have come, and gives it back when the last of it is let go of, wherever that is.
+#[derive(Clone)]
+pub struct Ration(Arc<RationState>);
+
+struct RationState {
+    left: AtomicUsize,
+    size: usize,
+}
+
+/// So many bytes of a ration.
+pub struct Share {
+    of: Ration,
+    bytes: usize,
+}
+
+impl Ration {
+    /// One of so many bytes.
+    pub fn new(size: usize) -> Self {
+        Ration(Arc::new(RationState { left: AtomicUsize::new(size), size }))
+    }
+
+    /// A share, if there is enough left.
+    pub fn take(&self, bytes: usize) -> Option<Share> {
+        let less = |left: usize| left.checked_sub(bytes);
+        self.0.left.fetch_update(Ordering::Relaxed, Ordering::Relaxed, less).ok()?;
+        Some(Share { of: self.clone(), bytes })
+    }
+
+    /// Less than half is left: whoever can hold back should.
+    pub fn tight(&self) -> bool {
+        self.0.left.load(Ordering::Relaxed) < self.0.size / 2
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        self.of.0.left.fetch_add(self.bytes, Ordering::Relaxed);
+    }
+}
+
+impl Share {
+    /// A copy of `bytes` that holds this share for as long as any part of it lives. A copy, as a slice would keep the
+    /// whole buffer that it was read into, which no share counts.
+    pub fn hold(self, bytes: &[u8]) -> Bytes {
+        struct Held(Box<[u8]>, #[allow(dead_code)] Share);
+        impl AsRef<[u8]> for Held {
+            fn as_ref(&self) -> &[u8] {
+                &self.0
+            }
+        }
+        Bytes::from_owner(Held(bytes.into(), self))
+    }
+}
+
+/// Spaces out the answers to messages that cannot be understood: a client that sends the same again as soon as it is
+/// turned away must not take the processor from the others.
+#[derive(Clone, Default)]
+pub struct Pace(Arc<AtomicU64>);
+
+impl Pace {
+    /// How long the answer to a bad message has to wait.
+    pub fn turn(&self, now: Time) -> Duration {
+        let next = self.0.load(Ordering::Relaxed).clamp(now, now + PACE_MOST);
+        self.0.store(next + PACE, Ordering::Relaxed);
+        Duration::from_micros(next - now)
+    }
+}
+
 /// Clients and members have a pot each, so that neither can starve the other.
 #[derive(Clone)]
 pub struct Budget {
@@ -47,13 +155,16 @@
     pub clients: Pot,
     /// For connections to members.
     pub members: Pot,
+    /// For messages of either side.
+    pub bytes: Ration,
 }
 
 impl Budget {
-    /// Shares out a limit on descriptors.
-    pub fn new(limit: usize) -> Self {
+    /// Shares out the limits on descriptors and on memory, in bytes.
+    pub fn new(limit: usize, memory: usize) -> Self {
         let free = limit.saturating_sub(RESERVE).max(8);
         let clients = free * 5 / 9;
-        Budget { clients: Pot::new(clients), members: Pot::new(free - clients) }
+        let bytes = (memory.saturating_sub(MEMORY_RESERVE) / COPIES).max(BYTES_LEAST);
+        Budget { clients: Pot::new(clients), members: Pot::new(free - clients), bytes: Ration::new(bytes) }
     }
 }
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -10,6 +10,8 @@
 
 /// After a failure to accept, such as one for want of descriptors.
 const PAUSE: Duration = Duration::from_millis(20);
+/// How long a client may wait for a seat. Those behind it wait too, and a close is owed within seconds.
+const SEAT: Duration = Duration::from_millis(200);
 
 /// Set once the process is to end: connections then close between requests.
 pub type Closing = watch::Receiver<bool>;
@@ -44,7 +46,14 @@
                 continue;
             }
         };
-        let Some(permit) = clients.seat().await else { return };
+        let permit = match tokio::time::timeout(SEAT, clients.seat()).await {
+            Ok(Some(permit)) => permit,
+            Ok(None) => return,
+            Err(_) => {
+                count(Count::no_seat);
+                continue;
+            }
+        };
         count(counter);
         let _ = stream.set_nodelay(true);
         let served = serve(stream, closing.clone());
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -103,7 +103,7 @@
                 }
                 () = reap => self.reap(),
                 // Another peer lacks a descriptor: the one that has been idle for longest here goes.
-                () = self.budget.members.wanted(), if !self.idle.is_empty() => {
+                () = self.budget.members.wanted(false), if !self.idle.is_empty() => {
                     self.idle.remove(0);
                     count(Count::member_idle_closed);
                 }
@@ -233,7 +233,7 @@
             // Out of descriptors is our fault, not the member's: the attempt was never sent.
             let permit = budget.members.seat().await.ok_or(Outcome::Superseded)?;
             count(Count::member_connections);
-            Link::open(address, permit).await
+            Link::open(address, permit, budget.bytes.clone()).await
         };
         match tokio::time::timeout(patience, open).await {
             Ok(link) => link,
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -65,7 +65,7 @@
     /// When the connection breaks.
     pub async fn serve(self: Arc<Self>, stream: TcpStream, mut closing: Closing) -> Result<(), HttpError> {
         let mut conn = Framed::new(stream, HttpServer::new(LONGEST_BODY));
-        let mut ahead = VecDeque::new();
+        let (mut ahead, mut known) = (VecDeque::new(), false);
         loop {
             let request = match ahead.pop_front() {
                 Some(request) => request,
@@ -77,7 +77,7 @@
                         None => return Ok(()),
                     },
                     () = closed(&mut closing) => return Ok(()),
-                    () = self.clients.wanted() => return Ok(()),
+                    () = self.clients.wanted(!known) => return Ok(()),
                     () = tokio::time::sleep(IDLE) => return Ok(()),
                 },
             };
@@ -89,6 +89,7 @@
                 }
             };
             count(Count::odata_requests);
+            known = true;
             let mut broken = None;
             let mut response = {
                 let answer = self.answer(&request);
@@ -191,7 +192,7 @@
         let work: Work = statement::write(key, value, &head, &tail);
         let deadline = self.clock.now().saturating_add(wait);
         let key_session = session.as_ref().filter(|s| *s != key).map(|_| key.to_string());
-        Request { class, tenant, group, session, key_session, after, deadline, repeat, work }
+        Request { name: None, class, tenant, group, session, key_session, after, deadline, repeat, work }
     }
 }
 
--- a/src/odata/reply.rs
+++ b/src/odata/reply.rs
@@ -221,6 +221,7 @@
             fault(Fault { status: 504, code: "Late", ..Fault::come_back(after, "no answer in time") })
         }
         Answer::Refused(after) => fault(Fault::come_back(after, "refused; trying again is harmless")),
+        Answer::Taken => fault(Fault::new(409, "Taken", "the id belongs to a request that is still open")),
         Answer::Failed => fault(Fault::new(502, "Failed", "failed; it may have had its effect")),
         Answer::Late => fault(Fault::new(504, "Late", "no answer in time; it may have had its effect")),
     };
--- a/src/pg/codec.rs
+++ b/src/pg/codec.rs
@@ -1,13 +1,20 @@
 //! Messages of the wire protocol, each decoded once into a small typed value and encoded once.
 
+use crate::net::budget::{Ration, Share};
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use futures_util::{Stream, StreamExt};
+use std::future::poll_fn;
 use std::io;
-use tokio_util::codec::{Decoder, Encoder};
+use std::task::Poll;
+use tokio::io::AsyncRead;
+use tokio_util::codec::{Decoder, Encoder, Framed};
 
 /// The longest message taken in: a value of 64 KiB in hex with its statement fits well.
 pub const LONGEST: usize = 144 * 1024;
 /// The longest startup message taken in, as PostgreSQL itself has it.
 const LONGEST_STARTUP: usize = 10_000;
+/// Room for reading and for writing that a connection starts with: hundreds rest at a time.
+pub const ROOM: usize = 4 * 1024;
 
 /// What can be wrong with what was read.
 #[derive(Debug)]
@@ -18,6 +25,10 @@
     TooLong(usize),
     /// A message is malformed.
     Malformed(&'static str),
+    /// All connections together hold as many bytes as memory allows.
+    NoRoom,
+    /// A message was begun and not ended in time.
+    Unfinished,
 }
 
 impl From<io::Error> for WireError {
@@ -32,6 +43,8 @@
             WireError::Io(e) => write!(f, "{e}"),
             WireError::TooLong(n) => write!(f, "a message of {n} bytes is too long"),
             WireError::Malformed(what) => write!(f, "{what}"),
+            WireError::NoRoom => write!(f, "no room for one more message; trying again is harmless"),
+            WireError::Unfinished => write!(f, "a message was begun and not ended in time"),
         }
     }
 }
@@ -105,24 +118,85 @@
     Other(u8),
 }
 
-/// Takes one message off `src` whose length field lies at `at`; none if it has not all come.
-fn frame(src: &mut BytesMut, at: usize, longest: usize) -> Result<Option<BytesMut>, WireError> {
-    if src.len() < at + 4 {
-        return Ok(None);
-    }
-    let length = (&src[at..]).get_u32() as usize;
-    if length < 4 {
-        return Err(WireError::Malformed("a message is shorter than its own length field"));
+/// Cuts messages off what was read. The length that a message claims is no reason to make room for it: its share of
+/// the ration is taken first, and the buffer grows with what comes.
+struct Frames {
+    ration: Ration,
+    share: Option<Share>,
+}
+
+impl Frames {
+    /// The next message's tag (0 where it has none) and body. `longest` tells the longest length of a tag's messages,
+    /// or that there is no such tag: noise is known by its first byte, however long it says that it is.
+    fn next(
+        &mut self,
+        src: &mut BytesMut,
+        tagged: bool,
+        longest: impl Fn(u8) -> Option<usize>,
+    ) -> Result<Option<(u8, Bytes)>, WireError> {
+        let at = usize::from(tagged);
+        let tag = if tagged { src.first().copied() } else { Some(0) };
+        let Some(tag) = tag else { return Ok(None) };
+        let longest = longest(tag).ok_or(WireError::Malformed("there is no such message"))?;
+        if src.len() < at + 4 {
+            return Ok(None);
+        }
+        let length = (&src[at..]).get_u32() as usize;
+        if length < 4 {
+            return Err(WireError::Malformed("a message is shorter than its own length field"));
+        }
+        if length > longest {
+            return Err(WireError::TooLong(length));
+        }
+        let share = match self.share.take() {
+            Some(share) => share,
+            None => self.ration.take(length).ok_or(WireError::NoRoom)?,
+        };
+        if src.len() < at + length {
+            self.share = Some(share);
+            return Ok(None);
+        }
+        let body = share.hold(&src[at + 4..at + length]);
+        src.advance(at + length);
+        Ok(Some((tag, body)))
     }
-    if length > longest {
-        return Err(WireError::TooLong(length));
+}
+
+/// What comes next on a connection.
+#[derive(Debug)]
+pub enum Next<T> {
+    /// A whole message, an error, or the end.
+    Message(Option<T>),
+    /// The first bytes of one that has not all come. Told unless `part` says that this is known.
+    Part,
+}
+
+/// Waits for the next message, or for its first bytes: only what has begun can be asked to end in time.
+pub async fn next<S: AsyncRead + Unpin, C: Decoder + Unpin>(
+    conn: &mut Framed<S, C>,
+    part: bool,
+) -> Next<<Framed<S, C> as Stream>::Item> {
+    poll_fn(|cx| match conn.poll_next_unpin(cx) {
+        Poll::Ready(message) => Poll::Ready(Next::Message(message)),
+        Poll::Pending if !part && !conn.read_buffer().is_empty() => Poll::Ready(Next::Part),
+        Poll::Pending => Poll::Pending,
+    })
+    .await
+}
+
+/// Lets go of buffers that a large message has left on a connection.
+pub fn shrink<S, C>(conn: &mut Framed<S, C>) {
+    const SMALL: usize = 4 * ROOM;
+    if conn.write_buffer().is_empty() && conn.write_buffer().capacity() > SMALL {
+        *conn.write_buffer_mut() = BytesMut::new();
     }
-    if src.len() < at + length {
-        // Room for all of it, but never more than a whole message.
-        src.reserve(at + length - src.len());
-        return Ok(None);
+    if conn.read_buffer().is_empty() && conn.read_buffer().capacity() > SMALL {
+        *conn.read_buffer_mut() = BytesMut::new();
     }
-    Ok(Some(src.split_to(at + length)))
+}
+
+fn ended(bytes: &Bytes) -> Result<(), WireError> {
+    bytes.is_empty().then_some(()).ok_or(WireError::Malformed("a message holds more than belongs to it"))
 }
 
 fn zero_ended(bytes: &mut Bytes) -> Result<Bytes, WireError> {
@@ -140,9 +214,9 @@
 }
 
 /// The server's end of a client's connection.
-#[derive(Debug, Default)]
 pub struct ServerCodec {
     started: bool,
+    frames: Frames,
 }
 
 impl Decoder for ServerCodec {
@@ -151,15 +225,24 @@
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Frontend>, WireError> {
         if !self.started {
-            let Some(message) = frame(src, 0, LONGEST_STARTUP)? else { return Ok(None) };
-            return self.startup(message.freeze()).map(Some);
+            let Some((_, body)) = self.frames.next(src, false, |_| Some(LONGEST_STARTUP))? else {
+                return Ok(None);
+            };
+            return self.startup(body).map(Some);
         }
-        let Some(message) = frame(src, 1, LONGEST)? else { return Ok(None) };
-        let mut body = message.freeze();
-        let tag = body[0];
-        body.advance(5);
+        let longest = |tag| match tag {
+            b'Q' | b'P' | b'B' | b'F' | b'd' => Some(LONGEST),
+            b'S' | b'X' | b'H' | b'c' => Some(4),
+            b'D' | b'E' | b'C' | b'f' => Some(LONGEST_STARTUP),
+            _ => None,
+        };
+        let Some((tag, mut body)) = self.frames.next(src, true, longest)? else { return Ok(None) };
         Ok(Some(match tag {
-            b'Q' => Frontend::Query(zero_ended(&mut body)?),
+            b'Q' => {
+                let text = zero_ended(&mut body)?;
+                ended(&body)?;
+                Frontend::Query(text)
+            }
             b'S' => Frontend::Sync,
             b'X' => Frontend::Terminate,
             other => Frontend::Other(other),
@@ -168,8 +251,12 @@
 }
 
 impl ServerCodec {
+    /// One for a new connection.
+    pub fn new(ration: Ration) -> Self {
+        ServerCodec { started: false, frames: Frames { ration, share: None } }
+    }
+
     fn startup(&mut self, mut body: Bytes) -> Result<Frontend, WireError> {
-        body.advance(4);
         match u32::from_be_bytes(take(&mut body)?) {
             80_877_103 | 80_877_104 => Ok(Frontend::Encrypt),
             80_877_102 => Ok(Frontend::Cancel),
@@ -261,41 +348,77 @@
 }
 
 /// The client's end of a connection to a member.
-#[derive(Debug, Default)]
-pub struct ClientCodec;
+pub struct ClientCodec {
+    frames: Frames,
+}
+
+impl ClientCodec {
+    /// One for a new connection.
+    pub fn new(ration: Ration) -> Self {
+        ClientCodec { frames: Frames { ration, share: None } }
+    }
+}
 
 impl Decoder for ClientCodec {
     type Item = Backend;
     type Error = WireError;
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Backend>, WireError> {
-        let Some(message) = frame(src, 1, LONGEST)? else { return Ok(None) };
-        let mut body = message.freeze();
-        let tag = body[0];
-        body.advance(5);
-        Ok(Some(match tag {
-            b'R' if u32::from_be_bytes(take(&mut body)?) == 0 => Backend::AuthenticationOk,
-            b'R' => Backend::AuthenticationOther,
+        let longest = |tag| match tag {
+            b'D' => Some(LONGEST),
+            b'E' | b'N' | b'S' | b'R' => Some(8 * 1024),
+            b'T' | b'C' => Some(512),
+            b'K' => Some(264),
+            b'Z' => Some(5),
+            b'I' => Some(4),
+            _ => None,
+        };
+        // The row's own length shows at once whether the message's can be true; waited for, one that is too long
+        // would take the rest of the answer for part of the value.
+        if src.len() >= 11 && src[0] == b'D' {
+            let (message, row) = ((&src[1..]).get_u32(), (&src[7..]).get_i32());
+            if i64::from(message) != 10 + i64::from(row.max(0)) {
+                return Err(WireError::Malformed("a row's length is off"));
+            }
+        }
+        let Some((tag, mut body)) = self.frames.next(src, true, longest)? else { return Ok(None) };
+        let message = match tag {
+            b'R' => match u32::from_be_bytes(take(&mut body)?) {
+                0 => Backend::AuthenticationOk,
+                _ => return Ok(Some(Backend::AuthenticationOther)),
+            },
             b'S' => Backend::ParameterStatus(zero_ended(&mut body)?, zero_ended(&mut body)?),
-            b'K' => Backend::KeyData,
-            b'Z' => Backend::Ready,
+            b'K' => return Ok(Some(Backend::KeyData)),
+            b'Z' => match take(&mut body)? {
+                [b'I' | b'T' | b'E'] => Backend::Ready,
+                _ => return Err(WireError::Malformed("a server is ready in no known state")),
+            },
             b'T' => Backend::RowDescription(column(&mut body)?),
             b'D' => {
                 if u16::from_be_bytes(take(&mut body)?) != 1 {
                     return Err(WireError::Malformed("a row does not have one column"));
                 }
-                let length = i32::from_be_bytes(take(&mut body)?);
-                match usize::try_from(length) {
-                    Err(_) => Backend::DataRow(None),
-                    Ok(n) if n == body.len() => Backend::DataRow(Some(body)),
-                    Ok(_) => return Err(WireError::Malformed("a row's length is off")),
+                match i32::from_be_bytes(take(&mut body)?) {
+                    -1 => Backend::DataRow(None),
+                    n if usize::try_from(n) == Ok(body.len()) => {
+                        return Ok(Some(Backend::DataRow(Some(body))))
+                    }
+                    _ => return Err(WireError::Malformed("a row's length is off")),
                 }
             }
-            b'C' => Backend::CommandComplete(zero_ended(&mut body)?),
+            b'C' => {
+                let tag = zero_ended(&mut body)?;
+                if tag.is_empty() || !tag.iter().all(|b| (b' '..=b'~').contains(b)) {
+                    return Err(WireError::Malformed("a command's tag cannot be read"));
+                }
+                Backend::CommandComplete(tag)
+            }
             b'I' => Backend::EmptyQuery,
             b'E' => error(&mut body)?,
-            other => Backend::Other(other),
-        }))
+            other => return Ok(Some(Backend::Other(other))),
+        };
+        ended(&body)?;
+        Ok(Some(message))
     }
 }
 
@@ -307,7 +430,10 @@
     take::<6>(body)?;
     let type_id = u32::from_be_bytes(take(body)?);
     take::<6>(body)?;
-    Ok(Column { type_id, binary: u16::from_be_bytes(take(body)?) == 1 })
+    match u16::from_be_bytes(take(body)?) {
+        form @ (0 | 1) => Ok(Column { type_id, binary: form == 1 }),
+        _ => Err(WireError::Malformed("a column has no known form")),
+    }
 }
 
 fn error(body: &mut Bytes) -> Result<Backend, WireError> {
@@ -315,7 +441,12 @@
     loop {
         let [field] = take(body)?;
         if field == 0 {
-            return Ok(Backend::Error { fatal, code, message, detail });
+            // Five digits or capital letters, or what it means cannot be known.
+            let known = code.len() == 5 && code.iter().all(|b| b.is_ascii_digit() || b.is_ascii_uppercase());
+            return match known {
+                true => Ok(Backend::Error { fatal, code, message, detail }),
+                false => Err(WireError::Malformed("an error has no code")),
+            };
         }
         let value = zero_ended(body)?;
         match field {
--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -1,9 +1,10 @@
 //! The proxy's end of a connection to a member.
 
-use super::codec::{Backend, ClientCodec, Frontend, WireError};
+use super::codec::{shrink, Backend, ClientCodec, Frontend, WireError, ROOM};
 use super::statement;
 use crate::core::{Value, Work};
 use crate::interface::*;
+use crate::net::budget::Ration;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use std::io;
@@ -58,10 +59,15 @@
     ///
     /// # Errors
     /// When there is none: `Refused`, or `Saturated` where the member says that it holds too many.
-    pub async fn open(address: SocketAddr, permit: OwnedSemaphorePermit) -> Result<Self, Outcome> {
+    pub async fn open(
+        address: SocketAddr,
+        permit: OwnedSemaphorePermit,
+        bytes: Ration,
+    ) -> Result<Self, Outcome> {
         let stream = TcpStream::connect(address).await.map_err(|_| Outcome::Refused)?;
         let _ = stream.set_nodelay(true);
-        let mut link = Link { framed: Framed::new(stream, ClientCodec), _permit: permit };
+        let mut link =
+            Link { framed: Framed::with_capacity(stream, ClientCodec::new(bytes), ROOM), _permit: permit };
         let startup = Frontend::Startup { user: "svc".to_string() };
         link.framed.send(startup).await.map_err(|_| Outcome::Refused)?;
         let reply = link.reply().await;
@@ -143,7 +149,7 @@
         let bytes = reply.row.flatten();
         let value =
             (outcome == Outcome::Completed).then_some(Value { binary, type_id, bytes, rows: reply.rows });
-        self.shrink();
+        shrink(&mut self.framed);
         let reusable = reply.ready && !reply.fatal;
         Exchange { outcome, value, note: reply.note, report: reply.report, reusable }
     }
@@ -157,17 +163,6 @@
         }
         Some(reply.row.flatten().map(|row| report(&row)).unwrap_or_default())
     }
-
-    /// A large answer must not leave a large buffer behind on each of hundreds of connections.
-    fn shrink(&mut self) {
-        const SMALL: usize = 16 * 1024;
-        if self.framed.write_buffer().is_empty() && self.framed.write_buffer().capacity() > SMALL {
-            *self.framed.write_buffer_mut() = bytes::BytesMut::new();
-        }
-        if self.framed.read_buffer().is_empty() && self.framed.read_buffer().capacity() > SMALL {
-            *self.framed.read_buffer_mut() = bytes::BytesMut::new();
-        }
-    }
 }
 
 impl Reply {
--- a/src/pg/statement.rs
+++ b/src/pg/statement.rs
@@ -24,6 +24,10 @@
     (1..=128).contains(&key.len()) && key.bytes().all(|b| b.is_ascii_graphic() && b != b'\'' && b != b'\\')
 }
 
+/// The longest id, and the longest value, in hex digits.
+const LONGEST_ID: usize = 64;
+const LONGEST_HEX: usize = 2 * 64 * 1024;
+
 const READ: &str = "SELECT v FROM records WHERE k = '";
 const CREATE: &str = "INSERT INTO records (k, v) VALUES ('";
 
@@ -50,6 +54,9 @@
         if hex.len() % 2 != 0 || !hex.bytes().all(|b| b.is_ascii_hexdigit()) {
             return fault("22P02", "the value is not hex");
         }
+        if hex.len() > LONGEST_HEX {
+            return fault("54000", "a value has at most 65536 bytes");
+        }
         tail.strip_prefix(") RETURNING v")
     } else {
         Some(rest)
@@ -58,30 +65,35 @@
     let Some(comment) = comment.and_then(|c| c.trim_start().strip_prefix("/*")) else {
         return fault("42601", "the statement must end with a comment of names and values");
     };
-    let (mut id, mut class, mut tenant, mut wait, mut group, mut after) =
-        (None, None, None, None, None, None);
-    let mut repeat = false;
+    // A comment that ends early would let a second statement through to the members.
+    if comment.contains("*/")
+        || comment.contains("/*")
+        || !comment.bytes().all(|b| (b' '..=b'~').contains(&b))
+    {
+        return fault("42601", "the comment holds more than names and values");
+    }
+    const NAMES: [&str; 7] = ["id", "c", "t", "d", "cluster", "after", "r"];
+    let mut given = [None; NAMES.len()];
     for pair in comment.trim().split(',') {
         let Some((name, value)) = pair.split_once('=') else {
             return fault("42601", format!("'{pair}' is not name=value"));
         };
-        match name.trim() {
-            "id" => id = Some(value),
-            "c" => class = Some(value),
-            "t" => tenant = Some(value),
-            "d" => wait = Some(value),
-            "cluster" => group = Some(value),
-            "after" => after = Some(value),
-            "r" => repeat = value == "1",
-            _ => {}
+        let Some(known) = NAMES.iter().position(|n| *n == name.trim()) else { continue };
+        if given[known].replace(value).is_some() {
+            return fault("42601", format!("the field {} is given twice", NAMES[known]));
         }
     }
+    let [id, class, tenant, wait, group, after, repeat] = given;
     let missing = |name: &str| Fault { code: "22023", message: format!("the field {name} is missing") };
     let number = |name: &str, value: &str| -> Result<u64, Fault> {
         let bad = || Fault { code: "22023", message: format!("the field {name} is not a number") };
-        value.trim().parse().map_err(|_| bad())
+        let digits = !value.is_empty() && value.bytes().all(|b| b.is_ascii_digit());
+        value.parse().ok().filter(|_| digits).ok_or_else(bad)
     };
-    id.filter(|id| !id.is_empty()).ok_or_else(|| missing("id"))?;
+    let id = id.ok_or_else(|| missing("id"))?;
+    if !(1..=LONGEST_ID).contains(&id.len()) || !id.bytes().all(|b| b.is_ascii_alphanumeric()) {
+        return fault("22023", "an id has 1 to 64 letters and digits");
+    }
     let (class, wait) = (class.ok_or_else(|| missing("c"))?, wait.ok_or_else(|| missing("d"))?);
     let Some(class) = names.classes.iter().position(|n| n == class) else {
         return fault("22023", format!("no class is named {class}"));
@@ -98,21 +110,35 @@
             None => return fault("22023", format!("no tenant is named {name}")),
         },
     };
-    let millis = number("d", wait)?;
+    // No client waits longer than its class's deadline over all of its tries.
+    let wait_us = number("d", wait)?.saturating_mul(1000).min(classes[class].deadline);
+    if wait_us == 0 {
+        return fault("22023", "the field d leaves no time");
+    }
     let group = number("cluster", group.ok_or_else(|| missing("cluster"))?)?;
     let after = after.map(|v| number("after", v)).transpose()?.map(|ms| ms.saturating_mul(1000));
-    let at = wait.as_ptr() as usize - sql.as_ptr() as usize;
+    let repeat = match repeat {
+        None | Some("0") => false,
+        Some("1") => true,
+        Some(_) => return fault("22023", "the field r is neither 0 nor 1"),
+    };
+    let part = |part: &str| {
+        let at = part.as_ptr() as usize - sql.as_ptr() as usize;
+        at..at + part.len()
+    };
     let session = matches!(need, Need::Write | Need::Session).then(|| key.to_string());
+    let (name, wait) = (text.slice(part(id)), part(wait));
     Ok(Request {
+        name: Some(name),
         class,
         tenant,
         group,
         session,
         key_session: None,
         after,
-        deadline: now.saturating_add(millis.min(3_600_000) * 1000),
+        deadline: now.saturating_add(wait_us),
         repeat,
-        work: Work { wait: at..at + wait.len(), text },
+        work: Work { wait, text },
     })
 }
 
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -142,7 +142,7 @@
 
 #[test]
 fn when_all_seats_are_taken_the_longest_idle_client_makes_room() {
-    // 72 descriptors leave four seats for clients.
+    // 40 descriptors leave four seats for clients.
     play(
         "member p primary
          start small
@@ -328,12 +328,12 @@
          p expect 1 write k1
          dns does drop p
          counts list_answers 2
-         a send raw INSERT INTO records (k, v) VALUES ('k2', '\\x02') RETURNING v /* id=0f,c=place-order,t=acme,d=700,cluster=1 */
-         a expect error 53300 500
+         b send raw INSERT INTO records (k, v) VALUES ('k2', '\\x02') RETURNING v /* id=0f,c=place-order,t=acme,d=700,cluster=1 */
+         b expect error 53300 500
          p expect 0 write k2
          dns does list p 4
-         a send write k3 03
-         a expect row 03
+         b send write k3 03
+         b expect row 03
          q expect 0 write k3",
     );
 }
@@ -349,8 +349,8 @@
          dns does garbage
          counts dnssd_skipped 1
          counts list_answers 2
-         a send raw INSERT INTO records (k, v) VALUES ('k2', '\\x02') RETURNING v /* id=0f,c=place-order,t=acme,d=700,cluster=1 */
-         a expect error 53300 500
+         b send raw INSERT INTO records (k, v) VALUES ('k2', '\\x02') RETURNING v /* id=0f,c=place-order,t=acme,d=700,cluster=1 */
+         b expect error 53300 500
          p expect 0 write k2",
     );
 }
@@ -544,3 +544,137 @@
          gone",
     );
 }
+
+#[test]
+fn a_silent_or_unfinished_client_is_closed_within_three_seconds() {
+    // a says nothing, b nothing after its startup; c begins its startup, d its first message, and e one after it has
+    // been served.
+    play(
+        "member p primary
+         start
+         e send read k1 yard-board
+         e expect row -
+         a send bytes
+         b send hello
+         c send bytes 00000064000300
+         d send hello
+         d send bytes 5100000040
+         e send bytes 5100000040
+         clock
+         a expect closed
+         b expect closed
+         c expect closed
+         d expect error 08P01
+         d expect closed
+         e expect error 08P01
+         e expect closed
+         within 3000
+         counts pg_silent 3
+         counts pg_unfinished 2",
+    );
+}
+
+#[test]
+fn what_no_client_should_send_gets_an_error_and_then_a_close() {
+    // A message of no known sort, one with bytes behind its text, a negative length; the last two go on sending.
+    play(
+        "member p primary
+         start
+         a send hello
+         a send bytes 7a00000004
+         a expect error 08P01
+         a expect closed
+         b send hello
+         b send bytes 51000000083b00ffff
+         b expect error 08P01
+         b expect closed
+         c send hello
+         c send bytes 51fffffff0
+         c send flood 400000
+         c expect error 54000
+         c expect closed
+         d send hello
+         d send bytes 500000000861000000
+         d send raw
+         d send sync
+         d expect error 0A000
+         d send read k1 yard-board
+         d expect row -
+         counts pg_malformed 3",
+    );
+}
+
+#[test]
+fn names_and_values_that_no_client_should_send_never_reach_a_member() {
+    play(
+        "member p primary
+         start
+         a send raw SELECT v FROM records WHERE k = 'k1' /* id=01,c=yard-board,t=acme,d=-5,cluster=1 */
+         a expect error 22023
+         a send raw SELECT v FROM records WHERE k = 'k1' /* id=01,c=yard-board,t=acme,d=+5,cluster=1 */
+         a expect error 22023
+         a send raw SELECT v FROM records WHERE k = 'k1' /* id=01,c=yard-board,t=acme,d=0,cluster=1 */
+         a expect error 22023
+         a send raw SELECT v FROM records WHERE k = 'k1' /* id=,c=yard-board,t=acme,d=5,cluster=1 */
+         a expect error 22023
+         a send raw SELECT v FROM records WHERE k = 'k1' /* id=0 1,c=yard-board,t=acme,d=5,cluster=1 */
+         a expect error 22023
+         a send raw SELECT v FROM records WHERE k = 'k1' /* id=01,id=02,c=yard-board,t=acme,d=500,cluster=1 */
+         a expect error 42601
+         a send raw SELECT v FROM records WHERE k = 'k1' /* id=01,c=yard-board,t=acme,d=500,cluster=1 */ DELETE FROM records /* */
+         a expect error 42601
+         p expect 0 read k1",
+    );
+}
+
+#[test]
+fn the_id_of_an_open_request_is_not_served_twice() {
+    play(
+        "member p primary
+         start
+         p does hold
+         a send raw SELECT v FROM records WHERE k = 'k1' /* id=0a,c=yard-board,t=acme,d=12000,cluster=1 */
+         p expect 1 read k1
+         b send raw SELECT v FROM records WHERE k = 'k2' /* id=0a,c=yard-board,t=acme,d=12000,cluster=1 */
+         b expect error 42710
+         p does answer
+         a expect row -
+         b send raw SELECT v FROM records WHERE k = 'k2' /* id=0a,c=yard-board,t=acme,d=12000,cluster=1 */
+         b expect row -
+         p expect 1 read k2",
+    );
+}
+
+#[test]
+fn silent_clients_make_room_before_any_that_was_served() {
+    // 40 descriptors leave four seats for clients.
+    play(
+        "member p primary
+         start small
+         a send read k1 yard-board
+         a expect row -
+         b send bytes
+         c send bytes
+         d send bytes
+         counts pg_connections 4
+         e send read k1 yard-board
+         e expect row -
+         b expect closed
+         f send bytes
+         c expect closed
+         a send read k1 yard-board
+         a expect row -",
+    );
+}
+
+#[test]
+fn all_connections_together_hold_no_more_bytes_than_memory_allows() {
+    // 16 MiB leave 2 MiB for messages: 20 that each claim 120,000 bytes and bring few are more than that.
+    let mut script = "member p primary\nstart scant\n".to_string();
+    for i in 0..20 {
+        script.push_str(&format!("c{i} send hello\nc{i} send bytes 510001d4c0\n"));
+    }
+    script.push_str("counts pg_no_room 3\nc19 expect error 53300\nc19 expect closed\n");
+    script.push_str("c0 expect error 08P01\nc0 expect closed\na send read k1 yard-board\na expect row -");
+    play(&script);
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -3,9 +3,9 @@
 //!
 //! ```text
 //! member p primary            a member of group 1; replicas name their lag in ms: member r replica 400
-//! start [odata] [dnssd] [watching] [small] [brief]   the proxy, with the members so far as its list; for dnssd it must browse for
-//!                             them, watching: it has discovery to watch, small: it has 72 descriptors,
-//!                             brief: members close what is idle for 500 ms
+//! start [odata] [dnssd] [watching] [small] [brief] [scant]   the proxy, with the members so far as its list; for dnssd it must browse for
+//!                             them, watching: it has discovery to watch, small: it has 40 descriptors,
+//!                             brief: members close what is idle for 500 ms, scant: it has 16 MiB
 //! dns does list p 2           a DNS server names member p with this time to live in seconds; `broken p 2`: without
 //!                             its TXT record; `drop p`: no longer; `garbage`: answers with what is no DNS message
 //! list does leaving p         discovery tells that p is `active`, `leaving` or has `left` (start watching)
@@ -16,13 +16,14 @@
 //! p does replica 9000         p's role and lag from now on
 //! a send read K C [after=MS]  client a sends a read of key K in class C by PostgreSQL ...
 //! a send write K HEX          ... or a booking; `raw TEXT` sends a statement as it is, `bytes HEX` sends bytes,
+//!                             `bytes` and `hello` only connect, `flood N` sends so many more bytes, `sync` a Sync,
 //!                             `bye` the goodbye, `wire TEXT` text to OData, with \n for line ends
 //! o send GET K C [h=v ...]    client o does so by OData; also `POST K HEX` and `http METHOD TARGET`
 //! a expect row HEX            or `row -` if empty, `error CODE [detail]`, `empty`, `closed`; for OData `STATUS [text in the response]`
 //! p expect 1 write K          p has been given that many statements so far that begin so
 //! a close                     resets the connection
 //! stop                        SIGTERM to the proxy; `gone` waits for its end
-//! wait 50                     milliseconds
+//! wait 50                     milliseconds; `clock` begins a span that must not have passed `within 3000`
 //! ```
 #![allow(dead_code)]
 
@@ -328,6 +329,7 @@
     dns: Dns,
     listing: Listing,
     config: serde_json::Value,
+    clock: Option<Instant>,
     proxy: Option<Proxy>,
     ids: u64,
 }
@@ -366,6 +368,11 @@
         let rest = |n: usize| line.splitn(n + 1, ' ').nth(n).unwrap_or_default();
         match words[..] {
             ["wait", ms] => thread::sleep(Duration::from_millis(ms.parse().unwrap())),
+            ["clock"] => self.clock = Some(Instant::now()),
+            ["within", ms] => {
+                let passed = self.clock.expect("a clock").elapsed().as_millis();
+                assert!(passed <= ms.parse().unwrap(), "{line}: {passed} ms");
+            }
             ["member", name, "primary"] => self.member(name, true, 0),
             ["member", name, "replica", lag] => self.member(name, false, lag.parse().unwrap()),
             ["start", ref with @ ..] => self.start(with),
@@ -463,8 +470,8 @@
     }
 
     fn start(&mut self, with: &[&str]) {
-        let [odata, dnssd, watching, small, brief] =
-            ["odata", "dnssd", "watching", "small", "brief"].map(|w| with.contains(&w));
+        let [odata, dnssd, watching, small, brief, scant] =
+            ["odata", "dnssd", "watching", "small", "brief", "scant"].map(|w| with.contains(&w));
         let entry = |(i, (_, m)): (usize, &(String, Standin))| {
             serde_json::json!({"instanceId": format!("s-{i:08x}"), "hostPort": m.address.to_string(), "zone": "a",
                 "cell": 1, "lifecycle": "active", "weight": 1.0, "startedAtMs": 0})
@@ -482,7 +489,7 @@
         let config = serde_json::json!({
             "name": "t", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "5",
             "known": {"generation": 1, "reset": true, "instances": list}, "settings": settings,
-            "limits": {"sockets": if small { 72 } else { 1024 }}
+            "limits": {"sockets": if small { 40 } else { 1024 }, "memory_mb": if scant { 16 } else { 192 }}
         });
         let unique = format!("linentrail-{}-{:?}-{}", std::process::id(), thread::current().id(), now_ms());
         let dir = std::env::temp_dir().join(unique);
@@ -559,6 +566,14 @@
                 let text = raw.replace("\\n", "\r\n");
                 return self.client(who, true, false).write_all(text.as_bytes()).unwrap();
             }
+            ["sync"] => return self.client(who, false, true).write_all(&message(b'S', &[])).unwrap(),
+            // Connects, and says hello; a flood need not be taken in.
+            ["hello"] => return drop(self.client(who, false, true)),
+            ["bytes"] => return drop(self.client(who, false, false)),
+            ["flood", n] => {
+                let _ = self.client(who, false, true).write_all(&vec![b'x'; n.parse().unwrap()]);
+                return;
+            }
             ["bytes", hex] => return self.client(who, false, false).write_all(&bytes(hex)).unwrap(),
             _ => {
                 let text = self.http(what);
