--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -568,8 +568,10 @@
             }
             ["sync"] => return self.client(who, false, true).write_all(&message(b'S', &[])).unwrap(),
             // Connects, and says hello; a flood need not be taken in.
-            ["hello"] => return drop(self.client(who, false, true)),
-            ["bytes"] => return drop(self.client(who, false, false)),
+            ["hello" | "bytes"] => {
+                self.client(who, false, what[0] == "hello");
+                return;
+            }
             ["flood", n] => {
                 let _ = self.client(who, false, true).write_all(&vec![b'x'; n.parse().unwrap()]);
                 return;
