Believe a member's answer only whole and in order, and look at the socket before reuse

Lines at fault: Link::run and Link::reply in pg/member.rs, which took the code from wherever it stood and passed over unknown messages; stands(), which asked the runtime's cached readiness (try_read) rather than the socket; report(), which kept whatever part it could read. Now an answer's messages must come in their order, up to ReadyForQuery; anything else has been spoilt, is an error that may have had its effect, and teaches nothing. What proves that nothing ran counts only with nothing behind it. The rest of an answer must come within 300 ms of its first bytes. A connection rests 3 ms after an answer, and the socket is peeked at (socket2, as tokio has no call for it) right before it is written to. A position ahead of the clock is no position; a write whose commit cannot be read counts as committed now. Checked: without the change three of the four new tests fail; the fourth was then changed from a read, which the module takes back by itself after 0.5 s, to a booking, which waited for its whole deadline.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -193,8 +193,10 @@
             outcome = Miss;
         }
         if outcome == Completed {
-            let position = note.and_then(|n| n.position);
             let write = self.classes[live.request.class].need == Need::Write;
+            // A write whose commit cannot be read was committed by now at the latest.
+            let told = note.and_then(|n| n.position);
+            let position = told.or_else(|| write.then(|| self.clock.now()));
             // Remembered before the answer leaves: whoever has the answer may read at once.
             if let (true, Some(p)) = (write, position) {
                 sessions(&live.request).for_each(|s| self.sessions.wrote(s, p));
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -23,6 +23,9 @@
 /// A connection that has stood idle for this share of the members' limit is closed rather than used: what is
 /// written at the limit or past it ends as a reset, and a write lost so may not be sent again.
 const IDLE_SHARE: f64 = 0.6;
+/// A connection rests so long after an answer before the next statement is written to it: what comes right behind an
+/// answer and does not belong to it must be seen before it can pass for the answer to the next.
+const REST: Duration = Duration::from_millis(3);
 
 /// What the fleet tells a peer.
 #[derive(Debug)]
@@ -149,20 +152,23 @@
         }
     }
 
-    /// The connection used last, if it still stands and is not near the limit; otherwise the means for a new one.
-    fn link(&mut self) -> Dial {
+    /// The connection used last that has rested and is not near the limit, or else the one that will have rested
+    /// first, with the means for a new one should it not stand.
+    fn dial(&mut self) -> Dial {
         self.reap();
-        while let Some(Idle { link, .. }) = self.idle.pop() {
-            if link.stands() {
-                return Dial::Ready(link);
-            }
+        let now = Instant::now();
+        let mut ready = None;
+        while ready.is_none() && !self.idle.is_empty() {
+            let rested = self.idle.iter().rposition(|i| i.since + REST <= now).unwrap_or(0);
+            let Idle { link, since } = self.idle.remove(rested);
+            ready = link.stands().then_some((link, since + REST));
         }
         let patience = Duration::from_micros(self.times.connect);
-        Dial::New { address: self.address, patience, budget: self.budget.clone() }
+        Dial { ready, address: self.address, patience, budget: self.budget.clone(), clock: self.clock }
     }
 
     fn attempt(&mut self, attempt: Attempt) {
-        let (dial, core, clock) = (self.link(), self.core.clone(), self.clock);
+        let (dial, core, clock) = (self.dial(), self.core.clone(), self.clock);
         let key = (attempt.id, attempt.number);
         let since = clock.now();
         let task = self.tasks.spawn(async move {
@@ -200,15 +206,15 @@
     }
 
     fn probe(&mut self) {
-        let (dial, core, id) = (self.link(), self.core.clone(), self.id);
+        let (dial, core, id) = (self.dial(), self.core.clone(), self.id);
         self.tasks.spawn(async move {
             let run = async {
                 let mut link = dial.link().await.ok()?;
-                let report = link.probe().await?;
-                Some((link, report))
+                let (report, reusable) = link.probe().await?;
+                Some((reusable.then_some(link), report))
             };
             let (link, report) = match tokio::time::timeout(PROBE_PATIENCE, run).await {
-                Ok(Some((link, report))) => (Some(link), Some(report)),
+                Ok(Some((link, report))) => (link, Some(report)),
                 _ => (None, None),
             };
             let _ = core.send(Input::Probed(id, report)).await;
@@ -218,22 +224,31 @@
 }
 
 /// How an attempt comes by its connection.
-enum Dial {
-    Ready(Link),
-    New { address: SocketAddr, patience: Duration, budget: Budget },
+struct Dial {
+    /// One that stands, and when it will have rested.
+    ready: Option<(Link, Instant)>,
+    address: SocketAddr,
+    patience: Duration,
+    budget: Budget,
+    clock: Clock,
 }
 
 impl Dial {
     async fn link(self) -> Result<Link, Outcome> {
-        let (address, patience, budget) = match self {
-            Dial::Ready(link) => return Ok(link),
-            Dial::New { address, patience, budget } => (address, patience, budget),
-        };
+        let Dial { ready, address, patience, budget, clock } = self;
+        if let Some((link, rested)) = ready {
+            tokio::time::sleep_until(rested).await;
+            // Looked at once more, right before it is written to.
+            if link.stands() {
+                return Ok(link);
+            }
+            count(Count::member_extras);
+        }
         let open = async {
             // Out of descriptors is our fault, not the member's: the attempt was never sent.
             let permit = budget.members.seat().await.ok_or(Outcome::Superseded)?;
             count(Count::member_connections);
-            Link::open(address, permit, budget.bytes.clone()).await
+            Link::open(address, permit, budget.bytes.clone(), clock).await
         };
         match tokio::time::timeout(patience, open).await {
             Ok(link) => link,
--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -1,16 +1,26 @@
 //! The proxy's end of a connection to a member.
+//!
+//! An answer counts only as a whole: its messages in their order, each as long as it says, up to ReadyForQuery. What
+//! is not so has been spoilt on the way. The statement then may have run, whatever the rest of the answer says, and
+//! nothing that came with it is believed.
 
-use super::codec::{shrink, Backend, ClientCodec, Frontend, WireError, ROOM};
+use super::codec::{next, shrink, Backend, ClientCodec, Column, Frontend, Next, WireError, ROOM};
 use super::statement;
+use crate::core::counters::{count, Count};
 use crate::core::{Value, Work};
 use crate::interface::*;
 use crate::net::budget::Ration;
+use crate::net::clock::Clock;
 use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt};
+use futures_util::SinkExt;
+use socket2::SockRef;
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
+use tokio::time::Instant;
 use tokio_util::codec::Framed;
 
 /// What came of one query.
@@ -34,24 +44,40 @@
     }
 }
 
+/// Once an answer's first bytes are there, the rest must be within this: a member writes an answer at once, and what
+/// is missing then will not come.
+const STALL: Duration = Duration::from_millis(300);
+/// No position lies further ahead of this proxy's clock than this, in us.
+const AHEAD: Time = 1_000_000;
+
 /// A connection that has been welcomed.
 pub struct Link {
     framed: Framed<TcpStream, ClientCodec>,
+    clock: Clock,
     _permit: OwnedSemaphorePermit,
 }
 
-/// All that comes before ReadyForQuery or the end.
+/// How the messages of an answer ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// With ReadyForQuery, or with the connection's orderly end after a fatal error.
+    Whole { ready: bool },
+    /// The connection broke or ended before that.
+    Broken,
+    /// With something that does not belong there.
+    Spoilt(&'static str),
+}
+
+/// What an answer holds.
 #[derive(Default)]
 struct Reply {
-    column: Option<(u32, bool)>,
+    column: Option<Column>,
     row: Option<Option<Bytes>>,
-    rows: u32,
     complete: bool,
     code: Option<Bytes>,
+    fatal: bool,
     note: Option<Note>,
     report: Option<Report>,
-    ready: bool,
-    fatal: bool,
 }
 
 impl Link {
@@ -63,61 +89,72 @@
         address: SocketAddr,
         permit: OwnedSemaphorePermit,
         bytes: Ration,
+        clock: Clock,
     ) -> Result<Self, Outcome> {
         let stream = TcpStream::connect(address).await.map_err(|_| Outcome::Refused)?;
         let _ = stream.set_nodelay(true);
-        let mut link =
-            Link { framed: Framed::with_capacity(stream, ClientCodec::new(bytes), ROOM), _permit: permit };
+        let framed = Framed::with_capacity(stream, ClientCodec::new(bytes), ROOM);
+        let mut link = Link { framed, clock, _permit: permit };
         let startup = Frontend::Startup { user: "svc".to_string() };
         link.framed.send(startup).await.map_err(|_| Outcome::Refused)?;
-        let reply = link.reply().await;
-        match reply.code.as_deref() {
-            Some(b"53300") => Err(Outcome::Saturated),
-            None if reply.ready => Ok(link),
-            _ => Err(Outcome::Refused),
+        // No statement has been written, so that nothing here can have run.
+        let mut known = false;
+        loop {
+            let Next::Message(Some(Ok(message))) = next(&mut link.framed, true).await else {
+                return Err(Outcome::Refused);
+            };
+            match message {
+                Backend::AuthenticationOk if !known => known = true,
+                Backend::Ready if known => return Ok(link),
+                Backend::ParameterStatus(..) | Backend::KeyData if known => {}
+                Backend::Other(b'N') => {}
+                Backend::Error { code, .. } if &code[..] == b"53300" => return Err(Outcome::Saturated),
+                _ => return Err(Outcome::Refused),
+            }
         }
     }
 
-    /// Nothing has come on it since its last answer, not even an end.
+    /// Nothing has come on it since its last answer, not even an end. The socket itself is asked: what the runtime
+    /// remembers of it is as old as its last look, and a second copy that came since would pass for the next answer.
     pub fn stands(&self) -> bool {
-        let nothing = self.framed.get_ref().try_read(&mut [0; 1]);
-        self.framed.read_buffer().is_empty() && nothing.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+        let peeked = SockRef::from(self.framed.get_ref()).peek(&mut [MaybeUninit::uninit(); 1]);
+        self.framed.read_buffer().is_empty() && peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
-    async fn reply(&mut self) -> Reply {
+    async fn reply(&mut self) -> (Reply, End) {
         let mut reply = Reply::default();
+        let mut stall: Option<Instant> = None;
         loop {
-            let message = match self.framed.next().await {
-                Some(Ok(message)) => message,
-                Some(Err(WireError::Io(_))) | None => return reply,
-                Some(Err(e)) => {
-                    log::warn!("a member's message cannot be read: {e}");
-                    return reply;
-                }
+            let read = next(&mut self.framed, stall.is_some());
+            let read = match stall {
+                Some(at) => match tokio::time::timeout_at(at, read).await {
+                    Ok(read) => read,
+                    Err(_) => return (reply, End::Spoilt("the rest of an answer did not come")),
+                },
+                None => read.await,
             };
-            match message {
-                Backend::RowDescription(c) => reply.column = Some((c.type_id, c.binary)),
-                Backend::DataRow(value) => {
-                    reply.row = Some(value);
-                    reply.rows += 1;
+            let message = match read {
+                Next::Part => {
+                    stall = Some(Instant::now() + STALL);
+                    continue;
                 }
-                Backend::CommandComplete(_) => reply.complete = true,
-                Backend::Error { fatal, code, message, .. } => {
-                    if &code[..] == b"08P01" {
-                        log::error!(
-                            "a member takes a statement for malformed: {}",
-                            String::from_utf8_lossy(&message)
-                        );
-                    }
-                    reply.fatal |= fatal;
-                    reply.code = Some(code);
+                Next::Message(Some(Ok(message))) => message,
+                Next::Message(Some(Err(WireError::Io(_))) | None) if reply.fatal => {
+                    return (reply, End::Whole { ready: false })
                 }
-                Backend::ParameterStatus(name, value) => reply.parameter(&name, &value),
-                Backend::Ready => {
-                    reply.ready = true;
-                    return reply;
+                Next::Message(Some(Err(WireError::Io(_))) | None) => return (reply, End::Broken),
+                Next::Message(Some(Err(e))) => {
+                    log::debug!("a member's message cannot be read: {e}");
+                    return (reply, End::Spoilt("a message of an answer cannot be read"));
                 }
-                _ => {}
+            };
+            // A notice or a parameter may come long before the answer proper.
+            let aside = matches!(message, Backend::ParameterStatus(..) | Backend::Other(_));
+            stall = if aside { None } else { stall.or_else(|| Some(Instant::now() + STALL)) };
+            match reply.take(message, self.clock.now()) {
+                Ok(false) => {}
+                Ok(true) => return (reply, End::Whole { ready: true }),
+                Err(what) => return (reply, End::Spoilt(what)),
             }
         }
     }
@@ -136,37 +173,84 @@
             return Exchange::default();
         }
         *written = true;
-        let reply = self.reply().await;
-        let outcome = match reply.code.as_deref() {
-            None if reply.complete && reply.rows < 2 && reply.ready => Outcome::Completed,
-            // Half an answer and then a break or an end: no value to pass on, and it may have run.
-            None => Outcome::Severed,
-            Some(b"25006" | b"72000") => Outcome::Miss,
-            Some(b"53300") => Outcome::Saturated,
-            Some(_) => Outcome::Errored,
-        };
-        let (type_id, binary) = reply.column.unwrap_or((17, true));
-        let bytes = reply.row.flatten();
-        let value =
-            (outcome == Outcome::Completed).then_some(Value { binary, type_id, bytes, rows: reply.rows });
+        let (reply, end) = self.reply().await;
         shrink(&mut self.framed);
-        let reusable = reply.ready && !reply.fatal;
-        Exchange { outcome, value, note: reply.note, report: reply.report, reusable }
+        let more = matches!(end, End::Whole { ready: true }) && !self.stands();
+        let mut outcome = match (end, reply.code.as_deref()) {
+            (End::Whole { .. }, None) => Outcome::Completed,
+            (End::Whole { .. }, Some(b"25006" | b"72000")) => Outcome::Miss,
+            (End::Whole { .. }, Some(b"53300")) => Outcome::Saturated,
+            // The member answered, but not with what can be passed on, and it may have run.
+            (End::Whole { .. }, Some(_)) | (End::Spoilt(_), _) => Outcome::Errored,
+            (End::Broken, _) => Outcome::Severed,
+        };
+        if more {
+            count(Count::member_extras);
+            // What proves that nothing ran must be beyond doubt; a value stands for itself.
+            if matches!(outcome, Outcome::Miss | Outcome::Saturated) {
+                outcome = Outcome::Errored;
+            }
+        }
+        if let End::Spoilt(what) = end {
+            count(Count::member_spoilt);
+            log::debug!("an answer is spoilt: {what}");
+            return Exchange { outcome, ..Exchange::default() };
+        }
+        let Reply { column, row, note, report, .. } = reply;
+        let value = column.filter(|_| outcome == Outcome::Completed).map(|c| Value {
+            binary: c.binary,
+            type_id: c.type_id,
+            rows: u32::from(row.is_some()),
+            bytes: row.flatten(),
+        });
+        Exchange { outcome, value, note, report, reusable: end == End::Whole { ready: true } && !more }
     }
 
-    /// Asks for the member's report; none if it does not answer with one.
-    pub async fn probe(&mut self) -> Option<Report> {
+    /// Asks for the member's report, and tells whether the connection may carry another query; none if the member
+    /// does not answer. An answer that cannot be read shows no more than that the member is there.
+    pub async fn probe(&mut self) -> Option<(Report, bool)> {
         self.framed.send(Frontend::Query(Bytes::from_static(b"SHOW stats"))).await.ok()?;
-        let reply = self.reply().await;
-        if reply.code.is_some() || !reply.ready {
-            return None;
+        let (reply, end) = self.reply().await;
+        match end {
+            End::Whole { ready: true } if reply.code.is_none() => {
+                let report = reply.row.flatten().and_then(|row| report(&row, self.clock.now()));
+                Some((report.unwrap_or_default(), self.stands()))
+            }
+            End::Spoilt(_) => {
+                count(Count::member_spoilt);
+                Some((Report::default(), false))
+            }
+            _ => None,
         }
-        Some(reply.row.flatten().map(|row| report(&row)).unwrap_or_default())
     }
 }
 
 impl Reply {
-    fn parameter(&mut self, name: &[u8], value: &[u8]) {
+    /// Takes in the next message; true at the end.
+    fn take(&mut self, message: Backend, now: Time) -> Result<bool, &'static str> {
+        let open = !self.complete && self.code.is_none();
+        match message {
+            Backend::RowDescription(c) if open && self.column.is_none() => self.column = Some(c),
+            Backend::DataRow(value) if open && self.column.is_some() && self.row.is_none() => {
+                self.row = Some(value);
+            }
+            Backend::CommandComplete(_) if open && self.column.is_some() => self.complete = true,
+            Backend::Error { fatal, code, message, .. } if open => {
+                if &code[..] == b"08P01" {
+                    let message = String::from_utf8_lossy(&message);
+                    log::error!("a member takes a statement for malformed: {message}");
+                }
+                (self.fatal, self.code) = (fatal, Some(code));
+            }
+            Backend::ParameterStatus(name, value) => self.parameter(&name, &value, now),
+            Backend::Other(b'N') => {}
+            Backend::Ready if !open => return Ok(true),
+            _ => return Err("a message stands where it does not belong"),
+        }
+        Ok(false)
+    }
+
+    fn parameter(&mut self, name: &[u8], value: &[u8], now: Time) {
         let note = self.note.unwrap_or(Note { position: None, role: None });
         let text = std::str::from_utf8(value).unwrap_or_default();
         match name {
@@ -179,28 +263,36 @@
                 self.note = Some(Note { role, ..note });
             }
             b"wal_time" => {
-                let position = text.parse().ok().filter(|ms| *ms > 0).map(|ms: u64| ms.saturating_mul(1000));
+                let position = text.parse().ok().map(|ms: u64| ms.saturating_mul(1000));
+                let position = position.filter(|p| (1..=now + AHEAD).contains(p));
                 self.note = Some(Note { position, ..note });
             }
-            b"stats" => self.report = Some(report(value)),
+            b"stats" => self.report = report(value, now),
             _ => {}
         }
     }
 }
 
-/// Reads `x0=1767225600.25,x1=1,q=3`; what is unknown or malformed is left out.
-fn report(text: &[u8]) -> Report {
-    let mut report = Report::default();
-    for (name, value) in String::from_utf8_lossy(text).split(',').filter_map(|part| part.split_once('=')) {
-        let Some(v) = value.trim().parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0) else {
-            continue;
-        };
-        match name.trim() {
-            "x0" => report.position = Some((v * 1e6) as Position),
-            "x1" => report.primary = Some(v >= 1.0),
-            "busy" => report.busy = Some(v),
-            _ => {}
+/// Reads `x0=1767225600.25,x1=1,q=3`. A report of which any part cannot be read, or cannot be true, tells nothing.
+fn report(text: &[u8], now: Time) -> Option<Report> {
+    let read = || {
+        let mut report = Report::default();
+        for part in std::str::from_utf8(text).ok()?.split(',') {
+            let (name, value) = part.split_once('=')?;
+            let v: f64 = value.trim().parse().ok().filter(|v: &f64| v.is_finite() && *v >= 0.0)?;
+            match name.trim() {
+                "x0" if v * 1e6 <= (now + AHEAD) as f64 => report.position = Some((v * 1e6) as Position),
+                "x1" if v == 0.0 || v == 1.0 => report.primary = Some(v == 1.0),
+                "busy" => report.busy = Some(v),
+                "x0" | "x1" => return None,
+                _ => {}
+            }
         }
+        Some(report)
+    };
+    let report = read();
+    if report.is_none() {
+        count(Count::member_bad_reports);
     }
     report
 }
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -678,3 +678,85 @@
     script.push_str("c0 expect error 08P01\nc0 expect closed\na send read k1 yard-board\na expect row -");
     play(&script);
 }
+
+#[test]
+fn what_comes_behind_an_answer_is_not_the_next_ones() {
+    // The value itself is good. In the second part the copy comes while the connection rests.
+    play(
+        "member p primary
+         start
+         p does twice
+         a send write k1 01
+         a expect row 01
+         p does answer
+         a send write k2 02
+         a expect row 02
+         p does after
+         a send write k3 03
+         a expect row 03
+         wait 60
+         p does answer
+         a send write k4 04
+         a expect row 04
+         p expect 1 write k4
+         counts member_extras 1",
+    );
+}
+
+#[test]
+fn a_spoilt_refusal_proves_nothing() {
+    // Taken at its word it would be passed on as a refusal, and the booking tried again, though it may have run.
+    play(
+        "member p primary
+         start
+         p does noisy
+         a send write k1 01
+         a expect error XX000
+         p does unready
+         a send write k2 01
+         a expect error XX000
+         p does swapped
+         a send write k3 01
+         a expect error XX000
+         p does answer
+         a send write k4 01
+         a expect row 01
+         p expect 1 write k1
+         p expect 1 write k2
+         p expect 1 write k3
+         counts member_spoilt 2",
+    );
+}
+
+#[test]
+fn the_rest_of_an_answer_that_stalls_is_not_waited_for() {
+    // The booking itself would wait for 12 s.
+    play(
+        "member p primary
+         start
+         p does stall
+         clock
+         a send write k1 01
+         a expect error XX000
+         within 4000
+         p expect 1 write k1
+         counts member_spoilt 1",
+    );
+}
+
+#[test]
+fn a_report_that_cannot_be_true_teaches_nothing() {
+    // It claims the role of the primary, at a position beyond all others.
+    play(
+        "member p primary
+         member r replica 1
+         start
+         r does boast
+         a send write k1 01
+         a expect row 01
+         counts member_bad_reports 1
+         a send write k2 02
+         a expect row 02
+         r expect 0 write k2",
+    );
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -12,7 +12,10 @@
 //! list does move              discovery is to be another one that starts with the same list; `config does half` writes
 //!                             half of the file that says so, `config does whole` all of it, `hup` sends SIGHUP
 //! counts NAME 1               one of the proxy's counters reaches this
-//! p does hold                 answer | hold | reset | half | full | error | miss: what p does with statements from now on
+//! p does hold                 answer | hold | reset | half | full | error | miss: what p does with statements from now on;
+//!                             twice: a second copy comes right behind, after: one comes 30 ms later, stall: half an
+//!                             answer and no more, swapped: a row before its description, unready: full without
+//!                             ReadyForQuery, noisy: full and noise; boast: a report that cannot be true
 //! p does replica 9000         p's role and lag from now on
 //! a send read K C [after=MS]  client a sends a read of key K in class C by PostgreSQL ...
 //! a send write K HEX          ... or a booking; `raw TEXT` sends a statement as it is, `bytes HEX` sends bytes,
@@ -113,6 +116,10 @@
             if stream.write_all(&reply).is_err() || reply.ends_with(b"half") {
                 return None;
             }
+            if self.state.0.lock().unwrap().does == "after" {
+                thread::sleep(Duration::from_millis(30));
+                stream.write_all(&reply).ok()?;
+            }
         }
     }
 
@@ -133,7 +140,10 @@
             [message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes()), message(b'Z', b"I")].concat()
         };
         if sql == "SHOW stats" {
-            let report = format!("x0={:.3},x1={},q=0", position as f64 / 1e3, u8::from(state.primary));
+            let mut report = format!("x0={:.3},x1={},q=0", position as f64 / 1e3, u8::from(state.primary));
+            if state.does == "boast" {
+                report = "x0=9e99,x1=1,q=0".to_string();
+            }
             return Some(row(report.as_bytes(), 25, position));
         }
         let key = sql.split('\'').nth(1).unwrap_or_default().to_string();
@@ -146,6 +156,8 @@
         let does = state.does.clone();
         match &does[..] {
             "full" => return Some(error("53300")),
+            "unready" => return Some(error("53300")[..error("53300").len() - 6].to_vec()),
+            "noisy" => return Some([&error("53300")[..], &[0xff; 40]].concat()),
             "error" => return Some(error("XX000")),
             "miss" => return Some(error("72000")),
             _ if write && !state.primary => return Some(error("25006")),
@@ -169,6 +181,15 @@
                 reset(stream);
                 None
             }
+            "twice" => Some(row(&bytes(&value), 17, commit).repeat(2)),
+            "stall" => Some(row(&bytes(&value), 17, commit)[..20].to_vec()),
+            "swapped" => {
+                let whole = row(&bytes(&value), 17, commit);
+                // The description has 27 bytes.
+                Some(
+                    [&whole[27..38 + value.len() / 2], &whole[..27], &whole[38 + value.len() / 2..]].concat(),
+                )
+            }
             "half" => Some([&row(&bytes(&value), 17, commit)[..20], b"half"].concat()),
             _ => {
                 let reply = row(&bytes(&value), 17, commit);
