Give up writes that reached no member before half of their time; forget what has left

Lines at fault: dispatch() in decide.rs, list() and entry() there, Numbers in net/discovery.rs, KEPT in net/fleet.rs. Now a write of which no attempt was written is refused 18 ms before half of its time, with the advice as before; one that a member has turned away waits on. A member that is gone with nothing out is forgotten by the module at the next list, by the fleet after 5 s, its id after 60 s. The session ledger holds 16,384 sessions before it folds. The three new tests were seen to fail without the change, the one of the ids by not compiling.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -14,7 +14,7 @@
 /// Most messages that go into one step.
 const BATCH: usize = 256;
 /// Sessions remembered.
-const SESSIONS: usize = 65_536;
+const SESSIONS: usize = 16_384;
 
 struct Live {
     request: Request,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -27,6 +27,9 @@
 const HOLD_SHARE: f64 = 0.4;
 /// Final answers go out this long before the client leaves, in us: one late round must not lose them.
 const ANSWER_LEAD: Time = 12_000;
+/// A write of which no attempt reached a member is given up this long before half of its time is over, in
+/// us: its client can still come back then, and a later refusal costs more than the chance is worth.
+const HALF_LEAD: Time = 18_000;
 /// Reports may round a position up by less than this, in us; notes are rounded down already.
 const REPORT_ROUNDING: Time = 1_000;
 /// A checking member is tried on an estimated position no older than this, in us: lag changes in seconds.
@@ -330,7 +333,9 @@
         for (_, _, id) in held {
             let Some(open) = self.open.get(&id) else { continue };
             let class = &self.set.classes[open.class];
-            if self.now + ANSWER_LEAD >= open.deadline || !self.allows(open, None).0 {
+            let write = class.need == Need::Write;
+            let hopeless = write && !open.written && self.now >= self.half_time(open);
+            if hopeless || self.now + ANSWER_LEAD >= open.deadline || !self.allows(open, None).0 {
                 self.give_up(id, out);
                 continue;
             }
@@ -362,6 +367,11 @@
         self.now >= open.arrived + limit as Time && self.of_group(open.group).any(would_do)
     }
 
+    /// When a write is given up that has reached no member, as there is no primary.
+    fn half_time(&self, open: &Open) -> Time {
+        (open.arrived + open.deadline.saturating_sub(open.arrived) / 2).saturating_sub(HALF_LEAD)
+    }
+
     /// When a held read must go out if it is still to make its aim; past its aim, its deadline counts where
     /// late answers are worth something.
     fn last_call(&self, open: &Open) -> Time {
@@ -645,6 +655,7 @@
         open.errors += u32::from(outcome == Errored);
         let write = self.set.classes[class].need == Need::Write;
         open.missed |= outcome == Miss;
+        open.written |= !matches!(outcome, Refused | Superseded);
         if open.attempts.iter().all(|a| a.fate != Fate::Out) {
             if open.done {
                 self.open.remove(&id);
@@ -820,14 +831,19 @@
             let named: BTreeSet<MemberId> = entries.iter().map(|e| e.id).collect();
             for (id, m) in &mut self.members {
                 if !named.contains(id) {
-                    m.listed = false;
+                    (m.listed, m.gone) = (false, true);
                 }
             }
         }
         for e in entries {
             self.entry(e, kind == ListKind::Disk);
         }
+        // Members are replaced all the time, under new ids. One that is gone and has nothing out can neither
+        // be sent anything nor answer; should it return, the list tells of its start, and it proves its
+        // position anew.
+        self.members.retain(|_, m| m.listed || !m.gone || m.out > 0);
         for g in self.groups.values_mut() {
+            g.members.retain(|id| self.members.contains_key(id));
             let gone = |id: &MemberId| self.members.get(id).is_none_or(|m| !m.listed);
             g.primary = g.primary.filter(|id| !gone(id));
         }
@@ -836,8 +852,11 @@
     fn entry(&mut self, e: &Member, disk: bool) {
         let now = self.now;
         let warm = self.set.rules.warm_after;
+        if e.condition == Condition::Out && !self.members.contains_key(&e.id) {
+            return;
+        }
         let m = self.members.entry(e.id).or_insert_with(|| Seen { quiet_since: now, ..Seen::default() });
-        (m.zone, m.group) = (e.zone, e.group);
+        (m.zone, m.group, m.gone) = (e.zone, e.group, e.condition == Condition::Out);
         // Where being called gone does not bind, only draining closes a member: a list that calls all members
         // gone while they serve then changes nothing, and one that is really gone shows by its own answers.
         if e.condition != Condition::Out || !self.set.rules.removal_not_binding {
--- a/src/dnssd/browse.rs
+++ b/src/dnssd/browse.rs
@@ -104,6 +104,7 @@
     /// Hands on the list if it has changed or an answer is owed.
     async fn tell(&mut self, fine: bool, owed: bool) -> Option<()> {
         let members = self.cache.members(&self.service, &self.zones, &mut self.numbers);
+        self.numbers.leave(|id| members.iter().all(|m| m.member.id != id), tokio::time::Instant::now());
         let known = self.told.as_ref() == Some(&members);
         let list = match (fine, known) {
             (true, false) => Input::List(ListKind::Full, members.clone()),
--- a/src/main.rs
+++ b/src/main.rs
@@ -79,7 +79,10 @@
         );
     }
     let (memory, idle) = (told.memory >> 20, times.keepalive / 1000);
-    log::info!("limits: {} descriptors, {memory} MiB; members close what is idle for {idle} ms", told.sockets);
+    log::info!(
+        "limits: {} descriptors, {memory} MiB; members close what is idle for {idle} ms",
+        told.sockets
+    );
     let clock = Clock::start();
     let budget = Budget::new(told.sockets, told.memory);
     let (mailbox, inbox) = mpsc::channel(MAILBOX);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -36,18 +36,22 @@
 #[derive(Debug)]
 pub struct Follow;
 
-/// Gives members the module's numbers. An id keeps its number for as long as the process lives.
+/// Ids that have left are remembered so long, beyond all that may still know their numbers.
+const LEFT_KEPT: Duration = Duration::from_secs(60);
+
+/// Gives members the module's numbers. An id keeps its number while lists name it, and for a while after.
 #[derive(Default)]
 pub struct Numbers {
-    given: HashMap<String, MemberId>,
+    given: HashMap<String, (MemberId, Option<Instant>)>,
     taken: HashSet<MemberId>,
 }
 
 impl Numbers {
-    /// The number of an id. Ids that end in eight hex digits are numbered by them, so that all proxies order members
-    /// alike; for others a hash does.
+    /// The number of an id that a list names. Ids that end in eight hex digits are numbered by them, so that all
+    /// proxies order members alike; for others a hash does.
     pub fn of(&mut self, id: &str) -> MemberId {
-        if let Some(known) = self.given.get(id) {
+        if let Some((known, left)) = self.given.get_mut(id) {
+            *left = None;
             return *known;
         }
         let tail = id.len().checked_sub(8).and_then(|at| id.get(at..));
@@ -56,9 +60,30 @@
         while !self.taken.insert(number) {
             number = MemberId(number.0.wrapping_add(1));
         }
-        self.given.insert(id.to_string(), number);
+        self.given.insert(id.to_string(), (number, None));
         number
     }
+
+    /// After a list: those that have `left`, and in due time they are forgotten, as members are replaced under new
+    /// ids without end.
+    pub fn leave(&mut self, left: impl Fn(MemberId) -> bool, now: Instant) {
+        let taken = &mut self.taken;
+        self.given.retain(|_, (number, since)| {
+            if since.is_none() && left(*number) {
+                *since = Some(now);
+            }
+            let keep = since.is_none_or(|t| now < t + LEFT_KEPT);
+            if !keep {
+                taken.remove(number);
+            }
+            keep
+        });
+    }
+
+    /// How many ids are remembered.
+    pub fn known(&self) -> usize {
+        self.given.len()
+    }
 }
 
 /// Reads lists as discovery words them.
@@ -89,6 +114,13 @@
                 }
             }
         }
+        let named: HashMap<MemberId, Condition> =
+            entries.iter().map(|e| (e.member.id, e.member.condition)).collect();
+        let left = |id| match named.get(&id) {
+            Some(condition) => *condition == Condition::Out,
+            None => whole,
+        };
+        self.numbers.leave(left, Instant::now());
         Some((version, whole, entries))
     }
 
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -13,8 +13,9 @@
 
 /// Orders that may wait at a peer.
 const MAILBOX: usize = 1024;
-/// How long a member that has gone keeps its actor, in us: its last attempts may still be cancelled.
-const KEPT: Time = 60_000_000;
+/// How long a member that has gone keeps its actor, in us: its last attempts may still be cancelled. Longer than any
+/// of them lasts; members are replaced all the time.
+const KEPT: Time = 5_000_000;
 
 struct Peer {
     orders: mpsc::Sender<Order>,
--- a/src/state.rs
+++ b/src/state.rs
@@ -53,6 +53,8 @@
     pub errors: u32,
     /// A member was too far behind for it, or not the primary.
     pub missed: bool,
+    /// One of its attempts was written to a member, whatever came of it.
+    pub written: bool,
     /// A client's repeat.
     pub repeat: bool,
     /// Its answer has begun.
@@ -141,6 +143,8 @@
     pub group: GroupId,
     /// The list allows new work.
     pub listed: bool,
+    /// The list no longer names it, or calls it gone.
+    pub gone: bool,
     /// The list's last word on its role.
     pub head: bool,
     pub up_since: Option<Time>,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -106,10 +106,10 @@
     }
 
     /// A read of any kind at `member` answers with this position and role.
-    pub fn hear(&mut self, member: u32, position: Time, role: Role) {
+    pub fn hear(&mut self, member: u32, position: Time, role: Role) -> Vec<Action> {
         let report =
             Report { position: Some(position + MS), primary: Some(role == Role::Primary), busy: None };
-        self.step(&[Event::Probed { member: MemberId(member), ok: true, report: Some(report) }]);
+        self.step(&[Event::Probed { member: MemberId(member), ok: true, report: Some(report) }])
     }
 }
 
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -760,3 +760,27 @@
          r expect 0 write k2",
     );
 }
+
+#[test]
+fn ids_of_members_that_left_are_forgotten_after_a_while_and_not_before() {
+    use linentrail::net::discovery::Lists;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+    runtime.unwrap().block_on(async {
+        let mut lists = Lists::new(vec![]);
+        let list = |ids: std::ops::Range<u32>, whole: bool, lifecycle: &str| {
+            let entry = |i| {
+                serde_json::json!({"instanceId": format!("s-{i:08x}"), "hostPort": "127.0.0.1:1", "cell": 1,
+                    "lifecycle": lifecycle})
+            };
+            let all: Vec<_> = ids.map(entry).collect();
+            serde_json::json!({"generation": 1, "reset": whole, "instances": all})
+        };
+        lists.read(&list(0..100, true, "active")).unwrap();
+        lists.read(&list(0..50, false, "left")).unwrap();
+        lists.read(&list(98..100, true, "active")).unwrap();
+        assert_eq!(lists.numbers.known(), 100, "their last attempts may still end");
+        tokio::time::advance(std::time::Duration::from_secs(61)).await;
+        lists.read(&list(0..0, false, "active")).unwrap();
+        assert_eq!(lists.numbers.known(), 2);
+    });
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -531,3 +531,43 @@
     assert!(stop(KEYED, 199 * MS).is_none(), "too late to go again");
     assert!(stop(UNSAFE, 0).is_none());
 }
+
+#[test]
+fn a_write_that_reached_no_member_is_given_up_before_half_of_its_time() {
+    // Late refusals of what was never tried cost more than the chance of a new primary is worth.
+    let mut d = Driver::new(settings());
+    d.list(ListKind::Full, vec![]);
+    let (id, actions) = d.request(UNSAFE, None);
+    assert!(sent(&actions).is_empty());
+    assert!(!refused(&d.after(1_900 * MS), id), "a primary may still be found in time");
+    let actions = d.after(90 * MS);
+    let away = Some(500 * MS);
+    assert!(actions.contains(&Action::Refuse { id, retry_after: away }), "{actions:?}");
+    // One that a member has turned away was tried: it may wait until its client leaves.
+    let mut d = Driver::new(settings());
+    d.list(ListKind::Full, vec![member(1, true)]);
+    let (id, actions) = d.request(UNSAFE, None);
+    assert_eq!(sent(&actions), vec![(id, 1)]);
+    d.ended(id, 0, Outcome::Miss, note(d.now, Role::Replica));
+    d.list(ListKind::Full, vec![]);
+    assert!(!refused(&d.after(2_500 * MS), id));
+    assert!(refused(&d.after(1_495 * MS), id));
+}
+
+#[test]
+fn members_that_are_gone_are_forgotten_and_prove_everything_anew_when_they_return() {
+    let mut d = Driver::new(settings());
+    d.hear(2, d.now, Role::Replica);
+    let (read, actions) = d.request(SESSION, Some(50 * MS));
+    assert_eq!(sent(&actions), vec![(read, 2)]);
+    let gone = |id| Member { condition: Condition::Out, ..member(id, false) };
+    // While something is out at it, its end must still be understood.
+    d.list(ListKind::Changes, vec![gone(2)]);
+    d.ended(read, 0, Outcome::Completed, note(d.now, Role::Replica));
+    d.list(ListKind::Changes, vec![gone(2), gone(7)]);
+    d.list(ListKind::Full, vec![member(1, true), member(2, false)]);
+    let (read, actions) = d.request(SESSION, Some(50 * MS));
+    assert!(sent(&actions).is_empty(), "what it had proved is forgotten");
+    assert_eq!(probes(&actions), vec![2]);
+    assert_eq!(sent(&d.hear(2, d.now, Role::Replica)), vec![(read, 2)]);
+}
