Bound OData by the same bytes and times, and let nothing odd leave a trace in the module

Seen in the read of every file: an HTTP request could claim 128 KiB on each connection beyond any common bound, and stay unfinished for 60 s; a write for a group that there is not left an entry in the module for good; an attempt that waited in vain for one of the proxy's own descriptors was told as 'could not connect', which puts the member in doubt; a list of 8 MiB, read into JSON, is more than a memory of 32 MB holds, and so are 32 MiB of remembered bookings. Lines at fault: odata/front.rs (IDLE, bad()), http/mod.rs (Reader), dispatch_current() in decide.rs, Dial::link() in net/peer.rs, LONGEST in net/discovery.rs, repeat_mib in deploy/fronts.toml. Now OData requests take their share of the same ration when their length is known (503 where there is none left), end within 2 s once begun (408), and idle no longer than 4 s; what both fronts share stands in net/frames.rs. Numbers of no group are passed over. A wait for a descriptor that fails counts as never sent. Lists have 1 MiB at most, and remembered answers at most an eighth of the memory.

--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -49,6 +49,7 @@
     missed,
     member_connections,
     member_idle_closed,
+    member_no_seat,
     member_spoilt,
     member_extras,
     member_bad_reports,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -179,6 +179,11 @@
         self.arm(out);
     }
 
+    /// How many things it remembers, all kinds together.
+    pub fn remembered(&self) -> usize {
+        self.members.len() + self.groups.len() + self.open.len() + self.held.len()
+    }
+
     fn absorb(&mut self, event: &Event, out: &mut Vec<Action>) {
         match event {
             Event::List { kind, members } => self.list(*kind, members),
@@ -472,6 +477,10 @@
             }
             return;
         }
+        // Any number may stand in a request: one that is no group's must leave nothing behind.
+        if self.of_group(group).next().is_none() {
+            return;
+        }
         let mut ids = self.chosen(group, |m| m.replica_at == 0 || self.now >= m.replica_at + SCOUT_GAP);
         ids.retain(|m| self.takes_writes(*m, open));
         let spare = need == Need::Write && open.attempts.len() + 2 <= self.set.max_attempts as usize;
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,5 +1,7 @@
 //! HTTP/1.1, as far as discovery and OData need it; `httparse` reads the heads.
 
+use crate::net::budget::{Ration, Share};
+use crate::net::frames::Holds;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::io;
 use tokio_util::codec::{Decoder, Encoder};
@@ -17,6 +19,10 @@
     TooLong,
     /// A message is malformed.
     Malformed(String),
+    /// All connections together hold as many bytes as memory allows.
+    NoRoom,
+    /// A message was begun and not ended in time.
+    Unfinished,
 }
 
 impl From<io::Error> for HttpError {
@@ -30,6 +36,8 @@
         match self {
             HttpError::Io(e) => write!(f, "{e}"),
             HttpError::TooLong => write!(f, "the message is too long"),
+            HttpError::NoRoom => write!(f, "no room for one more request; trying again is harmless"),
+            HttpError::Unfinished => write!(f, "the request was begun and not ended in time"),
             HttpError::Malformed(what) => write!(f, "the message is malformed: {what}"),
         }
     }
@@ -124,7 +132,6 @@
     Response { status: u16, minor: u8 },
 }
 
-#[derive(Debug)]
 struct Reading {
     head: Head,
     headers: Headers,
@@ -132,6 +139,8 @@
     chunks: BytesMut,
     /// The client waits to be told to go on.
     expects: bool,
+    /// The body's share of the ration, from the moment that its length is known.
+    share: Option<Share>,
 }
 
 fn body_of(headers: &Headers, response: Option<u16>) -> Result<Body, HttpError> {
@@ -160,10 +169,10 @@
 }
 
 /// What both ends share: a head, then its body.
-#[derive(Debug)]
 struct Reader {
     reading: Option<Reading>,
     longest: usize,
+    ration: Option<Ration>,
 }
 
 impl Reader {
@@ -194,7 +203,13 @@
         src.advance(end);
         let body = body_of(&headers, status)?;
         let expects = headers.get("Expect").is_some_and(|v| v.eq_ignore_ascii_case("100-continue"));
-        self.reading = Some(Reading { head, headers, body, chunks: BytesMut::new(), expects });
+        let most = match body {
+            Body::Length(n) if n > self.longest => return Err(HttpError::TooLong),
+            Body::Length(n) => n,
+            Body::Chunked | Body::UntilEnd => self.longest,
+        };
+        let share = self.ration.as_ref().map(|r| r.take(most).ok_or(HttpError::NoRoom)).transpose()?;
+        self.reading = Some(Reading { head, headers, body, chunks: BytesMut::new(), expects, share });
         Ok(true)
     }
 
@@ -217,7 +232,6 @@
         }
         let Some(reading) = &mut self.reading else { return Ok(None) };
         let body = match reading.body {
-            Body::Length(n) if n > self.longest => return Err(HttpError::TooLong),
             Body::Length(n) if src.len() >= n => src.split_to(n).freeze(),
             Body::Length(_) => return Ok(None),
             Body::UntilEnd if src.len() > self.longest => return Err(HttpError::TooLong),
@@ -228,7 +242,10 @@
                 false => return Ok(None),
             },
         };
-        let Some(Reading { head, headers, body: kind, .. }) = self.reading.take() else { return Ok(None) };
+        let Some(Reading { head, headers, body: kind, share, .. }) = self.reading.take() else {
+            return Ok(None);
+        };
+        let body = share.map_or(body.clone(), |share| share.hold(&body));
         let minor = match &head {
             Head::Request { minor, .. } | Head::Response { minor, .. } => *minor,
         };
@@ -275,13 +292,18 @@
 }
 
 /// The server's end.
-#[derive(Debug)]
 pub struct HttpServer(Reader);
 
 impl HttpServer {
-    /// One that takes bodies of up to `longest` bytes.
-    pub fn new(longest: usize) -> Self {
-        HttpServer(Reader { reading: None, longest })
+    /// One that takes bodies of up to `longest` bytes, as far as the ration goes.
+    pub fn new(longest: usize, ration: Ration) -> Self {
+        HttpServer(Reader { reading: None, longest, ration: Some(ration) })
+    }
+}
+
+impl Holds for HttpServer {
+    fn holds(&self) -> bool {
+        self.0.reading.is_some()
     }
 }
 
@@ -339,6 +361,7 @@
         400 => "Bad Request",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
         406 => "Not Acceptable",
         409 => "Conflict",
         412 => "Precondition Failed",
@@ -353,13 +376,12 @@
 }
 
 /// The client's end.
-#[derive(Debug)]
 pub struct HttpClient(Reader);
 
 impl HttpClient {
     /// One that takes bodies of up to `longest` bytes.
     pub fn new(longest: usize) -> Self {
-        HttpClient(Reader { reading: None, longest })
+        HttpClient(Reader { reading: None, longest, ration: None })
     }
 
     fn response(&mut self, src: &mut BytesMut, ended: bool) -> Result<Option<HttpResponse>, HttpError> {
--- a/src/main.rs
+++ b/src/main.rs
@@ -107,7 +107,7 @@
     let listener = TcpListener::bind(&told.listen).await.map_err(|e| format!("{}: {e}", told.listen))?;
     let failed = |e: std::io::Error| format!("sockets or signals: {e}");
     log::info!("serving clients at {}", listener.local_addr().map_err(failed)?);
-    let core = Handle::new(mailbox.clone());
+    let (core, pace) = (Handle::new(mailbox.clone()), Pace::default());
     let clients = budget.clients.clone();
     let front = Arc::new(pg::front::Front {
         core: core.clone(),
@@ -116,7 +116,7 @@
         clock,
         clients: clients.clone(),
         bytes: budget.bytes.clone(),
-        pace: Pace::default(),
+        pace: pace.clone(),
     });
     let (close, closing) = watch::channel(false);
     let serve = move |stream, closing| front.clone().serve(stream, closing);
@@ -125,8 +125,10 @@
         let Odata { listen: address, repeat_span, repeat_ids, repeat_bytes, .. } = fronts.odata;
         let listener = TcpListener::bind(address).await.map_err(|e| format!("{address}: {e}"))?;
         log::info!("serving OData at {}", listener.local_addr().map_err(failed)?);
+        // Answers that are remembered share the memory with all else.
+        let repeat_bytes = repeat_bytes.min(told.memory / 8);
         let bookings = Bookings::new(core.clone(), clock, repeat_ids, repeat_bytes, repeat_span);
-        let front = odata::front::Front::new(core, bookings, (names, classes), clock, clients.clone());
+        let front = odata::front::Front::new(core, bookings, (names, classes), clock, (budget.clone(), pace));
         let front = Arc::new(front);
         let serve = move |stream, closing| front.clone().serve(stream, closing);
         tokio::spawn(listen::listen(listener, Count::odata_connections, clients.clone(), closing, serve));
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -29,8 +29,8 @@
 /// pauses would outlast what is left before all counts as told.
 const MOVING: Duration = Duration::from_millis(4_000);
 const MOVING_PAUSE: Duration = Duration::from_millis(150);
-/// Longest list taken in.
-const LONGEST: usize = 8 * 1024 * 1024;
+/// Longest list taken in: thousands of members. Read, it takes several times as much.
+const LONGEST: usize = 1024 * 1024;
 
 /// The module asks for the list and its changes.
 #[derive(Debug)]
--- /dev/null
+++ b/src/net/frames.rs
@@ -0,0 +1,77 @@
+//! What the ends of all framed connections share.
+
+use bytes::BytesMut;
+use futures_util::{Stream, StreamExt};
+use std::future::poll_fn;
+use std::task::Poll;
+use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_util::codec::{Decoder, Framed};
+
+/// Room for reading and for writing that a connection starts with: hundreds rest at a time.
+pub const ROOM: usize = 4 * 1024;
+/// What is still read after a last word, and for how long. A close with bytes unread resets the connection, and what
+/// was said last may be lost with it; a client that sends without end gets the reset.
+const DRAIN: Duration = Duration::from_millis(300);
+const DRAIN_MOST: usize = 512 * 1024;
+
+/// What comes next on a connection.
+#[derive(Debug)]
+pub enum Next<T> {
+    /// A whole message, an error, or the end.
+    Message(Option<T>),
+    /// The first bytes of one that has not all come. Told unless `part` says that this is known.
+    Part,
+}
+
+/// A codec that may hold the first part of a message itself.
+pub trait Holds {
+    /// Whether it does.
+    fn holds(&self) -> bool {
+        false
+    }
+}
+
+/// Waits for the next message, or for its first bytes: only what has begun can be asked to end in time.
+pub async fn next<S: AsyncRead + Unpin, C: Decoder + Holds + Unpin>(
+    conn: &mut Framed<S, C>,
+    part: bool,
+) -> Next<<Framed<S, C> as Stream>::Item> {
+    poll_fn(|cx| match conn.poll_next_unpin(cx) {
+        Poll::Ready(message) => Poll::Ready(Next::Message(message)),
+        Poll::Pending if !part && (!conn.read_buffer().is_empty() || conn.codec().holds()) => {
+            Poll::Ready(Next::Part)
+        }
+        Poll::Pending => Poll::Pending,
+    })
+    .await
+}
+
+/// Lets go of buffers that a large message has left on a connection.
+pub fn shrink<S, C>(conn: &mut Framed<S, C>) {
+    const SMALL: usize = 4 * ROOM;
+    if conn.write_buffer().is_empty() && conn.write_buffer().capacity() > SMALL {
+        *conn.write_buffer_mut() = BytesMut::new();
+    }
+    if conn.read_buffer().is_empty() && conn.read_buffer().capacity() > SMALL {
+        *conn.read_buffer_mut() = BytesMut::new();
+    }
+}
+
+/// Ends a connection on which the last word has been said, so that the client gets to read it.
+pub async fn finish<C>(conn: Framed<TcpStream, C>) -> std::io::Result<()> {
+    let mut stream = conn.into_inner();
+    stream.shutdown().await?;
+    let (mut rest, mut read) = (vec![0; 16 * 1024], 0);
+    let drain = async {
+        while read < DRAIN_MOST {
+            match stream.read(&mut rest).await {
+                Ok(n) if n > 0 => read += n,
+                _ => return,
+            }
+        }
+    };
+    let _ = tokio::time::timeout(DRAIN, drain).await;
+    Ok(())
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,5 +4,6 @@
 pub mod clock;
 pub mod discovery;
 pub mod fleet;
+pub mod frames;
 pub mod listen;
 pub mod peer;
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -244,12 +244,16 @@
             }
             count(Count::member_extras);
         }
-        let open = async {
-            // Out of descriptors is our fault, not the member's: the attempt was never sent.
-            let permit = budget.members.seat().await.ok_or(Outcome::Superseded)?;
-            count(Count::member_connections);
-            Link::open(address, permit, budget.bytes.clone(), clock).await
+        // Out of descriptors is our fault, not the member's: the attempt was never sent, and the member is not in doubt.
+        let permit = match tokio::time::timeout(patience, budget.members.seat()).await {
+            Ok(Some(permit)) => permit,
+            Ok(None) | Err(_) => {
+                count(Count::member_no_seat);
+                return Err(Outcome::Superseded);
+            }
         };
+        count(Count::member_connections);
+        let open = Link::open(address, permit, budget.bytes.clone(), clock);
         match tokio::time::timeout(patience, open).await {
             Ok(link) => link,
             Err(_) => Err(Outcome::Refused),
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -7,8 +7,9 @@
 use crate::core::{Handle, Request, Work};
 use crate::http::{HttpError, HttpRequest, HttpResponse, HttpServer, Incoming};
 use crate::interface::*;
-use crate::net::budget::Pot;
+use crate::net::budget::{Budget, Pace};
 use crate::net::clock::Clock;
+use crate::net::frames::{finish, next, shrink, Next, ROOM};
 use crate::net::listen::{closed, Closing};
 use crate::pg::statement;
 use crate::settings::Names;
@@ -19,17 +20,21 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio_util::codec::Framed;
 
 /// A value in base64url with room for the rest of its JSON.
 const LONGEST_BODY: usize = 128 * 1024;
 /// Requests read ahead on one connection while one is carried out.
 const AHEAD: usize = 8;
-/// How long a client may take between requests, and to take in a response.
-const IDLE: Duration = Duration::from_secs(60);
+/// How long a client may hold its connection between requests, and how long a request that was begun may take to end.
+const IDLE: Duration = Duration::from_secs(4);
+const UNFINISHED: Duration = Duration::from_secs(2);
 /// The module's last word comes no earlier than this before a deadline, in us.
 const LEAD: Time = 25_000;
-const PATIENCE: Duration = Duration::from_secs(10);
+/// How long a client may take to take in a response, and a last one.
+const PATIENCE: Duration = Duration::from_secs(5);
+const LAST_WORD: Duration = Duration::from_millis(500);
 
 /// What every connection needs.
 pub struct Front {
@@ -38,7 +43,8 @@
     names: Names,
     classes: Vec<Class>,
     clock: Clock,
-    clients: Pot,
+    budget: Budget,
+    pace: Pace,
     /// For the ids of statements.
     random: RandomState,
     sent: AtomicU64,
@@ -53,10 +59,10 @@
         bookings: Bookings,
         (names, classes): (Names, Vec<Class>),
         clock: Clock,
-        clients: Pot,
+        (budget, pace): (Budget, Pace),
     ) -> Self {
         let (random, sent) = (RandomState::new(), AtomicU64::new(0));
-        Front { core, bookings, names, classes, clock, clients, random, sent }
+        Front { core, bookings, names, classes, clock, budget, pace, random, sent }
     }
 
     /// Serves one client.
@@ -64,27 +70,38 @@
     /// # Errors
     /// When the connection breaks.
     pub async fn serve(self: Arc<Self>, stream: TcpStream, mut closing: Closing) -> Result<(), HttpError> {
-        let mut conn = Framed::new(stream, HttpServer::new(LONGEST_BODY));
-        let (mut ahead, mut known) = (VecDeque::new(), false);
+        let codec = HttpServer::new(LONGEST_BODY, self.budget.bytes.clone());
+        let mut conn = Framed::with_capacity(stream, codec, ROOM);
+        let (mut ahead, mut known, mut part) = (VecDeque::new(), false, false);
+        let mut until = Instant::now() + IDLE;
         loop {
             let request = match ahead.pop_front() {
                 Some(request) => request,
                 None => tokio::select! {
                     biased;
-                    read = conn.next() => match read {
-                        Some(Ok(request)) => request,
-                        Some(Err(e)) => return bad(&mut conn, e).await,
-                        None => return Ok(()),
+                    read = next(&mut conn, part) => match read {
+                        Next::Message(Some(Ok(request))) => request,
+                        Next::Message(Some(Err(e))) => return self.bad(conn, e).await,
+                        Next::Message(None) => return Ok(()),
+                        Next::Part => {
+                            (part, until) = (true, Instant::now() + UNFINISHED);
+                            continue;
+                        }
                     },
                     () = closed(&mut closing) => return Ok(()),
-                    () = self.clients.wanted(!known) => return Ok(()),
-                    () = tokio::time::sleep(IDLE) => return Ok(()),
+                    () = self.budget.clients.wanted(!known) => return Ok(()),
+                    () = tokio::time::sleep_until(until) => match part {
+                        true => return self.bad(conn, HttpError::Unfinished).await,
+                        false => return Ok(()),
+                    },
                 },
             };
+            part = false;
             let request = match request {
                 Incoming::Request(request) => request,
                 Incoming::Expects => {
                     conn.send(HttpResponse::go_on()).await?;
+                    (part, until) = (true, Instant::now() + UNFINISHED);
                     continue;
                 }
             };
@@ -118,8 +135,33 @@
                 return Ok(());
             }
             if let Some(e) = broken {
-                return bad(&mut conn, e).await;
+                return self.bad(conn, e).await;
             }
+            shrink(&mut conn);
+            until = Instant::now() + IDLE;
+        }
+    }
+
+    /// Answers what could not be read, in its turn, and ends the connection: where the next request starts is not
+    /// known.
+    async fn bad(&self, mut conn: Conn, e: HttpError) -> Result<(), HttpError> {
+        let fault = match e {
+            HttpError::Io(_) => return Err(e),
+            HttpError::TooLong => Fault::new(413, "TooLarge", "the request is too long"),
+            HttpError::Malformed(_) => Fault::new(400, "BadRequest", e.to_string()),
+            HttpError::Unfinished => Fault::new(408, "Unfinished", e.to_string()),
+            HttpError::NoRoom => Fault::come_back(None, &e.to_string()),
+        };
+        let mut response = refused(fault, Form::default());
+        response.closes = true;
+        let last_word = async {
+            tokio::time::sleep(self.pace.turn(self.clock.now())).await;
+            tokio::time::timeout(LAST_WORD, conn.send(response)).await.unwrap_or(Ok(()))?;
+            Ok(finish(conn).await?)
+        };
+        tokio::select! {
+            done = last_word => done,
+            () = self.budget.clients.wanted(true) => Ok(()),
         }
     }
 
@@ -207,15 +249,3 @@
     count(Count::odata_bad);
     fault.response(form)
 }
-
-/// Answers what could not be read, and ends the connection: where the next request starts is not known.
-async fn bad(conn: &mut Conn, e: HttpError) -> Result<(), HttpError> {
-    let fault = match e {
-        HttpError::Io(_) => return Err(e),
-        HttpError::TooLong => Fault::new(413, "TooLarge", "the request is too long"),
-        HttpError::Malformed(_) => Fault::new(400, "BadRequest", e.to_string()),
-    };
-    let mut response = refused(fault, Form::default());
-    response.closes = true;
-    conn.send(response).await
-}
--- a/src/pg/codec.rs
+++ b/src/pg/codec.rs
@@ -1,20 +1,15 @@
 //! Messages of the wire protocol, each decoded once into a small typed value and encoded once.
 
 use crate::net::budget::{Ration, Share};
+use crate::net::frames::Holds;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use futures_util::{Stream, StreamExt};
-use std::future::poll_fn;
 use std::io;
-use std::task::Poll;
-use tokio::io::AsyncRead;
-use tokio_util::codec::{Decoder, Encoder, Framed};
+use tokio_util::codec::{Decoder, Encoder};
 
 /// The longest message taken in: a value of 64 KiB in hex with its statement fits well.
 pub const LONGEST: usize = 144 * 1024;
 /// The longest startup message taken in, as PostgreSQL itself has it.
 const LONGEST_STARTUP: usize = 10_000;
-/// Room for reading and for writing that a connection starts with: hundreds rest at a time.
-pub const ROOM: usize = 4 * 1024;
 
 /// What can be wrong with what was read.
 #[derive(Debug)]
@@ -162,39 +157,6 @@
     }
 }
 
-/// What comes next on a connection.
-#[derive(Debug)]
-pub enum Next<T> {
-    /// A whole message, an error, or the end.
-    Message(Option<T>),
-    /// The first bytes of one that has not all come. Told unless `part` says that this is known.
-    Part,
-}
-
-/// Waits for the next message, or for its first bytes: only what has begun can be asked to end in time.
-pub async fn next<S: AsyncRead + Unpin, C: Decoder + Unpin>(
-    conn: &mut Framed<S, C>,
-    part: bool,
-) -> Next<<Framed<S, C> as Stream>::Item> {
-    poll_fn(|cx| match conn.poll_next_unpin(cx) {
-        Poll::Ready(message) => Poll::Ready(Next::Message(message)),
-        Poll::Pending if !part && !conn.read_buffer().is_empty() => Poll::Ready(Next::Part),
-        Poll::Pending => Poll::Pending,
-    })
-    .await
-}
-
-/// Lets go of buffers that a large message has left on a connection.
-pub fn shrink<S, C>(conn: &mut Framed<S, C>) {
-    const SMALL: usize = 4 * ROOM;
-    if conn.write_buffer().is_empty() && conn.write_buffer().capacity() > SMALL {
-        *conn.write_buffer_mut() = BytesMut::new();
-    }
-    if conn.read_buffer().is_empty() && conn.read_buffer().capacity() > SMALL {
-        *conn.read_buffer_mut() = BytesMut::new();
-    }
-}
-
 fn ended(bytes: &Bytes) -> Result<(), WireError> {
     bytes.is_empty().then_some(()).ok_or(WireError::Malformed("a message holds more than belongs to it"))
 }
@@ -219,6 +181,8 @@
     frames: Frames,
 }
 
+impl Holds for ServerCodec {}
+
 impl Decoder for ServerCodec {
     type Item = Frontend;
     type Error = WireError;
@@ -359,6 +323,8 @@
     }
 }
 
+impl Holds for ClientCodec {}
+
 impl Decoder for ClientCodec {
     type Item = Backend;
     type Error = WireError;
--- a/src/pg/front.rs
+++ b/src/pg/front.rs
@@ -1,12 +1,13 @@
 //! The platform's front, kept thin: statements in, answers out in the order of their queries.
 
-use super::codec::{next, shrink, Backend, Column, Frontend, Next, ServerCodec, WireError, ROOM};
+use super::codec::{Backend, Column, Frontend, ServerCodec, WireError};
 use super::statement::{self, Fault};
 use crate::core::counters::{count, Count};
 use crate::core::{Answer, Handle, Pending};
 use crate::interface::*;
 use crate::net::budget::{Pace, Pot, Ration};
 use crate::net::clock::Clock;
+use crate::net::frames::{finish, next, shrink, Next, ROOM};
 use crate::net::listen::{closed, Closing};
 use crate::settings::Names;
 use bytes::Bytes;
@@ -14,7 +15,6 @@
 use futures_util::{SinkExt, StreamExt};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio_util::codec::Framed;
@@ -33,10 +33,6 @@
 /// How long a client may take to take in an answer, and a last error.
 const PATIENCE: Duration = Duration::from_secs(5);
 const LAST_WORD: Duration = Duration::from_millis(500);
-/// What is still read after a last error, and for how long. A close with bytes unread resets the connection, and the
-/// error may be lost with it; a client that sends without end gets the reset.
-const DRAIN: Duration = Duration::from_millis(300);
-const DRAIN_MOST: usize = 512 * 1024;
 /// Kept off a client's deadline, in us: the way there and back takes time.
 const MARGIN: Time = 4_000;
 
@@ -262,19 +258,7 @@
         let last_word = async {
             tokio::time::sleep(self.pace.turn(self.clock.now())).await;
             tokio::time::timeout(LAST_WORD, conn.send(error)).await.unwrap_or(Ok(()))?;
-            let mut stream = conn.into_inner();
-            stream.shutdown().await?;
-            let (mut rest, mut read) = (vec![0; 16 * 1024], 0);
-            let drain = async {
-                while read < DRAIN_MOST {
-                    match stream.read(&mut rest).await {
-                        Ok(n) if n > 0 => read += n,
-                        _ => return,
-                    }
-                }
-            };
-            let _ = tokio::time::timeout(DRAIN, drain).await;
-            Ok(())
+            Ok(finish(conn).await?)
         };
         tokio::select! {
             done = last_word => done,
--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -4,13 +4,14 @@
 //! is not so has been spoilt on the way. The statement then may have run, whatever the rest of the answer says, and
 //! nothing that came with it is believed.
 
-use super::codec::{next, shrink, Backend, ClientCodec, Column, Frontend, Next, WireError, ROOM};
+use super::codec::{Backend, ClientCodec, Column, Frontend, WireError};
 use super::statement;
 use crate::core::counters::{count, Count};
 use crate::core::{Value, Work};
 use crate::interface::*;
 use crate::net::budget::Ration;
 use crate::net::clock::Clock;
+use crate::net::frames::{next, shrink, Next, ROOM};
 use bytes::Bytes;
 use futures_util::SinkExt;
 use socket2::SockRef;
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -784,3 +784,17 @@
         assert_eq!(lists.numbers.known(), 2);
     });
 }
+
+#[test]
+fn odata_requests_share_the_bytes_and_end_in_time_too() {
+    // 16 MiB leave 2 MiB for messages of both fronts. Both kinds of client hold what they began for 2 s.
+    let mut script = "member p primary\nstart odata scant\n".to_string();
+    for i in 0..20 {
+        script.push_str(&format!("o{i} send wire POST /records HTTP/1.1\\nContent-Length: 120000\\n\\n\n"));
+    }
+    script.push_str(
+        "a send hello\na send bytes 510001d4c0\no19 expect 503 Retry-After\na expect error 53300\n",
+    );
+    script.push_str("o0 expect 408 Unfinished\nb send read k1 yard-board\nb expect row -");
+    play(&script);
+}
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -571,3 +571,29 @@
     assert_eq!(probes(&actions), vec![2]);
     assert_eq!(sent(&d.hear(2, d.now, Role::Replica)), vec![(read, 2)]);
 }
+
+#[test]
+fn what_comes_and_goes_leaves_nothing_behind() {
+    let mut d = Driver::new(settings());
+    let before = d.router.remembered();
+    for i in 100..200 {
+        d.list(ListKind::Changes, vec![member(i, false)]);
+        let gone = Member { condition: Condition::Out, ..member(i, false) };
+        d.list(ListKind::Changes, vec![gone]);
+        // A group that there is not.
+        let id = RequestId(u64::from(i));
+        let deadline = d.now + 100 * MS;
+        d.step(&[Event::Request {
+            id,
+            class: UNSAFE,
+            group: u64::from(i),
+            deadline,
+            session: None,
+            token_age: None,
+            proven: false,
+            repeat: false,
+        }]);
+        assert!(refused(&d.after(100 * MS), id));
+    }
+    assert_eq!(d.router.remembered(), before);
+}
