--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -22,6 +22,7 @@
     pg_no_room,
     pg_silent,
     pg_idle_closed,
+    pg_made_room,
     no_seat,
     taken_ids,
     odata_connections,
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -19,14 +19,23 @@
 const PACE: Time = 10_000;
 const PACE_MOST: Time = 800_000;
 
+/// Of all descriptors, one in so many may be a client's that was served and asks nothing more; beyond that the longest
+/// idle is closed. Clients may themselves hold only a third of the descriptors: those that ask once and then keep, or
+/// take long to give back, a connection would else leave the others none to ask on.
+const IDLE_PART: usize = 6;
+
 /// Connections that could make room, the longest waiting first.
-#[derive(Default)]
 struct Waiting {
     count: AtomicUsize,
     wanted: Notify,
+    most: usize,
 }
 
 impl Waiting {
+    fn new(most: usize) -> Arc<Self> {
+        Arc::new(Waiting { count: AtomicUsize::new(0), wanted: Notify::new(), most })
+    }
+
     async fn wanted(&self) {
         struct Out<'a>(&'a AtomicUsize);
         impl Drop for Out<'_> {
@@ -34,7 +43,9 @@
                 self.0.fetch_sub(1, Ordering::Relaxed);
             }
         }
-        self.count.fetch_add(1, Ordering::Relaxed);
+        if self.count.fetch_add(1, Ordering::Relaxed) >= self.most {
+            self.wanted.notify_one();
+        }
         let _out = Out(&self.count);
         self.wanted.notified().await;
     }
@@ -51,8 +62,8 @@
 }
 
 impl Pot {
-    fn new(size: usize) -> Self {
-        let (strangers, idle) = Default::default();
+    fn new(size: usize, idle: usize) -> Self {
+        let (strangers, idle) = (Waiting::new(usize::MAX), Waiting::new(idle));
         Pot { seats: Arc::new(Semaphore::new(size)), strangers, idle, size }
     }
 
@@ -67,7 +78,7 @@
         self.seats.clone().acquire_owned().await.ok()
     }
 
-    /// Waits until someone lacks a permit; those that wait are told in turn, the longest waiting first. `stranger`:
+    /// Waits until someone lacks a permit, or too many wait; they are told in turn, the longest waiting first. `stranger`:
     /// nothing sound was ever asked on this connection.
     pub async fn wanted(&self, stranger: bool) {
         if stranger { &self.strangers } else { &self.idle }.wanted().await;
@@ -165,6 +176,11 @@
         let free = limit.saturating_sub(RESERVE).max(8);
         let clients = free * 5 / 9;
         let bytes = (memory.saturating_sub(MEMORY_RESERVE) / COPIES).max(BYTES_LEAST);
-        Budget { clients: Pot::new(clients), members: Pot::new(free - clients), bytes: Ration::new(bytes) }
+        let idle = (limit / IDLE_PART).max(2);
+        Budget {
+            clients: Pot::new(clients, idle),
+            members: Pot::new(free - clients, usize::MAX),
+            bytes: Ration::new(bytes),
+        }
     }
 }
--- a/src/pg/front.rs
+++ b/src/pg/front.rs
@@ -156,8 +156,11 @@
                     Next::Message(Some(Err(e))) => break e,
                 },
                 () = closed(&mut closing), if !leaving => leaving = true,
-                // All seats are taken and others wait: this one is between requests and has been for longest.
-                () = self.clients.wanted(!talk.sound), if owed.is_empty() => return Ok(()),
+                // Others wait for a seat, or too many rest: this one is between requests and has been for longest.
+                () = self.clients.wanted(!talk.sound), if owed.is_empty() => {
+                    count(Count::pg_made_room);
+                    return Ok(());
+                }
                 () = at(until) => match part {
                     Some(_) => break WireError::Unfinished,
                     None => {
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -798,3 +798,14 @@
     script.push_str("o0 expect 408 Unfinished\nb send read k1 yard-board\nb expect row -");
     play(&script);
 }
+
+#[test]
+fn clients_that_ask_once_and_stay_leave_connections_to_the_others() {
+    // 60 descriptors leave 15 seats for clients, of which 10 may be at rest: no seat is ever lacking here.
+    let mut script = "member p primary\nstart few\n".to_string();
+    for i in 0..12 {
+        script.push_str(&format!("c{i} send read k1 yard-board\nc{i} expect row -\n"));
+    }
+    script.push_str("c0 expect closed\ncounts pg_made_room 2\nc11 send read k1 yard-board\nc11 expect row -");
+    play(&script);
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! ```text
 //! member p primary            a member of group 1; replicas name their lag in ms: member r replica 400
-//! start [odata] [dnssd] [watching] [small] [brief] [scant]   the proxy, with the members so far as its list; for dnssd it must browse for
-//!                             them, watching: it has discovery to watch, small: it has 40 descriptors,
+//! start [odata] [dnssd] [watching] [small] [few] [brief] [scant]   the proxy, with the members so far as its list; for dnssd it must browse for
+//!                             them, watching: it has discovery to watch, small: it has 40 descriptors, few: 60,
 //!                             brief: members close what is idle for 500 ms, scant: it has 16 MiB
 //! dns does list p 2           a DNS server names member p with this time to live in seconds; `broken p 2`: without
 //!                             its TXT record; `drop p`: no longer; `garbage`: answers with what is no DNS message
@@ -491,8 +491,8 @@
     }
 
     fn start(&mut self, with: &[&str]) {
-        let [odata, dnssd, watching, small, brief, scant] =
-            ["odata", "dnssd", "watching", "small", "brief", "scant"].map(|w| with.contains(&w));
+        let [odata, dnssd, watching, small, few, brief, scant] =
+            ["odata", "dnssd", "watching", "small", "few", "brief", "scant"].map(|w| with.contains(&w));
         let entry = |(i, (_, m)): (usize, &(String, Standin))| {
             serde_json::json!({"instanceId": format!("s-{i:08x}"), "hostPort": m.address.to_string(), "zone": "a",
                 "cell": 1, "lifecycle": "active", "weight": 1.0, "startedAtMs": 0})
@@ -510,7 +510,7 @@
         let config = serde_json::json!({
             "name": "t", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "5",
             "known": {"generation": 1, "reset": true, "instances": list}, "settings": settings,
-            "limits": {"sockets": if small { 40 } else { 1024 }, "memory_mb": if scant { 16 } else { 192 }}
+            "limits": {"sockets": if small { 40 } else if few { 60 } else { 1024 }, "memory_mb": if scant { 16 } else { 192 }}
         });
         let unique = format!("linentrail-{}-{:?}-{}", std::process::id(), thread::current().id(), now_ms());
         let dir = std::env::temp_dir().join(unique);
