Count what a request costs, between stand-ins in a package of their own

Need: the ordinary path is to be made cheaper, and nothing in the repository could count what it costs.

Change: a workspace with the proxy at its root; crates/standins holds the members, discovery, DNS server, clients and the proxy as a child, and the scenario language runs on it; crates/lab holds linentrail-lab cost, with budgets. The proxy counts calls for memory, socket calls, wake-ups and copies where the feature meter is on; without it nothing is counted.

--- /dev/null
+++ b/crates/lab/src/drive.rs
@@ -0,0 +1,168 @@
+//! Clients that ask: in a closed loop, each its next request after the last answer, or in an open loop at a rate.
+//!
+//! Times of the open loop count from when a request was due, not from when a client came to send it, so that a
+//! standstill is not left out of the figures (coordinated omission).
+
+use hdrhistogram::Histogram;
+use linentrail_standins::client::{Ask, Odata, Pg, Told};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tokio::task::JoinSet;
+
+/// Set when the run is to end early; what was measured by then is still printed.
+#[derive(Clone, Default)]
+pub struct Stop(Arc<AtomicBool>);
+
+impl Stop {
+    /// One that an interrupt sets.
+    pub fn on_interrupt() -> Self {
+        let stop = Stop::default();
+        let set = stop.clone();
+        tokio::spawn(async move {
+            if tokio::signal::ctrl_c().await.is_ok() {
+                set.0.store(true, Ordering::Relaxed);
+            }
+        });
+        stop
+    }
+
+    /// Whether it is set.
+    pub fn is_set(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// By which front.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Front {
+    /// PostgreSQL's protocol.
+    Pg,
+    /// OData.
+    Odata,
+}
+
+/// What became of all requests of a run.
+#[derive(Clone)]
+pub struct Tally {
+    /// From asking to the answer, in ns; served ones alone.
+    pub times: Histogram<u64>,
+    /// Answered with a value.
+    pub served: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed, by an answer that says so.
+    pub failed: u64,
+    /// Left without an answer.
+    pub broken: u64,
+}
+
+impl Tally {
+    fn new() -> Self {
+        // Bounds of one ns and one minute with three digits are fine, so that this cannot fail.
+        let times = Histogram::new_with_bounds(1, 60_000_000_000, 3);
+        let times = times.unwrap_or_else(|_| Histogram::new(3).expect("three digits are supported"));
+        Tally { times, served: 0, refused: 0, failed: 0, broken: 0 }
+    }
+
+    fn add(&mut self, other: &Tally) {
+        let _ = self.times.add(&other.times);
+        self.served += other.served;
+        self.refused += other.refused;
+        self.failed += other.failed;
+        self.broken += other.broken;
+    }
+
+    fn take(&mut self, told: &std::io::Result<Told>, spent: Duration) {
+        match told {
+            Ok(Told::Served(_)) => {
+                self.served += 1;
+                let ns = u64::try_from(spent.as_nanos()).unwrap_or(u64::MAX).max(1);
+                self.times.saturating_record(ns);
+            }
+            Ok(Told::Refused(_)) => self.refused += 1,
+            Ok(Told::Failed(_)) => self.failed += 1,
+            Err(_) => self.broken += 1,
+        }
+    }
+
+    /// All requests.
+    pub fn all(&self) -> u64 {
+        self.served + self.refused + self.failed + self.broken
+    }
+}
+
+/// A connection by either front.
+enum Conn {
+    Pg(Pg),
+    Odata(Odata),
+}
+
+impl Conn {
+    async fn open(front: Front, to: SocketAddr) -> std::io::Result<Self> {
+        Ok(match front {
+            Front::Pg => Conn::Pg(Pg::connect(to).await?),
+            Front::Odata => Conn::Odata(Odata::connect(to).await?),
+        })
+    }
+
+    async fn ask(&mut self, ask: &Ask) -> std::io::Result<Told> {
+        match self {
+            Conn::Pg(c) => c.ask(ask).await,
+            Conn::Odata(c) => c.ask(ask).await,
+        }
+    }
+}
+
+/// Makes the n-th request.
+pub type Asks = Arc<dyn Fn(u64) -> Ask + Send + Sync>;
+
+/// `clients` ask `count` requests in all, each its next after its last answer.
+pub async fn closed(
+    front: Front,
+    to: SocketAddr,
+    clients: usize,
+    count: u64,
+    asks: &Asks,
+    stop: &Stop,
+) -> Tally {
+    let next = Arc::new(AtomicU64::new(0));
+    let mut tasks = JoinSet::new();
+    for _ in 0..clients {
+        let (next, asks, stop) = (next.clone(), asks.clone(), stop.clone());
+        tasks.spawn(async move {
+            let (mut tally, mut conn) = (Tally::new(), None);
+            while !stop.is_set() {
+                let n = next.fetch_add(1, Ordering::Relaxed);
+                if n >= count {
+                    break;
+                }
+                let ask = asks(n);
+                let began = Instant::now();
+                let told = async {
+                    if conn.is_none() {
+                        conn = Some(Conn::open(front, to).await?);
+                    }
+                    match &mut conn {
+                        Some(conn) => conn.ask(&ask).await,
+                        None => Err(std::io::ErrorKind::NotConnected.into()),
+                    }
+                };
+                let told = told.await;
+                tally.take(&told, began.elapsed());
+                if told.is_err() {
+                    conn = None;
+                }
+            }
+            tally
+        });
+    }
+    let mut all = Tally::new();
+    while let Some(tally) = tasks.join_next().await {
+        if let Ok(tally) = tally {
+            all.add(&tally);
+        }
+    }
+    all
+}
--- /dev/null
+++ b/crates/lab/src/main.rs
@@ -0,0 +1,58 @@
+//! The lab: linentrail between stand-ins on loopback, to be shown, loaded and measured.
+
+mod cost;
+mod drive;
+mod world;
+
+use clap::{Parser, Subcommand};
+use std::process::ExitCode;
+
+/// Measures linentrail between stand-ins on loopback.
+#[derive(Parser)]
+#[command(name = "linentrail-lab", version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// What a request costs: allocations, socket calls, wake-ups, copies, processor time, time added.
+    Cost(cost::Options),
+}
+
+/// Why a command ends without success.
+enum Failure {
+    /// The arguments or files cannot be used; exit status 2.
+    Unusable(String),
+    /// What was measured or checked is not as it should be; exit status 1.
+    Broken(String),
+}
+
+fn main() -> ExitCode {
+    let arguments = Arguments::parse();
+    let runtime = match tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(e) => {
+            eprintln!("linentrail-lab: runtime: {e}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let end = runtime.block_on(async {
+        let stop = drive::Stop::on_interrupt();
+        match arguments.command {
+            Command::Cost(options) => cost::run(&options, &stop).await,
+        }
+    });
+    match end {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(Failure::Broken(message)) => {
+            eprintln!("linentrail-lab: {message}");
+            ExitCode::FAILURE
+        }
+        Err(Failure::Unusable(message)) => {
+            eprintln!("linentrail-lab: {message}");
+            ExitCode::from(2)
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world.rs
@@ -0,0 +1,75 @@
+//! A world on loopback: a group of one primary and its replicas, discovery, and the real proxy before them.
+
+use crate::Failure;
+use linentrail_standins::group::Group;
+use linentrail_standins::member::{Capacity, Member};
+use linentrail_standins::proxy::{self, class, Proxy, Setup};
+use linentrail_standins::registry::{entry, Registry};
+use std::path::{Path, PathBuf};
+
+/// Replicas beside the primary.
+pub const REPLICAS: usize = 3;
+
+/// How a world is to be.
+pub struct Plan<'a> {
+    /// The proxy's program.
+    pub program: &'a Path,
+    /// How much each member can take.
+    pub capacity: Capacity,
+    /// How far the replicas are behind, in ms.
+    pub lag_ms: u64,
+    /// Whether OData is served too.
+    pub odata: bool,
+}
+
+/// The running world.
+pub struct World {
+    /// The primary first.
+    pub members: Vec<Member>,
+    /// Their log.
+    pub group: Group,
+    /// The proxy.
+    pub proxy: Proxy,
+}
+
+impl World {
+    /// Starts it, with the users' four classes at their own aims and deadlines.
+    pub fn start(plan: &Plan) -> Result<Self, Failure> {
+        let group = Group::default();
+        let start = |i| Member::start(&group, i == 0, if i == 0 { 0 } else { plan.lag_ms }, plan.capacity);
+        let members: Vec<Member> = (0..=REPLICAS).map(start).collect();
+        let list: Vec<_> = members.iter().enumerate().map(|(i, m)| entry(i, m.address())).collect();
+        let discovery = Registry::default().start(list.clone().into()).to_string();
+        let mut settings = proxy::settings();
+        settings["discovery"] = "subscribe".into();
+        settings["services"] = serde_json::json!([
+            class("yard-board", "read_like", (200_000, 500_000)),
+            class("my-booking", "read_like", (300_000, 1_200_000)),
+            class("monthly-report", "read_like", (250_000, 750_000)),
+            class("place-order", "non_idempotent", (1_000_000, 3_000_000)),
+        ]);
+        let setup = Setup {
+            program: plan.program.to_path_buf(),
+            config: proxy::config(&discovery, &list, settings, 1024, 192),
+            odata: plan.odata,
+            browse: None,
+            loud: false,
+            log: None,
+        };
+        let proxy = Proxy::start(&setup)
+            .map_err(|e| Failure::Unusable(format!("{}: {e}", plan.program.display())))?;
+        Ok(World { members, group, proxy })
+    }
+}
+
+/// The proxy's program: the one named, or the one beside this program.
+pub fn program(named: Option<&PathBuf>) -> Result<PathBuf, Failure> {
+    let beside = || Some(std::env::current_exe().ok()?.parent()?.join("linentrail"));
+    let path = named.cloned().or_else(beside).unwrap_or_default();
+    match path.is_file() {
+        true => Ok(path),
+        false => {
+            Err(Failure::Unusable(format!("there is no program at '{}'; build it first", path.display())))
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/lib.rs
@@ -0,0 +1,44 @@
+//! Stand-ins for all that surrounds linentrail, on loopback addresses: members with their log and their faults,
+//! discovery, a DNS server, clients of both fronts, and the proxy itself as a child process.
+//!
+//! One implementation serves the scenarios of the tests and the measurements of the lab. Each stand-in runs on a
+//! runtime of its own threads; whoever uses it may block.
+
+pub mod client;
+pub mod dns;
+pub mod group;
+pub mod member;
+pub mod proxy;
+pub mod registry;
+pub mod wire;
+
+use std::sync::OnceLock;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::runtime::{Builder, Handle, Runtime};
+
+/// Milliseconds since the Unix epoch.
+pub fn now_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+/// The runtime on which stand-ins run.
+///
+/// # Panics
+/// When the machine gives no threads.
+pub fn runtime() -> &'static Handle {
+    static RUNTIME: OnceLock<Runtime> = OnceLock::new();
+    let start = || Builder::new_multi_thread().worker_threads(2).enable_all().build().expect("threads");
+    RUNTIME.get_or_init(start).handle()
+}
+
+/// A listener on a free loopback port, with its address.
+///
+/// # Panics
+/// When there is none.
+pub(crate) fn listener() -> (tokio::net::TcpListener, std::net::SocketAddr) {
+    let _entered = runtime().enter();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.set_nonblocking(true).expect("a socket that does not block");
+    let address = listener.local_addr().expect("an address");
+    (tokio::net::TcpListener::from_std(listener).expect("a listener"), address)
+}
--- /dev/null
+++ b/crates/standins/src/member.rs
@@ -0,0 +1,411 @@
+//! A member of a group: one primary, the others replicas with a lag; service times, slots and a queue, a cold start,
+//! and every fault that the proxy must bear, by name.
+
+use crate::group::Group;
+use crate::{listener, now_ms, runtime, wire};
+use bytes::Bytes;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncWriteExt, BufReader};
+use tokio::net::TcpStream;
+use tokio::sync::{watch, Semaphore};
+
+/// What a member does with statements.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Behaviour {
+    /// Answers.
+    #[default]
+    Answer,
+    /// Runs them and keeps the answers back until it does something else.
+    Hold,
+    /// Runs them and resets the connection.
+    Reset,
+    /// Runs them and ends the connection in the middle of the answer.
+    Half,
+    /// Runs them and resets the connection after so many bytes of the answer.
+    Broken(usize),
+    /// Turns them away, unseen.
+    Full,
+    /// The same, without ReadyForQuery.
+    Unready,
+    /// The same, with noise behind.
+    Noisy,
+    /// Fails them.
+    Error,
+    /// Takes itself for too far behind.
+    Miss,
+    /// A second copy comes right behind the answer.
+    Twice,
+    /// A second copy comes so much later, before anything else is read.
+    Behind(Duration),
+    /// Half an answer, and nothing more.
+    Stall,
+    /// The row before its description.
+    Swapped,
+    /// Reports on itself what cannot be true.
+    Boast,
+}
+
+impl FromStr for Behaviour {
+    type Err = String;
+
+    /// `answer`, `hold` and so on; `after` is a copy 30 ms later, `behind US` one after so many microseconds, `broken N`
+    /// a reset after N bytes.
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (word, number) = text.split_once(' ').unwrap_or((text, ""));
+        let number = |what| number.parse::<u64>().map_err(|_| format!("{text}: no number of {what}"));
+        Ok(match word {
+            "answer" => Behaviour::Answer,
+            "hold" => Behaviour::Hold,
+            "reset" => Behaviour::Reset,
+            "half" => Behaviour::Half,
+            "broken" => Behaviour::Broken(number("bytes")? as usize),
+            "full" => Behaviour::Full,
+            "unready" => Behaviour::Unready,
+            "noisy" => Behaviour::Noisy,
+            "error" => Behaviour::Error,
+            "miss" => Behaviour::Miss,
+            "twice" => Behaviour::Twice,
+            "after" => Behaviour::Behind(Duration::from_millis(30)),
+            "behind" => Behaviour::Behind(Duration::from_micros(number("us")?)),
+            "stall" => Behaviour::Stall,
+            "swapped" => Behaviour::Swapped,
+            "boast" => Behaviour::Boast,
+            _ => return Err(format!("no member does '{text}'")),
+        })
+    }
+}
+
+/// How much work a member can take.
+#[derive(Debug, Clone, Copy)]
+pub struct Capacity {
+    /// Requests in work at once.
+    pub slots: usize,
+    /// Requests that may wait for one; beyond that they are turned away.
+    pub queue: usize,
+    /// Shortest and longest service time, drawn evenly by the request's id.
+    pub service: (Duration, Duration),
+    /// Share of its capacity at its start, and how long until it is warm.
+    pub cold: Option<(f64, Duration)>,
+}
+
+impl Default for Capacity {
+    /// As much as the machine gives, at once.
+    fn default() -> Self {
+        let service = (Duration::ZERO, Duration::ZERO);
+        Capacity { slots: 4096, queue: 4096, service, cold: None }
+    }
+}
+
+struct State {
+    does: Behaviour,
+    primary: bool,
+    lag: u64,
+    seen: VecDeque<String>,
+    served: u64,
+    opened: u64,
+    waiting: usize,
+}
+
+/// Statements that are remembered for a scenario to look at.
+const SEEN: usize = 4096;
+
+struct Inner {
+    address: SocketAddr,
+    group: Group,
+    capacity: Capacity,
+    slots: Semaphore,
+    since: Instant,
+    state: Mutex<State>,
+    changed: watch::Sender<u64>,
+}
+
+/// A member. Copies are the same one.
+#[derive(Clone)]
+pub struct Member(Arc<Inner>);
+
+/// What to do after an answer was made.
+enum Then {
+    Go,
+    Copy(Duration),
+    Close,
+    Reset,
+}
+
+impl Member {
+    /// Starts one on a free port.
+    pub fn start(group: &Group, primary: bool, lag_ms: u64, capacity: Capacity) -> Self {
+        let (listener, address) = listener();
+        let state = State {
+            does: Behaviour::Answer,
+            primary,
+            lag: lag_ms,
+            seen: VecDeque::new(),
+            served: 0,
+            opened: 0,
+            waiting: 0,
+        };
+        let this = Member(Arc::new(Inner {
+            address,
+            group: group.clone(),
+            capacity,
+            slots: Semaphore::new(capacity.slots),
+            since: Instant::now(),
+            state: state.into(),
+            changed: watch::channel(0).0,
+        }));
+        let member = this.clone();
+        runtime().spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let member = member.clone();
+                tokio::spawn(async move { member.serve(stream).await });
+            }
+        });
+        this
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.0.address
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.0.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// From now on it does this.
+    pub fn does(&self, behaviour: Behaviour) {
+        self.state().does = behaviour;
+        self.0.changed.send_modify(|n| *n += 1);
+    }
+
+    /// From now on it has this role, and as a replica this lag in ms.
+    pub fn becomes(&self, primary: bool, lag_ms: u64) {
+        let mut state = self.state();
+        (state.primary, state.lag) = (primary, lag_ms);
+    }
+
+    /// How often it has been given a statement that begins so (`read KEY`, `write KEY`), of the last few thousand.
+    pub fn given(&self, what: &str) -> usize {
+        self.state().seen.iter().filter(|s| *s == what).count()
+    }
+
+    /// All that it has been given, of the last few thousand.
+    pub fn seen(&self) -> Vec<String> {
+        self.state().seen.iter().cloned().collect()
+    }
+
+    /// Statements given, and connections opened, since its start.
+    pub fn totals(&self) -> (u64, u64) {
+        let state = self.state();
+        (state.served, state.opened)
+    }
+
+    async fn serve(&self, stream: TcpStream) -> Option<()> {
+        self.state().opened += 1;
+        let _ = stream.set_nodelay(true);
+        let mut stream = BufReader::with_capacity(16 * 1024, stream);
+        let (mut body, mut reply) = (Vec::new(), Vec::new());
+        wire::read_async(&mut stream, false, &mut body).await.ok()?;
+        wire::put(&mut reply, b'R', &[0; 4]);
+        wire::put(&mut reply, b'Z', b"I");
+        stream.write_all(&reply).await.ok()?;
+        loop {
+            let tag = wire::read_async(&mut stream, true, &mut body).await.ok()?;
+            if tag != b'Q' {
+                return None;
+            }
+            let sql = std::str::from_utf8(body.strip_suffix(&[0])?).ok()?;
+            reply.clear();
+            let then = self.answer(sql, &mut reply).await;
+            stream.write_all(&reply).await.ok()?;
+            match then {
+                Then::Go => {}
+                Then::Copy(later) => {
+                    tokio::time::sleep(later).await;
+                    stream.write_all(&reply).await.ok()?;
+                }
+                Then::Close => return None,
+                Then::Reset => {
+                    let _ = socket2::SockRef::from(stream.get_ref()).set_linger(Some(Duration::ZERO));
+                    return None;
+                }
+            }
+        }
+    }
+
+    /// The time that a request takes here now, by its id: the same id takes the same time.
+    fn service(&self, id: &str) -> Duration {
+        let (least, most) = self.0.capacity.service;
+        // FNV-1a, so that ids which differ in their last digit differ in all.
+        let hash = id
+            .bytes()
+            .fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
+        let part = (hash >> 40) as f64 / (1u64 << 24) as f64;
+        let warmth = self.0.capacity.cold.map_or(1.0, |(share, warm)| {
+            share + (1.0 - share) * (self.0.since.elapsed().as_secs_f64() / warm.as_secs_f64()).min(1.0)
+        });
+        (least + (most - least).mul_f64(part)).div_f64(warmth)
+    }
+
+    async fn answer(&self, sql: &str, reply: &mut Vec<u8>) -> Then {
+        if sql.is_empty() {
+            wire::put(reply, b'I', &[]);
+            wire::put(reply, b'Z', b"I");
+            return Then::Go;
+        }
+        let (does, primary, position) = {
+            let state = self.state();
+            (state.does, state.primary, now_ms().saturating_sub(state.lag))
+        };
+        if sql == "SHOW stats" {
+            let report = match does {
+                Behaviour::Boast => "x0=9e99,x1=1,q=0".to_string(),
+                _ => format!("x0={:.3},x1={},q=0", position as f64 / 1e3, u8::from(primary)),
+            };
+            row(reply, report.as_bytes(), 25, (primary, position));
+            return Then::Go;
+        }
+        let key = sql.split('\'').nth(1).unwrap_or_default();
+        let field = |name: &str| sql.rsplit_once(&format!("{name}="))?.1.split([',', ' ']).next();
+        let write = sql.starts_with("INSERT");
+        self.note(format!("{} {key}", if write { "write" } else { "read" }));
+        let refusal = match does {
+            Behaviour::Full | Behaviour::Unready | Behaviour::Noisy => Some("53300"),
+            Behaviour::Error => Some("XX000"),
+            Behaviour::Miss => Some("72000"),
+            _ if write && !primary => Some("25006"),
+            _ => {
+                let after = field(",after").and_then(|a| a.parse::<u64>().ok());
+                after.filter(|after| !primary && position < *after).map(|_| "72000")
+            }
+        };
+        if let Some(code) = refusal {
+            *reply = wire::error(code);
+            match does {
+                Behaviour::Unready => reply.truncate(reply.len() - 6),
+                Behaviour::Noisy => reply.extend([0xff; 40]),
+                _ => {}
+            }
+            return Then::Go;
+        }
+        let id = field("id").unwrap_or_default();
+        if !self.work(id).await {
+            *reply = wire::error("53300");
+            return Then::Go;
+        }
+        let (value, commit) = if write {
+            let hex = sql.split("'\\x").nth(1).and_then(|v| v.split('\'').next()).unwrap_or_default();
+            let value = Bytes::from(wire::unhex(hex));
+            (Some(value.clone()), self.0.group.write(id, key, value, now_ms()))
+        } else {
+            (self.0.group.read(key, if primary { u64::MAX } else { position }), position)
+        };
+        row(reply, value.as_deref().unwrap_or_default(), 17, (primary, commit));
+        self.spoil(does, reply).await
+    }
+
+    /// Waits for a slot and does the work; false where the queue is full.
+    async fn work(&self, id: &str) -> bool {
+        let service = self.service(id);
+        if service.is_zero() {
+            return true;
+        }
+        let Capacity { queue, .. } = self.0.capacity;
+        let slot = match self.0.slots.try_acquire() {
+            Ok(slot) => slot,
+            Err(_) => {
+                if self.state().waiting >= queue {
+                    return false;
+                }
+                self.state().waiting += 1;
+                let slot = self.0.slots.acquire().await;
+                self.state().waiting -= 1;
+                match slot {
+                    Ok(slot) => slot,
+                    Err(_) => return false,
+                }
+            }
+        };
+        tokio::time::sleep(service).await;
+        drop(slot);
+        true
+    }
+
+    fn note(&self, what: String) {
+        let mut state = self.state();
+        state.served += 1;
+        if state.seen.len() >= SEEN {
+            state.seen.pop_front();
+        }
+        state.seen.push_back(what);
+    }
+
+    /// Makes of a whole answer what the member's fault leaves of it.
+    async fn spoil(&self, does: Behaviour, reply: &mut Vec<u8>) -> Then {
+        /// The description of the row has so many bytes.
+        const DESCRIPTION: usize = 27;
+        match does {
+            Behaviour::Reset => {
+                reply.clear();
+                Then::Reset
+            }
+            Behaviour::Half => {
+                reply.truncate(20);
+                Then::Close
+            }
+            Behaviour::Broken(bytes) => {
+                reply.truncate(bytes);
+                Then::Reset
+            }
+            Behaviour::Stall => {
+                reply.truncate(20);
+                Then::Go
+            }
+            Behaviour::Twice => {
+                reply.extend_from_within(..);
+                Then::Go
+            }
+            Behaviour::Behind(later) => Then::Copy(later),
+            Behaviour::Swapped => {
+                let row =
+                    1 + reply[DESCRIPTION + 1..].first_chunk().map_or(0, |l| u32::from_be_bytes(*l)) as usize;
+                reply[..DESCRIPTION + row].rotate_left(DESCRIPTION);
+                Then::Go
+            }
+            _ => {
+                let mut changes = self.0.changed.subscribe();
+                while self.state().does == Behaviour::Hold {
+                    if changes.changed().await.is_err() {
+                        return Then::Close;
+                    }
+                }
+                match self.state().does {
+                    Behaviour::Reset => {
+                        reply.clear();
+                        Then::Reset
+                    }
+                    _ => Then::Go,
+                }
+            }
+        }
+    }
+}
+
+/// A whole answer of one row, with what it tells of the member.
+fn row(to: &mut Vec<u8>, value: &[u8], type_id: u32, (primary, commit): (bool, u64)) {
+    let column = [&[0, 1, b'v', 0][..], &[0; 6], &type_id.to_be_bytes(), &[0; 6], &[0, 1]].concat();
+    wire::put(to, b'T', &column);
+    to.push(b'D');
+    to.extend((value.len() as u32 + 10).to_be_bytes());
+    to.extend([0, 1]);
+    to.extend((value.len() as u32).to_be_bytes());
+    to.extend(value);
+    wire::put(to, b'C', b"DONE 1\0");
+    wire::put(to, b'S', if primary { b"mode\0read-write\0" } else { b"mode\0read-only\0" });
+    wire::put(to, b'S', format!("wal_time\0{commit}\0").as_bytes());
+    wire::put(to, b'Z', b"I");
+}
--- /dev/null
+++ b/crates/standins/src/proxy.rs
@@ -0,0 +1,229 @@
+//! The real proxy as a child process, with the files that it is told by.
+
+use crate::{dns, now_ms};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Error, Result};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Condvar, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+/// How long the program may take to start or to print its counters on a slow machine.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// How the proxy is to start.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// The program.
+    pub program: PathBuf,
+    /// Its configuration, as the platform would give it.
+    pub config: Value,
+    /// Whether OData is served.
+    pub odata: bool,
+    /// The DNS server at which members are browsed for.
+    pub browse: Option<SocketAddr>,
+    /// Whether what it logs is passed on.
+    pub loud: bool,
+    /// Its log filter.
+    pub log: Option<String>,
+}
+
+/// The settings of a class.
+pub fn class(name: &str, repeat: &str, (aim, deadline): (u64, u64)) -> Value {
+    json!({"name": name, "aim_us": aim, "deadline_us": deadline, "late_value": 0.5, "idempotency": repeat,
+        "group": "all", "window_us": 5_000_000, "stream": false, "importance": 1.0})
+}
+
+/// Settings of one instance with the users' four classes and one tenant. Aims are long, so that no verdict depends on
+/// the machine's speed.
+pub fn settings() -> Value {
+    let long = (8_000_000, 15_000_000);
+    json!({
+        "discovery": "automatic", "instances": 1, "my_zone": 0, "period_us": 5000, "zones": ["a"],
+        "family_info": {"needs_by_class": ["bounded", "session", "any", "write"], "when_behind": "refuse",
+            "max_age_us": [3_000_000, 0, 0, 0], "list_role": "off", "session_marks": "carried",
+            "catch_up_wait_us": 0, "counted_from_us": 0},
+        "services": [class("yard-board", "read_like", long), class("my-booking", "read_like", long),
+            class("monthly-report", "read_like", long), class("place-order", "non_idempotent", long)],
+        "tenants": [{"name": "acme", "share": 1.0, "quota_rps": 100.0}],
+        "limits": {"cancelling": true, "probing": true, "retry_after": true, "max_retry_after_us": 2_000_000,
+            "max_attempts": 8, "connect_timeout_us": 2_000_000, "keepalive_us": 30_000_000},
+        "rules": {"cold_share": 0.15, "warm_after_us": 18_000_000, "fall_us": 1_500_000}
+    })
+}
+
+/// The configuration of a proxy on a free port that knows these members.
+pub fn config(discovery: &str, known: &[Value], settings: Value, sockets: u64, memory_mb: u64) -> Value {
+    json!({
+        "name": "t", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "5",
+        "known": {"generation": 1, "reset": true, "instances": known}, "settings": settings,
+        "limits": {"sockets": sockets, "memory_mb": memory_mb}
+    })
+}
+
+/// The line of counters printed last, and how many were.
+type Printed = Arc<(Mutex<(u64, String)>, Condvar)>;
+
+/// The running program. It is killed when dropped.
+pub struct Proxy {
+    child: Child,
+    printed: Printed,
+    dir: PathBuf,
+    /// Where clients connect.
+    pub pg: SocketAddr,
+    /// Where OData clients do.
+    pub odata: Option<SocketAddr>,
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+/// A folder of this process's own, new with each call.
+fn folder() -> Result<PathBuf> {
+    static MADE: AtomicU64 = AtomicU64::new(0);
+    let made = MADE.fetch_add(1, Ordering::Relaxed);
+    let dir = std::env::temp_dir().join(format!("linentrail-{}-{made}-{}", std::process::id(), now_ms()));
+    std::fs::create_dir_all(&dir)?;
+    Ok(dir)
+}
+
+impl Proxy {
+    /// Starts it and waits until it serves.
+    ///
+    /// # Errors
+    /// When it cannot be started, or ends before it serves.
+    pub fn start(setup: &Setup) -> Result<Self> {
+        let dir = folder()?;
+        std::fs::write(dir.join("config.json"), setup.config.to_string())?;
+        let server = setup.browse.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 9)));
+        let fronts = format!(
+            "[odata]\nenabled = {}\nlisten = \"127.0.0.1:0\"\n\
+             [dnssd]\nbrowse = {}\nserver = \"{server}\"\nservice = \"{}\"\n\
+             [shutdown]\nstill_coming_ms = 3000\n",
+            setup.odata,
+            setup.browse.is_some(),
+            dns::SERVICE
+        );
+        std::fs::write(dir.join("fronts.toml"), fronts)?;
+        let mut command = Command::new(&setup.program);
+        command.env_remove("BALANCER_LISTEN").env_remove("RUST_LOG");
+        if let Some(log) = &setup.log {
+            command.env("RUST_LOG", log);
+        }
+        command
+            .env("BALANCER_DISCOVERY", setup.config["discovery"].as_str().unwrap_or_default())
+            .env("BALANCER_CONFIG", dir.join("config.json"))
+            .env("LINENTRAIL_FRONTS", dir.join("fronts.toml"));
+        let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn()?;
+        let (out, err) = (child.stdout.take(), child.stderr.take());
+        let (Some(out), Some(err)) = (out, err) else { return Err(Error::other("no pipes")) };
+        let mut lines = BufReader::new(err).lines();
+        let mut said = Vec::new();
+        let mut address = |what: &str| {
+            for line in lines.by_ref().map_while(Result::ok) {
+                let found = line.contains(what).then(|| line.rsplit(' ').next()?.parse().ok()).flatten();
+                said.push(line);
+                if found.is_some() {
+                    return found;
+                }
+            }
+            None
+        };
+        let pg = address("serving clients at");
+        let odata = if setup.odata { address("serving OData at") } else { None };
+        let (Some(pg), true) = (pg, odata.is_some() == setup.odata) else {
+            let _ = child.kill();
+            let _ = child.wait();
+            let _ = std::fs::remove_dir_all(&dir);
+            return Err(Error::other(format!("the proxy does not start: {}", said.join("; "))));
+        };
+        let loud = setup.loud;
+        thread::spawn(move || {
+            lines.map_while(Result::ok).filter(|_| loud).for_each(|l| eprintln!("proxy: {l}"));
+        });
+        let printed = Printed::default();
+        let known = printed.clone();
+        thread::spawn(move || {
+            for line in BufReader::new(out).lines().map_while(Result::ok) {
+                let mut last = known.0.lock().unwrap_or_else(PoisonError::into_inner);
+                *last = (last.0 + 1, line);
+                known.1.notify_all();
+            }
+        });
+        Ok(Proxy { child, printed, dir, pg, odata })
+    }
+
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// The folder of its files.
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+
+    /// Sends it a signal, named as `kill` takes it.
+    ///
+    /// # Errors
+    /// When that cannot be done.
+    pub fn signal(&self, which: &str) -> Result<()> {
+        let id = self.child.id().to_string();
+        let done = Command::new("kill").args([&format!("-{which}"), &id]).status()?;
+        if done.success() {
+            Ok(())
+        } else {
+            Err(Error::other("the proxy has gone"))
+        }
+    }
+
+    /// Its counters now, by name.
+    ///
+    /// # Errors
+    /// When it does not print them.
+    pub fn counters(&self) -> Result<BTreeMap<String, u64>> {
+        let (lock, told) = &*self.printed;
+        let before = lock.lock().unwrap_or_else(PoisonError::into_inner).0;
+        self.signal("USR1")?;
+        let guard = lock.lock().unwrap_or_else(PoisonError::into_inner);
+        let (last, late) = told
+            .wait_timeout_while(guard, PATIENCE, |last| last.0 <= before)
+            .unwrap_or_else(PoisonError::into_inner);
+        if late.timed_out() {
+            return Err(Error::other("the proxy prints no counters"));
+        }
+        let pair = |p: &str| p.split_once('=').and_then(|(n, v)| Some((n.to_string(), v.parse().ok()?)));
+        Ok(last.1.split(' ').filter_map(pair).collect())
+    }
+
+    /// Waits for its end.
+    ///
+    /// # Errors
+    /// When that cannot be done.
+    pub fn wait(&mut self) -> Result<ExitStatus> {
+        self.child.wait()
+    }
+
+    /// Processor time that it has used, in ns, and the memory that it holds, in KiB.
+    ///
+    /// # Errors
+    /// When the machine does not tell.
+    pub fn usage(&self) -> Result<(u64, u64)> {
+        let id = self.id();
+        let text = std::fs::read_to_string(format!("/proc/{id}/schedstat"))?;
+        let cpu = text.split(' ').next().and_then(|t| t.parse().ok());
+        let status = std::fs::read_to_string(format!("/proc/{id}/status"))?;
+        let memory =
+            status.lines().find_map(|l| l.strip_prefix("VmRSS:")?.split_whitespace().next()?.parse().ok());
+        cpu.zip(memory).ok_or_else(|| Error::other("the machine does not tell what a process uses"))
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod dnssd;
 pub mod http;
 mod interface;
+pub mod meter;
 pub mod net;
 pub mod odata;
 pub mod pg;
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,7 +13,7 @@
 use linentrail::net::discovery::{Discovery, Lists};
 use linentrail::net::fleet::Fleet;
 use linentrail::net::listen;
-use linentrail::{odata, pg};
+use linentrail::{meter, odata, pg};
 use linentrail::{ListKind, Time};
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -22,6 +22,11 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 
+/// Counts what the program allocates; never in service.
+#[cfg(feature = "meter")]
+#[global_allocator]
+static ALLOCATOR: &stats_alloc::StatsAlloc<std::alloc::System> = &stats_alloc::INSTRUMENTED_SYSTEM;
+
 /// Messages that may wait for the core.
 const MAILBOX: usize = 2048;
 /// Time beyond the longest deadline that open requests get after new clients are no longer taken.
@@ -139,7 +144,7 @@
     let mut usr1 = signal(SignalKind::user_defined1()).map_err(failed)?;
     loop {
         tokio::select! {
-            _ = usr1.recv() => println!("counters: {}", counters::line()),
+            _ = usr1.recv() => println!("counters: {}{}", counters::line(), meter::line()),
             _ = term.recv() => break,
             _ = int.recv() => break,
         }
@@ -152,7 +157,7 @@
     while !clients.all_back() && clock.now() < ends {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    println!("counters: {}", counters::line());
+    println!("counters: {}{}", counters::line(), meter::line());
     Ok(())
 }
 
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -2,6 +2,7 @@
 //! that cannot be understood are answered.
 
 use crate::interface::Time;
+use crate::meter::{self, Cost};
 use bytes::Bytes;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -135,6 +136,7 @@
     /// A copy of `bytes` that holds this share for as long as any part of it lives. A copy, as a slice would keep the
     /// whole buffer that it was read into, which no share counts.
     pub fn hold(self, bytes: &[u8]) -> Bytes {
+        meter::add(Cost::Copied, bytes.len());
         struct Held(Box<[u8]>, #[allow(dead_code)] Share);
         impl AsRef<[u8]> for Held {
             fn as_ref(&self) -> &[u8] {
--- a/src/net/frames.rs
+++ b/src/net/frames.rs
@@ -1,12 +1,12 @@
 //! What the ends of all framed connections share.
 
+use crate::meter::Socket;
 use bytes::BytesMut;
 use futures_util::{Stream, StreamExt};
 use std::future::poll_fn;
 use std::task::Poll;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Framed};
 
 /// Room for reading and for writing that a connection starts with: hundreds rest at a time.
@@ -60,7 +60,7 @@
 }
 
 /// Ends a connection on which the last word has been said, so that the client gets to read it.
-pub async fn finish<C>(conn: Framed<TcpStream, C>) -> std::io::Result<()> {
+pub async fn finish<C>(conn: Framed<Socket, C>) -> std::io::Result<()> {
     let mut stream = conn.into_inner();
     stream.shutdown().await?;
     let (mut rest, mut read) = (vec![0; 16 * 1024], 0);
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -2,10 +2,11 @@
 
 use super::budget::Pot;
 use crate::core::counters::{count, Count};
+use crate::meter::Socket;
 use std::fmt::Display;
 use std::future::Future;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
 
 /// After a failure to accept, such as one for want of descriptors.
@@ -27,7 +28,7 @@
     counter: Count,
     clients: Pot,
     mut closing: Closing,
-    serve: impl Fn(TcpStream, Closing) -> F,
+    serve: impl Fn(Socket, Closing) -> F,
 ) where
     F: Future<Output = Result<(), E>> + Send + 'static,
     E: Display,
@@ -56,7 +57,7 @@
         };
         count(counter);
         let _ = stream.set_nodelay(true);
-        let served = serve(stream, closing.clone());
+        let served = serve(Socket::new(stream), closing.clone());
         tokio::spawn(async move {
             if let Err(e) = served.await {
                 log::debug!("a client's connection ended: {e}");
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -7,6 +7,7 @@
 use crate::core::{Handle, Request, Work};
 use crate::http::{HttpError, HttpRequest, HttpResponse, HttpServer, Incoming};
 use crate::interface::*;
+use crate::meter::Socket;
 use crate::net::budget::{Budget, Pace};
 use crate::net::clock::Clock;
 use crate::net::frames::{finish, next, shrink, Next, ROOM};
@@ -19,7 +20,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio_util::codec::Framed;
 
@@ -50,7 +50,7 @@
     sent: AtomicU64,
 }
 
-type Conn = Framed<TcpStream, HttpServer>;
+type Conn = Framed<Socket, HttpServer>;
 
 impl Front {
     /// A front on the core.
@@ -69,7 +69,7 @@
     ///
     /// # Errors
     /// When the connection breaks.
-    pub async fn serve(self: Arc<Self>, stream: TcpStream, mut closing: Closing) -> Result<(), HttpError> {
+    pub async fn serve(self: Arc<Self>, stream: Socket, mut closing: Closing) -> Result<(), HttpError> {
         let codec = HttpServer::new(LONGEST_BODY, self.budget.bytes.clone());
         let mut conn = Framed::with_capacity(stream, codec, ROOM);
         let (mut ahead, mut known, mut part) = (VecDeque::new(), false, false);
--- a/src/pg/codec.rs
+++ b/src/pg/codec.rs
@@ -1,5 +1,6 @@
 //! Messages of the wire protocol, each decoded once into a small typed value and encoded once.
 
+use crate::meter::{self, Cost};
 use crate::net::budget::{Ration, Share};
 use crate::net::frames::Holds;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
@@ -287,6 +288,7 @@
                 match value {
                     Some(value) => {
                         d.put_u32(value.len() as u32);
+                        meter::add(Cost::Copied, value.len());
                         d.put_slice(&value);
                     }
                     None => d.put_i32(-1),
@@ -440,7 +442,10 @@
                 let length = (dst.len() - at) as u32;
                 dst[at..at + 4].copy_from_slice(&length.to_be_bytes());
             }
-            Frontend::Query(text) => put(dst, b'Q', |d| put_text(d, &text)),
+            Frontend::Query(text) => {
+                meter::add(Cost::Copied, text.len());
+                put(dst, b'Q', |d| put_text(d, &text));
+            }
             Frontend::Terminate => put(dst, b'X', |_| {}),
             _ => return Err(WireError::Malformed("a message that this end never sends")),
         }
--- a/src/pg/front.rs
+++ b/src/pg/front.rs
@@ -5,6 +5,7 @@
 use crate::core::counters::{count, Count};
 use crate::core::{Answer, Handle, Pending};
 use crate::interface::*;
+use crate::meter::Socket;
 use crate::net::budget::{Pace, Pot, Ration};
 use crate::net::clock::Clock;
 use crate::net::frames::{finish, next, shrink, Next, ROOM};
@@ -15,7 +16,6 @@
 use futures_util::{SinkExt, StreamExt};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::time::Instant;
 use tokio_util::codec::Framed;
 
@@ -85,7 +85,7 @@
     skipping: bool,
 }
 
-type Conn = Framed<TcpStream, ServerCodec>;
+type Conn = Framed<Socket, ServerCodec>;
 
 async fn at(instant: Option<Instant>) {
     match instant {
@@ -99,7 +99,7 @@
     ///
     /// # Errors
     /// When the connection breaks.
-    pub async fn serve(self: Arc<Self>, stream: TcpStream, mut closing: Closing) -> Result<(), WireError> {
+    pub async fn serve(self: Arc<Self>, stream: Socket, mut closing: Closing) -> Result<(), WireError> {
         let first = Instant::now() + FIRST;
         let mut conn = Framed::with_capacity(stream, ServerCodec::new(self.bytes.clone()), ROOM);
         let welcome = tokio::select! {
--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -9,6 +9,7 @@
 use crate::core::counters::{count, Count};
 use crate::core::{Value, Work};
 use crate::interface::*;
+use crate::meter::{self, Cost, Socket};
 use crate::net::budget::Ration;
 use crate::net::clock::Clock;
 use crate::net::frames::{next, shrink, Next, ROOM};
@@ -53,7 +54,7 @@
 
 /// A connection that has been welcomed.
 pub struct Link {
-    framed: Framed<TcpStream, ClientCodec>,
+    framed: Framed<Socket, ClientCodec>,
     clock: Clock,
     _permit: OwnedSemaphorePermit,
 }
@@ -94,7 +95,7 @@
     ) -> Result<Self, Outcome> {
         let stream = TcpStream::connect(address).await.map_err(|_| Outcome::Refused)?;
         let _ = stream.set_nodelay(true);
-        let framed = Framed::with_capacity(stream, ClientCodec::new(bytes), ROOM);
+        let framed = Framed::with_capacity(Socket::new(stream), ClientCodec::new(bytes), ROOM);
         let mut link = Link { framed, clock, _permit: permit };
         let startup = Frontend::Startup { user: "svc".to_string() };
         link.framed.send(startup).await.map_err(|_| Outcome::Refused)?;
@@ -118,7 +119,8 @@
     /// Nothing has come on it since its last answer, not even an end. The socket itself is asked: what the runtime
     /// remembers of it is as old as its last look, and a second copy that came since would pass for the next answer.
     pub fn stands(&self) -> bool {
-        let peeked = SockRef::from(self.framed.get_ref()).peek(&mut [MaybeUninit::uninit(); 1]);
+        meter::add(Cost::Peeks, 1);
+        let peeked = SockRef::from(self.framed.get_ref().get_ref()).peek(&mut [MaybeUninit::uninit(); 1]);
         self.framed.read_buffer().is_empty() && peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
--- a/src/pg/statement.rs
+++ b/src/pg/statement.rs
@@ -2,6 +2,7 @@
 
 use crate::core::{Request, Work};
 use crate::interface::*;
+use crate::meter::{self, Cost};
 use crate::settings::Names;
 use bytes::Bytes;
 use std::ops::Range;
@@ -168,6 +169,7 @@
 /// The statement as a member gets it, which is told to wait so many milliseconds.
 pub fn render(work: &Work, wait: Time) -> Bytes {
     let Range { start, end } = work.wait.clone();
+    meter::add(Cost::Copied, work.text.len());
     let (head, tail) = (work.text.get(..start), work.text.get(end..));
     [head.unwrap_or_default(), wait.to_string().as_bytes(), tail.unwrap_or_default()].concat().into()
 }
