--- a/src/bin/linentrail-benchlink/wire.rs
+++ b/src/bin/linentrail-benchlink/wire.rs
@@ -244,7 +244,7 @@
                     class: line.must("priority")?,
                     group: line.must("cluster")?,
                     deadline: line.must("client_deadline_us")?,
-                    session: line.may("session")?,
+                    session: line.may::<String>("session")?.map(Into::into),
                     token_age: token.map(|t| (t * 1000.0) as Time),
                     proven: false,
                     repeat: line.flag("repeat")?,
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -4,12 +4,16 @@
 use super::counters::{count, Count};
 use super::ledger::SessionLedger;
 use super::{Answer, Attempt, Ending, Input, Listed, Members, Request};
+use crate::clock::Clock;
 use crate::interface::*;
-use crate::net::clock::Clock;
 use crate::Router;
 use bytes::Bytes;
+use smallvec::SmallVec;
 use std::collections::{HashMap, HashSet, VecDeque};
+use std::pin::pin;
+use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 
 /// Most messages that go into one step.
 const BATCH: usize = 256;
@@ -22,7 +26,7 @@
     reply: Option<oneshot::Sender<Answer>>,
     /// What a session read must see beyond what members check for it; 0: nothing.
     unseen: Position,
-    attempts: Vec<MemberId>,
+    attempts: SmallVec<[MemberId; 4]>,
     out: u32,
 }
 
@@ -41,6 +45,8 @@
     /// What followed from actions at once, for the next step.
     local: VecDeque<Event>,
     wake: Option<Time>,
+    /// Kept for its room.
+    actions: Vec<Action>,
 }
 
 impl<M: Members> Actor<M> {
@@ -67,31 +73,34 @@
             sessions: SessionLedger::new(SESSIONS),
             local: VecDeque::new(),
             wake: None,
+            actions: Vec::new(),
         })
     }
 
     /// Runs until all handles are gone.
     pub async fn run(mut self) {
         let mut inputs = Vec::with_capacity(BATCH);
+        let mut events = Vec::with_capacity(BATCH + 1);
+        // Set anew only when the wake-up has moved: most steps leave it where it is.
+        let (mut timer, mut set) = (pin!(tokio::time::sleep_until(Instant::now())), None);
         loop {
-            let due = self.wake.map(|t| self.clock.instant(t));
-            let timer = async {
-                match due {
-                    Some(at) => tokio::time::sleep_until(at).await,
-                    None => std::future::pending().await,
+            if self.wake != set {
+                set = self.wake;
+                if let Some(at) = set {
+                    timer.as_mut().reset(self.clock.instant(at));
                 }
-            };
+            }
             let woken = tokio::select! {
+                biased;
                 n = self.mailbox.recv_many(&mut inputs, BATCH) => {
                     if n == 0 {
                         return;
                     }
                     false
                 }
-                () = timer => true,
+                () = timer.as_mut(), if set.is_some() => true,
             };
             let now = self.clock.now();
-            let mut events = Vec::with_capacity(inputs.len() + 1);
             if woken || self.wake.is_some_and(|t| now >= t) {
                 // One pending wake-up is enough: the router arms again whenever it is woken.
                 events.extend(self.wake.take().map(|tag| Event::Wake { tag }));
@@ -99,17 +108,19 @@
             for input in inputs.drain(..) {
                 events.extend(self.take(input, now));
             }
-            self.step(now, events);
+            self.step(now, &events);
+            events.clear();
             while !self.local.is_empty() {
-                let events = self.local.drain(..).collect();
-                self.step(now, events);
+                events.extend(self.local.drain(..));
+                self.step(now, &events);
+                events.clear();
             }
         }
     }
 
     fn take(&mut self, input: Input, now: Time) -> Option<Event> {
         match input {
-            Input::Submit(id, request, reply) => self.submit(id, *request, reply, now),
+            Input::Submit(id, request, reply) => self.submit(id, request, reply, now),
             Input::HangUp(id) => {
                 let live = self.live.get_mut(&id)?;
                 live.reply.take()?;
@@ -117,7 +128,7 @@
                 self.settle(id);
                 Some(Event::HangUp { id })
             }
-            Input::Ended(id, attempt, ending) => self.ended(id, attempt, *ending),
+            Input::Ended(id, attempt, ending) => self.ended(id, attempt, ending),
             Input::Probed(member, report) => {
                 count(if report.is_some() { Count::probes } else { Count::probes_failed });
                 Some(Event::Probed { member, ok: report.is_some(), report })
@@ -165,7 +176,7 @@
             repeat: request.repeat,
         };
         let unseen = if proven { token } else { 0 };
-        self.live.insert(id, Live { request, reply: Some(reply), unseen, attempts: Vec::new(), out: 0 });
+        self.live.insert(id, Live { request, reply: Some(reply), unseen, attempts: SmallVec::new(), out: 0 });
         Some(event)
     }
 
@@ -230,12 +241,11 @@
         self.settle(id);
     }
 
-    fn step(&mut self, now: Time, events: Vec<Event>) {
-        let mut actions = Vec::new();
-        self.router.step(now, &events, &mut actions);
-        for action in actions {
-            self.act(now, action);
-        }
+    fn step(&mut self, now: Time, events: &[Event]) {
+        let mut actions = std::mem::take(&mut self.actions);
+        self.router.step(now, events, &mut actions);
+        actions.drain(..).for_each(|action| self.act(now, action));
+        self.actions = actions;
     }
 
     fn act(&mut self, now: Time, action: Action) {
@@ -275,7 +285,8 @@
         let number = live.attempts.len() as u32;
         live.attempts.push(member);
         let stop_at = stop_at.unwrap_or(Time::MAX).min(live.request.deadline);
-        let attempt = Attempt { id, number, work: live.request.work.clone(), stop_at };
+        let safe = self.classes[live.request.class].repeat == Repeat::Safe;
+        let attempt = Attempt { id, number, work: live.request.work.clone(), stop_at, safe };
         let may = live.reply.is_some() && now < stop_at && live.attempts.len() <= self.max_attempts;
         if may && self.members.attempt(member, attempt) {
             live.out += 1;
@@ -296,6 +307,6 @@
 }
 
 /// The sessions that a request belongs to: the one it names, and the one that its key names.
-fn sessions(request: &Request) -> impl Iterator<Item = &str> {
-    request.session.iter().chain(&request.key_session).map(String::as_str)
+fn sessions(request: &Request) -> impl Iterator<Item = &Arc<str>> {
+    request.session.iter().chain(&request.key_session)
 }
--- a/src/core/bookings.rs
+++ b/src/core/bookings.rs
@@ -6,8 +6,8 @@
 use super::counters::{count, Count};
 use super::ledger::{Claim, RepeatLedger};
 use super::{Answer, Handle, Request};
+use crate::clock::Clock;
 use crate::interface::Time;
-use crate::net::clock::Clock;
 use std::sync::{Arc, Mutex, PoisonError};
 use tokio::sync::watch;
 
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -2,12 +2,13 @@
 
 use crate::interface::{Position, Time};
 use std::collections::HashMap;
+use std::sync::Arc;
 
 /// Last commit of each session, from whichever front the write came. Bounded: when full, the older half is folded
 /// into a floor that every unknown session must then meet, so that forgetting never lets a stale read through.
 pub struct SessionLedger {
     most: usize,
-    commits: HashMap<String, Position>,
+    commits: HashMap<Arc<str>, Position>,
     floor: Position,
 }
 
@@ -18,7 +19,7 @@
     }
 
     /// Takes in a write that went through.
-    pub fn wrote(&mut self, session: &str, commit: Position) {
+    pub fn wrote(&mut self, session: &Arc<str>, commit: Position) {
         if self.commits.len() >= self.most && !self.commits.contains_key(session) {
             let mut all: Vec<Position> = self.commits.values().copied().collect();
             let middle = all.len() / 2;
@@ -27,7 +28,7 @@
             let floor = self.floor;
             self.commits.retain(|_, at| *at > floor);
         }
-        let at = self.commits.entry(session.to_string()).or_default();
+        let at = self.commits.entry(session.clone()).or_default();
         *at = commit.max(*at);
     }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -41,9 +41,9 @@
     /// Group that it is for.
     pub group: GroupId,
     /// The session, for writes and session reads.
-    pub session: Option<String>,
+    pub session: Option<Arc<str>>,
     /// The key, where that is not the session's name: by the platform's protocol it names one too.
-    pub key_session: Option<String>,
+    pub key_session: Option<Arc<str>>,
     /// The position that it carries as the least it must see.
     pub after: Option<Position>,
     /// When its client gives up.
@@ -93,6 +93,8 @@
     pub work: Work,
     /// When to stop waiting.
     pub stop_at: Time,
+    /// What may have run may be sent again.
+    pub safe: bool,
 }
 
 /// How an attempt ended, with all that the member told.
@@ -119,15 +121,17 @@
     pub address: SocketAddr,
 }
 
-/// What reaches the core's mailbox.
+/// What reaches the core's mailbox. The large ones are the ordinary ones, and a box for each would cost more than the
+/// room that the others waste.
 #[derive(Debug)]
+#[allow(clippy::large_enum_variant)]
 pub enum Input {
     /// A request and where its answer goes.
-    Submit(RequestId, Box<Request>, oneshot::Sender<Answer>),
+    Submit(RequestId, Request, oneshot::Sender<Answer>),
     /// The client of a request has left.
     HangUp(RequestId),
     /// An attempt has ended.
-    Ended(RequestId, u32, Box<Ending>),
+    Ended(RequestId, u32, Ending),
     /// A probe has ended; none: it was not answered.
     Probed(MemberId, Option<Report>),
     /// Word from the member list.
@@ -170,7 +174,7 @@
         let (reply, answer) = oneshot::channel();
         // Made first: whoever drops this call half-way still hangs up, which the core ignores for unknown ids.
         let pending = Pending { id, answer, mailbox: self.mailbox.clone(), over: false };
-        let _ = self.mailbox.send(Input::Submit(id, Box::new(request), reply)).await;
+        let _ = self.mailbox.send(Input::Submit(id, request, reply)).await;
         pending
     }
 }
--- a/src/dnssd/browse.rs
+++ b/src/dnssd/browse.rs
@@ -5,10 +5,10 @@
 //! ten seconds; what expires unrenewed, or is no longer named, is gone from the next list.
 
 use super::records::Cache;
+use crate::clock::Clock;
 use crate::core::counters::{count, Count};
 use crate::core::{Input, Listed};
 use crate::interface::*;
-use crate::net::clock::Clock;
 use crate::net::discovery::{Follow, Lists, Numbers};
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,6 +2,8 @@
 //!
 //! Nothing here decides anything. All times are microseconds on the embedding driver's clock.
 
+use std::sync::Arc;
+
 /// A moment or a span, in microseconds.
 pub type Time = u64;
 
@@ -270,7 +272,7 @@
         /// When the client gives up this try.
         deadline: Time,
         /// The session, for writes and session reads.
-        session: Option<String>,
+        session: Option<Arc<str>>,
         /// How long ago the session's last write was committed, where reads carry that.
         token_age: Option<Time>,
         /// Members do not know what this session read must see: only a proven position will do.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 #![doc = include_str!("../README.md")]
 
+pub mod clock;
 pub mod config;
 pub mod core;
 mod decide;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,6 @@
 //! The real proxy: wiring, start and shutdown.
 
+use linentrail::clock::Clock;
 use linentrail::config::{self, Config};
 use linentrail::core::actor::Actor;
 use linentrail::core::bookings::Bookings;
@@ -9,7 +10,6 @@
 use linentrail::dnssd::browse::Browser;
 use linentrail::dnssd::records;
 use linentrail::net::budget::{Budget, Pace};
-use linentrail::net::clock::Clock;
 use linentrail::net::discovery::{Discovery, Lists};
 use linentrail::net::fleet::Fleet;
 use linentrail::net::listen;
@@ -92,7 +92,8 @@
     let budget = Budget::new(told.sockets, told.memory);
     let (mailbox, inbox) = mpsc::channel(MAILBOX);
     let (follow, asked) = mpsc::channel(1);
-    let fleet = Fleet::new(mailbox.clone(), follow, budget.clone(), clock, times);
+    let wire = pg::member::Pg::new(budget.bytes.clone(), clock);
+    let fleet = Fleet::new(mailbox.clone(), follow, budget.clone(), clock, times, wire);
     let actor = Actor::new(settings, fleet, clock, inbox).map_err(|e| e.to_string())?;
 
     let mut lists = Lists::new(names.zones.clone());
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -3,7 +3,8 @@
 
 use crate::interface::Time;
 use crate::meter::{self, Cost};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
+use smallvec::SmallVec;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -136,14 +137,28 @@
     /// A copy of `bytes` that holds this share for as long as any part of it lives. A copy, as a slice would keep the
     /// whole buffer that it was read into, which no share counts.
     pub fn hold(self, bytes: &[u8]) -> Bytes {
+        /// What most statements and values fit into: kept in the same piece of memory as the share.
+        const SHORT: usize = 192;
         meter::add(Cost::Copied, bytes.len());
-        struct Held(Box<[u8]>, #[allow(dead_code)] Share);
-        impl AsRef<[u8]> for Held {
+        match bytes.len() <= SHORT {
+            true => self.own(SmallVec::<[u8; SHORT]>::from_slice(bytes)),
+            false => self.own(Box::<[u8]>::from(bytes)),
+        }
+    }
+
+    /// The same for a buffer that holds nothing else.
+    pub fn hold_buffer(self, buffer: BytesMut) -> Bytes {
+        self.own(buffer)
+    }
+
+    fn own(self, bytes: impl AsRef<[u8]> + Send + 'static) -> Bytes {
+        struct Held<B>(B, #[allow(dead_code)] Share);
+        impl<B: AsRef<[u8]>> AsRef<[u8]> for Held<B> {
             fn as_ref(&self) -> &[u8] {
-                &self.0
+                self.0.as_ref()
             }
         }
-        Bytes::from_owner(Held(bytes.into(), self))
+        Bytes::from_owner(Held(bytes, self))
     }
 }
 
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -2,9 +2,10 @@
 //! full one is answered for at once as an attempt that was never sent.
 
 use super::budget::Budget;
-use super::clock::Clock;
 use super::discovery;
+use super::link::Wire;
 use super::peer::{self, Order};
+use crate::clock::Clock;
 use crate::core::{Attempt, Input, Listed, Members};
 use crate::interface::*;
 use crate::settings::SocketTimes;
@@ -23,16 +24,17 @@
 }
 
 /// The peers.
-pub struct Fleet {
+pub struct Fleet<W> {
     peers: HashMap<MemberId, Peer>,
     core: mpsc::Sender<Input>,
     discovery: mpsc::Sender<discovery::Follow>,
     budget: Budget,
     clock: Clock,
     times: SocketTimes,
+    wire: W,
 }
 
-impl Fleet {
+impl<W: Wire> Fleet<W> {
     /// No peers yet.
     pub fn new(
         core: mpsc::Sender<Input>,
@@ -40,8 +42,9 @@
         budget: Budget,
         clock: Clock,
         times: SocketTimes,
+        wire: W,
     ) -> Self {
-        Fleet { peers: HashMap::new(), core, discovery, budget, clock, times }
+        Fleet { peers: HashMap::new(), core, discovery, budget, clock, times, wire }
     }
 
     fn order(&self, member: MemberId, order: Order) -> bool {
@@ -57,7 +60,7 @@
     }
 }
 
-impl Members for Fleet {
+impl<W: Wire> Members for Fleet<W> {
     fn attempt(&mut self, member: MemberId, attempt: Attempt) -> bool {
         self.order(member, Order::Attempt(attempt))
     }
@@ -83,11 +86,12 @@
                 self.gone(member.id);
                 continue;
             }
-            let (core, budget, clock, times) =
-                (self.core.clone(), self.budget.clone(), self.clock, self.times);
+            let (core, budget, wire) = (self.core.clone(), self.budget.clone(), self.wire.clone());
+            let (clock, times) = (self.clock, self.times);
             let peer = self.peers.entry(member.id).or_insert_with(|| {
                 let (orders, mailbox) = mpsc::channel(MAILBOX);
-                tokio::spawn(peer::Peer::new(member.id, *address, core, budget, clock, times).run(mailbox));
+                let at = (member.id, *address);
+                tokio::spawn(peer::Peer::new(at, core, budget, clock, times, wire).run(mailbox));
                 Peer { orders, gone: None }
             });
             peer.gone = None;
--- a/src/net/frames.rs
+++ b/src/net/frames.rs
@@ -48,14 +48,15 @@
     .await
 }
 
-/// Lets go of buffers that a large message has left on a connection.
+/// Lets go of buffers that a large message has left on a connection. Those that take their place have room at once: one
+/// that starts with none is read into a few bytes at a time.
 pub fn shrink<S, C>(conn: &mut Framed<S, C>) {
     const SMALL: usize = 4 * ROOM;
     if conn.write_buffer().is_empty() && conn.write_buffer().capacity() > SMALL {
-        *conn.write_buffer_mut() = BytesMut::new();
+        *conn.write_buffer_mut() = BytesMut::with_capacity(ROOM);
     }
     if conn.read_buffer().is_empty() && conn.read_buffer().capacity() > SMALL {
-        *conn.read_buffer_mut() = BytesMut::new();
+        *conn.read_buffer_mut() = BytesMut::with_capacity(ROOM);
     }
 }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,9 +1,10 @@
-//! Sockets other than the fronts': the clock, one actor for each peer, discovery, accepting, the descriptor budget.
+//! Sockets other than the fronts': one actor for each peer, discovery, accepting, the descriptor budget.
 
 pub mod budget;
-pub mod clock;
 pub mod discovery;
 pub mod fleet;
 pub mod frames;
+pub mod link;
 pub mod listen;
 pub mod peer;
+pub mod pool;
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -5,17 +5,19 @@
 //! only in those tasks, never in its own loop, so that it always takes orders.
 
 use super::budget::Budget;
-use super::clock::Clock;
+use super::link::{Exchange, Guard, Link, Wire};
+use super::pool::Pool;
+use crate::clock::Clock;
 use crate::core::counters::{count, Count};
 use crate::core::{Attempt, Ending, Input};
 use crate::interface::*;
-use crate::pg::member::{Exchange, Link};
 use crate::settings::SocketTimes;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::task::{AbortHandle, JoinSet};
+use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
 /// Patience with a probe: reports are refreshed several times a second and cost the member next to nothing.
@@ -23,9 +25,6 @@
 /// A connection that has stood idle for this share of the members' limit is closed rather than used: what is
 /// written at the limit or past it ends as a reset, and a write lost so may not be sent again.
 const IDLE_SHARE: f64 = 0.6;
-/// A connection rests so long after an answer before the next statement is written to it: what comes right behind an
-/// answer and does not belong to it must be seen before it can pass for the answer to the next.
-const REST: Duration = Duration::from_millis(3);
 
 /// What the fleet tells a peer.
 #[derive(Debug)]
@@ -42,175 +41,187 @@
     Address(SocketAddr),
 }
 
-/// A connection at rest, since when.
-struct Idle {
-    link: Link,
-    since: Instant,
+/// An attempt under way.
+struct Running {
+    task: AbortHandle,
+    since: Time,
 }
 
 /// The actor's state.
-pub struct Peer {
+pub struct Peer<W: Wire> {
     id: MemberId,
     address: SocketAddr,
     core: mpsc::Sender<Input>,
     budget: Budget,
     clock: Clock,
     times: SocketTimes,
-    idle: Vec<Idle>,
-    running: HashMap<(RequestId, u32), (AbortHandle, Time)>,
-    tasks: JoinSet<Done>,
+    wire: W,
+    pool: Pool<W::Link>,
+    running: HashMap<(RequestId, u32), Running>,
+    probing: usize,
+    /// Where tasks tell their ends; each tells one, so that there are never more than tasks.
+    done: mpsc::UnboundedSender<Done<W::Link>>,
+    ends: Option<mpsc::UnboundedReceiver<Done<W::Link>>>,
 }
 
 /// A task's end.
-struct Done {
+struct Done<L> {
     attempt: Option<(RequestId, u32)>,
-    link: Option<Link>,
+    link: Option<L>,
 }
 
-impl Peer {
+impl<W: Wire> Peer<W> {
     /// A peer without connections.
     pub fn new(
-        id: MemberId,
-        address: SocketAddr,
+        (id, address): (MemberId, SocketAddr),
         core: mpsc::Sender<Input>,
         budget: Budget,
         clock: Clock,
         times: SocketTimes,
+        wire: W,
     ) -> Self {
-        let (idle, running, tasks) = (Vec::new(), HashMap::new(), JoinSet::new());
-        Peer { id, address, core, budget, clock, times, idle, running, tasks }
+        let idle_most = Duration::from_micros(times.keepalive).mul_f64(IDLE_SHARE);
+        let pool = Pool::new(idle_most.as_micros() as Time);
+        let (done, ends) = mpsc::unbounded_channel();
+        let (running, probing, ends) = (HashMap::new(), 0, Some(ends));
+        Peer { id, address, core, budget, clock, times, wire, pool, running, probing, done, ends }
     }
 
     /// Runs until the fleet lets go of it and the last attempt has ended.
     pub async fn run(mut self, mut mailbox: mpsc::Receiver<Order>) {
-        let mut open = true;
-        while open || !self.tasks.is_empty() {
-            let stale = self.idle.first().map(|i| i.since + self.idle_most());
-            let reap = async {
-                match stale {
-                    Some(at) => tokio::time::sleep_until(at).await,
-                    None => std::future::pending().await,
-                }
-            };
+        let Some(mut ends) = self.ends.take() else { return };
+        // Set anew only when it rings: connections come and go much faster than they grow old.
+        let mut reaper = pin!(tokio::time::sleep_until(Instant::now()));
+        let (mut open, mut armed) = (true, false);
+        while open || !self.running.is_empty() || self.probing > 0 {
+            if let (false, Some(due)) = (armed, self.pool.due()) {
+                reaper.as_mut().reset(self.clock.instant(due));
+                armed = true;
+            }
             tokio::select! {
+                biased;
+                Some(Done { attempt, link }) = ends.recv() => {
+                    match attempt {
+                        Some(key) => drop(self.running.remove(&key)),
+                        None => self.probing -= 1,
+                    }
+                    if let Some(link) = link {
+                        self.pool.rest(link, self.clock.now());
+                    }
+                }
                 order = mailbox.recv(), if open => match order {
                     Some(order) => self.take(order),
                     None => open = false,
                 },
-                Some(done) = self.tasks.join_next(), if !self.tasks.is_empty() => {
-                    // A cancelled task tells nothing more; its end was told when it was cancelled.
-                    if let Ok(Done { attempt, link }) = done {
-                        attempt.and_then(|key| self.running.remove(&key));
-                        self.idle.extend(link.map(|link| Idle { link, since: Instant::now() }));
-                    }
+                () = reaper.as_mut(), if armed => {
+                    armed = false;
+                    self.reap();
                 }
-                () = reap => self.reap(),
                 // Another peer lacks a descriptor: the one that has been idle for longest here goes.
-                () = self.budget.members.wanted(false), if !self.idle.is_empty() => {
-                    self.idle.remove(0);
+                () = self.budget.members.wanted(false), if !self.pool.is_empty() => {
+                    self.pool.drop_oldest();
                     count(Count::member_idle_closed);
                 }
             }
         }
     }
 
-    fn idle_most(&self) -> Duration {
-        Duration::from_micros(self.times.keepalive).mul_f64(IDLE_SHARE)
-    }
-
-    /// The idle ones lie in the order in which they came to rest.
     fn reap(&mut self) {
-        let (most, now) = (self.idle_most(), Instant::now());
-        let old = self.idle.iter().take_while(|i| i.since + most <= now).count();
-        self.idle.drain(..old).for_each(|_| count(Count::member_idle_closed));
+        (0..self.pool.reap(self.clock.now())).for_each(|_| count(Count::member_idle_closed));
     }
 
     fn take(&mut self, order: Order) {
         match order {
             Order::Attempt(attempt) => self.attempt(attempt),
             Order::Cancel(id, number) => {
-                let Some((task, since)) = self.running.remove(&(id, number)) else { return };
-                // One that has just ended has told its end; a second end would be one too many.
-                if task.is_finished() {
+                // One that has just ended has told its end; a second end would be one too many. It stays until it
+                // is taken in.
+                let key = (id, number);
+                if self.running.get(&key).is_none_or(|r| r.task.is_finished()) {
                     return;
                 }
+                let Some(Running { task, since }) = self.running.remove(&key) else { return };
                 task.abort();
                 let spent = self.clock.now().saturating_sub(since);
                 let ending =
                     Ending { outcome: Outcome::Recalled, value: None, note: None, report: None, spent };
                 let core = self.core.clone();
-                tokio::spawn(async move { core.send(Input::Ended(id, number, Box::new(ending))).await });
+                tokio::spawn(async move { core.send(Input::Ended(id, number, ending)).await });
             }
             Order::Probe => self.probe(),
-            Order::CloseIdle => self.idle.clear(),
+            Order::CloseIdle => self.pool.clear(),
             Order::Address(address) => {
                 if address != self.address {
-                    self.idle.clear();
+                    self.pool.clear();
                     self.address = address;
                 }
             }
         }
     }
 
-    /// The connection used last that has rested and is not near the limit, or else the one that will have rested
-    /// first, with the means for a new one should it not stand.
-    fn dial(&mut self) -> Dial {
+    /// A connection of the pool, with the means for a new one should it not stand.
+    fn dial(&mut self, safe: bool) -> Dial<W> {
         self.reap();
-        let now = Instant::now();
+        let now = self.clock.now();
         let mut ready = None;
-        while ready.is_none() && !self.idle.is_empty() {
-            let rested = self.idle.iter().rposition(|i| i.since + REST <= now).unwrap_or(0);
-            let Idle { link, since } = self.idle.remove(rested);
-            ready = link.stands().then_some((link, since + REST));
+        while ready.is_none() {
+            let Some((link, guard)) = self.pool.take(now) else { break };
+            // The fence shows by itself what is left over.
+            let stands = guard == Guard::Fence || link.stands();
+            if !stands {
+                count(Count::member_extras);
+            }
+            ready = stands.then_some((link, guard));
         }
         let patience = Duration::from_micros(self.times.connect);
-        Dial { ready, address: self.address, patience, budget: self.budget.clone(), clock: self.clock }
+        let (wire, budget) = (self.wire.clone(), self.budget.clone());
+        Dial { ready, safe, address: self.address, patience, budget, wire }
     }
 
     fn attempt(&mut self, attempt: Attempt) {
-        let (dial, core, clock) = (self.dial(), self.core.clone(), self.clock);
-        let key = (attempt.id, attempt.number);
+        let (dial, core, clock) = (self.dial(attempt.safe), self.core.clone(), self.clock);
+        let (key, done) = ((attempt.id, attempt.number), self.done.clone());
         let since = clock.now();
-        let task = self.tasks.spawn(async move {
+        let task = tokio::spawn(async move {
             let stop = clock.instant(attempt.stop_at);
             let mut written = false;
             let run = async {
-                let mut link = match dial.link().await {
+                let (mut link, guard) = match dial.link().await {
                     Ok(link) => link,
-                    Err(outcome) => return (outcome, None, Exchange::default()),
+                    Err(outcome) => return (None, Exchange { outcome, ..Exchange::default() }),
                 };
                 // Members are told how long this proxy waits; rounded up, as 0 would say that it is over.
                 let wait = attempt.stop_at.saturating_sub(clock.now()).div_ceil(1000).max(1);
-                let exchange = link.run(&attempt.work, wait, &mut written).await;
-                let link = exchange.reusable.then_some(link);
-                (exchange.outcome, link, exchange)
+                let exchange = link.run(&attempt.work, wait, guard, &mut written).await;
+                (exchange.reusable.then_some(link), exchange)
             };
-            let (outcome, link, exchange) = match tokio::time::timeout_at(stop, run).await {
+            let (link, exchange) = match tokio::time::timeout_at(stop, run).await {
                 Ok(end) => end,
                 // Before the last byte was written, nothing can have run.
                 Err(_) => {
                     let outcome = if written { Outcome::Overdue } else { Outcome::Refused };
-                    (outcome, None, Exchange::default())
+                    (None, Exchange { outcome, ..Exchange::default() })
                 }
             };
+            let Exchange { outcome, value, note, report, .. } = exchange;
             let spent = clock.now().saturating_sub(since);
             let told =
                 matches!(outcome, Outcome::Completed | Outcome::Errored | Outcome::Saturated | Outcome::Miss);
-            let note = exchange.note.filter(|_| told);
-            let ending = Ending { outcome, value: exchange.value, note, report: exchange.report, spent };
-            let (id, number) = key;
-            let _ = core.send(Input::Ended(id, number, Box::new(ending))).await;
-            Done { attempt: Some(key), link }
+            let ending = Ending { outcome, value, note: note.filter(|_| told), report, spent };
+            let _ = core.send(Input::Ended(key.0, key.1, ending)).await;
+            let _ = done.send(Done { attempt: Some(key), link });
         });
-        self.running.insert(key, (task, since));
+        self.running.insert(key, Running { task: task.abort_handle(), since });
     }
 
     fn probe(&mut self) {
-        let (dial, core, id) = (self.dial(), self.core.clone(), self.id);
-        self.tasks.spawn(async move {
+        let (dial, core, id) = (self.dial(true), self.core.clone(), self.id);
+        let done = self.done.clone();
+        self.probing += 1;
+        tokio::spawn(async move {
             let run = async {
-                let mut link = dial.link().await.ok()?;
-                let (report, reusable) = link.probe().await?;
+                let (mut link, guard) = dial.link().await.ok()?;
+                let (report, reusable) = link.probe(guard).await?;
                 Some((reusable.then_some(link), report))
             };
             let (link, report) = match tokio::time::timeout(PROBE_PATIENCE, run).await {
@@ -218,31 +229,35 @@
                 _ => (None, None),
             };
             let _ = core.send(Input::Probed(id, report)).await;
-            Done { attempt: None, link }
+            let _ = done.send(Done { attempt: None, link });
         });
     }
 }
 
 /// How an attempt comes by its connection.
-struct Dial {
-    /// One that stands, and when it will have rested.
-    ready: Option<(Link, Instant)>,
+struct Dial<W: Wire> {
+    /// One of the pool, and what must be done before it is used.
+    ready: Option<(W::Link, Guard)>,
+    /// What is sent may be sent again.
+    safe: bool,
     address: SocketAddr,
     patience: Duration,
     budget: Budget,
-    clock: Clock,
+    wire: W,
 }
 
-impl Dial {
-    async fn link(self) -> Result<Link, Outcome> {
-        let Dial { ready, address, patience, budget, clock } = self;
-        if let Some((link, rested)) = ready {
-            tokio::time::sleep_until(rested).await;
-            // Looked at once more, right before it is written to.
-            if link.stands() {
-                return Ok(link);
+impl<W: Wire> Dial<W> {
+    async fn link(self) -> Result<(W::Link, Guard), Outcome> {
+        let Dial { ready, safe, address, patience, budget, wire } = self;
+        if let Some((mut link, guard)) = ready {
+            if safe || guard == Guard::Proven {
+                return Ok((link, guard));
+            }
+            // What is left over may spoil the statement's answer, and this one could not be sent again: the fence goes
+            // alone, and the statement follows only where it has found nothing.
+            if tokio::time::timeout(patience, link.fence()).await.unwrap_or(false) {
+                return Ok((link, Guard::Proven));
             }
-            count(Count::member_extras);
         }
         // Out of descriptors is our fault, not the member's: the attempt was never sent, and the member is not in doubt.
         let permit = match tokio::time::timeout(patience, budget.members.seat()).await {
@@ -253,9 +268,8 @@
             }
         };
         count(Count::member_connections);
-        let open = Link::open(address, permit, budget.bytes.clone(), clock);
-        match tokio::time::timeout(patience, open).await {
-            Ok(link) => link,
+        match tokio::time::timeout(patience, wire.open(address, permit)).await {
+            Ok(link) => link.map(|link| (link, Guard::Proven)),
             Err(_) => Err(Outcome::Refused),
         }
     }
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -2,6 +2,7 @@
 
 use super::reply::{self, Asked, Fault};
 use super::request::{self, Call, Facts, Form, Repeatable};
+use crate::clock::Clock;
 use crate::core::bookings::{Booked, Bookings, Try};
 use crate::core::counters::{count, Count};
 use crate::core::{Handle, Request, Work};
@@ -9,7 +10,6 @@
 use crate::interface::*;
 use crate::meter::Socket;
 use crate::net::budget::{Budget, Pace};
-use crate::net::clock::Clock;
 use crate::net::frames::{finish, next, shrink, Next, ROOM};
 use crate::net::listen::{closed, Closing};
 use crate::pg::statement;
@@ -233,7 +233,8 @@
         }
         let work: Work = statement::write(key, value, &head, &tail);
         let deadline = self.clock.now().saturating_add(wait);
-        let key_session = session.as_ref().filter(|s| *s != key).map(|_| key.to_string());
+        let session: Option<Arc<str>> = session.map(Arc::from);
+        let key_session = session.as_ref().filter(|s| &***s != key).map(|_| Arc::from(key));
         Request { name: None, class, tenant, group, session, key_session, after, deadline, repeat, work }
     }
 }
--- a/src/pg/front.rs
+++ b/src/pg/front.rs
@@ -1,22 +1,26 @@
 //! The platform's front, kept thin: statements in, answers out in the order of their queries.
 
-use super::codec::{Backend, Column, Frontend, ServerCodec, WireError};
+use super::codec::{row_head, row_tail, After, Frontend, Reply, ServerCodec, WireError};
 use super::statement::{self, Fault};
+use crate::clock::Clock;
 use crate::core::counters::{count, Count};
 use crate::core::{Answer, Handle, Pending};
 use crate::interface::*;
 use crate::meter::Socket;
 use crate::net::budget::{Pace, Pot, Ration};
-use crate::net::clock::Clock;
 use crate::net::frames::{finish, next, shrink, Next, ROOM};
 use crate::net::listen::{closed, Closing};
 use crate::settings::Names;
-use bytes::Bytes;
-use futures_util::stream::FuturesOrdered;
-use futures_util::{SinkExt, StreamExt};
+use bytes::{Buf, Bytes, BytesMut};
+use futures_util::{FutureExt, SinkExt, StreamExt};
+use std::collections::VecDeque;
+use std::future::{poll_fn, Future};
+use std::pin::{pin, Pin};
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::time::Instant;
+use tokio::io::AsyncWriteExt;
+use tokio::time::{Instant, Sleep};
 use tokio_util::codec::Framed;
 
 /// Queries taken from one connection before their answers have gone out, and while memory is short.
@@ -56,24 +60,32 @@
 
 /// A reply that is owed on a connection.
 enum Owed {
-    Ready(Vec<Backend>),
-    Paced(Duration, Vec<Backend>),
+    Ready(Reply),
+    Paced(Pin<Box<Sleep>>, Reply),
     Waiting(Pending, bool),
 }
 
 impl Owed {
-    async fn reply(self) -> Vec<Backend> {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Reply> {
         match self {
-            Owed::Ready(reply) => reply,
-            Owed::Paced(wait, reply) => {
-                tokio::time::sleep(wait).await;
-                reply
+            Owed::Ready(reply) => Poll::Ready(reply.clone()),
+            Owed::Paced(wait, reply) => wait.as_mut().poll(cx).map(|()| reply.clone()),
+            Owed::Waiting(pending, write) => {
+                let write = *write;
+                Pin::new(pending).poll(cx).map(|answer| reply(answer, write))
             }
-            Owed::Waiting(pending, write) => reply(pending.await, write),
         }
     }
 }
 
+/// The reply that is due first, once there is one. Replies go out in the order of their queries, so that only the
+/// first is asked for; nothing is lost where this is dropped.
+async fn due(owed: &mut VecDeque<Owed>) -> Reply {
+    let reply = poll_fn(|cx| owed.front_mut().map_or(Poll::Pending, |first| first.poll(cx))).await;
+    owed.pop_front();
+    reply
+}
+
 /// What a client has said so far.
 #[derive(Default)]
 struct Talk {
@@ -87,13 +99,6 @@
 
 type Conn = Framed<Socket, ServerCodec>;
 
-async fn at(instant: Option<Instant>) {
-    match instant {
-        Some(instant) => tokio::time::sleep_until(instant).await,
-        None => std::future::pending().await,
-    }
-}
-
 impl Front {
     /// Serves one client.
     ///
@@ -115,8 +120,11 @@
             }
             Ok(Err(e)) => return self.bad(conn, e).await,
         }
-        let mut owed = FuturesOrdered::new();
+        let mut owed = VecDeque::new();
         let (mut leaving, mut ended) = (*closing.borrow(), false);
+        let mut closed = pin!(closed(&mut closing));
+        // Set anew only when it rings too early: nearly every wait ends long before its limit.
+        let mut timer = pin!(tokio::time::sleep_until(first));
         let (mut talk, mut part, mut rests) = (Talk::default(), None::<Instant>, Instant::now());
         let fault = loop {
             if leaving && owed.is_empty() {
@@ -133,11 +141,14 @@
                 None if !owed.is_empty() => None,
                 None => Some(if talk.asked { rests + IDLE } else { first }),
             };
+            if until.is_some_and(|until| until < timer.deadline()) {
+                timer.as_mut().reset(until.unwrap_or(first));
+            }
             tokio::select! {
                 biased;
-                Some(reply) = owed.next(), if !owed.is_empty() => {
+                reply = due(&mut owed), if !owed.is_empty() => {
                     // A client that takes in nothing must not hold its seat for ever.
-                    match tokio::time::timeout(PATIENCE, put(&mut conn, reply)).await {
+                    match tokio::time::timeout(PATIENCE, put(&mut conn, reply, &mut owed)).await {
                         Ok(put) => put?,
                         Err(_) => return Ok(()),
                     }
@@ -151,17 +162,20 @@
                     Next::Message(Some(Ok(Frontend::Terminate))) => (leaving, ended) = (true, true),
                     Next::Message(Some(Ok(message))) => {
                         (part, talk.asked, rests) = (None, true, Instant::now());
-                        owed.extend(self.take(message, &mut talk).await.map(Owed::reply));
+                        owed.extend(self.take(message, &mut talk).await);
                     }
                     Next::Message(Some(Err(e))) => break e,
                 },
-                () = closed(&mut closing), if !leaving => leaving = true,
+                () = closed.as_mut(), if !leaving => leaving = true,
                 // Others wait for a seat, or too many rest: this one is between requests and has been for longest.
                 () = self.clients.wanted(!talk.sound), if owed.is_empty() => {
                     count(Count::pg_made_room);
                     return Ok(());
                 }
-                () = at(until) => match part {
+                () = timer.as_mut() => match part {
+                    _ if until.is_none_or(|until| Instant::now() < until) => {
+                        timer.as_mut().reset(until.unwrap_or_else(|| Instant::now() + IDLE));
+                    }
                     Some(_) => break WireError::Unfinished,
                     None => {
                         count(if talk.asked { Count::pg_idle_closed } else { Count::pg_silent });
@@ -171,8 +185,9 @@
             }
         };
         // What was asked before is still answered first.
-        while let Some(reply) = owed.next().await {
-            match tokio::time::timeout(PATIENCE, put(&mut conn, reply)).await {
+        while !owed.is_empty() {
+            let reply = due(&mut owed).await;
+            match tokio::time::timeout(PATIENCE, put(&mut conn, reply, &mut owed)).await {
                 Ok(put) => put?,
                 Err(_) => return Ok(()),
             }
@@ -184,7 +199,7 @@
     async fn welcome(&self, conn: &mut Conn) -> Result<bool, WireError> {
         loop {
             match conn.next().await.transpose()? {
-                Some(Frontend::Encrypt) => conn.send(Backend::NoEncryption).await?,
+                Some(Frontend::Encrypt) => conn.send(Reply::NoEncryption).await?,
                 Some(Frontend::Startup { user }) => {
                     log::trace!("client {user}");
                     break;
@@ -192,39 +207,29 @@
                 _ => return Ok(false),
             }
         }
-        conn.feed(Backend::AuthenticationOk).await?;
-        for (name, value) in [
-            ("server_version", "15.0"),
-            ("server_encoding", "UTF8"),
-            ("client_encoding", "UTF8"),
-            ("standard_conforming_strings", "on"),
-        ] {
-            conn.feed(Backend::ParameterStatus(name.into(), value.into())).await?;
-        }
-        conn.feed(Backend::KeyData).await?;
-        conn.send(Backend::Ready).await?;
+        conn.send(Reply::Welcome).await?;
         Ok(true)
     }
 
     async fn take(&self, message: Frontend, talk: &mut Talk) -> Option<Owed> {
-        let no = || error("0A000", "only simple queries are spoken here", None);
+        let no = |after| error("0A000", "only simple queries are spoken here", after);
         let text = match message {
             Frontend::Query(text) if !talk.skipping => text,
             Frontend::Sync => {
                 talk.skipping = false;
-                return Some(Owed::Ready(vec![Backend::Ready]));
+                return Some(Owed::Ready(Reply::Ready));
             }
-            Frontend::Other(b'F') if !talk.skipping => return Some(self.paced(vec![no(), Backend::Ready])),
+            Frontend::Other(b'F') if !talk.skipping => return Some(self.paced(no(After::Ready))),
             // Once for a round of the extended protocol; the rest of it, up to its Sync, gets no answer of its own.
             Frontend::Other(b'P' | b'B' | b'D' | b'E' | b'C') if !talk.skipping => {
                 talk.skipping = true;
-                return Some(self.paced(vec![no()]));
+                return Some(self.paced(no(After::Sync)));
             }
             _ => return None,
         };
         if text.trim_ascii().is_empty() {
             talk.sound = true;
-            return Some(Owed::Ready(vec![Backend::EmptyQuery, Backend::Ready]));
+            return Some(Owed::Ready(Reply::Empty));
         }
         count(Count::pg_requests);
         match statement::read(text, &self.names, &self.classes, self.clock.now()) {
@@ -235,15 +240,16 @@
                 Some(Owed::Waiting(self.core.submit(request).await, write))
             }
             Err(Fault { code, message }) => {
-                Some(self.paced(vec![error(code, &message, None), Backend::Ready]))
+                let (after, message) = (After::Ready, Bytes::from(message));
+                Some(self.paced(Reply::Error { after, code, message, detail: None }))
             }
         }
     }
 
     /// The answer to what cannot be understood, in its turn.
-    fn paced(&self, reply: Vec<Backend>) -> Owed {
+    fn paced(&self, reply: Reply) -> Owed {
         count(Count::pg_malformed);
-        Owed::Paced(self.pace.turn(self.clock.now()), reply)
+        Owed::Paced(Box::pin(tokio::time::sleep(self.pace.turn(self.clock.now()))), reply)
     }
 
     /// The last word on a connection on which the next message cannot be found any more: an error, then a close.
@@ -257,7 +263,7 @@
         };
         count(counter);
         let message = Bytes::from(e.to_string());
-        let error = Backend::Error { fatal: true, code: code.into(), message, detail: None };
+        let error = Reply::Error { after: After::End, code, message, detail: None };
         let last_word = async {
             tokio::time::sleep(self.pace.turn(self.clock.now())).await;
             tokio::time::timeout(LAST_WORD, conn.send(error)).await.unwrap_or(Ok(()))?;
@@ -270,40 +276,47 @@
     }
 }
 
-async fn put(conn: &mut Conn, reply: Vec<Backend>) -> Result<(), WireError> {
-    for message in reply {
-        conn.feed(message).await?;
+/// A value from this size on is written from where it lies, not copied into the connection's buffer first.
+const LARGE: usize = 16 * 1024;
+
+/// Writes a reply and those behind it that are due already, in one go.
+async fn put(conn: &mut Conn, reply: Reply, owed: &mut VecDeque<Owed>) -> Result<(), WireError> {
+    let mut next = Some(reply);
+    while let Some(reply) = next {
+        match reply {
+            Reply::Row(value, write) if value.bytes.as_ref().is_some_and(|b| b.len() >= LARGE) => {
+                let (mut head, mut tail) = (std::mem::take(conn.write_buffer_mut()), BytesMut::new());
+                row_head(&value, &mut head);
+                row_tail(&value, write, &mut tail);
+                let bytes = value.bytes.unwrap_or_default();
+                conn.get_mut().write_all_buf(&mut (&head[..]).chain(bytes).chain(tail)).await?;
+                head.clear();
+                *conn.write_buffer_mut() = head;
+            }
+            reply => conn.feed(reply).await?,
+        }
+        next = if owed.is_empty() { None } else { due(owed).now_or_never() };
     }
-    SinkExt::<Backend>::flush(conn).await
+    SinkExt::<Reply>::flush(conn).await
 }
 
-fn error(code: &'static str, message: &str, detail: Option<String>) -> Backend {
-    let message = Bytes::copy_from_slice(message.as_bytes());
-    Backend::Error { fatal: false, code: code.into(), message, detail: detail.map(Bytes::from) }
+fn error(code: &'static str, message: &'static str, after: After) -> Reply {
+    Reply::Error { after, code, message: Bytes::from_static(message.as_bytes()), detail: None }
 }
 
-fn reply(answer: Answer, write: bool) -> Vec<Backend> {
+fn reply(answer: Answer, write: bool) -> Reply {
+    let ready = After::Ready;
     match answer {
-        Answer::Served(value, _) => {
-            let tag = format!("{} {}", if write { "INSERT 0" } else { "SELECT" }, value.rows);
-            let mut reply =
-                vec![Backend::RowDescription(Column { type_id: value.type_id, binary: value.binary })];
-            reply.extend((value.rows > 0).then_some(Backend::DataRow(value.bytes)));
-            reply.extend([Backend::CommandComplete(tag.into()), Backend::Ready]);
-            reply
-        }
-        Answer::Refused(after) => {
-            // The number in the detail says when to come back, in milliseconds.
-            let detail = after.map(|t| t.div_ceil(1000).to_string());
-            vec![error("53300", "refused; trying again is harmless", detail), Backend::Ready]
-        }
-        Answer::Taken => {
-            let text = "the id belongs to a request that is still open";
-            vec![error("42710", text, None), Backend::Ready]
-        }
-        Answer::Failed => vec![error("XX000", "failed; it may have had its effect", None), Backend::Ready],
-        Answer::Late => {
-            vec![error("57014", "no answer in time; it may have had its effect", None), Backend::Ready]
-        }
+        Answer::Served(value, _) => Reply::Row(value, write),
+        // The number in the detail says when to come back, in milliseconds.
+        Answer::Refused(come_back) => Reply::Error {
+            after: ready,
+            code: "53300",
+            message: Bytes::from_static(b"refused; trying again is harmless"),
+            detail: come_back.map(|t| t.div_ceil(1000)),
+        },
+        Answer::Taken => error("42710", "the id belongs to a request that is still open", ready),
+        Answer::Failed => error("XX000", "failed; it may have had its effect", ready),
+        Answer::Late => error("57014", "no answer in time; it may have had its effect", ready),
     }
 }
--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -4,15 +4,16 @@
 //! is not so has been spoilt on the way. The statement then may have run, whatever the rest of the answer says, and
 //! nothing that came with it is believed.
 
-use super::codec::{Backend, ClientCodec, Column, Frontend, WireError};
-use super::statement;
+use super::frames::WireError;
+use super::told::{statement, Backend, ClientCodec, Column, Frontend, Parameter};
+use crate::clock::Clock;
 use crate::core::counters::{count, Count};
 use crate::core::{Value, Work};
 use crate::interface::*;
 use crate::meter::{self, Cost, Socket};
 use crate::net::budget::Ration;
-use crate::net::clock::Clock;
 use crate::net::frames::{next, shrink, Next, ROOM};
+use crate::net::link::{Exchange, Guard, Link, Wire};
 use bytes::Bytes;
 use futures_util::SinkExt;
 use socket2::SockRef;
@@ -20,40 +21,36 @@
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 use tokio_util::codec::Framed;
 
-/// What came of one query.
-pub struct Exchange {
-    /// How it ended.
-    pub outcome: Outcome,
-    /// Value, where served.
-    pub value: Option<Value>,
-    /// What the answer says of the member.
-    pub note: Option<Note>,
-    /// The member's report on itself.
-    pub report: Option<Report>,
-    /// The connection may carry another.
-    pub reusable: bool,
-}
-
-/// One that never got as far as being written.
-impl Default for Exchange {
-    fn default() -> Self {
-        Exchange { outcome: Outcome::Refused, value: None, note: None, report: None, reusable: false }
-    }
-}
-
 /// Once an answer's first bytes are there, the rest must be within this: a member writes an answer at once, and what
 /// is missing then will not come.
 const STALL: Duration = Duration::from_millis(300);
 /// No position lies further ahead of this proxy's clock than this, in us.
 const AHEAD: Time = 1_000_000;
+/// Most messages that are passed over before the fence's answer.
+const STRAYS: usize = 16;
+
+/// The members' side of the platform's protocol.
+#[derive(Clone)]
+pub struct Pg {
+    bytes: Ration,
+    clock: Clock,
+}
+
+impl Pg {
+    /// Connections count the bytes of what they hold in `bytes`.
+    pub fn new(bytes: Ration, clock: Clock) -> Self {
+        Pg { bytes, clock }
+    }
+}
 
 /// A connection that has been welcomed.
-pub struct Link {
+pub struct Connection {
     framed: Framed<Socket, ClientCodec>,
     clock: Clock,
     _permit: OwnedSemaphorePermit,
@@ -76,29 +73,21 @@
     column: Option<Column>,
     row: Option<Option<Bytes>>,
     complete: bool,
-    code: Option<Bytes>,
+    code: Option<[u8; 5]>,
     fatal: bool,
     note: Option<Note>,
     report: Option<Report>,
 }
 
-impl Link {
-    /// Opens one and waits for its welcome.
-    ///
-    /// # Errors
-    /// When there is none: `Refused`, or `Saturated` where the member says that it holds too many.
-    pub async fn open(
-        address: SocketAddr,
-        permit: OwnedSemaphorePermit,
-        bytes: Ration,
-        clock: Clock,
-    ) -> Result<Self, Outcome> {
+impl Wire for Pg {
+    type Link = Connection;
+
+    async fn open(&self, address: SocketAddr, permit: OwnedSemaphorePermit) -> Result<Connection, Outcome> {
         let stream = TcpStream::connect(address).await.map_err(|_| Outcome::Refused)?;
         let _ = stream.set_nodelay(true);
-        let framed = Framed::with_capacity(Socket::new(stream), ClientCodec::new(bytes), ROOM);
-        let mut link = Link { framed, clock, _permit: permit };
-        let startup = Frontend::Startup { user: "svc".to_string() };
-        link.framed.send(startup).await.map_err(|_| Outcome::Refused)?;
+        let framed = Framed::with_capacity(Socket::new(stream), ClientCodec::new(self.bytes.clone()), ROOM);
+        let mut link = Connection { framed, clock: self.clock, _permit: permit };
+        link.framed.send(Frontend::Startup).await.map_err(|_| Outcome::Refused)?;
         // No statement has been written, so that nothing here can have run.
         let mut known = false;
         loop {
@@ -110,18 +99,31 @@
                 Backend::Ready if known => return Ok(link),
                 Backend::ParameterStatus(..) | Backend::KeyData if known => {}
                 Backend::Other(b'N') => {}
-                Backend::Error { code, .. } if &code[..] == b"53300" => return Err(Outcome::Saturated),
+                Backend::Error { code, .. } if &code == b"53300" => return Err(Outcome::Saturated),
                 _ => return Err(Outcome::Refused),
             }
         }
     }
+}
 
-    /// Nothing has come on it since its last answer, not even an end. The socket itself is asked: what the runtime
-    /// remembers of it is as old as its last look, and a second copy that came since would pass for the next answer.
-    pub fn stands(&self) -> bool {
-        meter::add(Cost::Peeks, 1);
-        let peeked = SockRef::from(self.framed.get_ref().get_ref()).peek(&mut [MaybeUninit::uninit(); 1]);
-        self.framed.read_buffer().is_empty() && peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+impl Connection {
+    /// Reads up to the end of the fence's answer; how many messages stood before it, which an earlier answer has left.
+    async fn past_fence(&mut self) -> Result<usize, End> {
+        let mut strays = 0;
+        loop {
+            match next(&mut self.framed, true).await {
+                Next::Message(Some(Ok(Backend::EmptyQuery))) => break,
+                // As many as an answer may have: whoever sends more, sends without end.
+                Next::Message(Some(Ok(_))) if strays < STRAYS => strays += 1,
+                Next::Message(Some(Err(WireError::Io(_))) | None) => return Err(End::Broken),
+                _ => return Err(End::Spoilt("what stands before an answer cannot be read")),
+            }
+        }
+        match next(&mut self.framed, true).await {
+            Next::Message(Some(Ok(Backend::Ready))) => Ok(strays),
+            Next::Message(Some(Err(WireError::Io(_))) | None) => Err(End::Broken),
+            _ => Err(End::Spoilt("the fence's answer does not end")),
+        }
     }
 
     async fn reply(&mut self) -> (Reply, End) {
@@ -162,24 +164,57 @@
         }
     }
 
-    /// Runs one statement. `written` is set once its last byte may have reached the member's machine.
-    pub async fn run(&mut self, work: &Work, wait: Time, written: &mut bool) -> Exchange {
-        let text = statement::render(work, wait);
-        // Encoded first, then flushed: a failure to encode has sent nothing.
-        let fed = self.framed.feed(Frontend::Query(text)).await;
-        let sent = match fed {
-            Ok(()) => self.framed.flush().await,
-            Err(e) => Err(e),
+    /// The answer to what was written under this guard. Whether anything stood before it that does not belong to it.
+    async fn answer(&mut self, guard: Guard) -> (Reply, End, bool) {
+        let strays = match guard {
+            Guard::Proven => 0,
+            Guard::Fence => match self.past_fence().await {
+                Ok(strays) => strays,
+                Err(end) => return (Reply::default(), end, true),
+            },
         };
-        if sent.is_err() {
+        if strays > 0 {
+            count(Count::member_extras);
+        }
+        let (reply, end) = self.reply().await;
+        (reply, end, strays > 0)
+    }
+
+    async fn write(&mut self, work: &Work, wait: Time, fence: bool) -> io::Result<()> {
+        let (head, tail) = (work.text.get(..work.wait.start), work.text.get(work.wait.end..));
+        let parts = (head.unwrap_or_default(), tail.unwrap_or_default());
+        let mut message = statement(parts, wait, fence);
+        self.framed.get_mut().write_all_buf(&mut message).await
+    }
+}
+
+impl Link for Connection {
+    fn stands(&self) -> bool {
+        meter::add(Cost::Peeks, 1);
+        let peeked = SockRef::from(self.framed.get_ref().get_ref()).peek(&mut [MaybeUninit::uninit(); 1]);
+        self.framed.read_buffer().is_empty() && peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    async fn fence(&mut self) -> bool {
+        if self.framed.send(Frontend::Empty).await.is_err() {
+            return false;
+        }
+        let strays = self.past_fence().await;
+        if !matches!(strays, Ok(0)) {
+            count(Count::member_extras);
+        }
+        matches!(strays, Ok(0)) && self.framed.read_buffer().is_empty()
+    }
+
+    async fn run(&mut self, work: &Work, wait: Time, guard: Guard, written: &mut bool) -> Exchange {
+        if self.write(work, wait, guard == Guard::Fence).await.is_err() {
             // The break came before the last byte was written: it never ran.
             return Exchange::default();
         }
         *written = true;
-        let (reply, end) = self.reply().await;
+        let (reply, end, strays) = self.answer(guard).await;
         shrink(&mut self.framed);
-        let more = matches!(end, End::Whole { ready: true }) && !self.stands();
-        let mut outcome = match (end, reply.code.as_deref()) {
+        let outcome = match (end, reply.code.as_ref()) {
             (End::Whole { .. }, None) => Outcome::Completed,
             (End::Whole { .. }, Some(b"25006" | b"72000")) => Outcome::Miss,
             (End::Whole { .. }, Some(b"53300")) => Outcome::Saturated,
@@ -187,13 +222,16 @@
             (End::Whole { .. }, Some(_)) | (End::Spoilt(_), _) => Outcome::Errored,
             (End::Broken, _) => Outcome::Severed,
         };
-        if more {
+        // What proves that nothing ran must be beyond doubt, and the socket is asked whether anything came with it. A
+        // value stands for itself; what comes behind it shows when the connection is used again.
+        let proof = matches!(outcome, Outcome::Miss | Outcome::Saturated);
+        let whole = end == End::Whole { ready: true };
+        let more =
+            strays || whole && if proof { !self.stands() } else { !self.framed.read_buffer().is_empty() };
+        if more && !strays {
             count(Count::member_extras);
-            // What proves that nothing ran must be beyond doubt; a value stands for itself.
-            if matches!(outcome, Outcome::Miss | Outcome::Saturated) {
-                outcome = Outcome::Errored;
-            }
         }
+        let outcome = if more && proof { Outcome::Errored } else { outcome };
         if let End::Spoilt(what) = end {
             count(Count::member_spoilt);
             log::debug!("an answer is spoilt: {what}");
@@ -206,18 +244,19 @@
             rows: u32::from(row.is_some()),
             bytes: row.flatten(),
         });
-        Exchange { outcome, value, note, report, reusable: end == End::Whole { ready: true } && !more }
+        Exchange { outcome, value, note, report, reusable: whole && !more }
     }
 
-    /// Asks for the member's report, and tells whether the connection may carry another query; none if the member
-    /// does not answer. An answer that cannot be read shows no more than that the member is there.
-    pub async fn probe(&mut self) -> Option<(Report, bool)> {
-        self.framed.send(Frontend::Query(Bytes::from_static(b"SHOW stats"))).await.ok()?;
-        let (reply, end) = self.reply().await;
+    async fn probe(&mut self, guard: Guard) -> Option<(Report, bool)> {
+        if guard == Guard::Fence {
+            self.framed.feed(Frontend::Empty).await.ok()?;
+        }
+        self.framed.send(Frontend::Stats).await.ok()?;
+        let (reply, end, strays) = self.answer(guard).await;
         match end {
             End::Whole { ready: true } if reply.code.is_none() => {
                 let report = reply.row.flatten().and_then(|row| report(&row, self.clock.now()));
-                Some((report.unwrap_or_default(), self.stands()))
+                Some((report.unwrap_or_default(), !strays && self.framed.read_buffer().is_empty()))
             }
             End::Spoilt(_) => {
                 count(Count::member_spoilt);
@@ -237,15 +276,15 @@
             Backend::DataRow(value) if open && self.column.is_some() && self.row.is_none() => {
                 self.row = Some(value);
             }
-            Backend::CommandComplete(_) if open && self.column.is_some() => self.complete = true,
-            Backend::Error { fatal, code, message, .. } if open => {
-                if &code[..] == b"08P01" {
+            Backend::CommandComplete if open && self.column.is_some() => self.complete = true,
+            Backend::Error { fatal, code, message } if open => {
+                if &code == b"08P01" {
                     let message = String::from_utf8_lossy(&message);
                     log::error!("a member takes a statement for malformed: {message}");
                 }
                 (self.fatal, self.code) = (fatal, Some(code));
             }
-            Backend::ParameterStatus(name, value) => self.parameter(&name, &value, now),
+            Backend::ParameterStatus(name, value) => self.parameter(name, &value, now),
             Backend::Other(b'N') => {}
             Backend::Ready if !open => return Ok(true),
             _ => return Err("a message stands where it does not belong"),
@@ -253,11 +292,11 @@
         Ok(false)
     }
 
-    fn parameter(&mut self, name: &[u8], value: &[u8], now: Time) {
+    fn parameter(&mut self, name: Parameter, value: &[u8], now: Time) {
         let note = self.note.unwrap_or(Note { position: None, role: None });
         let text = std::str::from_utf8(value).unwrap_or_default();
         match name {
-            b"mode" => {
+            Parameter::Mode => {
                 let role = match text {
                     "read-write" => Some(Role::Primary),
                     "read-only" => Some(Role::Replica),
@@ -265,13 +304,13 @@
                 };
                 self.note = Some(Note { role, ..note });
             }
-            b"wal_time" => {
+            Parameter::Position => {
                 let position = text.parse().ok().map(|ms: u64| ms.saturating_mul(1000));
                 let position = position.filter(|p| (1..=now + AHEAD).contains(p));
                 self.note = Some(Note { position, ..note });
             }
-            b"stats" => self.report = report(value, now),
-            _ => {}
+            Parameter::Stats => self.report = report(value, now),
+            Parameter::Other => {}
         }
     }
 }
--- a/src/pg/mod.rs
+++ b/src/pg/mod.rs
@@ -1,6 +1,8 @@
 //! The platform's protocol: version 3 of PostgreSQL's wire protocol, as far as simple queries need it.
 
 pub mod codec;
+mod frames;
 pub mod front;
 pub mod member;
 pub mod statement;
+pub mod told;
--- a/src/pg/statement.rs
+++ b/src/pg/statement.rs
@@ -2,10 +2,9 @@
 
 use crate::core::{Request, Work};
 use crate::interface::*;
-use crate::meter::{self, Cost};
 use crate::settings::Names;
 use bytes::Bytes;
-use std::ops::Range;
+use std::sync::Arc;
 
 /// What is wrong with a statement, with its SQLSTATE.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -127,7 +126,7 @@
         let at = part.as_ptr() as usize - sql.as_ptr() as usize;
         at..at + part.len()
     };
-    let session = matches!(need, Need::Write | Need::Session).then(|| key.to_string());
+    let session = matches!(need, Need::Write | Need::Session).then(|| Arc::from(key));
     let (name, wait) = (text.slice(part(id)), part(wait));
     Ok(Request {
         name: Some(name),
@@ -165,11 +164,3 @@
         text
     })
 }
-
-/// The statement as a member gets it, which is told to wait so many milliseconds.
-pub fn render(work: &Work, wait: Time) -> Bytes {
-    let Range { start, end } = work.wait.clone();
-    meter::add(Cost::Copied, work.text.len());
-    let (head, tail) = (work.text.get(..start), work.text.get(end..));
-    [head.unwrap_or_default(), wait.to_string().as_bytes(), tail.unwrap_or_default()].concat().into()
-}
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
 
 /// What became of an attempt.
 #[derive(Clone, Copy, PartialEq)]
@@ -38,7 +39,7 @@
 pub(crate) struct Open {
     pub class: usize,
     pub group: GroupId,
-    pub session: Option<String>,
+    pub session: Option<Arc<str>>,
     /// What its session has written, as far as it must see it.
     pub token: Position,
     /// Members cannot check that position themselves.
@@ -218,8 +219,8 @@
 /// then meet, so that forgetting can never let a stale read through.
 #[derive(Default)]
 pub(crate) struct Sessions {
-    newer: BTreeMap<String, Position>,
-    older: BTreeMap<String, Position>,
+    newer: BTreeMap<Arc<str>, Position>,
+    older: BTreeMap<Arc<str>, Position>,
     floor: Position,
     turned: Time,
 }
@@ -232,7 +233,7 @@
     }
 
     /// Takes in a write; those older than `span` may be folded into the floor.
-    pub fn remember(&mut self, session: String, commit: Position, now: Time, span: Time) {
+    pub fn remember(&mut self, session: Arc<str>, commit: Position, now: Time, span: Time) {
         if now > self.turned + span {
             self.turned = now;
             let newer = std::mem::take(&mut self.newer);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -86,7 +86,7 @@
             class,
             group: 9,
             deadline: self.now + settings().classes[class].deadline,
-            session: Some("s".to_string()),
+            session: Some("s".into()),
             token_age,
             proven: false,
             repeat: false,
