--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 CONFIG ?= config.json
 
-.PHONY: build test lint run check
+.PHONY: build test lint run check demo cost meter
 build:
 	cargo build --release --locked --workspace
 test:
@@ -11,5 +11,14 @@
 	RUSTDOCFLAGS="-D warnings" cargo doc --locked --no-deps --lib --quiet
 run: build
 	BALANCER_CONFIG=$(CONFIG) target/release/linentrail
+demo:
+	cargo build --release --locked --workspace
+	target/release/linentrail-lab demo
+# A build that counts, in a folder of its own: the one in service never does.
+meter:
+	cargo build --release --locked --features meter --target-dir target/meter
+cost: meter
+	cargo build --release --locked -p linentrail-lab
+	target/release/linentrail-lab cost --program target/meter/release/linentrail --budgets crates/lab/budgets.toml
 check:
 	.ci/run
--- a/crates/lab/src/drive.rs
+++ b/crates/lab/src/drive.rs
@@ -58,12 +58,16 @@
     pub broken: u64,
 }
 
+/// No times yet: of one ns to one minute, to three digits.
+pub fn times() -> Histogram<u64> {
+    // Bounds that the library takes, so that this cannot fail.
+    Histogram::new_with_bounds(1, 60_000_000_000, 3).expect("sound bounds")
+}
+
 impl Tally {
-    fn new() -> Self {
-        // Bounds of one ns and one minute with three digits are fine, so that this cannot fail.
-        let times = Histogram::new_with_bounds(1, 60_000_000_000, 3);
-        let times = times.unwrap_or_else(|_| Histogram::new(3).expect("three digits are supported"));
-        Tally { times, served: 0, refused: 0, failed: 0, broken: 0 }
+    /// Nothing yet.
+    pub fn new() -> Self {
+        Tally { times: times(), served: 0, refused: 0, failed: 0, broken: 0 }
     }
 
     fn add(&mut self, other: &Tally) {
@@ -118,45 +122,69 @@
 /// Makes the n-th request.
 pub type Asks = Arc<dyn Fn(u64) -> Ask + Send + Sync>;
 
-/// `clients` ask `count` requests in all, each its next after its last answer.
-pub async fn closed(
+/// When the n-th request is due, and whether it still is one of the run.
+#[derive(Clone, Copy)]
+enum Pace {
+    /// So many in all, each as soon as a client is free.
+    Count(u64),
+    /// Until then, each as soon as a client is free.
+    Until(Instant),
+    /// From a start until an end at so many a second, whoever is free.
+    Rate(Instant, Instant, f64),
+}
+
+impl Pace {
+    fn due(self, n: u64) -> Option<Instant> {
+        let now = Instant::now();
+        match self {
+            Pace::Count(count) => (n < count).then_some(now),
+            Pace::Until(end) => (now < end).then_some(now),
+            Pace::Rate(start, end, rate) => {
+                let due = start + Duration::from_secs_f64(n as f64 / rate);
+                (due < end).then_some(due)
+            }
+        }
+    }
+}
+
+/// One client's part of a run.
+async fn client(
     front: Front,
     to: SocketAddr,
-    clients: usize,
-    count: u64,
-    asks: &Asks,
-    stop: &Stop,
+    pace: Pace,
+    next: Arc<AtomicU64>,
+    asks: Asks,
+    stop: Stop,
 ) -> Tally {
+    let (mut tally, mut conn) = (Tally::new(), None);
+    while !stop.is_set() {
+        let n = next.fetch_add(1, Ordering::Relaxed);
+        let Some(due) = pace.due(n) else { break };
+        tokio::time::sleep_until(due.into()).await;
+        let ask = asks(n);
+        let told = async {
+            if conn.is_none() {
+                conn = Some(Conn::open(front, to).await?);
+            }
+            match &mut conn {
+                Some(conn) => conn.ask(&ask).await,
+                None => Err(std::io::ErrorKind::NotConnected.into()),
+            }
+        };
+        let told = told.await;
+        tally.take(&told, due.elapsed());
+        if told.is_err() {
+            conn = None;
+        }
+    }
+    tally
+}
+
+async fn all(front: Front, to: SocketAddr, clients: usize, pace: Pace, asks: &Asks, stop: &Stop) -> Tally {
     let next = Arc::new(AtomicU64::new(0));
     let mut tasks = JoinSet::new();
     for _ in 0..clients {
-        let (next, asks, stop) = (next.clone(), asks.clone(), stop.clone());
-        tasks.spawn(async move {
-            let (mut tally, mut conn) = (Tally::new(), None);
-            while !stop.is_set() {
-                let n = next.fetch_add(1, Ordering::Relaxed);
-                if n >= count {
-                    break;
-                }
-                let ask = asks(n);
-                let began = Instant::now();
-                let told = async {
-                    if conn.is_none() {
-                        conn = Some(Conn::open(front, to).await?);
-                    }
-                    match &mut conn {
-                        Some(conn) => conn.ask(&ask).await,
-                        None => Err(std::io::ErrorKind::NotConnected.into()),
-                    }
-                };
-                let told = told.await;
-                tally.take(&told, began.elapsed());
-                if told.is_err() {
-                    conn = None;
-                }
-            }
-            tally
-        });
+        tasks.spawn(client(front, to, pace, next.clone(), asks.clone(), stop.clone()));
     }
     let mut all = Tally::new();
     while let Some(tally) = tasks.join_next().await {
@@ -166,3 +194,30 @@
     }
     all
 }
+
+/// `clients` ask `count` requests in all, each its next after its last answer.
+pub async fn closed(
+    front: Front,
+    to: SocketAddr,
+    clients: usize,
+    count: u64,
+    asks: &Asks,
+    stop: &Stop,
+) -> Tally {
+    all(front, to, clients, Pace::Count(count), asks, stop).await
+}
+
+/// `clients` ask for so long, at a rate where one is given, or each its next after its last answer.
+pub async fn load(
+    front: Front,
+    to: SocketAddr,
+    clients: usize,
+    rate: Option<f64>,
+    span: Duration,
+    asks: &Asks,
+    stop: &Stop,
+) -> Tally {
+    let now = Instant::now();
+    let pace = rate.map_or(Pace::Until(now + span), |rate| Pace::Rate(now, now + span, rate));
+    all(front, to, clients, pace, asks, stop).await
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,7 +1,10 @@
 //! The lab: linentrail between stand-ins on loopback, to be shown, loaded and measured.
 
 mod cost;
+mod demo;
 mod drive;
+mod load;
+mod rules;
 mod world;
 
 use clap::{Parser, Subcommand};
@@ -19,6 +22,10 @@
 enum Command {
     /// What a request costs: allocations, socket calls, wake-ups, copies, processor time, time added.
     Cost(cost::Options),
+    /// A mixed load of all classes by both fronts between stand-ins with faults, and whether the rules were kept.
+    Demo(demo::Options),
+    /// Load of one class, at a rate or from clients that wait; results as JSON.
+    Load(load::Options),
 }
 
 /// Why a command ends without success.
@@ -42,6 +49,8 @@
         let stop = drive::Stop::on_interrupt();
         match arguments.command {
             Command::Cost(options) => cost::run(&options, &stop).await,
+            Command::Demo(options) => demo::run(&options, &stop).await,
+            Command::Load(options) => load::run(&options, &stop).await,
         }
     });
     match end {
--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -125,6 +125,14 @@
         self.answer().await
     }
 
+    /// Waits until something has come, and takes nothing.
+    ///
+    /// # Errors
+    /// When the connection breaks first.
+    pub async fn some(&mut self) -> Result<usize> {
+        Ok(self.stream.fill_buf().await?.len())
+    }
+
     /// Bytes that came without being asked for.
     pub fn strays(&self) -> usize {
         self.stream.buffer().len()
--- a/crates/standins/src/member.rs
+++ b/crates/standins/src/member.rs
@@ -5,6 +5,7 @@
 use crate::{listener, now_ms, runtime, wire};
 use bytes::Bytes;
 use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::str::FromStr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -106,6 +107,7 @@
     lag: u64,
     seen: VecDeque<String>,
     served: u64,
+    answered: u64,
     opened: u64,
     waiting: usize,
 }
@@ -145,6 +147,7 @@
             lag: lag_ms,
             seen: VecDeque::new(),
             served: 0,
+            answered: 0,
             opened: 0,
             waiting: 0,
         };
@@ -198,10 +201,10 @@
         self.state().seen.iter().cloned().collect()
     }
 
-    /// Statements given, and connections opened, since its start.
-    pub fn totals(&self) -> (u64, u64) {
+    /// Statements given, answers written, probes' among them, and connections opened, since its start.
+    pub fn totals(&self) -> (u64, u64, u64) {
         let state = self.state();
-        (state.served, state.opened)
+        (state.served, state.answered, state.opened)
     }
 
     async fn serve(&self, stream: TcpStream) -> Option<()> {
@@ -222,6 +225,7 @@
             reply.clear();
             let then = self.answer(sql, &mut reply).await;
             stream.write_all(&reply).await.ok()?;
+            self.state().answered += 1;
             match then {
                 Then::Go => {}
                 Then::Copy(later) => {
@@ -240,11 +244,10 @@
     /// The time that a request takes here now, by its id: the same id takes the same time.
     fn service(&self, id: &str) -> Duration {
         let (least, most) = self.0.capacity.service;
-        // FNV-1a, so that ids which differ in their last digit differ in all.
-        let hash = id
-            .bytes()
-            .fold(0xcbf2_9ce4_8422_2325_u64, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3));
-        let part = (hash >> 40) as f64 / (1u64 << 24) as f64;
+        // The same in every run: this hasher's keys are fixed.
+        let mut hasher = DefaultHasher::new();
+        id.hash(&mut hasher);
+        let part = (hasher.finish() >> 32) as f64 / (1u64 << 32) as f64;
         let warmth = self.0.capacity.cold.map_or(1.0, |(share, warm)| {
             share + (1.0 - share) * (self.0.since.elapsed().as_secs_f64() / warm.as_secs_f64()).min(1.0)
         });
--- /dev/null
+++ b/src/check.rs
@@ -0,0 +1,132 @@
+//! Whether a file can be used, and all that is wrong with it, without starting anything.
+
+use crate::{config, deploy, Router};
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// What a check has found.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Finding {
+    /// It can be used; what it says, in short.
+    Sound(String),
+    /// It cannot; one line for each fault.
+    Faults(Vec<String>),
+}
+
+/// Checks a file by its ending: `.json` is a configuration as the platform gives it, `.toml` a file of fronts.
+///
+/// # Errors
+/// When the file cannot be read, or is neither.
+pub fn file(path: &Path) -> Result<Finding, String> {
+    let shown = path.display();
+    let text = || std::fs::read_to_string(path).map_err(|e| format!("{shown}: {e}"));
+    match path.extension().and_then(|e| e.to_str()) {
+        Some("json") => Ok(configuration(&text()?)),
+        Some("toml") => Ok(fronts(&text()?)),
+        _ => Err(format!("{shown}: neither a configuration (.json) nor a file of fronts (.toml)")),
+    }
+}
+
+fn configuration(text: &str) -> Finding {
+    let told = match config::read(text.as_bytes(), |_| None) {
+        Ok(told) => told,
+        Err(e) => return Finding::Faults(vec![e]),
+    };
+    let mut faults = Vec::new();
+    for (name, address) in [("listen", &told.listen), ("discovery", &told.discovery)] {
+        if address.parse::<SocketAddr>().is_err() {
+            faults.push(format!("{name}: '{address}' is no address with a port"));
+        }
+    }
+    if told.sockets < 64 {
+        faults.push(format!("limits.sockets: {} leave no room for clients and members", told.sockets));
+    }
+    let (names, times) = (told.settings.names(), told.settings.socket_times());
+    faults.extend(names.as_ref().err().cloned());
+    faults.extend(times.as_ref().err().cloned());
+    let settings = told.settings.settings(told.seed);
+    let classes = match settings {
+        Ok(settings) => {
+            let classes = settings.classes.len();
+            faults.extend(Router::new(settings).err().map(|e| e.to_string()));
+            classes
+        }
+        Err(e) => {
+            faults.push(e);
+            0
+        }
+    };
+    if let Ok(names) = &names {
+        for (what, list) in [("class", &names.classes), ("tenant", &names.tenants)] {
+            let twice = list.iter().enumerate().find(|(n, name)| list[..*n].contains(name));
+            faults.extend(twice.map(|(_, name)| format!("two of {what} are named '{name}'")));
+        }
+    }
+    let known = told.known.get("instances").and_then(|i| i.as_array()).map_or(0, Vec::len);
+    let limits = (told.sockets, told.memory >> 20);
+    finding(
+        faults,
+        format!("{classes} classes, {known} members known, {} descriptors, {} MiB", limits.0, limits.1),
+    )
+}
+
+fn fronts(text: &str) -> Finding {
+    match deploy::read(text) {
+        Err(e) => Finding::Faults(vec![e]),
+        Ok(fronts) => {
+            let on = |on: bool| if on { "on" } else { "off" };
+            let (odata, browse) = (on(fronts.odata.enabled), on(fronts.dnssd.browse));
+            Finding::Sound(format!("OData {odata} at {}, browsing {browse}", fronts.odata.listen))
+        }
+    }
+}
+
+fn finding(faults: Vec<String>, sound: String) -> Finding {
+    if faults.is_empty() {
+        Finding::Sound(sound)
+    } else {
+        Finding::Faults(faults)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn sound() -> serde_json::Value {
+        let settings = linentrail_standins::proxy::settings();
+        linentrail_standins::proxy::config("127.0.0.1:9", &[], settings, 1024, 192)
+    }
+
+    #[test]
+    fn a_sound_configuration_is_told_in_short() {
+        let found = configuration(&sound().to_string());
+        assert_eq!(
+            found,
+            Finding::Sound("4 classes, 0 members known, 1024 descriptors, 192 MiB".to_string())
+        );
+    }
+
+    #[test]
+    fn all_faults_are_told_at_once_each_by_its_name() {
+        let mut bad = sound();
+        bad["listen"] = "nowhere".into();
+        bad["limits"]["sockets"] = 8.into();
+        bad["settings"]["services"][1]["aim_us"] = "soon".into();
+        bad["settings"]["services"][0]["name"] = "my-booking".into();
+        let Finding::Faults(faults) = configuration(&bad.to_string()) else { panic!("it is not sound") };
+        for word in ["nowhere", "limits.sockets", "services.1.aim_us", "my-booking"] {
+            assert!(faults.iter().any(|f| f.contains(word)), "{word}: {faults:?}");
+        }
+        assert_eq!(faults.len(), 4, "{faults:?}");
+    }
+
+    #[test]
+    fn what_cannot_be_read_is_one_fault_and_what_is_no_such_file_is_none() {
+        assert!(matches!(configuration("{"), Finding::Faults(f) if f.len() == 1));
+        assert!(matches!(fronts("[odata]\nlisten = 7"), Finding::Faults(f) if f[0].contains("listen")));
+        assert!(matches!(fronts(""), Finding::Sound(_)));
+        assert!(file(Path::new("notes.txt")).is_err());
+        assert!(file(Path::new("no-such-file.json")).is_err());
+    }
+}
--- /dev/null
+++ b/src/cli.rs
@@ -0,0 +1,70 @@
+//! The command line.
+
+use clap::{Parser, Subcommand, ValueEnum};
+use std::path::PathBuf;
+
+/// The proxy between old clients and the servers of today.
+#[derive(Debug, Parser)]
+#[command(name = "linentrail", version)]
+pub struct Arguments {
+    /// How the log is written; what is in it, RUST_LOG says
+    #[arg(long, global = true, value_enum, default_value_t = LogFormat::Text)]
+    pub log_format: LogFormat,
+    /// The same as the command records; the name it had before there were commands
+    #[arg(long, hide = true)]
+    pub dns_sd_records: bool,
+    /// The part of the program that is meant; to serve, where none is named.
+    #[command(subcommand)]
+    pub command: Option<Command>,
+}
+
+/// What the program can do.
+#[derive(Debug, Subcommand, PartialEq, Eq)]
+pub enum Command {
+    /// Serves, told what it needs by BALANCER_CONFIG and its fellows; also what is done without a command
+    Serve,
+    /// Says whether a configuration (.json) or a file of fronts (.toml) can be used, and what is wrong with it
+    Check {
+        /// The file
+        file: PathBuf,
+    },
+    /// Prints the DNS-SD records under which the OData front can be found, as a zone file has them
+    Records,
+}
+
+/// Forms of the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
+pub enum LogFormat {
+    /// A line for people: time, level, place, words, then what belongs to it as name=value
+    Text,
+    /// A JSON object a line, with what belongs to it as fields of their own
+    Json,
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn parse(line: &str) -> Result<Arguments, clap::Error> {
+        Arguments::try_parse_from(line.split(' '))
+    }
+
+    #[test]
+    fn nothing_means_serve_and_the_format_may_stand_anywhere() {
+        let plain = parse("linentrail").expect("no argument is fine");
+        assert_eq!((plain.command, plain.log_format), (None, LogFormat::Text));
+        let json = parse("linentrail serve --log-format json").expect("it is known");
+        assert_eq!((json.command, json.log_format), (Some(Command::Serve), LogFormat::Json));
+        let check = parse("linentrail --log-format json check a.json").expect("it is known");
+        assert_eq!(check.command, Some(Command::Check { file: "a.json".into() }));
+    }
+
+    #[test]
+    fn what_is_not_known_ends_with_status_2() {
+        for line in
+            ["linentrail sevre", "linentrail check", "linentrail --log-format xml", "linentrail check a b"]
+        {
+            assert_eq!(parse(line).expect_err(line).exit_code(), 2, "{line}");
+        }
+    }
+}
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -3,13 +3,14 @@
 
 use super::counters::{count, Count};
 use super::ledger::SessionLedger;
-use super::{Answer, Attempt, Ending, Input, Listed, Members, Request};
+use super::{Answer, Attempt, Ending, Input, Listed, Members, Request, REQUEST};
 use crate::clock::Clock;
 use crate::interface::*;
 use crate::Router;
 use bytes::Bytes;
+use rustc_hash::FxHashMap;
 use smallvec::SmallVec;
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashSet, VecDeque};
 use std::pin::pin;
 use std::sync::Arc;
 use tokio::sync::{mpsc, oneshot};
@@ -34,11 +35,13 @@
 pub struct Actor<M> {
     router: Router,
     classes: Vec<Class>,
+    /// Their names, for the log.
+    class_names: Vec<String>,
     max_attempts: usize,
     members: M,
     clock: Clock,
     mailbox: mpsc::Receiver<Input>,
-    live: HashMap<RequestId, Live>,
+    live: FxHashMap<RequestId, Live>,
     /// The names of those.
     names: HashSet<Bytes>,
     sessions: SessionLedger,
@@ -56,6 +59,7 @@
     /// When the settings cannot be acted on.
     pub fn new(
         settings: Settings,
+        names: Vec<String>,
         members: M,
         clock: Clock,
         mailbox: mpsc::Receiver<Input>,
@@ -64,11 +68,12 @@
         Ok(Actor {
             router: Router::new(settings)?,
             classes,
+            class_names: names,
             max_attempts,
             members,
             clock,
             mailbox,
-            live: HashMap::new(),
+            live: FxHashMap::default(),
             names: HashSet::new(),
             sessions: SessionLedger::new(SESSIONS),
             local: VecDeque::new(),
@@ -176,6 +181,11 @@
             repeat: request.repeat,
         };
         let unseen = if proven { token } else { 0 };
+        log::debug!(
+            target: REQUEST, id = id.0, class = self.class(request.class), group = request.group,
+            wait_us = request.deadline.saturating_sub(now), repeat = request.repeat;
+            "taken"
+        );
         self.live.insert(id, Live { request, reply: Some(reply), unseen, attempts: SmallVec::new(), out: 0 });
         Some(event)
     }
@@ -193,6 +203,11 @@
             Superseded => Count::superseded,
             Miss => Count::missed,
         });
+        let member = self.live.get(&id).and_then(|l| l.attempts.get(attempt as usize)).map_or(0, |m| m.0);
+        log::debug!(
+            target: REQUEST, id = id.0, attempt, member, outcome:? = ending.outcome, us = ending.spent;
+            "attempt ended"
+        );
         let live = self.live.get_mut(&id)?;
         live.out = live.out.saturating_sub(1);
         let Ending { mut outcome, value, note, report, spent } = ending;
@@ -214,6 +229,7 @@
             }
             if let (Some(value), Some(reply)) = (value, live.reply.take()) {
                 count(Count::served);
+                log::debug!(target: REQUEST, id = id.0, attempt, member; "served");
                 let _ = reply.send(Answer::Served(value, position));
             }
         }
@@ -222,6 +238,10 @@
         Some(Event::Ended { id, attempt, outcome, complete, spent, note, report })
     }
 
+    fn class(&self, class: usize) -> &str {
+        self.class_names.get(class).map_or("", |name| name)
+    }
+
     /// Forgets a request that is over and has nothing out.
     fn settle(&mut self, id: RequestId) {
         if self.live.get(&id).is_some_and(|l| l.reply.is_none() && l.out == 0) {
@@ -232,6 +252,7 @@
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(reply) = self.live.get_mut(&id).and_then(|l| l.reply.take()) else { return };
+        log::debug!(target: REQUEST, id = id.0, answer:? = answer; "answered without a value");
         count(match answer {
             Answer::Refused(_) => Count::refused,
             Answer::Late => Count::late,
@@ -291,6 +312,7 @@
         if may && self.members.attempt(member, attempt) {
             live.out += 1;
             count(Count::attempts);
+            log::debug!(target: REQUEST, id = id.0, attempt = number, member = member.0; "sent");
             return;
         }
         count(Count::superseded);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -19,6 +19,9 @@
 use std::task::{Context, Poll};
 use tokio::sync::{mpsc, oneshot};
 
+/// The log's target for all that becomes of single requests; `RUST_LOG=info,request=debug` shows it.
+pub const REQUEST: &str = "request";
+
 /// What a member is to do, as members take it; the core never looks inside. A front leaves `wait` for the peer to
 /// fill in with the milliseconds for which it will wait: members accept no other change.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -7,6 +7,8 @@
 
 use crate::interface::*;
 use crate::state::*;
+use rustc_hash::FxHashMap;
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
 // ---- Tuned values ------------------------------------------------------------------------------------
@@ -114,6 +116,20 @@
 /// Advice to a client whose write cannot go out now, in us: an election takes seconds.
 const WRITE_RETRY_AFTER: Time = 500_000;
 
+/// How a replica compares with the others for a read: the least is chosen.
+type Rank = ((u32, u8, bool, bool), f64);
+
+fn by_rank(a: &Rank, b: &Rank) -> Ordering {
+    a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+}
+
+/// Takes a request out of the hold queue, if it is there.
+fn unhold(held: &mut Vec<(u64, RequestId)>, one: (u64, RequestId)) {
+    if let Ok(at) = held.binary_search(&one) {
+        held.remove(at);
+    }
+}
+
 // ---- The router ---------------------------------------------------------------------------------------
 
 /// Decides for one driver. It holds no clock and does no I/O: hand it what happened, carry out what it says.
@@ -123,8 +139,11 @@
     seq: u64,
     members: BTreeMap<MemberId, Seen>,
     groups: BTreeMap<GroupId, Group>,
-    open: BTreeMap<RequestId, Open>,
-    held: BTreeSet<(u64, RequestId)>,
+    open: FxHashMap<RequestId, Open>,
+    /// In the order of their arrival.
+    held: Vec<(u64, RequestId)>,
+    /// Kept for its room: what one round goes through.
+    round: Vec<(bool, u64, RequestId)>,
     service: Vec<f64>,
     signs: Signs,
     sessions: Sessions,
@@ -159,8 +178,9 @@
             seq: 0,
             members: BTreeMap::new(),
             groups: BTreeMap::new(),
-            open: BTreeMap::new(),
-            held: BTreeSet::new(),
+            open: FxHashMap::default(),
+            held: Vec::new(),
+            round: Vec::new(),
             sessions: Sessions::default(),
             wake: None,
             list_next: None,
@@ -215,7 +235,7 @@
                     repeat: *repeat,
                     ..Open::default()
                 };
-                self.held.insert((open.seq, *id));
+                self.held.push((open.seq, *id));
                 self.open.insert(*id, open);
             }
             Event::HangUp { id } => self.close(*id, out),
@@ -258,27 +278,20 @@
         checked && fresh && m.lag.is_some_and(|lag| self.now.saturating_sub(lag) >= required)
     }
 
-    /// Replicas with room for this read that it has not tried: the fewest own reads out first; of equals
-    /// those with fewer slow answers, with a working connection, and near. What is left, the rule with
-    /// hundreds of drivers, is decided by each one's own lot.
-    fn replicas(&self, open: &Open) -> Vec<MemberId> {
-        let primary = self.primary(open.group);
-        let faulty = self.idle_fault();
-        let dead = |m: &Seen| faulty && m.idle(self.now, IDLE_LEAST);
-        let mut found: Vec<_> = self
+    /// Replicas with room for this read that it has not tried, each with its rank: the fewest own reads out
+    /// first; of equals those with fewer slow answers, with a working connection, and near. What is left, the
+    /// rule with hundreds of drivers, is decided by each one's own lot.
+    fn replicas<'a>(&'a self, open: &'a Open) -> impl Iterator<Item = (Rank, MemberId, &'a Seen)> {
+        let (primary, faulty) = (self.primary(open.group), self.idle_fault());
+        let fits = move |m: &Seen| self.usable(m) && self.room(m, open, (m.reads, MEMBER_READS));
+        let sound = self
             .of_group(open.group)
-            .filter(|(id, _)| Some(*id) != primary && !open.tried(*id))
-            .filter(|(_, m)| self.usable(m) && self.room(m, open, (m.reads, MEMBER_READS)))
-            .map(|(id, m)| {
-                (
-                    (m.reads, self.slow(m), dead(m), m.zone != self.set.zone),
-                    lot(self.set.seed, open.seq, u64::from(id.0)),
-                    id,
-                )
-            })
-            .collect();
-        found.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
-        found.into_iter().map(|(.., id)| id).collect()
+            .filter(move |(id, m)| Some(*id) != primary && !open.tried(*id) && fits(m));
+        sound.map(move |(id, m)| {
+            let dead = faulty && m.idle(self.now, IDLE_LEAST);
+            let lot = lot(self.set.seed, open.seq, u64::from(id.0));
+            (((m.reads, self.slow(m), dead, m.zone != self.set.zone), lot), id, m)
+        })
     }
 
     /// Rank by slow answers lately. A cold member, new to it, ranks no better than all do together, or it
@@ -293,10 +306,14 @@
     fn pick_read(&mut self, id: RequestId, out: &mut Vec<Action>) -> Option<MemberId> {
         let open = &self.open[&id];
         let (group, since) = (open.group, open.arrived);
-        let replicas = self.replicas(open);
-        if let Some(id) = replicas.iter().find(|id| self.qualifies(&self.members[id], open)) {
-            return Some(*id);
-        }
+        // Nearly always one qualifies: none of the others is put in order.
+        let would_do = self.replicas(open).filter(|(_, _, m)| self.qualifies(m, open));
+        if let Some((_, id, _)) = would_do.min_by(|a, b| by_rank(&a.0, &b.0)) {
+            return Some(id);
+        }
+        let mut replicas: Vec<(Rank, MemberId)> =
+            self.replicas(open).map(|(rank, id, _)| (rank, id)).collect();
+        replicas.sort_by(|a, b| by_rank(&a.0, &b.0));
         let gap = match self.set.classes[open.class].need {
             Need::Bounded(age) => age.max(PROBE_GAP),
             _ => PROBE_GAP,
@@ -306,8 +323,8 @@
             self.usable(m) && self.room(m, open, (m.out, PRIMARY_READS)) && !open.tried(*id)
         });
         let asked = |m: &Seen| m.probe_out && m.probed.is_some_and(|t| self.now < t + ASK_PATIENCE);
-        let mut waits = replicas.iter().any(|id| asked(&self.members[id]));
-        for id in replicas {
+        let mut waits = replicas.iter().any(|(_, id)| asked(&self.members[id]));
+        for (_, id) in replicas {
             waits = waits || self.probe(id, gap, out);
         }
         id.filter(|_| !waits || self.now > since + ASK_PATIENCE)
@@ -329,13 +346,13 @@
 
     fn dispatch(&mut self, out: &mut Vec<Action>) {
         // Oldest first; a write past its aim, worth little now, lets those pass that can still make theirs.
-        let mut held: Vec<(bool, u64, RequestId)> = Vec::with_capacity(self.held.len());
+        let mut round = std::mem::take(&mut self.round);
         for (seq, id) in &self.held {
             let late = |o: &Open| self.now > o.arrived + self.set.classes[o.class].aim;
-            held.push((self.open.get(id).is_some_and(late), *seq, *id));
+            round.push((self.open.get(id).is_some_and(late), *seq, *id));
         }
-        held.sort_unstable();
-        for (_, _, id) in held {
+        round.sort_unstable();
+        for (_, _, id) in round.drain(..) {
             let Some(open) = self.open.get(&id) else { continue };
             let class = &self.set.classes[open.class];
             let write = class.need == Need::Write;
@@ -359,6 +376,7 @@
                 }
             }
         }
+        self.round = round;
     }
 
     /// Overload: members that would do have had no room for this read for as long as the queue may last. The
@@ -388,7 +406,7 @@
     fn send(&mut self, id: RequestId, member: MemberId, out: &mut Vec<Action>) {
         let faulty = self.idle_fault();
         let (Some(open), Some(m)) = (self.open.get_mut(&id), self.members.get_mut(&member)) else { return };
-        self.held.remove(&(open.seq, id));
+        unhold(&mut self.held, (open.seq, id));
         // Connections that were idle here lose what is sent on them: those to this member are closed first,
         // so that the request opens a new one. Costs a handshake; can hurt where those are slow.
         let link = match (m.idle(self.now, IDLE_LEAST), faulty) {
@@ -668,8 +686,8 @@
         if open.attempts.iter().all(|a| a.fate != Fate::Out) {
             if open.done {
                 self.open.remove(&id);
-            } else {
-                self.held.insert((open.seq, id));
+            } else if let Err(at) = self.held.binary_search(&(open.seq, id)) {
+                self.held.insert(at, (open.seq, id));
             }
         }
         let slow = (self.set.classes[class].aim as f64 * SLOW_SHARE) as Time;
@@ -787,7 +805,7 @@
     /// The request is over: stop what is still out for it, where stopping can save work.
     fn close(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open.get_mut(&id) else { return };
-        self.held.remove(&(open.seq, id));
+        unhold(&mut self.held, (open.seq, id));
         open.done = true;
         let write = self.set.classes[open.class].need == Need::Write;
         let mut left = false;
@@ -805,7 +823,10 @@
     /// A member has gone silent or has lost its role: what waits there is taken back and goes elsewhere, if
     /// it may be repeated and can still be of use.
     fn rescue(&mut self, member: MemberId, out: &mut Vec<Action>) {
-        for (id, open) in self.open.iter().filter(|(_, o)| !o.done && !o.streaming && self.set.cancelling) {
+        let fits = |(_, o): &(&RequestId, &Open)| !o.done && !o.streaming && self.set.cancelling;
+        let mut open: Vec<_> = self.open.iter().filter(fits).collect();
+        open.sort_unstable_by_key(|(id, _)| **id);
+        for (id, open) in open {
             let class = &self.set.classes[open.class];
             let moved = self.primary(open.group).is_some_and(|p| p != member);
             let useful = match class.repeat {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,7 @@
 #![doc = include_str!("../README.md")]
 
+pub mod check;
+pub mod cli;
 pub mod clock;
 pub mod config;
 pub mod core;
@@ -8,6 +10,7 @@
 pub mod dnssd;
 pub mod http;
 mod interface;
+pub mod logs;
 pub mod meter;
 pub mod net;
 pub mod odata;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,8 @@
 //! The real proxy: wiring, start and shutdown.
 
+use clap::Parser;
+use linentrail::check::{self, Finding};
+use linentrail::cli::{Arguments, Command};
 use linentrail::clock::Clock;
 use linentrail::config::{self, Config};
 use linentrail::core::actor::Actor;
@@ -13,8 +16,9 @@
 use linentrail::net::discovery::{Discovery, Lists};
 use linentrail::net::fleet::Fleet;
 use linentrail::net::listen;
-use linentrail::{meter, odata, pg};
+use linentrail::{logs, meter, odata, pg};
 use linentrail::{ListKind, Time};
+use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::Duration;
@@ -94,7 +98,8 @@
     let (follow, asked) = mpsc::channel(1);
     let wire = pg::member::Pg::new(budget.bytes.clone(), clock);
     let fleet = Fleet::new(mailbox.clone(), follow, budget.clone(), clock, times, wire);
-    let actor = Actor::new(settings, fleet, clock, inbox).map_err(|e| e.to_string())?;
+    let actor =
+        Actor::new(settings, names.classes.clone(), fleet, clock, inbox).map_err(|e| e.to_string())?;
 
     let mut lists = Lists::new(names.zones.clone());
     // Known before the first client comes, and perhaps old.
@@ -171,16 +176,34 @@
     Ok(())
 }
 
+fn check(file: &Path) -> ExitCode {
+    match check::file(file) {
+        Ok(Finding::Sound(what)) => {
+            println!("{}: sound: {what}", file.display());
+            ExitCode::SUCCESS
+        }
+        Ok(Finding::Faults(faults)) => {
+            faults.iter().for_each(|fault| println!("{}: {fault}", file.display()));
+            ExitCode::FAILURE
+        }
+        Err(message) => {
+            eprintln!("linentrail: {message}");
+            ExitCode::from(2)
+        }
+    }
+}
+
 fn main() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info")).init();
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let result = match &arguments[..] {
-        [] => {
+    let arguments = Arguments::parse();
+    logs::start(arguments.log_format);
+    let former = arguments.dns_sd_records.then_some(Command::Records);
+    let result = match arguments.command.or(former) {
+        None | Some(Command::Serve) => {
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             runtime.map_err(|e| format!("runtime: {e}")).and_then(|r| r.block_on(run()))
         }
-        [flag] if flag == "--dns-sd-records" => print_records(),
-        _ => Err("the only argument known is --dns-sd-records".to_string()),
+        Some(Command::Check { file }) => return check(&file),
+        Some(Command::Records) => print_records(),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/src/net/patience.rs
@@ -0,0 +1,88 @@
+//! A limit on waiting that is set for wait after wait on the same connection.
+//!
+//! Nearly every wait ends long before its limit, and a timer that is entered and removed for each of them costs more
+//! than the wait itself: entered as the earliest of all, it makes the runtime wake itself by a system call. This one
+//! stays where it was entered first. When it rings too early for the wait of the moment, it is moved to where that one
+//! ends.
+
+use std::future::{poll_fn, Future};
+use std::pin::Pin;
+use std::task::Poll;
+use tokio::time::{Instant, Sleep};
+
+/// A timer that waits share, one after the other.
+pub struct Patience(Pin<Box<Sleep>>);
+
+impl Patience {
+    /// One whose first wait ends at this moment.
+    pub fn until(end: Instant) -> Self {
+        Patience(Box::pin(tokio::time::sleep_until(end)))
+    }
+
+    /// What the future brings, or none if it has brought nothing by then. Pinned by the caller: taken by value it would
+    /// stand twice in the memory of whoever waits.
+    pub async fn within<F: Future>(&mut self, end: Instant, mut future: Pin<&mut F>) -> Option<F::Output> {
+        poll_fn(|cx| {
+            if let Poll::Ready(done) = future.as_mut().poll(cx) {
+                return Poll::Ready(Some(done));
+            }
+            let timer = &mut self.0;
+            if end < timer.deadline() {
+                timer.as_mut().reset(end);
+            }
+            while timer.as_mut().poll(cx).is_ready() {
+                if timer.deadline() >= end {
+                    return Poll::Ready(None);
+                }
+                timer.as_mut().reset(end);
+            }
+            Poll::Pending
+        })
+        .await
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::future::pending;
+    use std::pin::pin;
+    use std::time::Duration;
+
+    fn run(test: impl Future<Output = ()>) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_time().start_paused(true).build();
+        runtime.expect("a runtime").block_on(test);
+    }
+
+    #[test]
+    fn each_wait_ends_at_its_own_moment_earlier_or_later_than_the_one_before() {
+        run(async {
+            let (start, ms) = (Instant::now(), Duration::from_millis);
+            let mut patience = Patience::until(start + ms(100));
+            for end in [100, 150, 160, 1_000, 1_001] {
+                assert!(patience.within(start + ms(end), pin!(pending::<()>())).await.is_none());
+                let passed = start.elapsed();
+                assert!(passed >= ms(end) && passed < ms(end + 2), "{passed:?} for {end}");
+            }
+            // Set for late, then needed early.
+            let mut patience = Patience::until(start + ms(60_000));
+            assert!(patience.within(start + ms(1_100), pin!(pending::<()>())).await.is_none());
+            assert!(start.elapsed() < ms(1_110));
+        });
+    }
+
+    #[test]
+    fn what_comes_in_time_is_passed_on_and_does_not_move_the_timer() {
+        run(async {
+            let (start, ms) = (Instant::now(), Duration::from_millis);
+            let mut patience = Patience::until(start + ms(100));
+            for n in 1..=50 {
+                let done = tokio::time::sleep(ms(10));
+                assert!(patience.within(start + ms(10 * n + 200), pin!(done)).await.is_some());
+            }
+            // A wait whose moment has passed still takes what is there already.
+            assert_eq!(patience.within(start, pin!(async { 7 })).await, Some(7));
+            assert_eq!(patience.within(start, pin!(pending::<()>())).await, None);
+        });
+    }
+}
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -6,13 +6,14 @@
 
 use super::budget::Budget;
 use super::link::{Exchange, Guard, Link, Wire};
+use super::patience::Patience;
 use super::pool::Pool;
 use crate::clock::Clock;
 use crate::core::counters::{count, Count};
 use crate::core::{Attempt, Ending, Input};
 use crate::interface::*;
 use crate::settings::SocketTimes;
-use std::collections::HashMap;
+use rustc_hash::FxHashMap;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::time::Duration;
@@ -56,8 +57,8 @@
     clock: Clock,
     times: SocketTimes,
     wire: W,
-    pool: Pool<W::Link>,
-    running: HashMap<(RequestId, u32), Running>,
+    pool: Pool<(W::Link, Patience)>,
+    running: FxHashMap<(RequestId, u32), Running>,
     probing: usize,
     /// Where tasks tell their ends; each tells one, so that there are never more than tasks.
     done: mpsc::UnboundedSender<Done<W::Link>>,
@@ -67,7 +68,7 @@
 /// A task's end.
 struct Done<L> {
     attempt: Option<(RequestId, u32)>,
-    link: Option<L>,
+    link: Option<(L, Patience)>,
 }
 
 impl<W: Wire> Peer<W> {
@@ -83,7 +84,7 @@
         let idle_most = Duration::from_micros(times.keepalive).mul_f64(IDLE_SHARE);
         let pool = Pool::new(idle_most.as_micros() as Time);
         let (done, ends) = mpsc::unbounded_channel();
-        let (running, probing, ends) = (HashMap::new(), 0, Some(ends));
+        let (running, probing, ends) = (FxHashMap::default(), 0, Some(ends));
         Peer { id, address, core, budget, clock, times, wire, pool, running, probing, done, ends }
     }
 
@@ -160,45 +161,50 @@
     }
 
     /// A connection of the pool, with the means for a new one should it not stand.
-    fn dial(&mut self, safe: bool) -> Dial<W> {
+    fn dial(&mut self, safe: bool) -> (Dial<W>, Option<Patience>) {
         self.reap();
         let now = self.clock.now();
         let mut ready = None;
         while ready.is_none() {
-            let Some((link, guard)) = self.pool.take(now) else { break };
+            let Some(((link, patience), guard)) = self.pool.take(now) else { break };
             // The fence shows by itself what is left over.
             let stands = guard == Guard::Fence || link.stands();
             if !stands {
                 count(Count::member_extras);
             }
-            ready = stands.then_some((link, guard));
+            ready = stands.then_some((link, patience, guard));
         }
+        let (ready, waits) = ready.map(|(link, waits, guard)| ((link, guard), waits)).unzip();
         let patience = Duration::from_micros(self.times.connect);
         let (wire, budget) = (self.wire.clone(), self.budget.clone());
-        Dial { ready, safe, address: self.address, patience, budget, wire }
+        (Dial { ready, safe, address: self.address, patience, budget, wire }, waits)
     }
 
     fn attempt(&mut self, attempt: Attempt) {
-        let (dial, core, clock) = (self.dial(attempt.safe), self.core.clone(), self.clock);
+        let ((dial, waits), core, clock) = (self.dial(attempt.safe), self.core.clone(), self.clock);
         let (key, done) = ((attempt.id, attempt.number), self.done.clone());
         let since = clock.now();
         let task = tokio::spawn(async move {
             let stop = clock.instant(attempt.stop_at);
+            let mut patience = waits.unwrap_or_else(|| Patience::until(stop));
             let mut written = false;
-            let run = async {
-                let (mut link, guard) = match dial.link().await {
-                    Ok(link) => link,
-                    Err(outcome) => return (None, Exchange { outcome, ..Exchange::default() }),
-                };
-                // Members are told how long this proxy waits; rounded up, as 0 would say that it is over.
-                let wait = attempt.stop_at.saturating_sub(clock.now()).div_ceil(1000).max(1);
-                let exchange = link.run(&attempt.work, wait, guard, &mut written).await;
-                (exchange.reusable.then_some(link), exchange)
+            let end = {
+                let run = pin!(async {
+                    let (mut link, guard) = match dial.link().await {
+                        Ok(link) => link,
+                        Err(outcome) => return (None, Exchange { outcome, ..Exchange::default() }),
+                    };
+                    // Members are told how long this proxy waits; rounded up, as 0 would say that it is over.
+                    let wait = attempt.stop_at.saturating_sub(clock.now()).div_ceil(1000).max(1);
+                    let exchange = link.run(&attempt.work, wait, guard, &mut written).await;
+                    (exchange.reusable.then_some(link), exchange)
+                });
+                patience.within(stop, run).await
             };
-            let (link, exchange) = match tokio::time::timeout_at(stop, run).await {
-                Ok(end) => end,
+            let (link, exchange) = match end {
+                Some(end) => end,
                 // Before the last byte was written, nothing can have run.
-                Err(_) => {
+                None => {
                     let outcome = if written { Outcome::Overdue } else { Outcome::Refused };
                     (None, Exchange { outcome, ..Exchange::default() })
                 }
@@ -209,13 +215,14 @@
                 matches!(outcome, Outcome::Completed | Outcome::Errored | Outcome::Saturated | Outcome::Miss);
             let ending = Ending { outcome, value, note: note.filter(|_| told), report, spent };
             let _ = core.send(Input::Ended(key.0, key.1, ending)).await;
+            let link = link.map(|link| (link, patience));
             let _ = done.send(Done { attempt: Some(key), link });
         });
         self.running.insert(key, Running { task: task.abort_handle(), since });
     }
 
     fn probe(&mut self) {
-        let (dial, core, id) = (self.dial(true), self.core.clone(), self.id);
+        let ((dial, waits), core, id) = (self.dial(true), self.core.clone(), self.id);
         let done = self.done.clone();
         self.probing += 1;
         tokio::spawn(async move {
@@ -224,11 +231,14 @@
                 let (report, reusable) = link.probe(guard).await?;
                 Some((reusable.then_some(link), report))
             };
-            let (link, report) = match tokio::time::timeout(PROBE_PATIENCE, run).await {
-                Ok(Some((link, report))) => (link, Some(report)),
+            let end = Instant::now() + PROBE_PATIENCE;
+            let mut patience = waits.unwrap_or_else(|| Patience::until(end));
+            let (link, report) = match patience.within(end, pin!(run)).await {
+                Some(Some((link, report))) => (link, Some(report)),
                 _ => (None, None),
             };
             let _ = core.send(Input::Probed(id, report)).await;
+            let link = link.map(|link| (link, patience));
             let _ = done.send(Done { attempt: None, link });
         });
     }
@@ -247,12 +257,18 @@
 }
 
 impl<W: Wire> Dial<W> {
-    async fn link(self) -> Result<(W::Link, Guard), Outcome> {
-        let Dial { ready, safe, address, patience, budget, wire } = self;
-        if let Some((mut link, guard)) = ready {
-            if safe || guard == Guard::Proven {
-                return Ok((link, guard));
-            }
+    /// The connection for a statement. What is not at hand is seen to in a future of its own, so that the tasks of
+    /// nearly all attempts need no room for it.
+    async fn link(mut self) -> Result<(W::Link, Guard), Outcome> {
+        match self.ready.take() {
+            Some((link, guard)) if self.safe || guard == Guard::Proven => Ok((link, guard)),
+            unproven => Box::pin(self.open(unproven.map(|(link, _)| link))).await,
+        }
+    }
+
+    async fn open(self, unproven: Option<W::Link>) -> Result<(W::Link, Guard), Outcome> {
+        let Dial { address, patience, budget, wire, .. } = self;
+        if let Some(mut link) = unproven {
             // What is left over may spoil the statement's answer, and this one could not be sent again: the fence goes
             // alone, and the statement follows only where it has found nothing.
             if tokio::time::timeout(patience, link.fence()).await.unwrap_or(false) {
--- a/src/pg/statement.rs
+++ b/src/pg/statement.rs
@@ -19,6 +19,13 @@
     Err(Fault { code, message: message.into() })
 }
 
+/// What stands before the first such byte, and behind it. Statements are short and come by the thousand: the general
+/// search of a text costs more than it saves.
+fn cut(text: &str, at: u8) -> Option<(&str, &str)> {
+    let n = text.bytes().position(|b| b == at)?;
+    Some((text.get(..n)?, text.get(n + 1..)?))
+}
+
 /// A key as it may stand between quotes: members know no other.
 pub fn plain_key(key: &str) -> bool {
     (1..=128).contains(&key.len()) && key.bytes().all(|b| b.is_ascii_graphic() && b != b'\'' && b != b'\\')
@@ -42,12 +49,12 @@
         (_, Some(rest)) => (true, rest),
         _ => return fault("42601", "only reads and creates on records are taken here"),
     };
-    let Some((key, rest)) = rest.split_once('\'') else { return fault("42601", "the key does not end") };
+    let Some((key, rest)) = cut(rest, b'\'') else { return fault("42601", "the key does not end") };
     if !plain_key(key) {
         return fault("22023", "a key has 1 to 128 visible ASCII characters, no quote and no backslash");
     }
     let comment = if write {
-        let value = rest.strip_prefix(", '\\x").and_then(|r| r.split_once('\''));
+        let value = rest.strip_prefix(", '\\x").and_then(|r| cut(r, b'\''));
         let Some((hex, tail)) = value else {
             return fault("42601", "the value must be given as bytea in hex");
         };
@@ -62,23 +69,29 @@
         Some(rest)
     };
     let comment = comment.and_then(|c| c.trim_end_matches([';', ' ']).strip_suffix("*/"));
-    let Some(comment) = comment.and_then(|c| c.trim_start().strip_prefix("/*")) else {
+    let Some(comment) = comment.and_then(|c| c.trim_ascii_start().strip_prefix("/*")) else {
         return fault("42601", "the statement must end with a comment of names and values");
     };
     // A comment that ends early would let a second statement through to the members.
-    if comment.contains("*/")
-        || comment.contains("/*")
-        || !comment.bytes().all(|b| (b' '..=b'~').contains(&b))
-    {
+    let mut last = 0;
+    let clean = comment.bytes().all(|b| {
+        let mark = matches!((last, b), (b'*', b'/') | (b'/', b'*'));
+        last = b;
+        !mark && (b' '..=b'~').contains(&b)
+    });
+    if !clean {
         return fault("42601", "the comment holds more than names and values");
     }
     const NAMES: [&str; 7] = ["id", "c", "t", "d", "cluster", "after", "r"];
     let mut given = [None; NAMES.len()];
-    for pair in comment.trim().split(',') {
-        let Some((name, value)) = pair.split_once('=') else {
+    let mut left = Some(comment.trim_ascii());
+    while let Some(text) = left {
+        let (pair, behind) = cut(text, b',').map_or((text, None), |(pair, behind)| (pair, Some(behind)));
+        left = behind;
+        let Some((name, value)) = cut(pair, b'=') else {
             return fault("42601", format!("'{pair}' is not name=value"));
         };
-        let Some(known) = NAMES.iter().position(|n| *n == name.trim()) else { continue };
+        let Some(known) = NAMES.iter().position(|n| *n == name.trim_ascii()) else { continue };
         if given[known].replace(value).is_some() {
             return fault("42601", format!("the field {} is given twice", NAMES[known]));
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What a router remembers. It decides nothing: `src/decide.rs` reads and writes it.
 
 use crate::interface::*;
+use smallvec::SmallVec;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
@@ -49,7 +50,7 @@
     pub arrived: Time,
     /// When its client leaves.
     pub deadline: Time,
-    pub attempts: Vec<Attempt>,
+    pub attempts: SmallVec<[Attempt; 2]>,
     /// Attempts that members answered with an error.
     pub errors: u32,
     /// A member was too far behind for it, or not the primary.
@@ -111,6 +112,10 @@
 impl Ease {
     /// Its value now, where two thirds of what is missing come back within `span`.
     pub fn now(&self, now: Time, span: Time) -> f64 {
+        // Asked for at every choice, and nearly always whole.
+        if self.share >= 1.0 {
+            return 1.0;
+        }
         1.0 - (1.0 - self.share) * (-(now.saturating_sub(self.at) as f64) / span as f64).exp()
     }
 
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -358,7 +358,7 @@
 #[test]
 fn the_odata_fronts_own_records_can_be_printed() {
     let program = env!("CARGO_BIN_EXE_linentrail");
-    let out = std::process::Command::new(program).arg("--dns-sd-records").output().expect("it runs");
+    let out = std::process::Command::new(program).arg("records").output().expect("it runs");
     let text = String::from_utf8(out.stdout).expect("text");
     for part in [
         "_services._dns-sd._udp.",
