--- a/crates/lab/src/drive.rs
+++ b/crates/lab/src/drive.rs
@@ -160,7 +160,10 @@
     while !stop.is_set() {
         let n = next.fetch_add(1, Ordering::Relaxed);
         let Some(due) = pace.due(n) else { break };
-        tokio::time::sleep_until(due.into()).await;
+        // Only where there is something to wait for: the shortest sleep takes a millisecond.
+        if due > Instant::now() {
+            tokio::time::sleep_until(due.into()).await;
+        }
         let ask = asks(n);
         let told = async {
             if conn.is_none() {
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -257,24 +257,26 @@
 }
 
 impl<W: Wire> Dial<W> {
-    /// The connection for a statement. What is not at hand is seen to in a future of its own, so that the tasks of
+    /// The connection for a statement. What is not at hand is seen to in futures of their own, so that the tasks of
     /// nearly all attempts need no room for it.
     async fn link(mut self) -> Result<(W::Link, Guard), Outcome> {
         match self.ready.take() {
-            Some((link, guard)) if self.safe || guard == Guard::Proven => Ok((link, guard)),
-            unproven => Box::pin(self.open(unproven.map(|(link, _)| link))).await,
-        }
-    }
-
-    async fn open(self, unproven: Option<W::Link>) -> Result<(W::Link, Guard), Outcome> {
-        let Dial { address, patience, budget, wire, .. } = self;
-        if let Some(mut link) = unproven {
+            Some((link, guard)) if self.safe || guard == Guard::Proven => return Ok((link, guard)),
             // What is left over may spoil the statement's answer, and this one could not be sent again: the fence goes
             // alone, and the statement follows only where it has found nothing.
-            if tokio::time::timeout(patience, link.fence()).await.unwrap_or(false) {
-                return Ok((link, Guard::Proven));
+            Some((mut link, Guard::Fence)) => {
+                let alone = Box::pin(tokio::time::timeout(self.patience, link.fence())).await;
+                if alone.unwrap_or(false) {
+                    return Ok((link, Guard::Proven));
+                }
             }
+            _ => {}
         }
+        Box::pin(self.open()).await.map(|link| (link, Guard::Proven))
+    }
+
+    async fn open(self) -> Result<W::Link, Outcome> {
+        let Dial { address, patience, budget, wire, .. } = self;
         // Out of descriptors is our fault, not the member's: the attempt was never sent, and the member is not in doubt.
         let permit = match tokio::time::timeout(patience, budget.members.seat()).await {
             Ok(Some(permit)) => permit,
@@ -285,7 +287,7 @@
         };
         count(Count::member_connections);
         match tokio::time::timeout(patience, wire.open(address, permit)).await {
-            Ok(link) => link.map(|link| (link, Guard::Proven)),
+            Ok(link) => link,
             Err(_) => Err(Outcome::Refused),
         }
     }
