--- a/crates/lab/src/cost/budget.rs
+++ b/crates/lab/src/cost/budget.rs
@@ -22,12 +22,25 @@
     pub copied: Option<f64>,
 }
 
-/// All budgets, by case.
+/// A case that must cost less than another, by all that is counted of both.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Less {
+    /// The cheaper case.
+    pub case: String,
+    /// The dearer one.
+    pub than: String,
+}
+
+/// All budgets, by case, and what must cost less than what.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Budgets {
     /// By the case's name.
     pub case: BTreeMap<String, Budget>,
+    /// Pairs of cases.
+    #[serde(default)]
+    pub less: Vec<Less>,
 }
 
 /// One figure over its budget.
@@ -47,12 +60,32 @@
         let bad = |e: String| Failure::Unusable(format!("{}: {}", path.display(), e.replace('\n', " ")));
         let text = std::fs::read_to_string(path).map_err(|e| bad(e.to_string()))?;
         let budgets: Budgets = toml::from_str(&text).map_err(|e| bad(e.to_string()))?;
-        match budgets.case.keys().find(|name| !known.contains(name)) {
+        let pairs = budgets.less.iter().flat_map(|l| [&l.case, &l.than]);
+        let unknown = budgets.case.keys().chain(pairs).find(|name| !known.contains(name)).cloned();
+        match unknown {
             Some(name) => Err(bad(format!("there is no case '{name}'"))),
             None => Ok(budgets),
         }
     }
 
+    /// The pairs, of those that were measured, in which the case meant to be cheaper is not.
+    pub fn not_less(&self, measured: &BTreeMap<String, Figures>) -> Vec<Over> {
+        let mut over = Vec::new();
+        for Less { case, than } in &self.less {
+            let (Some(cheap), Some(dear)) = (measured.get(case), measured.get(than)) else { continue };
+            for (name, counted, budget) in [
+                ("allocations", cheap.allocations, dear.allocations),
+                ("allocated", cheap.allocated, dear.allocated),
+                ("calls", cheap.calls(), dear.calls()),
+            ] {
+                if counted >= budget {
+                    over.push(Over { what: format!("{case}: {name}, against {than}"), counted, budget });
+                }
+            }
+        }
+        over
+    }
+
     /// The figures of a case that are over.
     pub fn over(&self, case: &str, figures: &Figures) -> Vec<Over> {
         let Some(budget) = self.case.get(case) else { return Vec::new() };
@@ -87,4 +120,22 @@
         assert_eq!(what, ["a: allocations", "a: calls"]);
         assert!(toml::from_str::<Budgets>("[case.a]\nalocations = 1").is_err());
     }
+
+    #[test]
+    fn a_case_that_is_not_cheaper_than_its_pair_is_named() {
+        let text = "[case.a]\n[case.b]\n[[less]]\ncase = \"a\"\nthan = \"b\"";
+        let budgets: Budgets = toml::from_str(text).expect("it can be read");
+        let of = |allocations, writes| Figures {
+            allocations,
+            writes,
+            allocated: allocations,
+            ..Figures::default()
+        };
+        let measured = |a, b| BTreeMap::from([("a".to_string(), a), ("b".to_string(), b)]);
+        assert_eq!(budgets.not_less(&measured(of(1.0, 1.0), of(2.0, 2.0))), []);
+        let over = budgets.not_less(&measured(of(1.0, 2.0), of(2.0, 2.0)));
+        assert_eq!(over.len(), 1);
+        assert_eq!(over[0].what, "a: calls, against b");
+        assert_eq!(budgets.not_less(&BTreeMap::new()), []);
+    }
 }
--- a/crates/lab/src/cost/mod.rs
+++ b/crates/lab/src/cost/mod.rs
@@ -18,6 +18,7 @@
 use linentrail_standins::client::Ask;
 use linentrail_standins::member::{Behaviour, Capacity};
 use serde::Serialize;
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
@@ -135,7 +136,7 @@
 
 /// What the proxy has used so far.
 struct Snapshot {
-    counters: std::collections::BTreeMap<String, u64>,
+    counters: BTreeMap<String, u64>,
     cpu_ns: u64,
     memory_kib: u64,
 }
@@ -282,7 +283,7 @@
         return Err(Failure::Unusable(format!("no case has '{}' in its name", options.only)));
     }
     let (mut table, mut over, mut told) = (table(), Vec::new(), Vec::new());
-    let mut failed = Vec::new();
+    let (mut failed, mut measured) = (Vec::new(), BTreeMap::new());
     for (n, case) in chosen.iter().enumerate() {
         eprintln!("[{}/{}] {}", n + 1, chosen.len(), case.name);
         let (mut news, mut olds) = (Vec::new(), Vec::new());
@@ -315,6 +316,7 @@
         table.add_row(row(&case.name, &news));
         told.push(serde_json::json!({"case": case.name, "build": "new", "figures": news}));
         over.extend(budgets.iter().flat_map(|b| b.over(&case.name, &news)));
+        measured.insert(case.name.clone(), news);
     }
     println!("{table}");
     if let Some(path) = &options.json {
@@ -324,6 +326,7 @@
     if stop.is_set() {
         return Err(Failure::Broken(format!("interrupted after {} of {} cases", told.len(), chosen.len())));
     }
+    over.extend(budgets.iter().flat_map(|b| b.not_less(&measured)));
     if !failed.is_empty() {
         return Err(Failure::Broken(failed.join("; ")));
     }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -145,6 +145,8 @@
     /// Kept for its room: what one round goes through.
     round: Vec<(bool, u64, RequestId)>,
     service: Vec<f64>,
+    /// The silence limit of this step.
+    limit: Time,
     signs: Signs,
     sessions: Sessions,
     wake: Option<Time>,
@@ -172,6 +174,7 @@
         }
         Ok(Router {
             service: set.classes.iter().map(|c| c.aim as f64 / 4.0).collect(),
+            limit: SILENCE_MOST,
             signs: Signs::default(),
             set,
             now: 0,
@@ -194,6 +197,7 @@
         for event in events {
             self.absorb(event, out);
         }
+        self.limit = self.silence_limit();
         self.watch(out);
         self.dispatch(out);
         self.arm(out);
@@ -306,14 +310,22 @@
     fn pick_read(&mut self, id: RequestId, out: &mut Vec<Action>) -> Option<MemberId> {
         let open = &self.open[&id];
         let (group, since) = (open.group, open.arrived);
-        // Nearly always one qualifies: none of the others is put in order.
-        let would_do = self.replicas(open).filter(|(_, _, m)| self.qualifies(m, open));
-        if let Some((_, id, _)) = would_do.min_by(|a, b| by_rank(&a.0, &b.0)) {
+        // Nearly always one qualifies, and none of the others is put in order.
+        let (mut best, mut any) = (None::<(Rank, MemberId)>, false);
+        for (rank, id, m) in self.replicas(open) {
+            any = true;
+            if best.as_ref().is_none_or(|b| by_rank(&rank, &b.0).is_lt()) && self.qualifies(m, open) {
+                best = Some((rank, id));
+            }
+        }
+        if let Some((_, id)) = best {
             return Some(id);
         }
-        let mut replicas: Vec<(Rank, MemberId)> =
-            self.replicas(open).map(|(rank, id, _)| (rank, id)).collect();
-        replicas.sort_by(|a, b| by_rank(&a.0, &b.0));
+        let mut replicas: Vec<(Rank, MemberId)> = Vec::new();
+        if any {
+            replicas.extend(self.replicas(open).map(|(rank, id, _)| (rank, id)));
+            replicas.sort_by(|a, b| by_rank(&a.0, &b.0));
+        }
         let gap = match self.set.classes[open.class].need {
             Need::Bounded(age) => age.max(PROBE_GAP),
             _ => PROBE_GAP,
@@ -546,7 +558,7 @@
 
     fn reachable(&self, m: &Seen) -> bool {
         let doubted = m.doubt.as_ref().is_some_and(|d| !d.open || m.out > 0);
-        m.listed && !doubted && !m.quiet(self.now, self.silence_limit()) && self.now >= m.rest_until
+        self.now >= m.rest_until && m.listed && !doubted && !m.quiet(self.now, self.limit)
     }
 
     /// Whether a read may go there: a member that errs quickly always has the shortest queue, so one with a
@@ -589,7 +601,7 @@
 
     fn watch(&mut self, out: &mut Vec<Action>) {
         self.ask_list(out);
-        let (now, limit) = (self.now, self.silence_limit());
+        let (now, limit) = (self.now, self.limit);
         let (warm, span) = (self.set.rules.warm_after, self.set.rules.fall_span);
         let mut quiet = Vec::new();
         for (id, m) in &mut self.members {
@@ -922,7 +934,7 @@
 
     /// One pending wake-up, for whatever only the clock can bring about.
     fn arm(&mut self, out: &mut Vec<Action>) {
-        let limit = self.silence_limit();
+        let limit = self.limit;
         let mut next = self.list_next;
         let mut at = |t: Time| next = Some(next.map_or(t, |n| n.min(t)));
         if !self.held.is_empty() {
--- a/src/pg/frames.rs
+++ b/src/pg/frames.rs
@@ -158,7 +158,7 @@
 
     /// A string up to its zero byte.
     pub fn text(&mut self) -> Result<&'a [u8], WireError> {
-        let end = self.0.iter().position(|b| *b == 0);
+        let end = memchr::memchr(0, self.0);
         let (text, rest) = end.map(|end| (&self.0[..end], &self.0[end + 1..])).ok_or(NO_END)?;
         self.0 = rest;
         Ok(text)
--- a/src/pg/statement.rs
+++ b/src/pg/statement.rs
@@ -19,10 +19,9 @@
     Err(Fault { code, message: message.into() })
 }
 
-/// What stands before the first such byte, and behind it. Statements are short and come by the thousand: the general
-/// search of a text costs more than it saves.
+/// What stands before the first such byte, and behind it.
 fn cut(text: &str, at: u8) -> Option<(&str, &str)> {
-    let n = text.bytes().position(|b| b == at)?;
+    let n = memchr::memchr(at, text.as_bytes())?;
     Some((text.get(..n)?, text.get(n + 1..)?))
 }
 
@@ -58,7 +57,9 @@
         let Some((hex, tail)) = value else {
             return fault("42601", "the value must be given as bytea in hex");
         };
-        if hex.len() % 2 != 0 || !hex.bytes().all(|b| b.is_ascii_hexdigit()) {
+        // No way out in the middle: so it is done for many bytes at a time, and a value may have 128 Ki of them.
+        let odd = hex.bytes().fold(false, |odd, b| odd | !b.is_ascii_hexdigit());
+        if hex.len() % 2 != 0 || odd {
             return fault("22P02", "the value is not hex");
         }
         if hex.len() > LONGEST_HEX {
