--- a/crates/lab/src/cost/mod.rs
+++ b/crates/lab/src/cost/mod.rs
@@ -273,8 +273,6 @@
 
 /// Runs the command.
 pub async fn run(options: &Options, stop: &Stop) -> Result<(), Failure> {
-    let new = program(options.program.as_ref())?;
-    let old = options.against.as_ref().map(|p| program(Some(p))).transpose()?;
     let all = cases::all();
     let names: Vec<String> = all.iter().map(|c| c.name.clone()).collect();
     let budgets = options.budgets.as_ref().map(|p| Budgets::load(p, &names)).transpose()?;
@@ -282,6 +280,8 @@
     if chosen.is_empty() {
         return Err(Failure::Unusable(format!("no case has '{}' in its name", options.only)));
     }
+    let new = program(options.program.as_ref())?;
+    let old = options.against.as_ref().map(|p| program(Some(p))).transpose()?;
     let (mut table, mut over, mut told) = (table(), Vec::new(), Vec::new());
     let (mut failed, mut measured) = (Vec::new(), BTreeMap::new());
     for (n, case) in chosen.iter().enumerate() {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -37,7 +37,14 @@
 }
 
 fn main() -> ExitCode {
-    let arguments = Arguments::parse();
+    let arguments = match Arguments::try_parse() {
+        Ok(arguments) => arguments,
+        Err(fault) if fault.use_stderr() => {
+            eprintln!("linentrail-lab: {}", linentrail::cli::one_line(&fault));
+            return ExitCode::from(2);
+        }
+        Err(help) => help.exit(),
+    };
     let runtime = match tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -32,6 +32,14 @@
     Records,
 }
 
+/// What clap says of arguments that cannot be used, on one line and without its advice.
+pub fn one_line(fault: &clap::Error) -> String {
+    let text = fault.to_string();
+    let told = text.lines().take_while(|l| !l.starts_with("Usage:") && !l.starts_with("For more"));
+    let words: Vec<&str> = told.flat_map(str::split_whitespace).collect();
+    words.join(" ").trim_start_matches("error: ").to_string()
+}
+
 /// Forms of the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, ValueEnum)]
 pub enum LogFormat {
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,7 +2,7 @@
 
 use clap::Parser;
 use linentrail::check::{self, Finding};
-use linentrail::cli::{Arguments, Command};
+use linentrail::cli::{self, Arguments, Command};
 use linentrail::clock::Clock;
 use linentrail::config::{self, Config};
 use linentrail::core::actor::Actor;
@@ -194,7 +194,14 @@
 }
 
 fn main() -> ExitCode {
-    let arguments = Arguments::parse();
+    let arguments = match Arguments::try_parse() {
+        Ok(arguments) => arguments,
+        Err(fault) if fault.use_stderr() => {
+            eprintln!("linentrail: {}", cli::one_line(&fault));
+            return ExitCode::from(2);
+        }
+        Err(help) => help.exit(),
+    };
     logs::start(arguments.log_format);
     let former = arguments.dns_sd_records.then_some(Command::Records);
     let result = match arguments.command.or(former) {
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -31,7 +31,7 @@
 /// What is known of the bytes that a connection will bring next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Guard {
-    /// None can be left of an earlier answer.
+    /// None can be left of an earlier answer: the connection is new, or a fence was answered on it just now.
     Proven,
     /// Some might be: the wire itself has to tell them from the answer.
     Fence,
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -7,7 +7,7 @@
 use super::budget::Budget;
 use super::link::{Exchange, Guard, Link, Wire};
 use super::patience::Patience;
-use super::pool::Pool;
+use super::pool::{Before, Pool};
 use crate::clock::Clock;
 use crate::core::counters::{count, Count};
 use crate::core::{Attempt, Ending, Input};
@@ -166,15 +166,10 @@
         let now = self.clock.now();
         let mut ready = None;
         while ready.is_none() {
-            let Some(((link, patience), guard)) = self.pool.take(now) else { break };
-            // The fence shows by itself what is left over.
-            let stands = guard == Guard::Fence || link.stands();
-            if !stands {
-                count(Count::member_extras);
-            }
-            ready = stands.then_some((link, patience, guard));
+            let Some((link, before)) = self.pool.take(now) else { break };
+            ready = (before == Before::Nothing || link.0.stands()).then_some(link);
         }
-        let (ready, waits) = ready.map(|(link, waits, guard)| ((link, guard), waits)).unzip();
+        let (ready, waits) = ready.unzip();
         let patience = Duration::from_micros(self.times.connect);
         let (wire, budget) = (self.wire.clone(), self.budget.clone());
         (Dial { ready, safe, address: self.address, patience, budget, wire }, waits)
@@ -246,8 +241,8 @@
 
 /// How an attempt comes by its connection.
 struct Dial<W: Wire> {
-    /// One of the pool, and what must be done before it is used.
-    ready: Option<(W::Link, Guard)>,
+    /// One of the pool.
+    ready: Option<W::Link>,
     /// What is sent may be sent again.
     safe: bool,
     address: SocketAddr,
@@ -261,16 +256,16 @@
     /// nearly all attempts need no room for it.
     async fn link(mut self) -> Result<(W::Link, Guard), Outcome> {
         match self.ready.take() {
-            Some((link, guard)) if self.safe || guard == Guard::Proven => return Ok((link, guard)),
+            Some(link) if self.safe => return Ok((link, Guard::Fence)),
             // What is left over may spoil the statement's answer, and this one could not be sent again: the fence goes
             // alone, and the statement follows only where it has found nothing.
-            Some((mut link, Guard::Fence)) => {
+            Some(mut link) => {
                 let alone = Box::pin(tokio::time::timeout(self.patience, link.fence())).await;
                 if alone.unwrap_or(false) {
                     return Ok((link, Guard::Proven));
                 }
             }
-            _ => {}
+            None => {}
         }
         Box::pin(self.open()).await.map(|link| (link, Guard::Proven))
     }
--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -180,6 +180,15 @@
         (reply, end, strays > 0)
     }
 
+    /// Bytes have been read that belong to no answer.
+    fn left_over(&self) -> bool {
+        let any = !self.framed.read_buffer().is_empty();
+        if any {
+            count(Count::member_extras);
+        }
+        any
+    }
+
     async fn write(&mut self, work: &Work, wait: Time, fence: bool) -> io::Result<()> {
         let (head, tail) = (work.text.get(..work.wait.start), work.text.get(work.wait.end..));
         let parts = (head.unwrap_or_default(), tail.unwrap_or_default());
@@ -190,9 +199,16 @@
 
 impl Link for Connection {
     fn stands(&self) -> bool {
+        if self.left_over() {
+            return false;
+        }
         meter::add(Cost::Peeks, 1);
         let peeked = SockRef::from(self.framed.get_ref().get_ref()).peek(&mut [MaybeUninit::uninit(); 1]);
-        self.framed.read_buffer().is_empty() && peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+        // An end is no byte; it makes the connection useless all the same.
+        if peeked.as_ref().is_ok_and(|n| *n > 0) {
+            count(Count::member_extras);
+        }
+        peeked.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
     async fn fence(&mut self) -> bool {
@@ -200,7 +216,7 @@
             return false;
         }
         let strays = self.past_fence().await;
-        if !matches!(strays, Ok(0)) {
+        if matches!(strays, Ok(n) if n > 0) {
             count(Count::member_extras);
         }
         matches!(strays, Ok(0)) && self.framed.read_buffer().is_empty()
@@ -226,11 +242,7 @@
         // value stands for itself; what comes behind it shows when the connection is used again.
         let proof = matches!(outcome, Outcome::Miss | Outcome::Saturated);
         let whole = end == End::Whole { ready: true };
-        let more =
-            strays || whole && if proof { !self.stands() } else { !self.framed.read_buffer().is_empty() };
-        if more && !strays {
-            count(Count::member_extras);
-        }
+        let more = strays || whole && if proof { !self.stands() } else { self.left_over() };
         let outcome = if more && proof { Outcome::Errored } else { outcome };
         if let End::Spoilt(what) = end {
             count(Count::member_spoilt);
@@ -256,7 +268,7 @@
         match end {
             End::Whole { ready: true } if reply.code.is_none() => {
                 let report = reply.row.flatten().and_then(|row| report(&row, self.clock.now()));
-                Some((report.unwrap_or_default(), !strays && self.framed.read_buffer().is_empty()))
+                Some((report.unwrap_or_default(), !strays && !self.left_over()))
             }
             End::Spoilt(_) => {
                 count(Count::member_spoilt);
