Type operations in the core, so that only the members' side writes statements

Need: OData wrote the platform's statements itself, and a front must not know a member's wire; the work on OData's operations begins here.

Change: core::Work is a client's own words or a typed Operation; pg::statement::render puts the latter into words when it is sent. odata no longer names pg.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -22,14 +22,44 @@
 /// The log's target for all that becomes of single requests; `RUST_LOG=info,request=debug` shows it.
 pub const REQUEST: &str = "request";
 
-/// What a member is to do, as members take it; the core never looks inside. A front leaves `wait` for the peer to
-/// fill in with the milliseconds for which it will wait: members accept no other change.
+/// What a member is to do; the core never looks inside, and the members' side puts it into words.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Work {
-    /// The whole text.
-    pub text: Bytes,
-    /// Where in it the waiting time stands.
-    pub wait: Range<usize>,
+pub enum Work {
+    /// In its client's words, which members accept with no change but that of the waiting time.
+    Verbatim {
+        /// The whole text.
+        text: Bytes,
+        /// Where in it the waiting time stands, in ms.
+        wait: Range<usize>,
+    },
+    /// An operation of a client that speaks otherwise.
+    Operation(Arc<Operation>),
+}
+
+/// An operation on one record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Operation {
+    /// The request's id, as members are to know it.
+    pub id: u64,
+    /// Index of its class.
+    pub class: usize,
+    /// Index of its tenant.
+    pub tenant: usize,
+    /// Group that it is for.
+    pub group: GroupId,
+    /// The position that it must see, in us.
+    pub after: Option<Position>,
+    /// The client has tried before.
+    pub repeat: bool,
+    /// The record's key, a [`plain_key`].
+    pub key: String,
+    /// The value of a record to create; none to read it.
+    pub value: Option<Bytes>,
+}
+
+/// A key as members know it: 1 to 128 visible ASCII characters, no quote and no backslash.
+pub fn plain_key(key: &str) -> bool {
+    (1..=128).contains(&key.len()) && key.bytes().all(|b| b.is_ascii_graphic() && b != b'\'' && b != b'\\')
 }
 
 /// A request that a front has taken.
--- a/src/main.rs
+++ b/src/main.rs
@@ -96,7 +96,7 @@
     let budget = Budget::new(told.sockets, told.memory);
     let (mailbox, inbox) = mpsc::channel(MAILBOX);
     let (follow, asked) = mpsc::channel(1);
-    let wire = pg::member::Pg::new(budget.bytes.clone(), clock);
+    let wire = pg::member::Pg::new(budget.bytes.clone(), clock, names.clone());
     let fleet = Fleet::new(mailbox.clone(), follow, budget.clone(), clock, times, wire);
     let actor =
         Actor::new(settings, names.classes.clone(), fleet, clock, inbox).map_err(|e| e.to_string())?;
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -5,15 +5,15 @@
 use crate::clock::Clock;
 use crate::core::bookings::{Booked, Bookings, Try};
 use crate::core::counters::{count, Count};
-use crate::core::{Handle, Request, Work};
+use crate::core::{Handle, Operation, Request, Work};
 use crate::http::{HttpError, HttpRequest, HttpResponse, HttpServer, Incoming};
 use crate::interface::*;
 use crate::meter::Socket;
 use crate::net::budget::{Budget, Pace};
 use crate::net::frames::{finish, next, shrink, Next, ROOM};
 use crate::net::listen::{closed, Closing};
-use crate::pg::statement;
 use crate::settings::Names;
+use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use std::collections::VecDeque;
 use std::hash::{BuildHasher, DefaultHasher, Hash, Hasher, RandomState};
@@ -182,7 +182,7 @@
             Ok(Call::Create { facts, key, value, repeatable, minimal }) => {
                 let asked = Asked::Create { key: &key, minimal, repeatable: repeatable.is_some() };
                 let print = print(&facts, &key, &value);
-                let (weight, request) = (value.len() + 512, self.request(facts, &key, Some(&value)));
+                let (weight, request) = (value.len() + 512, self.request(facts, &key, Some(value)));
                 let deadline = request.deadline;
                 let Some(Repeatable { id, first_sent }) = repeatable else {
                     let answer = self.core.submit(request).await.await;
@@ -216,22 +216,12 @@
         self.clock.now() + LEAD >= deadline
     }
 
-    fn request(&self, facts: Facts, key: &str, value: Option<&[u8]>) -> Request {
+    fn request(&self, facts: Facts, key: &str, value: Option<Bytes>) -> Request {
         let Facts { class, tenant, group, session, after, wait, repeat } = facts;
         let id = self.random.hash_one(self.sent.fetch_add(1, Ordering::Relaxed));
-        let name = |list: &[String], i: usize| list.get(i).cloned().unwrap_or_default();
-        let mut head = format!("id={id:016x},c={}", name(&self.names.classes, class));
-        if !self.names.tenants.is_empty() {
-            head.push_str(&format!(",t={}", name(&self.names.tenants, tenant)));
-        }
-        let mut tail = format!("cluster={group}");
-        if let Some(after) = after {
-            tail.push_str(&format!(",after={}", after.div_ceil(1000)));
-        }
-        if repeat {
-            tail.push_str(",r=1");
-        }
-        let work: Work = statement::write(key, value, &head, &tail);
+        let key_text = key.to_string();
+        let operation = Operation { id, class, tenant, group, after, repeat, key: key_text, value };
+        let work = Work::Operation(Arc::new(operation));
         let deadline = self.clock.now().saturating_add(wait);
         let session: Option<Arc<str>> = session.map(Arc::from);
         let key_session = session.as_ref().filter(|s| &***s != key).map(|_| Arc::from(key));
--- a/src/odata/request.rs
+++ b/src/odata/request.rs
@@ -1,9 +1,9 @@
 //! From an HTTP request to a typed call.
 
 use super::reply::Fault;
+use crate::core::plain_key;
 use crate::http::{Headers, HttpRequest};
 use crate::interface::*;
-use crate::pg::statement::plain_key;
 use crate::settings::Names;
 use base64::engine::general_purpose::{GeneralPurpose, GeneralPurposeConfig, URL_SAFE_NO_PAD};
 use base64::engine::DecodePaddingMode;
--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -5,6 +5,7 @@
 //! nothing that came with it is believed.
 
 use super::frames::WireError;
+use super::statement::render;
 use super::told::{statement, Backend, ClientCodec, Column, Frontend, Parameter};
 use crate::clock::Clock;
 use crate::core::counters::{count, Count};
@@ -14,12 +15,14 @@
 use crate::net::budget::Ration;
 use crate::net::frames::{next, shrink, Next, ROOM};
 use crate::net::link::{Exchange, Guard, Link, Wire};
+use crate::settings::Names;
 use bytes::Bytes;
 use futures_util::SinkExt;
 use socket2::SockRef;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -40,12 +43,13 @@
 pub struct Pg {
     bytes: Ration,
     clock: Clock,
+    names: Arc<Names>,
 }
 
 impl Pg {
-    /// Connections count the bytes of what they hold in `bytes`.
-    pub fn new(bytes: Ration, clock: Clock) -> Self {
-        Pg { bytes, clock }
+    /// Connections count the bytes of what they hold in `bytes`; classes and tenants have these names.
+    pub fn new(bytes: Ration, clock: Clock, names: Names) -> Self {
+        Pg { bytes, clock, names: Arc::new(names) }
     }
 }
 
@@ -53,6 +57,7 @@
 pub struct Connection {
     framed: Framed<Socket, ClientCodec>,
     clock: Clock,
+    names: Arc<Names>,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -86,7 +91,8 @@
         let stream = TcpStream::connect(address).await.map_err(|_| Outcome::Refused)?;
         let _ = stream.set_nodelay(true);
         let framed = Framed::with_capacity(Socket::new(stream), ClientCodec::new(self.bytes.clone()), ROOM);
-        let mut link = Connection { framed, clock: self.clock, _permit: permit };
+        let names = self.names.clone();
+        let mut link = Connection { framed, clock: self.clock, names, _permit: permit };
         link.framed.send(Frontend::Startup).await.map_err(|_| Outcome::Refused)?;
         // No statement has been written, so that nothing here can have run.
         let mut known = false;
@@ -190,8 +196,15 @@
     }
 
     async fn write(&mut self, work: &Work, wait: Time, fence: bool) -> io::Result<()> {
-        let (head, tail) = (work.text.get(..work.wait.start), work.text.get(work.wait.end..));
-        let parts = (head.unwrap_or_default(), tail.unwrap_or_default());
+        let rendered;
+        let (text, at) = match work {
+            Work::Verbatim { text, wait } => (&text[..], wait),
+            Work::Operation(operation) => {
+                rendered = render(operation, &self.names);
+                (rendered.0.as_bytes(), &rendered.1)
+            }
+        };
+        let parts = (text.get(..at.start).unwrap_or_default(), text.get(at.end..).unwrap_or_default());
         let mut message = statement(parts, wait, fence);
         self.framed.get_mut().write_all_buf(&mut message).await
     }
--- a/src/pg/statement.rs
+++ b/src/pg/statement.rs
@@ -1,9 +1,10 @@
 //! The two statements that clients send, with the names in their comment.
 
-use crate::core::{Request, Work};
+use crate::core::{plain_key, Operation, Request, Work};
 use crate::interface::*;
 use crate::settings::Names;
 use bytes::Bytes;
+use std::ops::Range;
 use std::sync::Arc;
 
 /// What is wrong with a statement, with its SQLSTATE.
@@ -25,11 +26,6 @@
     Some((text.get(..n)?, text.get(n + 1..)?))
 }
 
-/// A key as it may stand between quotes: members know no other.
-pub fn plain_key(key: &str) -> bool {
-    (1..=128).contains(&key.len()) && key.bytes().all(|b| b.is_ascii_graphic() && b != b'\'' && b != b'\\')
-}
-
 /// The longest id, and the longest value, in hex digits.
 const LONGEST_ID: usize = 64;
 const LONGEST_HEX: usize = 2 * 64 * 1024;
@@ -152,21 +148,30 @@
         after,
         deadline: now.saturating_add(wait_us),
         repeat,
-        work: Work { wait, text },
+        work: Work::Verbatim { wait, text },
     })
 }
 
-/// Writes the statement for a request that came by another front; `head` and `tail` are what stands before and after
-/// the waiting time in the comment.
-pub fn write(key: &str, value: Option<&[u8]>, head: &str, tail: &str) -> Work {
+/// The statement of an operation, and where in it the waiting time stands.
+pub fn render(operation: &Operation, names: &Names) -> (String, Range<usize>) {
+    let Operation { id, class, tenant, group, after, repeat, key, value } = operation;
+    let name = |list: &[String], at: usize| list.get(at).cloned().unwrap_or_default();
     let mut text = match value {
         None => format!("{READ}{key}' /* "),
         Some(value) => format!("{CREATE}{key}', '\\x{}') RETURNING v /* ", hex(value)),
     };
-    text.push_str(&format!("{head},d="));
+    text.push_str(&format!("id={id:016x},c={}", name(&names.classes, *class)));
+    if !names.tenants.is_empty() {
+        text.push_str(&format!(",t={}", name(&names.tenants, *tenant)));
+    }
+    text.push_str(",d=");
     let at = text.len();
-    text.push_str(&format!("0,{tail} */"));
-    Work { text: text.into(), wait: at..at + 1 }
+    text.push_str(&format!("0,cluster={group}"));
+    if let Some(after) = after {
+        text.push_str(&format!(",after={}", after.div_ceil(1000)));
+    }
+    text.push_str(if *repeat { ",r=1 */" } else { " */" });
+    (text, at..at + 1)
 }
 
 /// Two hex digits a byte.
