Keep one connection type, one address and one start of a world in the lab

Cause: the demo had written the load's connection by either front again, three commands picked a front's address each in its own way, and two of them waited for the second that Repeatable Requests need while load did not.

Change: drive::Conn serves the demo too; World::address and World::start hold the other two, so that load waits as well; the list of a case's figures no longer names each of them twice.

Result: nothing in the proxy changes.

--- a/crates/lab/src/cost/mod.rs
+++ b/crates/lab/src/cost/mod.rs
@@ -88,37 +88,21 @@
     }
 
     fn fields(&mut self) -> [&mut f64; 14] {
-        let Figures {
-            allocations,
-            allocated,
-            reads,
-            empty_reads,
-            writes,
-            peeks,
-            wakeups,
-            copied,
-            cpu_us,
-            attempts,
-            connections,
-            median_us,
-            added_us,
-            memory_kib,
-        } = self;
         [
-            allocations,
-            allocated,
-            reads,
-            empty_reads,
-            writes,
-            peeks,
-            wakeups,
-            copied,
-            cpu_us,
-            attempts,
-            connections,
-            median_us,
-            added_us,
-            memory_kib,
+            &mut self.allocations,
+            &mut self.allocated,
+            &mut self.reads,
+            &mut self.empty_reads,
+            &mut self.writes,
+            &mut self.peeks,
+            &mut self.wakeups,
+            &mut self.copied,
+            &mut self.cpu_us,
+            &mut self.attempts,
+            &mut self.connections,
+            &mut self.median_us,
+            &mut self.added_us,
+            &mut self.memory_kib,
         ]
     }
 
@@ -158,7 +142,7 @@
 /// Measures one case once.
 async fn measure(case: &Case, program: &Path, short: u64, stop: &Stop) -> Result<Figures, Failure> {
     let plan = Plan { program, capacity: Capacity::default(), lag_ms: 0, odata: case.front == Front::Odata };
-    let world = World::start(&plan)?;
+    let world = World::start(&plan).await?;
     let key = "7f3a9c21e0b4d655";
     world.group.preset(key, vec![0x5a; case.size].into());
     for (n, member) in world.members.iter().enumerate() {
@@ -172,12 +156,7 @@
     let value = (case.class == "place-order").then(|| vec![0x5a; case.size]);
     let ask = Ask { class: case.class, key: key.to_string(), value, wait_ms: case.wait_ms(), after: None };
     let asks: drive::Asks = Arc::new(move |_| ask.clone());
-    let odata = world.proxy.odata.unwrap_or(world.proxy.pg);
-    let to = if case.front == Front::Pg { world.proxy.pg } else { odata };
-    if case.front == Front::Odata {
-        // Repeatable Requests count in whole seconds: the process must be older than the second it began in.
-        tokio::time::sleep(std::time::Duration::from_millis(1_050)).await;
-    }
+    let to = world.address(case.front);
     let long = (case.length / short).max(case.clients as u64 * 2);
     let counts = [long / 4, long / 4, long];
     let (mut tallies, mut shots) = (Vec::new(), vec![]);
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -1,7 +1,7 @@
 //! A demonstration: members, discovery and the real proxy on loopback, a mixed load of all four classes by both
 //! fronts, one fault after the other, and at the end what became of it all and whether the rules were kept.
 
-use crate::drive::{self, Stop};
+use crate::drive::{self, Conn, Front, Stop};
 use crate::load::{seconds, CLASSES};
 use crate::rules::{judge, kept, Seen, Session};
 use crate::world::{program, Plan, World};
@@ -9,7 +9,7 @@
 use clap::Args;
 use comfy_table::{presets, CellAlignment, Table};
 use hdrhistogram::Histogram;
-use linentrail_standins::client::{Ask, Odata, Pg, Told};
+use linentrail_standins::client::{Ask, Told};
 use linentrail_standins::group::Group;
 use linentrail_standins::member::{Behaviour, Capacity, Member};
 use std::net::SocketAddr;
@@ -55,34 +55,6 @@
     f(&mut book.lock().unwrap_or_else(PoisonError::into_inner))
 }
 
-enum Conn {
-    Pg(Pg),
-    Odata(Odata),
-}
-
-impl Conn {
-    async fn open((pg, odata): (SocketAddr, Option<SocketAddr>)) -> std::io::Result<Self> {
-        Ok(match odata {
-            Some(to) => Conn::Odata(Odata::connect(to).await?),
-            None => Conn::Pg(Pg::connect(pg).await?),
-        })
-    }
-
-    async fn ask(&mut self, ask: &Ask) -> std::io::Result<Told> {
-        match self {
-            Conn::Pg(c) => c.ask(ask).await,
-            Conn::Odata(c) => c.ask(ask).await,
-        }
-    }
-
-    fn strays(&self) -> usize {
-        match self {
-            Conn::Pg(c) => c.strays(),
-            Conn::Odata(_) => 0,
-        }
-    }
-}
-
 /// A small generator for the mix of a client, so that a run can be told from its number alone.
 fn draw(state: &mut u64) -> u64 {
     *state ^= *state << 13;
@@ -94,7 +66,7 @@
 /// One client: a session of its own, in the users' mix of classes.
 async fn client(
     n: u64,
-    to: (SocketAddr, Option<SocketAddr>),
+    (front, to): (Front, SocketAddr),
     group: Group,
     end: Instant,
     book: Shared,
@@ -122,7 +94,7 @@
         with(&book, |b| b.seen.asked += 1);
         let told = async {
             if conn.is_none() {
-                conn = Some(Conn::open(to).await?);
+                conn = Some(Conn::open(front, to).await?);
             }
             match &mut conn {
                 Some(conn) => conn.ask(&ask).await,
@@ -200,10 +172,8 @@
     let program = program(options.program.as_ref())?;
     let service = (Duration::from_millis(4), Duration::from_millis(9));
     let capacity = Capacity { slots: 8, queue: 64, service, cold: None };
-    let world = World::start(&Plan { program: &program, capacity, lag_ms: 6, odata: true })?;
+    let world = World::start(&Plan { program: &program, capacity, lag_ms: 6, odata: true }).await?;
     world.group.preset("common", "common".into());
-    // Repeatable Requests count in whole seconds: the process must be older than the second it began in.
-    tokio::time::sleep(Duration::from_millis(1_050)).await;
     eprintln!("a primary, {} replicas, discovery and the proxy run", world.members.len() - 1);
     let rows =
         CLASSES.iter().map(|_| Row { served: 0, refused: 0, failed: 0, times: drive::times() }).collect();
@@ -211,7 +181,8 @@
     let end = Instant::now() + Duration::from_secs_f64(options.seconds);
     let mut clients = JoinSet::new();
     for n in 0..u64::from(options.clients) {
-        let to = (world.proxy.pg, world.proxy.odata.filter(|_| n % 4 == 3));
+        let front = if n % 4 == 3 { Front::Odata } else { Front::Pg };
+        let to = (front, world.address(front));
         clients.spawn(client(n, to, world.group.clone(), end, book.clone(), stop.clone()));
     }
     let faults = tokio::spawn(faults(world.members.clone(), book.clone(), end, options.calm));
--- a/crates/lab/src/drive.rs
+++ b/crates/lab/src/drive.rs
@@ -98,25 +98,37 @@
 }
 
 /// A connection by either front.
-enum Conn {
+pub enum Conn {
+    /// PostgreSQL's protocol.
     Pg(Pg),
+    /// OData.
     Odata(Odata),
 }
 
 impl Conn {
-    async fn open(front: Front, to: SocketAddr) -> std::io::Result<Self> {
+    /// Connects.
+    pub async fn open(front: Front, to: SocketAddr) -> std::io::Result<Self> {
         Ok(match front {
             Front::Pg => Conn::Pg(Pg::connect(to).await?),
             Front::Odata => Conn::Odata(Odata::connect(to).await?),
         })
     }
 
-    async fn ask(&mut self, ask: &Ask) -> std::io::Result<Told> {
+    /// Asks, and waits for the answer.
+    pub async fn ask(&mut self, ask: &Ask) -> std::io::Result<Told> {
         match self {
             Conn::Pg(c) => c.ask(ask).await,
             Conn::Odata(c) => c.ask(ask).await,
         }
     }
+
+    /// Bytes that came without being asked for, where the front can tell.
+    pub fn strays(&self) -> usize {
+        match self {
+            Conn::Pg(c) => c.strays(),
+            Conn::Odata(_) => 0,
+        }
+    }
 }
 
 /// Makes the n-th request.
--- a/crates/lab/src/load.rs
+++ b/crates/lab/src/load.rs
@@ -116,13 +116,10 @@
             let program = program(options.program.as_ref())?;
             let capacity = Capacity { service: (ms(least), ms(most)), ..Capacity::default() };
             let plan = Plan { program: &program, capacity, lag_ms: 0, odata: front == Front::Odata };
-            Some(World::start(&plan)?)
+            Some(World::start(&plan).await?)
         }
     };
-    let started =
-        world
-            .as_ref()
-            .map(|w| if front == Front::Pg { w.proxy.pg } else { w.proxy.odata.unwrap_or(w.proxy.pg) });
+    let started = world.as_ref().map(|w| w.address(front));
     let Some(to) = options.to.or(started) else { return Err(Failure::Unusable("nowhere to send to".into())) };
     if let Some(world) = &world {
         world.group.preset("k0", vec![0x5a; options.size as usize].into());
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1,11 +1,14 @@
 //! A world on loopback: a group of one primary and its replicas, discovery, and the real proxy before them.
 
+use crate::drive::Front;
 use crate::Failure;
 use linentrail_standins::group::Group;
 use linentrail_standins::member::{Capacity, Member};
 use linentrail_standins::proxy::{self, class, Proxy, Setup};
 use linentrail_standins::registry::{entry, Registry};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 /// Replicas beside the primary.
 pub const REPLICAS: usize = 3;
@@ -34,7 +37,7 @@
 
 impl World {
     /// Starts it, with the users' four classes at their own aims and deadlines.
-    pub fn start(plan: &Plan) -> Result<Self, Failure> {
+    pub async fn start(plan: &Plan<'_>) -> Result<Self, Failure> {
         let group = Group::default();
         let start = |i| Member::start(&group, i == 0, if i == 0 { 0 } else { plan.lag_ms }, plan.capacity);
         let members: Vec<Member> = (0..=REPLICAS).map(start).collect();
@@ -58,8 +61,20 @@
         };
         let proxy = Proxy::start(&setup)
             .map_err(|e| Failure::Unusable(format!("{}: {e}", plan.program.display())))?;
+        if plan.odata {
+            // Repeatable Requests count in whole seconds: the process must be older than the second it began in.
+            tokio::time::sleep(Duration::from_millis(1_050)).await;
+        }
         Ok(World { members, group, proxy })
     }
+
+    /// Where clients of a front connect; a world that was not to serve OData has one address.
+    pub fn address(&self, front: Front) -> SocketAddr {
+        match front {
+            Front::Pg => self.proxy.pg,
+            Front::Odata => self.proxy.odata.unwrap_or(self.proxy.pg),
+        }
+    }
 }
 
 /// The proxy's program: the one named, or the one beside this program.
