Give a cold member its share by a lot of its own for each request, and its writes another

Cause: where the even share is one read, 'room' let a cold member have a request only if one lot, common to all members, lay under the cube of its warmth, and under its warmth again as a part of the bound: at a fifth of its capacity 0.8 % of the reads instead of a fifth. The writes of a cold primary went by the same lot: 99 in 100 waited for nothing until they were given up.

The members that were warm worked for all. At fault: the last lines of 'room' in src/decide.rs.

Change: each request has a lot for each cold member. Of its group's first reads a cold member gets at most twice its warmth times the even share of a member, whatever every router prefers and however many there are; clients' repeats are not counted in; a cold primary gets writes by twice its warmth and no reads.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -87,6 +87,11 @@
 /// word of the few answers seen here: only those past the aim lower it then, and half of them must be.
 const POOL_SLOW_ONE: f64 = 1.0;
 const POOL_DOWN_ONE: f64 = 0.97;
+/// What a cold member may have of its group's first reads, in even shares of a member as warm as it is: enough
+/// to warm it, under the rule's multiple when every router prefers it and load stands high.
+const COLD_READS: f64 = 2.0;
+/// What a cold primary may have of its writes and fresh reads, in shares as large as its warmth.
+const COLD_CURRENT: f64 = 2.0;
 /// Neither goes lower, so that it can come back soon.
 const EASE_LEAST: f64 = 0.08;
 /// Members of equal counts are told apart by ease in so many steps.
@@ -291,10 +296,10 @@
     /// rule with hundreds of drivers, is decided by each one's own lot.
     fn replicas<'a>(&'a self, open: &'a Open) -> impl Iterator<Item = (Rank, MemberId, &'a Seen)> {
         let (primary, faulty) = (self.primary(open.group), self.idle_fault());
-        let fits = move |m: &Seen| self.usable(m) && self.room(m, open, (m.reads, MEMBER_READS));
+        let fits = move |id, m: &Seen| self.usable(m) && self.room((id, m), open, (m.reads, MEMBER_READS));
         let sound = self
             .of_group(open.group)
-            .filter(move |(id, m)| Some(*id) != primary && !open.tried(*id) && fits(m));
+            .filter(move |(id, m)| Some(*id) != primary && !open.tried(*id) && fits(*id, m));
         sound.map(move |(id, m)| {
             let dead = faulty && m.idle(self.now, IDLE_LEAST);
             let lot = lot(self.set.seed, open.seq, u64::from(id.0));
@@ -336,7 +341,7 @@
         };
         let id = self.primary(group).filter(|id| {
             let m = &self.members[id];
-            self.usable(m) && self.room(m, open, (m.out, PRIMARY_READS)) && !open.tried(*id)
+            self.usable(m) && self.room((*id, m), open, (m.out, PRIMARY_READS)) && !open.tried(*id)
         });
         let asked = |m: &Seen| m.probe_out && m.probed.is_some_and(|t| self.now < t + ASK_PATIENCE);
         let mut waits = replicas.iter().any(|(_, id)| asked(&self.members[id]));
@@ -495,7 +500,7 @@
 
     fn takes_writes(&self, id: MemberId, open: &Open) -> bool {
         let m = &self.members[&id];
-        self.reachable(m) && self.room(m, open, (m.out, MEMBER_WRITES))
+        self.reachable(m) && self.room((id, m), open, (m.out, MEMBER_WRITES))
     }
 
     /// A write or fresh read goes to the primary. While none is known, one held write at a time tries the
@@ -578,11 +583,12 @@
     /// our own count cannot show: a jam of any cause (a lost member's load, a slow machine, too many routers)
     /// ends in slow answers. It can hurt where work is so uneven that sound members answer late.
     /// A share below one is kept by lot, request by request: rounded up it would add up over many routers.
-    fn room(&self, m: &Seen, open: &Open, (count, all): (u32, u32)) -> bool {
+    fn room(&self, (id, m): (MemberId, &Seen), open: &Open, (count, all): (u32, u32)) -> bool {
         let even = |all: u32| f64::from(all.div_ceil(self.set.instances.min(SHARERS_MOST)));
         let warmth = m.warmth(self.now, &self.set.rules);
         let ease = m.ease.now(self.now, EASE_TIME) * self.signs.pool.now(self.now, POOL_TIME);
-        let bound = even(all) * warmth * ease;
+        let few = even(MEMBER_READS) * warmth * ease >= 1.0;
+        let bound = even(all) * ease * if few { warmth } else { 1.0 };
         // One lot for all members, or some member would always do.
         let lot = lot(!self.set.seed, open.seq, 0);
         if count >= bound.max(1.0) as u32 || lot >= bound {
@@ -590,12 +596,27 @@
         }
         // A cold member's budget. What is out there finishes at the member's own pace, so that a bound on it
         // bounds the rate too; work that ended without an answer no longer counts as out, yet it was sent.
-        // Where even a cold share is a read or more, that bound does; else all routers together go by lot,
-        // less than in proportion: while the others are eased a cold member is the first choice of many.
-        let few = even(MEMBER_READS) * warmth * ease >= 1.0;
+        // Where even a cold share is a read or more, that bound does; else all routers together go by lot.
         let sent = m.spent.len() as u32 + m.out;
         m.cold_from.is_none()
-            || (few || lot < warmth.powi(3)) && sent < ((even(MEMBER_WRITES) * warmth * ease) as u32).max(2)
+            || (few || self.cold_lot((id, m), open, warmth))
+                && sent < ((even(MEMBER_WRITES) * warmth * ease) as u32).max(2)
+    }
+
+    /// Whether this request is among the few that a cold member may have. It may be the first choice of every
+    /// router, so that its share of its group's first tries, by a lot of its own, is all that bounds it: so many
+    /// times the even share of a member as warm as it is now. That holds for any number of routers. What must
+    /// be current can go nowhere else; it is a part of a primary's work, which leaves a cold one none for reads.
+    fn cold_lot(&self, (id, m): (MemberId, &Seen), open: &Open, warmth: f64) -> bool {
+        let share = match self.set.classes[open.class].need {
+            Need::Write | Need::Fresh => COLD_CURRENT * warmth,
+            _ if open.repeat || self.primary(m.group) == Some(id) => 0.0,
+            _ => {
+                let listed = self.of_group(m.group).filter(|(_, m)| m.listed).count();
+                COLD_READS * warmth / listed.max(1) as f64
+            }
+        };
+        lot(!self.set.seed, open.seq, u64::from(id.0)) < share
     }
 
     fn silence_limit(&self) -> Time {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -356,6 +356,55 @@
     assert!((1..60).contains(&cold), "{cold} of 300 at a member with a fifth of its capacity");
 }
 
+#[test]
+fn cold_members_get_their_share_of_a_groups_reads_from_any_number_of_routers_together() {
+    // Members: a primary, two warm replicas and one cold, or a whole zone of cold ones come back at once.
+    for (routers, cold) in [(100, 1), (300, 1), (100, 3)] {
+        let (per_router, listed) = (20, 3 + cold);
+        let mut got = vec![0; cold as usize];
+        for seed in 0..routers {
+            let mut d = Driver::new(Settings { seed, instances: routers as u32, ..settings() });
+            let mut list = vec![member(1, true), member(2, false), member(3, false)];
+            let back = |id| Member { up_since: Some(d.now - MS), ..member(id, false) };
+            list.extend((4..4 + cold).map(back));
+            d.list(ListKind::Full, list);
+            for _ in 0..per_router {
+                let (id, actions) = d.request(ANY, None);
+                for (_, to) in sent(&actions) {
+                    // The warm ones are slow, so that the cold are everyone's first choice.
+                    d.now += if to < 4 { 150 * MS } else { 10 * MS };
+                    d.ended(id, 0, Outcome::Completed, None);
+                    if to >= 4 {
+                        got[to as usize - 4] += 1;
+                    }
+                }
+                d.step(&[Event::HangUp { id }]);
+            }
+        }
+        // An even share of the reads, times the warmth of 0.2 to 0.5 that they reach, times the rule's 2.
+        let even = f64::from(routers as u32 * per_router) / f64::from(listed);
+        for got in got.into_iter().map(f64::from) {
+            assert!(got <= even * 0.45 * 2.0, "{got} of {even} are too many with {routers} routers");
+            assert!(got >= even * 0.15, "{got} of {even} warm nobody with {routers} routers");
+        }
+    }
+}
+
+#[test]
+fn a_cold_primary_gets_writes_by_twice_its_warmth_and_no_reads() {
+    let count = |class| {
+        let one = |seed| {
+            let mut d = Driver::new(Settings { seed, instances: 100, ..settings() });
+            d.list(ListKind::Full, vec![Member { up_since: Some(d.now), ..member(1, true) }]);
+            sent(&d.request(class, None).1).len()
+        };
+        (0..300).map(one).sum::<usize>()
+    };
+    let (writes, reads) = (count(UNSAFE), count(ANY));
+    assert!((90..150).contains(&writes), "{writes} of 300 at a fifth of its capacity");
+    assert_eq!(reads, 0);
+}
+
 #[test]
 fn idle_connections_are_closed_where_they_lose_requests_and_only_there() {
     let closes = |a: &[Action]| a.iter().any(|a| matches!(a, Action::CloseIdle { .. }));
