Watch from the version held, and spread calls to discovery by the size of the fleet

Cause: each proxy asked for the whole list at its start and after every failure, though 'known' names a version to watch from, and all at the same moment. src/net/discovery.rs threw the version away on a failure ((self.link, self.after) = (None, None)); 'list' in src/decide.rs asked at once on the list from disk and a second or two after a failure, however many routers there are.

Change: the version in 'known' is watched from; a failure keeps it; more than 18 routers spread first and repeated calls over 60 ms each, 6 s at most. A list that is unreadable, older than the one held, or longer than 4,096 entries is dropped and counted (list_dropped), the third older whole list in a row is believed; a service that answers watches at once with nothing is asked no more than 7 times a second.

The tests, with stand-ins that refuse, reset, stay silent, cut off, tell noise, older, too long lists or answer at once, fail without the change, as does the module's (100 of 100 calls within a second; now under 40).

--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -58,6 +58,7 @@
     probes_failed,
     list_answers,
     list_failures,
+    list_dropped,
     list_bad_entries,
     list_moves,
     reloads,
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -118,6 +118,11 @@
 const LIST_PAUSE: Time = 1_000_000;
 const LIST_PAUSE_MOST: Time = 8_000_000;
 const LIST_PATIENCE: Time = 6_000_000;
+/// Routers that may ask at once; with more, each adds so much to the span over which all spread their calls ...
+const LIST_FEW: u32 = 18;
+const LIST_EACH: Time = 60_000;
+/// ... which is no longer than this, as drains count as told some seconds later, whether heard of or not.
+const LIST_TURN_MOST: Time = 6_000_000;
 /// A list that is not newer than the last answer about a role by this much, in us, does not change it.
 const LIST_ROLE_AGE: Time = 6_000_000;
 /// Remembered session writes are folded into one floor after this long, in us.
@@ -886,11 +891,11 @@
         match kind {
             ListKind::Failed => {
                 self.list_pause = (self.list_pause * 2).min(LIST_PAUSE_MOST);
-                let spread = 0.5 + lot(self.set.seed, self.now, self.list_pause) / 2.0;
-                self.list_next = Some(self.now + (self.list_pause as f64 * spread) as Time);
+                let pause = (self.list_pause as f64 * (0.5 + self.list_lot() / 2.0)) as Time;
+                self.list_next = Some(self.now + pause + self.list_turn());
                 return;
             }
-            ListKind::Disk => self.list_next = self.set.subscribe.then_some(self.now),
+            ListKind::Disk => self.list_next = self.set.subscribe.then_some(self.now + self.list_turn()),
             ListKind::Full | ListKind::Changes => {
                 self.list_pause = LIST_PAUSE;
                 self.list_next = None;
@@ -950,6 +955,17 @@
         }
     }
 
+    fn list_lot(&self) -> f64 {
+        lot(self.set.seed, self.now, self.list_pause)
+    }
+
+    /// How much later than it could this router asks for the list: all may have started, or lost the list, at
+    /// once, and calls that wait too long fail and still cost discovery their time.
+    fn list_turn(&self) -> Time {
+        let all = u64::from(self.set.instances.saturating_sub(LIST_FEW)) * LIST_EACH;
+        (all.min(LIST_TURN_MOST) as f64 * lot(!self.set.seed, self.now, self.list_pause)) as Time
+    }
+
     fn ask_list(&mut self, out: &mut Vec<Action>) {
         if self.list_next.is_some_and(|t| self.now >= t) {
             self.list_next = Some(self.now + LIST_PATIENCE);
--- a/src/dnssd/browse.rs
+++ b/src/dnssd/browse.rs
@@ -58,7 +58,7 @@
     ) -> Result<Self, String> {
         let mut name = Name::from_ascii(service).map_err(|e| format!("{service}: {e}"))?;
         name.set_fqdn(true);
-        let Lists { zones, numbers } = lists;
+        let Lists { zones, numbers, .. } = lists;
         Ok(Browser {
             server,
             service: name.to_lowercase(),
--- a/src/main.rs
+++ b/src/main.rs
@@ -103,7 +103,8 @@
 
     let mut lists = Lists::new(names.zones.clone());
     // Known before the first client comes, and perhaps old.
-    let known = lists.read(&told.known).map_or_else(Vec::new, |(_, _, entries)| entries);
+    let known = lists.read(&told.known, None);
+    let (held, known) = known.map_or_else(Default::default, |(held, _, entries)| (Some(held), entries));
     mailbox.send(Input::List(ListKind::Disk, known)).await.map_err(|e| e.to_string())?;
     tokio::spawn(actor.run());
     let (discovery, address) = watch::channel(told.discovery.clone());
@@ -112,7 +113,7 @@
         let DnsSd { server, service, .. } = &fronts.dnssd;
         tokio::spawn(Browser::new(*server, service, lists, mailbox.clone(), clock)?.run(asked));
     } else {
-        tokio::spawn(Discovery::new(address, lists, mailbox.clone()).run(asked));
+        tokio::spawn(Discovery::new(address, lists, held, mailbox.clone()).run(asked));
     }
 
     let listener = TcpListener::bind(&told.listen).await.map_err(|e| format!("{}: {e}", told.listen))?;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,6 +1,8 @@
-//! The actor of the member list: the whole list when the module asks, then watches, each renewed at once.
+//! The actor of the member list: when the module asks, watches from the version held, each renewed at once; the whole
+//! list only where none is held.
 //!
-//! A failed call is told to the module, which decides when to ask again. A watch must be renewed within 200 ms of its
+//! A failed call is told to the module, which decides when to ask again; what is held stays, and so does its version,
+//! as a whole list costs discovery many times a watch and a large fleet asks all at once. A watch must be renewed within 200 ms of its
 //! last answer to go on; this actor hands an answer to the core and calls again with nothing in between.
 //!
 //! When discovery moves, whatever call is open ends at once, and the new address is asked for the whole list: what
@@ -20,6 +22,8 @@
 use tokio::time::Instant;
 use tokio_util::codec::Framed;
 
+/// The log's target for what becomes of each call.
+const LOG: &str = "list";
 /// How long one watch may wait. Short enough to notice a dead service soon, long enough to cost it little.
 const WAIT_MS: u64 = 8_000;
 /// Patience with a call beyond what it may wait.
@@ -29,8 +33,14 @@
 /// pauses would outlast what is left before all counts as told.
 const MOVING: Duration = Duration::from_millis(4_000);
 const MOVING_PAUSE: Duration = Duration::from_millis(150);
+/// Least time between two answers that tell nothing. A watch must be renewed within 200 ms.
+const EMPTY_PAUSE: Duration = Duration::from_millis(150);
 /// Longest list taken in: thousands of members. Read, it takes several times as much.
 const LONGEST: usize = 1024 * 1024;
+/// Most entries taken from one list.
+const MOST: usize = 4_096;
+/// So many whole lists older than the one held, one after another, and discovery itself has begun anew.
+const OLDER_BELIEVED: u32 = 3;
 
 /// The module asks for the list and its changes.
 #[derive(Debug)]
@@ -92,20 +102,30 @@
     pub zones: Vec<String>,
     /// Numbers given so far.
     pub numbers: Numbers,
+    /// Whole lists dropped as older than the one held, one after another.
+    older: u32,
 }
 
 impl Lists {
     /// A reader that knows the zones' names.
     pub fn new(zones: Vec<String>) -> Self {
-        Lists { zones, numbers: Numbers::default() }
+        Lists { zones, numbers: Numbers::default(), older: 0 }
     }
 
-    /// The list's version, whether it is whole, and its entries. Entries that cannot be read are skipped and counted.
-    pub fn read(&mut self, json: &Json) -> Option<(u64, bool, Vec<Listed>)> {
+    /// The list's version, whether it is whole, and its entries; none where it is not to be used, above all where it
+    /// is older than the version `held`. Entries that cannot be read are skipped and counted.
+    pub fn read(&mut self, json: &Json, held: Option<u64>) -> Option<(u64, bool, Vec<Listed>)> {
         let version = json.get("generation")?.as_u64()?;
         let whole = json.get("reset").and_then(Json::as_bool).unwrap_or(false);
+        let items = json.get("instances")?.as_array()?;
+        let older = held.is_some_and(|held| version < held);
+        self.older = if older && whole { self.older + 1 } else { 0 };
+        if older && self.older < OLDER_BELIEVED || items.len() > MOST {
+            return None;
+        }
+        self.older = 0;
         let mut entries = Vec::new();
-        for item in json.get("instances")?.as_array()? {
+        for item in items {
             match self.entry(item) {
                 Some(entry) => entries.push(entry),
                 None => {
@@ -154,15 +174,20 @@
     lists: Lists,
     core: mpsc::Sender<Input>,
     link: Option<Framed<TcpStream, HttpClient>>,
-    /// Version of the last list, while it is watched.
+    /// Version of the list that is held.
     after: Option<u64>,
     moving: Option<Instant>,
 }
 
 impl Discovery {
-    /// One that has not called yet. Whatever is sent to `address`, even the same again, counts as a move.
-    pub fn new(address: watch::Receiver<String>, lists: Lists, core: mpsc::Sender<Input>) -> Self {
-        Discovery { address, lists, core, link: None, after: None, moving: None }
+    /// One that has not called yet, and holds the list of this version. Whatever is sent to `address`, even the same again, counts as a move.
+    pub fn new(
+        address: watch::Receiver<String>,
+        lists: Lists,
+        held: Option<u64>,
+        core: mpsc::Sender<Input>,
+    ) -> Self {
+        Discovery { address, lists, core, link: None, after: held, moving: None }
     }
 
     /// Runs until the core is gone.
@@ -178,6 +203,7 @@
             loop {
                 // Asked again while it watches: that is one more answer that comes by itself.
                 while asked.try_recv().is_ok() {}
+                let began = Instant::now();
                 let (kind, entries) = tokio::select! {
                     biased;
                     Ok(()) = address.changed() => {
@@ -189,15 +215,26 @@
                         None => (ListKind::Failed, Vec::new()),
                     },
                 };
+                log::debug!(
+                    target: LOG,
+                    "{kind:?} entries={} generation={} us={}",
+                    entries.len(),
+                    self.after.unwrap_or(0),
+                    began.elapsed().as_micros()
+                );
                 if kind == ListKind::Failed {
                     count(Count::list_failures);
-                    (self.link, self.after) = (None, None);
+                    self.link = None;
                     if self.moving.is_some_and(|since| since.elapsed() < MOVING) {
                         tokio::time::sleep(MOVING_PAUSE).await;
                         continue;
                     }
                 }
                 self.moving = None;
+                // A service that does not wait would be asked as fast as it answers; a watch goes on after this pause.
+                if kind == ListKind::Changes && entries.is_empty() && began.elapsed() < EMPTY_PAUSE {
+                    tokio::time::sleep(EMPTY_PAUSE).await;
+                }
                 if self.core.send(Input::List(kind, entries)).await.is_err() {
                     return;
                 }
@@ -223,8 +260,12 @@
         };
         let patience = PATIENCE + Duration::from_millis(wait);
         let body = tokio::time::timeout(patience, self.get(target)).await.ok()??;
-        let json = serde_json::from_slice(&body).ok()?;
-        let (version, whole, entries) = self.lists.read(&json)?;
+        let read = serde_json::from_slice(&body).ok().and_then(|json| self.lists.read(&json, self.after));
+        if read.is_none() {
+            count(Count::list_dropped);
+            log::warn!(target: LOG, "a list of {} bytes is cut off, unreadable, too long or old; dropped", body.len());
+        }
+        let (version, whole, entries) = read?;
         self.after = Some(version);
         count(Count::list_answers);
         Some((if whole { ListKind::Full } else { ListKind::Changes }, entries))
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -512,6 +512,36 @@
     assert!(asked);
 }
 
+#[test]
+fn a_fleet_cut_off_from_discovery_spreads_its_calls_and_each_makes_few() {
+    // 100 routers start at once and every call fails at once, for 30 s: what may all together do in any second?
+    let spread = |instances: u32| {
+        let mut calls = Vec::new();
+        for seed in 0..u64::from(instances) {
+            let mut d = Driver::new(Settings { seed, instances, subscribe: true, ..settings() });
+            let (start, mut own) = (d.now, Vec::new());
+            d.list(ListKind::Disk, vec![member(1, true)]);
+            while d.now < start + 30_000 * MS {
+                if d.after(10 * MS).contains(&Action::Follow) {
+                    own.push(d.now - start);
+                    d.list(ListKind::Failed, vec![]);
+                }
+            }
+            assert!(own[0] <= 6_000 * MS, "a drain counts as told after 6 s");
+            assert!((3..=9).contains(&own.len()), "{} calls of one in 30 s", own.len());
+            assert!(own.windows(2).all(|w| w[1] - w[0] <= 14_000 * MS));
+            calls.extend(own);
+        }
+        let busiest =
+            calls.iter().map(|t| calls.iter().filter(|u| (*t..*t + 1_000 * MS).contains(u)).count());
+        busiest.max().unwrap()
+    };
+    let most = spread(100);
+    assert!(most <= 40, "{most} calls of 100 routers within one second");
+    let mut d = Driver::new(Settings { subscribe: true, ..settings() });
+    assert!(d.list(ListKind::Disk, vec![member(1, true)]).contains(&Action::Follow), "few ask at once");
+}
+
 #[test]
 fn unknown_and_finished_things_are_ignored() {
     let mut d = Driver::new(settings());
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -9,9 +9,12 @@
 //! dns does list p 2           a DNS server names member p with this time to live in seconds; `broken p 2`: without
 //!                             its TXT record; `drop p`: no longer; `garbage`: answers with what is no DNS message
 //! list does leaving p         discovery tells that p is `active`, `leaving` or has `left` (start watching)
+//! list does overbooked        well | overbooked | reset | silent | cut | noise | older | many | hasty: how calls end from now on;
+//!                             those that wait are done with so at the next change
+//! list expect 1 watches       so many calls for `watches` or for the `whole` list have come; 0: none ever
 //! list does move              discovery is to be another one that starts with the same list; `config does half` writes
 //!                             half of the file that says so, `config does whole` all of it, `hup` sends SIGHUP
-//! counts NAME 1               one of the proxy's counters reaches this
+//! counts NAME 1               one of the proxy's counters reaches this; `counts NAME under 9`: is less than that now
 //! p does hold                 answer | hold | reset | half | full | error | miss: what p does with statements from now on;
 //!                             twice: a second copy comes right behind, after: one comes 30 ms later, behind US: one comes so
 //!                             many microseconds later, broken N: a reset after N bytes of the answer, stall: half an
@@ -105,6 +108,8 @@
                 let part = if how == "half" { &text[..text.len() / 2] } else { &text };
                 std::fs::write(self.proxy().dir().join("config.json"), part).unwrap();
             }
+            ["list", "does", ill] => self.registry.does(ill.parse().expect(line)),
+            ["list", "expect", least, kind] => self.calls(line, least.parse().unwrap(), kind),
             ["list", "does", lifecycle, who] => {
                 let index = self.members.iter().position(|(n, _)| n == who).expect("a member");
                 self.registry.change(index, lifecycle);
@@ -114,6 +119,10 @@
             ["stop"] => self.proxy().signal("TERM").unwrap(),
             ["hup"] => self.proxy().signal("HUP").unwrap(),
             ["gone"] => assert!(self.proxy.as_mut().unwrap().wait().unwrap().success(), "{line}"),
+            ["counts", name, "under", most] => {
+                let seen = self.proxy().counters().unwrap().get(name).copied().unwrap_or_default();
+                assert!(seen < most.parse().unwrap(), "{line}: {seen}");
+            }
             [who, "does", "replica", lag] => self.standin(who).becomes(false, lag.parse().unwrap()),
             [who, "does", "primary"] => self.standin(who).becomes(true, 0),
             [who, "does", ..] => self.standin(who).does(rest(2).parse().expect(line)),
@@ -173,6 +182,20 @@
         }
     }
 
+    fn calls(&self, line: &str, least: usize, kind: &str) {
+        let began = Instant::now();
+        let come = || match (self.registry.calls(), kind) {
+            (calls, "watches") => calls.watches,
+            (calls, "whole") => calls.whole,
+            _ => panic!("{line}: watches or whole"),
+        };
+        assert!(least > 0 || come() == 0, "{line}: {:?}", self.registry.calls());
+        while come() < least {
+            assert!(began.elapsed() < PATIENCE, "{line}: {:?}", self.registry.calls());
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     fn start(&mut self, with: &[&str]) {
         let [odata, dnssd, watching, small, few, brief, scant] =
             ["odata", "dnssd", "watching", "small", "few", "brief", "scant"].map(|w| with.contains(&w));
