Try members that check on estimates of 10 s, and those never heard of on a usual lag

Cause: each of 100 proxies hears of a member every few seconds, yet 'qualifies' in src/decide.rs believed an estimate for 1 s and none at all of a member never heard of. Reads that any sound replica could serve were held for a probe's word, went to the primary, or were refused; after a release, when most members are new, above all.

Change: where members check for themselves, an estimate holds for 10 s and a member never heard of counts as 50 ms behind. A wrong guess is a miss of 1 ms that tells the position; after one, as before, only proof counts for the request. Where members do not check nothing changes. The gate stays: it is the member that keeps it for a guess.

The test fails without the change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -34,8 +34,11 @@
 const HALF_LEAD: Time = 18_000;
 /// Reports may round a position up by less than this, in us; notes are rounded down already.
 const REPORT_ROUNDING: Time = 1_000;
-/// A checking member is tried on an estimated position no older than this, in us: lag changes in seconds.
-const ESTIMATE_TRUST: Time = 1_000_000;
+/// A checking member is tried on an estimated position no older than this, in us: lag changes in seconds, yet
+/// one of hundreds of drivers hears of a member but every few, and a miss is cheaper than a probe.
+const ESTIMATE_TRUST: Time = 10_000_000;
+/// What a checking member that was never heard of is thought to lag, in us: more than a sound one does.
+const UNHEARD_LAG: Time = 50_000;
 /// Least time between two probes of a member for a session read, or for finding a primary, in us:
 /// reports are refreshed a few times a second, so asking faster tells nothing new.
 const PROBE_GAP: Time = 150_000;
@@ -284,8 +287,9 @@
     }
 
     /// The freshness gate. A position heard is a proven lower bound; where members check for themselves, one
-    /// whose last known lag says that it should have got there is good for a try until it has missed. A token
-    /// that members do not know they cannot check: then only proof counts.
+    /// whose last known lag says that it should have got there is good for a try until it has missed. One never
+    /// heard of is tried on a usual lag: a miss costs it nothing and tells its position, as a probe would for a
+    /// price. A token that members do not know they cannot check: then only proof counts.
     fn qualifies(&self, m: &Seen, open: &Open) -> bool {
         let required = self.required(open);
         if m.position >= required {
@@ -293,7 +297,8 @@
         }
         let checked = self.set.when_behind != WhenBehind::Answers && !open.missed && !open.proven;
         let fresh = self.now.saturating_sub(m.heard) <= ESTIMATE_TRUST;
-        checked && fresh && m.lag.is_some_and(|lag| self.now.saturating_sub(lag) >= required)
+        let lag = m.lag.map_or(Some(UNHEARD_LAG), |lag| fresh.then_some(lag));
+        checked && lag.is_some_and(|lag| self.now.saturating_sub(lag) >= required)
     }
 
     /// Replicas with room for this read that it has not tried, each with its rank: the fewest own reads out
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -100,6 +100,26 @@
     assert!(sent(&actions).is_empty(), "after a miss only proof will do");
 }
 
+#[test]
+fn members_that_check_are_tried_though_little_is_heard_of_them_and_others_are_not() {
+    for (when_behind, tried) in [(WhenBehind::Refuses, true), (WhenBehind::Answers, false)] {
+        let mut d = Driver::new(Settings { when_behind, instances: 100, ..settings() });
+        d.list(ListKind::Full, vec![member(2, false)]);
+        // Never heard of: 100 ms after the session's write any sound replica has it, but not at once.
+        let (id, actions) = d.request(SESSION, Some(100 * MS));
+        assert_eq!((!sent(&actions).is_empty(), probes(&actions).is_empty()), (tried, tried));
+        if tried {
+            d.ended(id, 0, Outcome::Completed, note(d.now - 20 * MS, Role::Replica));
+            d.now += 8_000 * MS;
+            let (_, actions) = d.request(SESSION, Some(30 * MS));
+            assert_eq!(sent(&actions).len(), 1, "heard of 8 s ago, 20 ms behind");
+        }
+        let mut d = Driver::new(Settings { when_behind, ..settings() });
+        d.list(ListKind::Full, vec![member(2, false)]);
+        assert!(sent(&d.request(SESSION, Some(20 * MS)).1).is_empty(), "too soon to try");
+    }
+}
+
 #[test]
 fn an_unsafe_write_that_may_have_run_is_never_sent_again_nor_refused() {
     for outcome in [Outcome::Errored, Outcome::Overdue, Outcome::Severed, Outcome::Recalled] {
