Let a group's cold shares adjoin on one lot, and half-warm members take clients' repeats

Cause: 'cold_lot' in src/decide.rs drew a lot of its own for each cold member. Where a whole group is new, a read then found none by chance alone ((1 - 0.15)^6 = 38 % at 0.45 of the warmth, 18 % at 0.86), and its client's repeat found none ever.

Change: the shares of a group's cold replicas lie end to end on the circle of one lot, each as long as before, so that a member's bound is the same and together they leave no gap until they must; a repeat counts from half-warm members on, where the rule's multiple leaves a whole member's room.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -95,6 +95,8 @@
 const COLD_READS: f64 = 2.0;
 /// What a cold primary may have of its writes and fresh reads, in shares as large as its warmth.
 const COLD_CURRENT: f64 = 2.0;
+/// Clients' repeats go to members at least so warm.
+const COLD_REPEATS: f64 = 0.5;
 /// Neither goes lower, so that it can come back soon.
 const EASE_LEAST: f64 = 0.08;
 /// Members of equal counts are told apart by ease in so many steps.
@@ -613,20 +615,25 @@
                 && sent < ((even(MEMBER_WRITES) * warmth * ease) as u32).max(2)
     }
 
-    /// Whether this request is among the few that a cold member may have. It may be the first choice of every
-    /// router, so that its share of its group's first tries, by a lot of its own, is all that bounds it: so many
-    /// times the even share of a member as warm as it is now. That holds for any number of routers. What must
-    /// be current can go nowhere else; it is a part of a primary's work, which leaves a cold one none for reads.
+    /// Whether this request is among those that a cold member may have. It may be the first choice of every
+    /// router, so that its share of its group's first tries is all that bounds it: so many times the even share
+    /// of a member as warm as it is now, for any number of routers. A group's shares adjoin on the circle of one
+    /// lot, so that where all are cold hardly a request finds none. Clients' repeats come on top of the even
+    /// share, and only half-warm members have room for them. What must be current can go nowhere else; it is a
+    /// part of a primary's work, which leaves a cold one none for reads.
     fn cold_lot(&self, (id, m): (MemberId, &Seen), open: &Open, warmth: f64) -> bool {
-        let share = match self.set.classes[open.class].need {
-            Need::Write | Need::Fresh => COLD_CURRENT * warmth,
-            _ if open.repeat || self.primary(m.group) == Some(id) => 0.0,
-            _ => {
-                let listed = self.of_group(m.group).filter(|(_, m)| m.listed).count();
-                COLD_READS * warmth / listed.max(1) as f64
-            }
-        };
-        lot(!self.set.seed, open.seq, u64::from(id.0)) < share
+        if matches!(self.set.classes[open.class].need, Need::Write | Need::Fresh) {
+            return lot(!self.set.seed, open.seq, u64::from(id.0)) < COLD_CURRENT * warmth;
+        }
+        let primary = self.primary(m.group);
+        if open.repeat && warmth < COLD_REPEATS || primary == Some(id) {
+            return false;
+        }
+        let even = COLD_READS / self.of_group(m.group).filter(|(_, m)| m.listed).count().max(1) as f64;
+        let others = self.of_group(m.group).take_while(|(other, _)| *other != id);
+        let cold = others.filter(|(id, m)| m.listed && m.cold_from.is_some() && Some(*id) != primary);
+        let before: f64 = cold.map(|(_, m)| even * m.warmth(self.now, &self.set.rules)).sum();
+        (lot(!self.set.seed, open.seq, 1) - before).rem_euclid(1.0) < even * warmth
     }
 
     fn silence_limit(&self) -> Time {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -410,6 +410,29 @@
     }
 }
 
+#[test]
+fn where_a_whole_group_is_half_warm_hardly_a_read_finds_nobody_and_repeats_find_some_too() {
+    let found = |age: Time, repeat: bool| {
+        let one = |seed| {
+            let mut d = Driver::new(Settings { seed, instances: 100, ..settings() });
+            let new = |id| Member { up_since: Some(d.now - age), ..member(id, id == 1) };
+            d.list(ListKind::Full, (1..8).map(new).collect());
+            let (group, class, deadline) = (9, ANY, d.now + 800 * MS);
+            let (session, token_age, proven) = (None, None, false);
+            let id = RequestId(1);
+            let request = Event::Request { id, class, group, deadline, session, token_age, proven, repeat };
+            sent(&d.step(&[request])).len()
+        };
+        (0..300).map(one).sum::<usize>()
+    };
+    // 6 replicas of 7 members, each with a share of 2 x 0.6 / 7: together they hold nearly all.
+    assert!(found(5_000 * MS, false) > 290, "{} of 300", found(5_000 * MS, false));
+    assert!(found(5_000 * MS, true) > 290, "{} of 300", found(5_000 * MS, true));
+    // A fifth warm: together 2 x 0.2 x 6 / 7, and no repeats.
+    assert!((75..130).contains(&found(0, false)), "{} of 300", found(0, false));
+    assert_eq!(found(0, true), 0);
+}
+
 #[test]
 fn a_cold_primary_gets_writes_by_twice_its_warmth_and_no_reads() {
     let count = |class| {
