Let few answers tell more of a member in a large fleet, a missing one most

Cause: each of 100 proxies has an answer of a member every few seconds. EASE_UP needs eight quick ones to make up for one slow one, which the variance of work makes at any member; meanwhile 'room' turns away by lot what the member could serve. And a member that hangs or is slow beyond use takes several attempts of each proxy, 400 ms apiece, before it is left alone, as an attempt without any answer counted as one slow answer (EASE_DOWN). At fault: the end of 'ended' in src/decide.rs, which scaled neither with what one router sees.

Change: where the share is one read, a quick answer gives back 0.15 and an attempt without an answer leaves 0.3 of the ease.

The test fails without the change (220 of 300 admitted after no answer, now a third).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -80,6 +80,10 @@
 /// ... each quick one raises them by this share of the full bound, and so does this time, in us.
 const EASE_UP: f64 = 0.03;
 const EASE_TIME: Time = 15_000_000;
+/// Where a member's even share is a single read, answers from it are few: each tells more, and one that did not
+/// come at all tells most.
+const EASE_UP_ONE: f64 = 0.15;
+const EASE_NONE_ONE: f64 = 0.3;
 /// The common ease of all members: answers slower than this share of the aim lower it by this factor, others
 /// raise it: at a fifth of them slow it stands still. It comes back with time as well, in us.
 const POOL_SLOW: f64 = 0.65;
@@ -756,6 +760,11 @@
         let late = matches!(outcome, Completed | Overdue | Recalled) && now >= sent + slow;
         let one = self.set.instances.min(SHARERS_MOST) >= MEMBER_READS;
         let (limit, down) = if one { (POOL_SLOW_ONE, POOL_DOWN_ONE) } else { (POOL_SLOW, POOL_DOWN) };
+        let (worse, better) = match (one, outcome) {
+            (true, Overdue | Recalled) => (EASE_NONE_ONE, EASE_UP_ONE),
+            (true, _) => (EASE_DOWN, EASE_UP_ONE),
+            _ => (EASE_DOWN, EASE_UP),
+        };
         let later = late && (now - sent) as f64 >= self.set.classes[class].aim as f64 * limit;
         if later || outcome == Saturated {
             self.signs.pool.down(now, POOL_TIME, down, EASE_LEAST);
@@ -767,10 +776,10 @@
                 m.rest_until = now + FULL_REST;
             }
             if (late || outcome == Saturated) && sent >= m.eased {
-                m.ease.down(now, EASE_TIME, EASE_DOWN, EASE_LEAST);
+                m.ease.down(now, EASE_TIME, worse, EASE_LEAST);
                 m.eased = now;
             } else if !late && outcome == Completed {
-                m.ease.up(now, EASE_TIME, EASE_UP);
+                m.ease.up(now, EASE_TIME, better);
             }
             m.out = m.out.saturating_sub(1);
             if outcome == Completed {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -269,6 +269,29 @@
     assert_eq!(room(6, 60), full);
 }
 
+#[test]
+fn in_a_large_fleet_one_attempt_without_an_answer_tells_much_and_few_answers_restore_a_member() {
+    let admitted_after = |bad: Outcome, quick: usize| {
+        let one = |seed| {
+            let mut d = Driver::new(Settings { seed, instances: 100, ..settings() });
+            d.list(ListKind::Full, vec![member(2, false)]);
+            let (id, _) = d.request(ANY, None);
+            d.now += 150 * MS;
+            d.ended(id, 0, bad, None);
+            d.step(&[Event::HangUp { id }]);
+            admitted(&mut d, MS, quick);
+            admitted(&mut d, MS, 1)
+        };
+        (0..300).map(one).sum::<usize>()
+    };
+    let slow = admitted_after(Outcome::Completed, 0);
+    assert!((200..250).contains(&slow), "{slow} of 300 after a slow answer");
+    let none = admitted_after(Outcome::Overdue, 0);
+    assert!((65..115).contains(&none), "{none} of 300 after none");
+    let back = admitted_after(Outcome::Completed, 3);
+    assert!(back > 285, "{back} of 300 after three quick ones");
+}
+
 #[test]
 fn a_quiet_member_gets_nothing_new_whatever_its_probe_says_and_a_failed_probe_moves_its_reads() {
     for ok in [true, false] {
