Move the settings' check and bookkeeping of members and links out of the decision module

Change: what decides nothing goes where its data lies: Settings::check to src/interface.rs, unhold, Signs::judge_links and Seen::ended to src/state.rs. No behaviour changes.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -146,13 +146,6 @@
     a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
 }
 
-/// Takes a request out of the hold queue, if it is there.
-fn unhold(held: &mut Vec<(u64, RequestId)>, one: (u64, RequestId)) {
-    if let Ok(at) = held.binary_search(&one) {
-        held.remove(at);
-    }
-}
-
 // ---- The router ---------------------------------------------------------------------------------------
 
 /// Decides for one driver. It holds no clock and does no I/O: hand it what happened, carry out what it says.
@@ -183,18 +176,7 @@
     /// # Errors
     /// When the settings cannot be acted on.
     pub fn new(set: Settings) -> Result<Self, SettingsError> {
-        let share = set.rules.cold_share;
-        let fits = |c: &Class| c.aim > 0 && c.deadline >= c.aim;
-        for (fine, what) in [
-            (!set.classes.is_empty(), "there must be at least one class"),
-            (set.classes.iter().all(fits), "an aim must be above 0 and within its deadline"),
-            (set.max_attempts > 0 && set.instances > 0, "attempts and instances must be at least 1"),
-            (share > 0.0 && share <= 1.0, "the cold share must lie in (0, 1]"),
-        ] {
-            if !fine {
-                return Err(SettingsError(what.to_string()));
-            }
-        }
+        set.check()?;
         Ok(Router {
             service: set.classes.iter().map(|c| c.aim as f64 / 4.0).collect(),
             limit: SILENCE_MOST,
@@ -752,7 +734,7 @@
         // An attempt is lost when it was broken off or none of its kind takes so long.
         let long = (now - sent) as f64 >= self.service[class] * LOST_FACTOR;
         let lost = outcome == Severed || long && matches!(outcome, Overdue | Recalled);
-        self.judge_links(link, lost, outcome);
+        self.signs.judge_links(link, lost, outcome, (LINK_WEIGHT, LINK_FADE));
         let bad = matches!(outcome, Errored | Saturated | Severed);
         if bad || outcome == Completed {
             self.signs.errors.see(bad, ERROR_COMMON_WEIGHT);
@@ -781,14 +763,7 @@
             } else if !late && outcome == Completed {
                 m.ease.up(now, EASE_TIME, better);
             }
-            m.out = m.out.saturating_sub(1);
-            if outcome == Completed {
-                m.last_used = Some(now);
-            }
-            m.reads = m.reads.saturating_sub(u32::from(!write));
-            if m.cold_from.is_some() && !matches!(outcome, Completed | Superseded) {
-                m.spent.push_back(now);
-            }
+            m.ended(outcome, write, now);
             if bad || outcome == Completed {
                 m.errors.see(bad, ERROR_WEIGHT);
             }
@@ -817,19 +792,6 @@
         self.learn_report(member, report, out);
     }
 
-    /// Whether what is sent on connections that were idle gets lost, beyond what is lost on others: a hung
-    /// member or a jam loses both.
-    fn judge_links(&mut self, link: Link, lost: bool, outcome: Outcome) {
-        if lost || outcome == Outcome::Completed {
-            let share =
-                if link == Link::Idle { &mut self.signs.idle_lost } else { &mut self.signs.used_lost };
-            share.see(lost, LINK_WEIGHT);
-        }
-        if link == Link::Fresh && outcome == Outcome::Completed {
-            self.signs.idle_lost.see(false, LINK_FADE);
-        }
-    }
-
     fn idle_fault(&self) -> bool {
         self.signs.idle_lost.0 - self.signs.used_lost.0 > LINK_LIMIT
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -158,6 +158,28 @@
     pub rules: Rules,
 }
 
+impl Settings {
+    /// Whether a router can act on them.
+    ///
+    /// # Errors
+    /// What is wrong with them.
+    pub fn check(&self) -> Result<(), SettingsError> {
+        let share = self.rules.cold_share;
+        let fits = |c: &Class| c.aim > 0 && c.deadline >= c.aim;
+        for (fine, what) in [
+            (!self.classes.is_empty(), "there must be at least one class"),
+            (self.classes.iter().all(fits), "an aim must be above 0 and within its deadline"),
+            (self.max_attempts > 0 && self.instances > 0, "attempts and instances must be at least 1"),
+            (share > 0.0 && share <= 1.0, "the cold share must lie in (0, 1]"),
+        ] {
+            if !fine {
+                return Err(SettingsError(what.to_string()));
+            }
+        }
+        Ok(())
+    }
+}
+
 /// What the list says of a member's service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Condition {
--- a/src/state.rs
+++ b/src/state.rs
@@ -142,6 +142,20 @@
     pub pool: Ease,
 }
 
+impl Signs {
+    /// Whether what is sent on connections that were idle gets lost, beyond what is lost on others: a hung member or
+    /// a jam loses both. Weights of a result, and of an answer on a new connection.
+    pub fn judge_links(&mut self, link: Link, lost: bool, outcome: Outcome, (weight, fade): (f64, f64)) {
+        if lost || outcome == Outcome::Completed {
+            let share = if link == Link::Idle { &mut self.idle_lost } else { &mut self.used_lost };
+            share.see(lost, weight);
+        }
+        if link == Link::Fresh && outcome == Outcome::Completed {
+            self.idle_lost.see(false, fade);
+        }
+    }
+}
+
 /// What is known of a member.
 #[derive(Default)]
 pub(crate) struct Seen {
@@ -188,6 +202,18 @@
 }
 
 impl Seen {
+    /// One of the attempts out has ended.
+    pub fn ended(&mut self, outcome: Outcome, write: bool, now: Time) {
+        self.out = self.out.saturating_sub(1);
+        self.reads = self.reads.saturating_sub(u32::from(!write));
+        if outcome == Outcome::Completed {
+            self.last_used = Some(now);
+        }
+        if self.cold_from.is_some() && !matches!(outcome, Outcome::Completed | Outcome::Superseded) {
+            self.spent.push_back(now);
+        }
+    }
+
     /// Work is out and none was answered for the limit. An answered probe does not count: hung members
     /// answer probes.
     pub fn quiet(&self, now: Time, limit: Time) -> bool {
@@ -250,6 +276,13 @@
     }
 }
 
+/// Takes a request out of the hold queue, if it is there.
+pub(crate) fn unhold(held: &mut Vec<(u64, RequestId)>, one: (u64, RequestId)) {
+    if let Ok(at) = held.binary_search(&one) {
+        held.remove(at);
+    }
+}
+
 /// A number in [0, 1), even over all inputs and always the same for the same ones.
 pub(crate) fn lot(seed: u64, a: u64, b: u64) -> f64 {
     let mut x = seed ^ a.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ b.rotate_left(32);
