Leave a zone alone whose members go silent together; nothing heard since is the proof

Cause: after the loss of a zone each proxy found out member by member ('suspect' in src/decide.rs knows one member), and with thin traffic that takes the whole time for which the zone is away.

Change: three members of a zone in doubt within 2 s, and none of the zone heard since the first of them, put the others in doubt; any answer from there lets each be tried again, as single requests. 'silent' in src/state.rs holds the arithmetic. A repeated Follow that waits while a call to discovery is open no longer skips the pause after its failure.

The test fails without the change (8 of 8 members cost a request).

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -8,7 +8,6 @@
 use crate::interface::*;
 use crate::state::*;
 use rustc_hash::FxHashMap;
-use std::cmp::Ordering;
 use std::collections::{BTreeMap, BTreeSet};
 
 // ---- Tuned values ------------------------------------------------------------------------------------
@@ -52,9 +51,9 @@
 const SCOUT_GAP: Time = 100_000;
 /// A member with work out is silent after this many times the mean service time ...
 const SILENCE_FACTOR: f64 = 5.0;
-/// ... but not before this, in us: short standstills are no failure.
+/// ... but not before the first of these, in us, as short standstills are no failure, nor later than the
+/// other.
 const SILENCE_LEAST: Time = 300_000;
-/// Nor later than this, in us, however slow answers have become.
 const SILENCE_MOST: Time = 500_000;
 /// Where a probe is answered, work is taken back only after this multiple of the limit: it may be slow.
 const SILENCE_EXCUSE: u64 = 2;
@@ -72,6 +71,9 @@
 /// First and longest pause before a member in doubt is asked again, in us.
 const DOUBT_PAUSE: Time = 200_000;
 const DOUBT_PAUSE_MOST: Time = 1_600_000;
+/// So many members of a zone that go silent within this span, in us, and none heard since: it is lost.
+const ZONE_MEMBERS: usize = 3;
+const ZONE_SPAN: Time = 2_000_000;
 /// An answer slower than this share of its class's aim tells of a jam at the member, whoever caused it;
 /// sound members give few, as work varies.
 const SLOW_SHARE: f64 = 0.45;
@@ -80,8 +82,8 @@
 /// ... each quick one raises them by this share of the full bound, and so does this time, in us.
 const EASE_UP: f64 = 0.03;
 const EASE_TIME: Time = 15_000_000;
-/// Where a member's even share is a single read, answers from it are few: each tells more, and one that did not
-/// come at all tells most.
+/// Where a member's even share is a single read, answers from it are few: each tells more, and one that did
+/// not come at all tells most.
 const EASE_UP_ONE: f64 = 0.15;
 const EASE_NONE_ONE: f64 = 0.3;
 /// The common ease of all members: answers slower than this share of the aim lower it by this factor, others
@@ -90,16 +92,15 @@
 const POOL_DOWN: f64 = 0.9;
 const POOL_UP: f64 = 0.025;
 const POOL_TIME: Time = 30_000_000;
-/// Where a member's even share is a single read, the common ease shortens no queue but turns reads away, on the
-/// word of the few answers seen here: only those past the aim lower it then, and half of them must be.
+/// Where a member's even share is a single read, the common ease shortens no queue but turns reads away, on
+/// the word of the few answers seen here: only those past the aim lower it then, and half of them must be.
 const POOL_SLOW_ONE: f64 = 1.0;
 const POOL_DOWN_ONE: f64 = 0.97;
-/// What a cold member may have of its group's first reads, in even shares of a member as warm as it is: enough
-/// to warm it, under the rule's multiple when every router prefers it and load stands high.
+/// What a cold member may have of its group's first reads, in even shares of a member as warm as it is:
+/// enough to warm it, under the rule's multiple when every router prefers it and load stands high.
 const COLD_READS: f64 = 2.0;
-/// What a cold primary may have of its writes and fresh reads, in shares as large as its warmth.
+/// What a cold primary may have of what must be current, in its warmth; how warm members take repeats.
 const COLD_CURRENT: f64 = 2.0;
-/// Clients' repeats go to members at least so warm.
 const COLD_REPEATS: f64 = 0.5;
 /// Neither goes lower, so that it can come back soon.
 const EASE_LEAST: f64 = 0.08;
@@ -127,7 +128,8 @@
 const LIST_PAUSE: Time = 1_000_000;
 const LIST_PAUSE_MOST: Time = 8_000_000;
 const LIST_PATIENCE: Time = 6_000_000;
-/// Routers that may ask at once; with more, each adds so much to the span over which all spread their calls ...
+/// Routers that may ask at once; with more, each adds so much to the span over which all spread their calls
+/// ...
 const LIST_FEW: u32 = 18;
 const LIST_EACH: Time = 60_000;
 /// ... which is no longer than this, as drains count as told some seconds later, whether heard of or not.
@@ -139,13 +141,6 @@
 /// Advice to a client whose write cannot go out now, in us: an election takes seconds.
 const WRITE_RETRY_AFTER: Time = 500_000;
 
-/// How a replica compares with the others for a read: the least is chosen.
-type Rank = ((u32, u8, bool, bool), f64);
-
-fn by_rank(a: &Rank, b: &Rank) -> Ordering {
-    a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
-}
-
 // ---- The router ---------------------------------------------------------------------------------------
 
 /// Decides for one driver. It holds no clock and does no I/O: hand it what happened, carry out what it says.
@@ -275,9 +270,9 @@
     }
 
     /// The freshness gate. A position heard is a proven lower bound; where members check for themselves, one
-    /// whose last known lag says that it should have got there is good for a try until it has missed. One never
-    /// heard of is tried on a usual lag: a miss costs it nothing and tells its position, as a probe would for a
-    /// price. A token that members do not know they cannot check: then only proof counts.
+    /// whose last known lag says that it should have got there is good for a try until it has missed. One
+    /// never heard of is tried on a usual lag: a miss costs it nothing and tells its position, as a probe
+    /// would for a price. A token that members do not know they cannot check: then only proof counts.
     fn qualifies(&self, m: &Seen, open: &Open) -> bool {
         let required = self.required(open);
         if m.position >= required {
@@ -588,8 +583,7 @@
         let few = even(MEMBER_READS) * warmth * ease >= 1.0;
         let bound = even(all) * ease * if few { warmth } else { 1.0 };
         // One lot for all members, or some member would always do.
-        let lot = lot(!self.set.seed, open.seq, 0);
-        if count >= bound.max(1.0) as u32 || lot >= bound {
+        if count >= bound.max(1.0) as u32 || lot(!self.set.seed, open.seq, 0) >= bound {
             return false;
         }
         // A cold member's budget. What is out there finishes at the member's own pace, so that a bound on it
@@ -602,11 +596,11 @@
     }
 
     /// Whether this request is among those that a cold member may have. It may be the first choice of every
-    /// router, so that its share of its group's first tries is all that bounds it: so many times the even share
-    /// of a member as warm as it is now, for any number of routers. A group's shares adjoin on the circle of one
-    /// lot, so that where all are cold hardly a request finds none. Clients' repeats come on top of the even
-    /// share, and only half-warm members have room for them. What must be current can go nowhere else; it is a
-    /// part of a primary's work, which leaves a cold one none for reads.
+    /// router, so that its share of its group's first tries is all that bounds it: so many times the even
+    /// share of a member as warm as it is now, for any number of routers. A group's shares adjoin on the
+    /// circle of one lot, so that where all are cold hardly a request finds none. Clients' repeats come on
+    /// top of the even share, and only half-warm members have room for them. What must be current can go
+    /// nowhere else; it is a part of a primary's work, which leaves a cold one none for reads.
     fn cold_lot(&self, (id, m): (MemberId, &Seen), open: &Open, warmth: f64) -> bool {
         if matches!(self.set.classes[open.class].need, Need::Write | Need::Fresh) {
             return lot(!self.set.seed, open.seq, u64::from(id.0)) < COLD_CURRENT * warmth;
@@ -628,7 +622,10 @@
     }
 
     fn watch(&mut self, out: &mut Vec<Action>) {
-        self.ask_list(out);
+        if self.list_next.is_some_and(|t| self.now >= t) {
+            self.list_next = Some(self.now + LIST_PATIENCE);
+            out.push(Action::Follow);
+        }
         let (now, limit) = (self.now, self.limit);
         let (warm, span) = (self.set.rules.warm_after, self.set.rules.fall_span);
         let mut quiet = Vec::new();
@@ -655,11 +652,13 @@
         let Some(m) = self.members.get_mut(&id) else { return };
         m.quiet_since = now;
         let Some(d) = m.doubt.take() else { return };
+        let zone = m.zone;
         let known = m.cold_from.is_some_and(|t| now < t + warm && t >= d.since);
         if d.refused && now >= d.since + RESTART_AFTER {
             m.cold_from = if known { m.cold_from } else { Some(now) };
             out.push(Action::Log(format!("member {} is back after {} ms", id.0, (now - d.since) / 1_000)));
         }
+        self.trust_zone(zone);
     }
 
     /// A member could not be reached, or has answered no work for long: its reads go elsewhere. Catches
@@ -669,12 +668,38 @@
         let now = self.now;
         let Some(m) = self.members.get_mut(&id) else { return };
         let (pause, next) = (DOUBT_PAUSE, now + DOUBT_PAUSE);
-        let d = m.doubt.get_or_insert(Doubt { since: now, next, pause, refused, open: true });
+        let d =
+            m.doubt.get_or_insert(Doubt { since: now, next, pause, refused, open: true, inferred: false });
         d.refused |= refused;
         let closes = d.open && !open;
         d.open &= open;
         if closes {
+            let zone = m.zone;
             self.rescue(id, out);
+            self.doubt_zone(zone, out);
+        }
+    }
+
+    /// Several members of a zone went silent and none was heard since: it is lost, and its others are left
+    /// alone before each has cost a request. Can hurt where chance strikes so many alone.
+    fn doubt_zone(&mut self, zone: u32, out: &mut Vec<Action>) {
+        let (since, pause, next) = (self.now, DOUBT_PAUSE_MOST, self.now + DOUBT_PAUSE_MOST);
+        let after = since.saturating_sub(ZONE_SPAN);
+        let Some(refused) = silent(&self.members, zone, after, ZONE_MEMBERS) else { return };
+        let mut rest = Vec::new();
+        for (id, m) in
+            self.members.iter_mut().filter(|(_, m)| m.listed && m.zone == zone && m.doubt.is_none())
+        {
+            m.doubt = Some(Doubt { since, next, pause, refused, open: false, inferred: true });
+            rest.push(*id);
+        }
+        rest.into_iter().for_each(|id| self.rescue(id, out));
+    }
+
+    /// Something has come from a zone: its members that were left alone for its sake may be tried.
+    fn trust_zone(&mut self, zone: u32) {
+        for d in self.members.values_mut().filter(|m| m.zone == zone).filter_map(|m| m.doubt.as_mut()) {
+            d.open |= d.inferred;
         }
     }
 
@@ -683,9 +708,8 @@
         let Some(m) = self.members.get_mut(&id) else { return };
         m.probe_out = false;
         if ok {
-            if let Some(d) = &mut m.doubt {
-                d.open = true;
-            }
+            let zone = m.doubt.as_mut().map(|d| d.open = true).map(|()| m.zone);
+            zone.into_iter().for_each(|zone| self.trust_zone(zone));
             self.learn_report(id, report, out);
         } else if m.out == 0 || m.quiet(self.now, limit) {
             let open = m.out == 0;
@@ -874,7 +898,7 @@
         match kind {
             ListKind::Failed => {
                 self.list_pause = (self.list_pause * 2).min(LIST_PAUSE_MOST);
-                let pause = (self.list_pause as f64 * (0.5 + self.list_lot() / 2.0)) as Time;
+                let pause = (self.list_pause as f64 * (0.5 + lot(self.set.seed, self.now, 0) / 2.0)) as Time;
                 self.list_next = Some(self.now + pause + self.list_turn());
                 return;
             }
@@ -938,10 +962,6 @@
         }
     }
 
-    fn list_lot(&self) -> f64 {
-        lot(self.set.seed, self.now, self.list_pause)
-    }
-
     /// How much later than it could this router asks for the list: all may have started, or lost the list, at
     /// once, and calls that wait too long fail and still cost discovery their time.
     fn list_turn(&self) -> Time {
@@ -949,13 +969,6 @@
         (all.min(LIST_TURN_MOST) as f64 * lot(!self.set.seed, self.now, self.list_pause)) as Time
     }
 
-    fn ask_list(&mut self, out: &mut Vec<Action>) {
-        if self.list_next.is_some_and(|t| self.now >= t) {
-            self.list_next = Some(self.now + LIST_PATIENCE);
-            out.push(Action::Follow);
-        }
-    }
-
     // ---- Timers --------------------------------------------------------------------------------------
 
     /// One pending wake-up, for whatever only the clock can bring about.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -239,6 +239,8 @@
                     return;
                 }
                 if kind == ListKind::Failed {
+                    // Asked again while the call was open: the pause that the module takes now holds for that, too.
+                    while asked.try_recv().is_ok() {}
                     break;
                 }
             }
--- a/src/state.rs
+++ b/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::*;
 use smallvec::SmallVec;
+use std::cmp::Ordering;
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
@@ -83,6 +84,8 @@
     pub refused: bool,
     /// Single requests may try it.
     pub open: bool,
+    /// It is in doubt for its zone's sake alone: one answer from there lets it be tried.
+    pub inferred: bool,
 }
 
 /// A recent share of results: each moves it by its weight.
@@ -276,6 +279,13 @@
     }
 }
 
+/// How a replica compares with the others for a read: the least is chosen.
+pub(crate) type Rank = ((u32, u8, bool, bool), f64);
+
+pub(crate) fn by_rank(a: &Rank, b: &Rank) -> Ordering {
+    a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
+}
+
 /// Takes a request out of the hold queue, if it is there.
 pub(crate) fn unhold(held: &mut Vec<(u64, RequestId)>, one: (u64, RequestId)) {
     if let Ok(at) = held.binary_search(&one) {
@@ -283,6 +293,21 @@
     }
 }
 
+/// Where at least so many members of a zone came into doubt after a moment and none of the zone has been heard since
+/// the first of them did: whether one of those could not be reached.
+pub(crate) fn silent(
+    members: &BTreeMap<MemberId, Seen>,
+    zone: u32,
+    after: Time,
+    least: usize,
+) -> Option<bool> {
+    let of_zone = || members.values().filter(|m| m.listed && m.zone == zone);
+    let dark = of_zone().filter_map(|m| m.doubt.as_ref()).filter(|d| !d.open && d.since >= after);
+    let (count, first, refused) =
+        dark.fold((0, Time::MAX, false), |(n, t, r), d| (n + 1, t.min(d.since), r || d.refused));
+    (count >= least && of_zone().all(|m| m.heard < first)).then_some(refused)
+}
+
 /// A number in [0, 1), even over all inputs and always the same for the same ones.
 pub(crate) fn lot(seed: u64, a: u64, b: u64) -> f64 {
     let mut x = seed ^ a.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ b.rotate_left(32);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -332,6 +332,45 @@
     assert_eq!(tried(&mut d), 1, "a hung primary must not swallow a whole bound of writes again");
 }
 
+#[test]
+fn a_zone_whose_members_go_silent_together_is_left_alone_before_each_has_cost_a_request() {
+    let lost = |heard_between: bool| {
+        let mut d = Driver::new(Settings { instances: 100, ..settings() });
+        let far = |id| Member { zone: 1, ..member(id, false) };
+        d.list(ListKind::Full, (2..10).map(far).collect());
+        let mut struck = 0;
+        for _ in 0..40 {
+            d.now += 20 * MS;
+            let (id, mut actions) = d.request(ANY, None);
+            let mut attempt = 0;
+            while !sent(&actions).is_empty() {
+                let alive = heard_between && attempt % 2 == 1;
+                struck += usize::from(!alive);
+                let outcome = if alive { Outcome::Completed } else { Outcome::Refused };
+                let told = note(d.now - MS, Role::Replica).filter(|_| alive);
+                actions = d.ended(id, attempt, outcome, told);
+                attempt += 1;
+            }
+            d.step(&[Event::HangUp { id }]);
+        }
+        (d, struck)
+    };
+    let (mut d, struck) = lost(false);
+    assert_eq!(struck, 3, "three of eight tell that the zone is lost");
+    let (id, actions) = d.request(ANY, None);
+    assert!(sent(&actions).is_empty());
+    d.step(&[Event::HangUp { id }]);
+    // One that answers a probe tells that the zone is back: those left alone for its sake alone may be tried.
+    d.now += 2_000 * MS;
+    let asked = probes(&d.request(ANY, None).1)[0];
+    let mut actions = d.hear(asked, d.now, Role::Replica);
+    (0..8).for_each(|_| actions.extend(d.request(ANY, None).1));
+    let tried: std::collections::BTreeSet<u32> = sent(&actions).into_iter().map(|(_, to)| to).collect();
+    assert!((5..=6).contains(&tried.len()), "the five, and the one that answered: {tried:?}");
+    let (_, struck) = lost(true);
+    assert!(struck > 3, "a zone that is heard of is not lost: {struck}");
+}
+
 #[test]
 fn a_member_that_fails_quickly_loses_its_reads_to_the_others() {
     let mut d = Driver::new(settings());
