Count a reopened member as cold from its trial on, not from its first answer

Cause: a member out of reach for 2 s was taken as restarted when it first answered work ('alive' in src/decide.rs). Until then each router may send it one request as a trial: harmless alone, 100 at once for every member of a zone that comes back, before the list tells of the restart.

Change: Seen::reopen in src/state.rs marks it cold when a probe's answer or its zone reopens it, so that trials go by the cold shares, whose sum over all proxies is bounded.

Ruled out: probing a member at once after an attempt that ran out with nothing answered since.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -651,11 +651,9 @@
         let (now, warm) = (self.now, self.set.rules.warm_after);
         let Some(m) = self.members.get_mut(&id) else { return };
         m.quiet_since = now;
-        let Some(d) = m.doubt.take() else { return };
-        let zone = m.zone;
-        let known = m.cold_from.is_some_and(|t| now < t + warm && t >= d.since);
+        m.reopen(now, RESTART_AFTER, warm);
+        let (zone, Some(d)) = (m.zone, m.doubt.take()) else { return };
         if d.refused && now >= d.since + RESTART_AFTER {
-            m.cold_from = if known { m.cold_from } else { Some(now) };
             out.push(Action::Log(format!("member {} is back after {} ms", id.0, (now - d.since) / 1_000)));
         }
         self.trust_zone(zone);
@@ -698,9 +696,10 @@
 
     /// Something has come from a zone: its members that were left alone for its sake may be tried.
     fn trust_zone(&mut self, zone: u32) {
-        for d in self.members.values_mut().filter(|m| m.zone == zone).filter_map(|m| m.doubt.as_mut()) {
-            d.open |= d.inferred;
-        }
+        let (now, warm) = (self.now, self.set.rules.warm_after);
+        let inferred = |m: &Seen| m.zone == zone && m.doubt.as_ref().is_some_and(|d| d.inferred);
+        let members = self.members.values_mut().filter(|m| inferred(m));
+        members.for_each(|m| m.reopen(now, RESTART_AFTER, warm));
     }
 
     fn probed(&mut self, id: MemberId, ok: bool, report: Option<Report>, out: &mut Vec<Action>) {
@@ -708,7 +707,8 @@
         let Some(m) = self.members.get_mut(&id) else { return };
         m.probe_out = false;
         if ok {
-            let zone = m.doubt.as_mut().map(|d| d.open = true).map(|()| m.zone);
+            m.reopen(self.now, RESTART_AFTER, self.set.rules.warm_after);
+            let zone = m.doubt.as_ref().map(|_| m.zone);
             zone.into_iter().for_each(|zone| self.trust_zone(zone));
             self.learn_report(id, report, out);
         } else if m.out == 0 || m.quiet(self.now, limit) {
--- a/src/state.rs
+++ b/src/state.rs
@@ -205,6 +205,17 @@
 }
 
 impl Seen {
+    /// It may be tried again, if it was in doubt. Out of reach for so long it counts as restarted from now on, the
+    /// trial included: every other router has one for it, too.
+    pub fn reopen(&mut self, now: Time, restarted_after: Time, warm_after: Time) {
+        let Some(d) = &mut self.doubt else { return };
+        d.open = true;
+        let known = self.cold_from.is_some_and(|t| now < t + warm_after && t >= d.since);
+        if d.refused && now >= d.since + restarted_after && !known {
+            self.cold_from = Some(now);
+        }
+    }
+
     /// One of the attempts out has ended.
     pub fn ended(&mut self, outcome: Outcome, write: bool, now: Time) {
         self.out = self.out.saturating_sub(1);
