Ask members in doubt again at times spread by the seed; test what replacements leave

Cause: pauses between probes of a member that refuses connections ('suspect', 'ask_doubted' in src/decide.rs) were the same in all proxies, so that those which found it out together asked together: 100 of 100 probes within 50 ms in the new test.

Change: each pause is half to one and a half times its length, by lot. Tests for what must hold by itself: probes of a refusing member by 100 routers (at most 45 within 50 ms, 3 to 9 each in 6 s; fails without the change); 36 of 60 members replaced in 7 s leave the module as it was; six of seven members replaced with reads out leave the proxy's descriptors as they were, by new steps of the scenario language.

--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -213,6 +213,14 @@
         self.child.wait()
     }
 
+    /// How many descriptors it holds.
+    ///
+    /// # Errors
+    /// When it has ended.
+    pub fn descriptors(&self) -> Result<usize> {
+        Ok(std::fs::read_dir(format!("/proc/{}/fd", self.id()))?.count())
+    }
+
     /// Processor time that it has used, in ns, and the memory that it holds, in KiB.
     ///
     /// # Errors
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -353,7 +353,7 @@
             self.probe(id, PROBE_GAP, out);
             let Some(d) = self.members.get_mut(&id).and_then(|m| m.doubt.as_mut()) else { continue };
             d.pause = (d.pause * 2).min(DOUBT_PAUSE_MOST);
-            d.next = now + d.pause;
+            d.next = now + spread(d.pause, lot(self.set.seed, now, u64::from(id.0)));
             d.open = !self.set.probing;
         }
     }
@@ -665,14 +665,15 @@
     fn suspect(&mut self, id: MemberId, (refused, open): (bool, bool), out: &mut Vec<Action>) {
         let now = self.now;
         let Some(m) = self.members.get_mut(&id) else { return };
-        let (pause, next) = (DOUBT_PAUSE, now + DOUBT_PAUSE);
+        let (pause, lot) = (DOUBT_PAUSE, lot(self.set.seed, now, u64::from(id.0)));
+        let next = now + spread(pause, lot);
         let d =
             m.doubt.get_or_insert(Doubt { since: now, next, pause, refused, open: true, inferred: false });
         d.refused |= refused;
         let closes = d.open && !open;
         d.open &= open;
+        let zone = m.zone;
         if closes {
-            let zone = m.zone;
             self.rescue(id, out);
             self.doubt_zone(zone, out);
         }
@@ -694,7 +695,7 @@
         rest.into_iter().for_each(|id| self.rescue(id, out));
     }
 
-    /// Something has come from a zone: its members that were left alone for its sake may be tried.
+    /// A zone has been heard: its members that were left alone for its sake may be tried.
     fn trust_zone(&mut self, zone: u32) {
         let (now, warm) = (self.now, self.set.rules.warm_after);
         let inferred = |m: &Seen| m.zone == zone && m.doubt.as_ref().is_some_and(|d| d.inferred);
@@ -903,10 +904,7 @@
                 return;
             }
             ListKind::Disk => self.list_next = self.set.subscribe.then_some(self.now + self.list_turn()),
-            ListKind::Full | ListKind::Changes => {
-                self.list_pause = LIST_PAUSE;
-                self.list_next = None;
-            }
+            ListKind::Full | ListKind::Changes => (self.list_pause, self.list_next) = (LIST_PAUSE, None),
         }
         if kind != ListKind::Changes && !self.set.rules.removal_not_binding {
             let named: BTreeSet<MemberId> = entries.iter().map(|e| e.id).collect();
--- a/src/state.rs
+++ b/src/state.rs
@@ -319,6 +319,11 @@
     (count >= least && of_zone().all(|m| m.heard < first)).then_some(refused)
 }
 
+/// A pause of half to one and a half times this length, by lot: what all routers begin at once, they repeat apart.
+pub(crate) fn spread(pause: Time, lot: f64) -> Time {
+    (pause as f64 * (0.5 + lot)) as Time
+}
+
 /// A number in [0, 1), even over all inputs and always the same for the same ones.
 pub(crate) fn lot(seed: u64, a: u64, b: u64) -> f64 {
     let mut x = seed ^ a.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ b.rotate_left(32);
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -474,6 +474,30 @@
     );
 }
 
+#[test]
+fn replaced_members_leave_no_connection_behind() {
+    // Six of seven go within moments, each with a read out. What is kept of them goes with the first list after 5 s;
+    // a connection to the one that stays may rest.
+    let each = |line: &str| (0..6).map(|n| line.replace('#', &n.to_string()) + "\n").collect::<String>();
+    play(&format!(
+        "member p primary
+         {}start watching
+         list expect 1 watches
+         descriptors noted
+         {}{}descriptors more 12
+         {}{}{}wait 5200
+         list does active p
+         counts list_answers 2
+         descriptors back 1",
+        each("member r# replica 1"),
+        each("r# does hold"),
+        each("c# send raw SELECT v FROM records WHERE k = 'k' /* id=0#,c=monthly-report,t=acme,d=900,cluster=1 */\nwait 60"),
+        each("list does left r#"),
+        each("r# does reset"),
+        each("c# close"),
+    ));
+}
+
 #[test]
 fn an_older_whole_list_is_believed_only_when_discovery_insists() {
     let list = |generation: u64, reset: bool| serde_json::json!({"generation": generation, "reset": reset, "instances": []});
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -793,6 +793,56 @@
     assert_eq!(sent(&d.hear(2, d.now, Role::Replica)), vec![(read, 2)]);
 }
 
+#[test]
+fn most_members_replaced_within_seconds_leave_nothing_behind() {
+    let mut d = Driver::new(Settings { instances: 100, ..settings() });
+    let of = |id: u32| Member { group: u64::from(id % 10), ..member(id, id < 10) };
+    d.list(ListKind::Full, (0..60).map(of).collect());
+    let before = d.router.remembered();
+    let mut open = Vec::new();
+    for id in 0..36 {
+        d.list(ListKind::Changes, vec![Member { up_since: Some(d.now), ..of(100 + id) }]);
+        open.push(d.request(ANY, None).0);
+        d.list(ListKind::Changes, vec![Member { condition: Condition::Draining, ..of(id) }]);
+        d.now += 190 * MS;
+        d.list(ListKind::Changes, vec![Member { condition: Condition::Out, ..of(id) }]);
+    }
+    for id in open {
+        d.ended(id, 0, Outcome::Overdue, None);
+        d.step(&[Event::HangUp { id }]);
+    }
+    d.list(ListKind::Changes, vec![]);
+    assert_eq!(d.router.remembered(), before, "60 members, 10 groups, no request");
+}
+
+#[test]
+fn a_member_that_refuses_connections_is_not_asked_by_a_whole_fleet_at_once() {
+    // 100 routers find it out at one moment and have a read for its group every 10 ms.
+    let mut probed = Vec::new();
+    for seed in 0..100 {
+        let mut d = Driver::new(Settings { seed, instances: 100, ..settings() });
+        d.list(ListKind::Full, vec![member(2, false)]);
+        let (start, (id, _)) = (d.now, d.request(ANY, None));
+        d.ended(id, 0, Outcome::Refused, None);
+        let mut own = 0;
+        while d.now < start + 6_000 * MS {
+            d.now += 10 * MS;
+            let (id, actions) = d.request(ANY, None);
+            assert!(sent(&actions).is_empty());
+            if !probes(&actions).is_empty() {
+                own += 1;
+                probed.push(d.now - start);
+                d.step(&[Event::Probed { member: MemberId(2), ok: false, report: None }]);
+            }
+            d.step(&[Event::HangUp { id }]);
+        }
+        assert!((3..=9).contains(&own), "{own} probes of one router in 6 s");
+    }
+    let within = |t: &Time| probed.iter().filter(|u| (*t..*t + 50 * MS).contains(u)).count();
+    let most = probed.iter().map(within).max().unwrap();
+    assert!(most <= 45, "{most} probes of 100 routers within 50 ms");
+}
+
 #[test]
 fn what_comes_and_goes_leaves_nothing_behind() {
     let mut d = Driver::new(settings());
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -29,6 +29,8 @@
 //! a expect row HEX            or `row -` if empty, `error CODE [detail]`, `empty`, `closed`; for OData `STATUS [text in the response]`
 //! p expect 1 write K          p has been given that many statements so far that begin so
 //! a close                     resets the connection
+//! descriptors noted           the proxy's descriptors are counted; `descriptors more 6`: by so many more; `descriptors back 1`:
+//!                             they come back to that and 1
 //! stop                        SIGTERM to the proxy; `gone` waits for its end
 //! wait 50                     milliseconds; `clock` begins a span that must not have passed `within 3000`
 //! ```
@@ -69,6 +71,7 @@
     registry: Registry,
     config: serde_json::Value,
     clock: Option<Instant>,
+    descriptors: usize,
     proxy: Option<Proxy>,
     ids: u64,
 }
@@ -95,6 +98,22 @@
             ["member", name, "primary"] => self.member(name, true, 0),
             ["member", name, "replica", lag] => self.member(name, false, lag.parse().unwrap()),
             ["start", ref with @ ..] => self.start(with),
+            ["descriptors", "noted"] => self.descriptors = self.proxy().descriptors().unwrap(),
+            ["descriptors", "more", by] => {
+                let most = self.descriptors + by.parse::<usize>().unwrap();
+                assert!(self.proxy().descriptors().unwrap() >= most, "{line}");
+            }
+            ["descriptors", "back", more] => {
+                let (began, noted) = (Instant::now(), self.descriptors + more.parse::<usize>().unwrap());
+                while self.proxy().descriptors().unwrap() > noted {
+                    assert!(
+                        began.elapsed() < PATIENCE,
+                        "{line}: {} of {noted}",
+                        self.proxy().descriptors().unwrap()
+                    );
+                    thread::sleep(Duration::from_millis(50));
+                }
+            }
             ["list", "does", "move"] => {
                 let whole = self.registry.whole();
                 self.registry = Registry::default();
