Tidy after a second reading: link weights, one poll loop, one lock, comments that hold

Need: reading the whole change again showed weights handed from the module to Signs::judge_links, which alone uses them; one lock expression four times in the registry stand-in; three poll loops of one shape in the scenario language; a roundabout call in 'probed'; a comment in src/net/discovery.rs that the pause after empty answers had made untrue.

Change: LINK_WEIGHT and LINK_FADE stand in src/state.rs, Registry::state and scenario 'until' serve their callers, comments are mended. No decision, bound, check or expectation changes.

--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -3,7 +3,7 @@
 use crate::{listener, runtime};
 use serde_json::{json, Value};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::TcpStream;
@@ -109,14 +109,18 @@
         f(&mut self.list.lock().unwrap_or_else(PoisonError::into_inner))
     }
 
+    fn state(&self) -> MutexGuard<'_, (Ill, Calls)> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// What it does with calls from now on; those that wait are done with so when the list changes.
     pub fn does(&self, ill: Ill) {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner).0 = ill;
+        self.state().0 = ill;
     }
 
     /// Calls that have come so far.
     pub fn calls(&self) -> Calls {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner).1
+        self.state().1
     }
 
     /// The whole list as it stands.
@@ -134,11 +138,10 @@
         let field = |name: &str| first.split(name).nth(1)?.split(['&', ' ']).next()?.parse::<u64>().ok();
         let (after, wait) = (field("after="), field("wait_ms=").unwrap_or(20_000).min(60_000));
         {
-            let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
-            let calls = &mut state.1;
+            let calls = &mut self.state().1;
             *(if after.is_some() { &mut calls.watches } else { &mut calls.whole }) += 1;
         }
-        let ill = || self.state.lock().unwrap_or_else(PoisonError::into_inner).0;
+        let ill = || self.state().0;
         if let Some(after) = after.filter(|_| ill() == Ill::Well) {
             let mut changes = self.changed.subscribe();
             let newer = changes.wait_for(|version| *version > after);
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -113,11 +113,8 @@
 /// A connection without use for this long counts as idle, in us.
 const IDLE_LEAST: Time = 250_000;
 /// Idle connections are closed before use, and used ones preferred, once the share of attempts lost on idle
-/// ones exceeds that on others by this much ...
+/// ones exceeds that on others by this much.
 const LINK_LIMIT: f64 = 0.45;
-/// ... with this weight of the newest: two in a row do. Each answer on a new one makes it forget a little.
-const LINK_WEIGHT: f64 = 0.3;
-const LINK_FADE: f64 = 0.01;
 /// A member that turned something away as full gets nothing for this long, in us.
 const FULL_REST: Time = 30_000;
 /// Unreachable for at least this long and back: taken as restarted, in us.
@@ -709,8 +706,10 @@
         m.probe_out = false;
         if ok {
             m.reopen(self.now, RESTART_AFTER, self.set.rules.warm_after);
-            let zone = m.doubt.as_ref().map(|_| m.zone);
-            zone.into_iter().for_each(|zone| self.trust_zone(zone));
+            if m.doubt.is_some() {
+                let zone = m.zone;
+                self.trust_zone(zone);
+            }
             self.learn_report(id, report, out);
         } else if m.out == 0 || m.quiet(self.now, limit) {
             let open = m.out == 0;
@@ -759,7 +758,7 @@
         // An attempt is lost when it was broken off or none of its kind takes so long.
         let long = (now - sent) as f64 >= self.service[class] * LOST_FACTOR;
         let lost = outcome == Severed || long && matches!(outcome, Overdue | Recalled);
-        self.signs.judge_links(link, lost, outcome, (LINK_WEIGHT, LINK_FADE));
+        self.signs.judge_links(link, lost, outcome);
         let bad = matches!(outcome, Errored | Saturated | Severed);
         if bad || outcome == Completed {
             self.signs.errors.see(bad, ERROR_COMMON_WEIGHT);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,8 +2,9 @@
 //! list only where none is held.
 //!
 //! A failed call is told to the module, which decides when to ask again; what is held stays, and so does its version,
-//! as a whole list costs discovery many times a watch and a large fleet asks all at once. A watch must be renewed within 200 ms of its
-//! last answer to go on; this actor hands an answer to the core and calls again with nothing in between.
+//! as a whole list costs discovery many times a watch and a large fleet asks all at once. A watch must be renewed
+//! within 200 ms of its last answer to go on; this actor hands an answer to the core and calls again with nothing in
+//! between but a short pause where an answer came at once and told nothing.
 //!
 //! When discovery moves, whatever call is open ends at once, and the new address is asked for the whole list: what
 //! it has to tell counts as told seconds later, whether it was asked or not.
@@ -180,7 +181,8 @@
 }
 
 impl Discovery {
-    /// One that has not called yet, and holds the list of this version. Whatever is sent to `address`, even the same again, counts as a move.
+    /// One that has not called yet, and holds the list of this version. Whatever is sent to `address`, even the same
+    /// again, counts as a move.
     pub fn new(
         address: watch::Receiver<String>,
         lists: Lists,
--- a/src/state.rs
+++ b/src/state.rs
@@ -145,16 +145,20 @@
     pub pool: Ease,
 }
 
+/// Weight of the newest result on a connection: two in a row tell. Each answer on a new one makes it forget a little.
+const LINK_WEIGHT: f64 = 0.3;
+const LINK_FADE: f64 = 0.01;
+
 impl Signs {
     /// Whether what is sent on connections that were idle gets lost, beyond what is lost on others: a hung member or
-    /// a jam loses both. Weights of a result, and of an answer on a new connection.
-    pub fn judge_links(&mut self, link: Link, lost: bool, outcome: Outcome, (weight, fade): (f64, f64)) {
+    /// a jam loses both.
+    pub fn judge_links(&mut self, link: Link, lost: bool, outcome: Outcome) {
         if lost || outcome == Outcome::Completed {
             let share = if link == Link::Idle { &mut self.idle_lost } else { &mut self.used_lost };
-            share.see(lost, weight);
+            share.see(lost, LINK_WEIGHT);
         }
         if link == Link::Fresh && outcome == Outcome::Completed {
-            self.idle_lost.see(false, fade);
+            self.idle_lost.see(false, LINK_FADE);
         }
     }
 }
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -76,6 +76,15 @@
     ids: u64,
 }
 
+/// Waits until it has come true; if it does not, the failure says so.
+fn until(true_now: impl Fn() -> bool, failure: impl Fn() -> String) {
+    let began = Instant::now();
+    while !true_now() {
+        assert!(began.elapsed() < PATIENCE, "{}", failure());
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
 /// Runs a scenario.
 pub fn play(script: &str) {
     let mut stage = Stage::default();
@@ -104,15 +113,9 @@
                 assert!(self.proxy().descriptors().unwrap() >= most, "{line}");
             }
             ["descriptors", "back", more] => {
-                let (began, noted) = (Instant::now(), self.descriptors + more.parse::<usize>().unwrap());
-                while self.proxy().descriptors().unwrap() > noted {
-                    assert!(
-                        began.elapsed() < PATIENCE,
-                        "{line}: {} of {noted}",
-                        self.proxy().descriptors().unwrap()
-                    );
-                    thread::sleep(Duration::from_millis(50));
-                }
+                let noted = self.descriptors + more.parse::<usize>().unwrap();
+                let held = || self.proxy().descriptors().unwrap();
+                until(|| held() <= noted, || format!("{line}: {} of {noted}", held()));
             }
             ["list", "does", "move"] => {
                 let whole = self.registry.whole();
@@ -190,29 +193,19 @@
     }
 
     fn counts(&self, name: &str, least: u64) {
-        let began = Instant::now();
-        loop {
-            let counters = self.proxy().counters().unwrap();
-            if counters.get(name).is_some_and(|n| *n >= least) {
-                return;
-            }
-            assert!(began.elapsed() < PATIENCE, "{name} stays under {least}: {counters:?}");
-            thread::sleep(Duration::from_millis(20));
-        }
+        let counters = || self.proxy().counters().unwrap();
+        let reached = || counters().get(name).is_some_and(|n| *n >= least);
+        until(reached, || format!("{name} stays under {least}: {:?}", counters()));
     }
 
     fn calls(&self, line: &str, least: usize, kind: &str) {
-        let began = Instant::now();
         let come = || match (self.registry.calls(), kind) {
             (calls, "watches") => calls.watches,
             (calls, "whole") => calls.whole,
             _ => panic!("{line}: watches or whole"),
         };
         assert!(least > 0 || come() == 0, "{line}: {:?}", self.registry.calls());
-        while come() < least {
-            assert!(began.elapsed() < PATIENCE, "{line}: {:?}", self.registry.calls());
-            thread::sleep(Duration::from_millis(20));
-        }
+        until(|| come() >= least, || format!("{line}: {:?}", self.registry.calls()));
     }
 
     fn start(&mut self, with: &[&str]) {
