Add the console, members out by hand and the listener handed on

Cause: a second process ended with 1, as main bound the address that the first one holds (src/main.rs); there was no second address, and no way to leave a member out.

Change: src/console (line codec, callers on seats of their own, orders read before the mailbox); src/overlay.rs joins discovery's word and the operators', and the module sees a member that drains (ListKind::Operator, which leaves the module's own calls to discovery alone); BALANCER_ACCEPT_FD through listenfd. The one that leaves stops accepting at once, closes each connection with its next answer and the rest between requests; what has come by then is still read.

--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -55,9 +55,7 @@
             program: plan.program.to_path_buf(),
             config: proxy::config(&discovery, &list, settings, 1024, 192),
             odata: plan.odata,
-            browse: None,
-            loud: false,
-            log: None,
+            ..Setup::default()
         };
         let proxy = Proxy::start(&setup)
             .map_err(|e| Failure::Unusable(format!("{}: {e}", plan.program.display())))?;
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -3,20 +3,21 @@
 use crate::{dns, now_ms};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Error, Result};
-use std::net::SocketAddr;
+use std::io::{BufRead, BufReader, Error, Read, Result, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long the program may take to start or to print its counters on a slow machine.
 const PATIENCE: Duration = Duration::from_secs(20);
 
 /// How the proxy is to start.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Default)]
 pub struct Setup {
     /// The program.
     pub program: PathBuf,
@@ -30,6 +31,10 @@
     pub loud: bool,
     /// Its log filter.
     pub log: Option<String>,
+    /// A listener that it inherits, as the platform hands one on.
+    pub listener: Option<Arc<TcpListener>>,
+    /// The folder that its processes share; none: it gets none.
+    pub shared: Option<PathBuf>,
 }
 
 /// The settings of a class.
@@ -77,6 +82,8 @@
     pub pg: SocketAddr,
     /// Where OData clients do.
     pub odata: Option<SocketAddr>,
+    /// Where operators call.
+    pub console: Option<SocketAddr>,
 }
 
 impl Drop for Proxy {
@@ -114,8 +121,20 @@
             dns::SERVICE
         );
         std::fs::write(dir.join("fronts.toml"), fronts)?;
-        let mut command = Command::new(&setup.program);
-        command.env_remove("BALANCER_LISTEN").env_remove("RUST_LOG");
+        let mut command = match &setup.listener {
+            None => Command::new(&setup.program),
+            // The shell puts it where the platform has it.
+            Some(listener) => {
+                let mut shell = Command::new("/bin/sh");
+                shell.args(["-c", "exec \"$0\" 3<&0 0</dev/null"]).arg(&setup.program);
+                shell.stdin(OwnedFd::from(listener.try_clone()?)).env("BALANCER_ACCEPT_FD", "3");
+                shell
+            }
+        };
+        command.env_remove("BALANCER_LISTEN").env_remove("RUST_LOG").env_remove("TMPDIR");
+        if let Some(shared) = &setup.shared {
+            command.env("TMPDIR", shared);
+        }
         if let Some(log) = &setup.log {
             command.env("RUST_LOG", log);
         }
@@ -138,9 +157,12 @@
             }
             None
         };
+        let called = setup.config.get("console").is_some();
+        let console = if called { address("operators call at") } else { None };
         let pg = address("serving clients at");
         let odata = if setup.odata { address("serving OData at") } else { None };
-        let (Some(pg), true) = (pg, odata.is_some() == setup.odata) else {
+        let whole = odata.is_some() == setup.odata && console.is_some() == called;
+        let (Some(pg), true) = (pg, whole) else {
             let _ = child.kill();
             let _ = child.wait();
             let _ = std::fs::remove_dir_all(&dir);
@@ -159,7 +181,22 @@
                 known.1.notify_all();
             }
         });
-        Ok(Proxy { child, printed, dir, pg, odata })
+        Ok(Proxy { child, printed, dir, pg, odata, console })
+    }
+
+    /// The console's answer to a line, and the time it took.
+    ///
+    /// # Errors
+    /// When there is no console, or no answer.
+    pub fn call(&self, line: &str) -> Result<(String, Duration)> {
+        let began = Instant::now();
+        let address = self.console.ok_or_else(|| Error::other("it has no console"))?;
+        let mut stream = TcpStream::connect(address)?;
+        stream.set_read_timeout(Some(PATIENCE))?;
+        stream.write_all(line.as_bytes())?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer)?;
+        Ok((answer, began.elapsed()))
     }
 
     /// Its process id.
--- a/src/config.rs
+++ b/src/config.rs
@@ -8,6 +8,8 @@
 pub struct Config {
     /// Where clients connect.
     pub listen: String,
+    /// Where operators call, if anywhere.
+    pub console: Option<String>,
     /// Where discovery is asked.
     pub discovery: String,
     /// Seed of the random numbers.
@@ -40,10 +42,13 @@
         let file = || json.get(name).and_then(Value::as_str).filter(|v| !v.is_empty()).map(str::to_string);
         variable(known_as).or_else(file).ok_or_else(|| format!("neither {known_as} nor '{name}' is given"))
     };
+    let console = variable("BALANCER_CONSOLE").filter(|v| !v.is_empty());
+    let console = console.or_else(|| json.get("console").and_then(Value::as_str).map(str::to_string));
     let limit = |name: &str, or: u64| json.pointer(name).and_then(Value::as_u64).unwrap_or(or) as usize;
     let seed = json.get("seed").and_then(Value::as_str).unwrap_or("0");
     Ok(Config {
         listen: text("listen", "BALANCER_LISTEN")?,
+        console: console.filter(|v| !v.is_empty()),
         discovery: text("discovery", "BALANCER_DISCOVERY")?,
         seed: u64::from_str_radix(seed, 16).map_err(|_| format!("the seed '{seed}' is not hex"))?,
         sockets: limit("/limits/sockets", 1024),
--- /dev/null
+++ b/src/console/mod.rs
@@ -0,0 +1,152 @@
+//! The operators' second address: one call a line, one line a connection.
+//!
+//! Callers have seats of their own, for which descriptors are set aside, and their calls reach the core by a mailbox of
+//! their own, so that neither clients nor a core with much to do hold an answer up. When all seats are taken the caller
+//! goes who has been longest without a whole line: callers that keep a connection and say nothing must not keep out
+//! one that has something to say. It knows no decisions.
+
+pub mod line;
+
+use crate::core::counters::{count, Count};
+use crate::core::Order;
+use crate::net::listen::{Closing, Phase};
+use crate::overlay::No;
+use futures_util::{SinkExt, StreamExt};
+use line::{Call, Line, Lines, Reply};
+use std::collections::VecDeque;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+use tokio_util::codec::Framed;
+
+/// Callers at a time.
+pub const SEATS: usize = 12;
+/// How long a caller may take over its line, and to take in its answer.
+const PATIENCE: Duration = Duration::from_secs(15);
+const LAST_WORD: Duration = Duration::from_secs(2);
+/// By then a caller is told that its call was not done: an answer is owed within a second.
+const DONE: Duration = Duration::from_millis(800);
+/// After a failure to accept.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// What every caller needs.
+#[derive(Clone)]
+pub struct Console {
+    orders: mpsc::Sender<Order>,
+    phase: Closing,
+}
+
+struct Caller {
+    task: AbortHandle,
+    /// Its line has come.
+    whole: Arc<AtomicBool>,
+}
+
+impl Console {
+    /// One that hands its calls to the core by `orders`.
+    pub fn new(orders: mpsc::Sender<Order>, phase: Closing) -> Self {
+        Console { orders, phase }
+    }
+
+    /// Takes callers until the process ends.
+    pub async fn run(self, listener: TcpListener) {
+        let mut callers: VecDeque<Caller> = VecDeque::new();
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(e) => {
+                    log::warn!("a caller of the console could not be accepted: {e}");
+                    tokio::time::sleep(PAUSE).await;
+                    continue;
+                }
+            };
+            callers.retain(|c| !c.task.is_finished());
+            while callers.len() >= SEATS {
+                let silent = callers.iter().position(|c| !c.whole.load(Ordering::Relaxed));
+                match silent.and_then(|at| callers.remove(at)) {
+                    Some(caller) => {
+                        count(Count::console_made_room);
+                        caller.task.abort();
+                    }
+                    // All are being answered, which takes no longer than an answer may.
+                    None => tokio::time::sleep(PAUSE).await,
+                }
+                callers.retain(|c| !c.task.is_finished());
+            }
+            count(Count::console_connections);
+            let whole = Arc::new(AtomicBool::new(false));
+            let (console, told) = (self.clone(), whole.clone());
+            let task = tokio::spawn(async move { console.serve(stream, &told).await });
+            callers.push_back(Caller { task: task.abort_handle(), whole });
+            // It reads what it has sent already before the next caller can push it out.
+            tokio::task::yield_now().await;
+        }
+    }
+
+    async fn serve(&self, stream: TcpStream, whole: &AtomicBool) {
+        let _ = stream.set_nodelay(true);
+        let mut conn = Framed::with_capacity(stream, Lines::default(), line::LONGEST);
+        let Ok(Some(Ok(said))) = tokio::time::timeout(PATIENCE, conn.next()).await else { return };
+        whole.store(true, Ordering::Relaxed);
+        count(Count::console_calls);
+        let reply = match said {
+            Line::Call(call) => {
+                let reply = match tokio::time::timeout(DONE, self.answer(&call)).await {
+                    Ok(reply) => reply,
+                    Err(_) => Reply::No("not done in time; ask again".to_string()),
+                };
+                if call != Call::Status {
+                    log::info!("the operators ask {call:?}: {reply}");
+                }
+                reply
+            }
+            Line::Wrong(why) => Reply::No(why),
+        };
+        if matches!(reply, Reply::No(_)) {
+            count(Count::console_refused);
+        }
+        let last_word = async {
+            conn.send(reply).await?;
+            crate::net::frames::finish_stream(conn.into_inner()).await
+        };
+        let _ = tokio::time::timeout(LAST_WORD, last_word).await;
+    }
+
+    async fn ask<T>(&self, order: impl FnOnce(oneshot::Sender<T>) -> Order) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.orders.send(order(reply)).await.ok()?;
+        answer.await.ok()
+    }
+
+    async fn answer(&self, call: &Call) -> Reply {
+        let (told, done) = match call {
+            Call::Status => return self.status().await,
+            Call::Suspend(id) => (self.ask(|reply| Order::Suspend(id.as_str().into(), reply)).await, "out"),
+            Call::Restore(id) => (self.ask(|reply| Order::Restore(id.as_str().into(), reply)).await, "back"),
+        };
+        match told {
+            Some(Ok(())) => Reply::Yes(done),
+            Some(Err(No::Unknown)) => Reply::No("no list has named a member of that id".to_string()),
+            Some(Err(No::Full)) => Reply::No("too many members are out".to_string()),
+            None => Reply::No("the process ends".to_string()),
+        }
+    }
+
+    /// Yes only where a client would really be served.
+    async fn status(&self) -> Reply {
+        let phase = *self.phase.borrow();
+        match phase {
+            Phase::Starting => return Reply::No("starting: clients are not taken yet".to_string()),
+            Phase::Leaving | Phase::Closing => return Reply::No("ending".to_string()),
+            Phase::Serving => {}
+        }
+        match self.ask(Order::Ready).await {
+            Some(true) => Reply::Yes("serving"),
+            Some(false) => Reply::No("no member is listed that requests could go to".to_string()),
+            None => Reply::No("ending".to_string()),
+        }
+    }
+}
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -3,9 +3,10 @@
 
 use super::counters::{count, Count};
 use super::ledger::SessionLedger;
-use super::{Answer, Attempt, Ending, Input, Listed, Members, Request, REQUEST};
+use super::{Answer, Attempt, Ending, Input, Listed, Members, Order, Request, Taken, REQUEST};
 use crate::clock::Clock;
 use crate::interface::*;
+use crate::overlay::Overlay;
 use crate::Router;
 use bytes::Bytes;
 use rustc_hash::FxHashMap;
@@ -41,6 +42,11 @@
     members: M,
     clock: Clock,
     mailbox: mpsc::Receiver<Input>,
+    /// What the operators ask, read first: a full mailbox must not hold it up.
+    orders: mpsc::Receiver<Order>,
+    /// Answers to that, which wait until the module has taken it in.
+    taken: Vec<(oneshot::Sender<Taken>, Taken)>,
+    overlay: Overlay,
     live: FxHashMap<RequestId, Live>,
     /// The names of those.
     names: HashSet<Bytes>,
@@ -62,7 +68,7 @@
         names: Vec<String>,
         members: M,
         clock: Clock,
-        mailbox: mpsc::Receiver<Input>,
+        (mailbox, orders): (mpsc::Receiver<Input>, mpsc::Receiver<Order>),
     ) -> Result<Self, SettingsError> {
         let (classes, max_attempts) = (settings.classes.clone(), settings.max_attempts as usize);
         Ok(Actor {
@@ -73,6 +79,9 @@
             members,
             clock,
             mailbox,
+            orders,
+            taken: Vec::new(),
+            overlay: Overlay::default(),
             live: FxHashMap::default(),
             names: HashSet::new(),
             sessions: SessionLedger::new(SESSIONS),
@@ -88,6 +97,7 @@
         let mut events = Vec::with_capacity(BATCH + 1);
         // Set anew only when the wake-up has moved: most steps leave it where it is.
         let (mut timer, mut set) = (pin!(tokio::time::sleep_until(Instant::now())), None);
+        let mut asked = true;
         loop {
             if self.wake != set {
                 set = self.wake;
@@ -97,6 +107,13 @@
             }
             let woken = tokio::select! {
                 biased;
+                order = self.orders.recv(), if asked => {
+                    match order {
+                        Some(order) => events.extend(self.order(order)),
+                        None => asked = false,
+                    }
+                    false
+                }
                 n = self.mailbox.recv_many(&mut inputs, BATCH) => {
                     if n == 0 {
                         return;
@@ -120,9 +137,34 @@
                 self.step(now, &events);
                 events.clear();
             }
+            for (reply, answer) in self.taken.drain(..) {
+                let _ = reply.send(answer);
+            }
         }
     }
 
+    /// What the operators ask, and what of it the module must know.
+    fn order(&mut self, order: Order) -> Option<Event> {
+        let now = self.clock.now();
+        let (told, reply) = match order {
+            Order::Ready(reply) => {
+                let _ = reply.send(self.overlay.serves());
+                return None;
+            }
+            Order::Suspend(name, reply) => (self.overlay.suspend(&name, now), reply),
+            Order::Restore(name, reply) => (self.overlay.restore(&name, now), reply),
+        };
+        self.taken.push((reply, told.as_ref().map(|_| ()).map_err(|no| *no)));
+        let told: Vec<Listed> = told.ok().flatten().into_iter().collect();
+        (!told.is_empty()).then(|| self.told(ListKind::Operator, told))
+    }
+
+    /// Members and module are told of the list alike.
+    fn told(&mut self, kind: ListKind, entries: Vec<Listed>) -> Event {
+        self.members.list(kind, &entries);
+        Event::List { kind, members: entries.into_iter().map(|e| e.member).collect() }
+    }
+
     fn take(&mut self, input: Input, now: Time) -> Option<Event> {
         match input {
             Input::Submit(id, request, reply) => self.submit(id, request, reply, now),
@@ -139,9 +181,8 @@
                 Some(Event::Probed { member, ok: report.is_some(), report })
             }
             Input::List(kind, entries) => {
-                self.members.list(kind, &entries);
-                let members = entries.into_iter().map(|Listed { member, .. }| member).collect();
-                Some(Event::List { kind, members })
+                let entries = self.overlay.list(kind, entries, now);
+                Some(self.told(kind, entries))
             }
         }
     }
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -64,6 +64,10 @@
     reloads,
     reloads_failed,
     dnssd_skipped,
+    console_connections,
+    console_calls,
+    console_refused,
+    console_made_room,
 );
 
 /// Counts one more.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,9 +9,10 @@
 pub mod ledger;
 
 use crate::interface::*;
+pub use crate::overlay::Listed;
+use crate::overlay::No;
 use bytes::Bytes;
 use std::future::Future;
-use std::net::SocketAddr;
 use std::ops::Range;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -145,15 +146,6 @@
     pub spent: Time,
 }
 
-/// An entry of the member list with its address.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Listed {
-    /// What the module needs to know.
-    pub member: Member,
-    /// Where it listens.
-    pub address: SocketAddr,
-}
-
 /// What reaches the core's mailbox. The large ones are the ordinary ones, and a box for each would cost more than the
 /// room that the others waste.
 #[derive(Debug)]
@@ -171,6 +163,20 @@
     List(ListKind, Vec<Listed>),
 }
 
+/// What came of the operators' word on a member.
+pub type Taken = Result<(), No>;
+
+/// What the operators ask of the core.
+#[derive(Debug)]
+pub enum Order {
+    /// Whether there is a member that requests could go to.
+    Ready(oneshot::Sender<bool>),
+    /// Take a member out, by its id.
+    Suspend(Arc<str>, oneshot::Sender<Taken>),
+    /// Put it back.
+    Restore(Arc<str>, oneshot::Sender<Taken>),
+}
+
 /// The members, as the core sees them. No call may wait: the core must always get back to its mailbox, which the
 /// other side does wait for.
 pub trait Members {
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -904,8 +904,9 @@
             }
             ListKind::Disk => self.list_next = self.set.subscribe.then_some(self.now + self.list_turn()),
             ListKind::Full | ListKind::Changes => (self.list_pause, self.list_next) = (LIST_PAUSE, None),
+            ListKind::Operator => {}
         }
-        if kind != ListKind::Changes && !self.set.rules.removal_not_binding {
+        if matches!(kind, ListKind::Disk | ListKind::Full) && !self.set.rules.removal_not_binding {
             let named: BTreeSet<MemberId> = entries.iter().map(|e| e.id).collect();
             for (id, m) in &mut self.members {
                 if !named.contains(id) {
--- a/src/dnssd/records.rs
+++ b/src/dnssd/records.rs
@@ -155,11 +155,13 @@
             Some(ms) => Some(ms.parse::<u64>().ok()?).filter(|ms| *ms > 0),
             None => None,
         };
+        let id = text.get("id").unwrap_or(&label);
         Some(Listed {
+            name: id.as_str().into(),
             address,
             member: Member {
                 group: text.get("cell")?.parse().ok()?,
-                id: numbers.of(text.get("id").unwrap_or(&label)),
+                id: numbers.of(id),
                 zone: zone.map_or(u32::MAX, |z| z as u32),
                 condition: match text.get("leaving").map(String::as_str) {
                     None | Some("0") => Condition::In,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -217,6 +217,8 @@
     Full,
     /// Changed entries.
     Changes,
+    /// Entries that the operators' word has changed; discovery has said nothing.
+    Operator,
     /// A call failed or the subscription broke; no entries.
     Failed,
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 use linentrail::cli::{self, Arguments, Command};
 use linentrail::clock::Clock;
 use linentrail::config::{self, Config};
+use linentrail::console::Console;
 use linentrail::core::actor::Actor;
 use linentrail::core::bookings::Bookings;
 use linentrail::core::counters::{self, count, Count};
@@ -15,7 +16,7 @@
 use linentrail::net::budget::{Budget, Pace};
 use linentrail::net::discovery::{Discovery, Lists};
 use linentrail::net::fleet::Fleet;
-use linentrail::net::listen;
+use linentrail::net::listen::{self, Phase};
 use linentrail::{logs, meter, odata, pg};
 use linentrail::{ListKind, Time};
 use std::path::Path;
@@ -33,6 +34,10 @@
 
 /// Messages that may wait for the core.
 const MAILBOX: usize = 2048;
+/// Calls of the operators that may wait for it.
+const ORDERS: usize = 64;
+/// Names the descriptor of a listener that the platform holds for this proxy.
+const ACCEPT: &str = "BALANCER_ACCEPT_FD";
 /// Time beyond the longest deadline that open requests get after new clients are no longer taken.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
 
@@ -95,11 +100,12 @@
     let clock = Clock::start();
     let budget = Budget::new(told.sockets, told.memory);
     let (mailbox, inbox) = mpsc::channel(MAILBOX);
+    let (orders, ordered) = mpsc::channel(ORDERS);
     let (follow, asked) = mpsc::channel(1);
     let wire = pg::member::Pg::new(budget.bytes.clone(), clock, names.clone());
     let fleet = Fleet::new(mailbox.clone(), follow, budget.clone(), clock, times, wire);
-    let actor =
-        Actor::new(settings, names.classes.clone(), fleet, clock, inbox).map_err(|e| e.to_string())?;
+    let actor = Actor::new(settings, names.classes.clone(), fleet, clock, (inbox, ordered))
+        .map_err(|e| e.to_string())?;
 
     let mut lists = Lists::new(names.zones.clone());
     // Known before the first client comes, and perhaps old.
@@ -116,7 +122,17 @@
         tokio::spawn(Discovery::new(address, lists, held, mailbox.clone()).run(asked));
     }
 
-    let listener = TcpListener::bind(&told.listen).await.map_err(|e| format!("{}: {e}", told.listen))?;
+    let (phase, closing) = watch::channel(Phase::Starting);
+    if let Some(console) = &told.console {
+        let listener = TcpListener::bind(console).await.map_err(|e| format!("console {console}: {e}"))?;
+        log::info!("operators call at {}", listener.local_addr().map_err(|e| e.to_string())?);
+        tokio::spawn(Console::new(orders, closing.clone()).run(listener));
+    }
+    let handed = std::env::var(ACCEPT).ok().filter(|v| !v.is_empty());
+    let listener = match &handed {
+        Some(descriptor) => listen::inherited(descriptor).map_err(|e| format!("{ACCEPT}: {e}"))?,
+        None => TcpListener::bind(&told.listen).await.map_err(|e| format!("{}: {e}", told.listen))?,
+    };
     let failed = |e: std::io::Error| format!("sockets or signals: {e}");
     log::info!("serving clients at {}", listener.local_addr().map_err(failed)?);
     let (core, pace) = (Handle::new(mailbox.clone()), Pace::default());
@@ -130,7 +146,6 @@
         bytes: budget.bytes.clone(),
         pace: pace.clone(),
     });
-    let (close, closing) = watch::channel(false);
     let serve = move |stream, closing| front.clone().serve(stream, closing);
     tokio::spawn(listen::listen(listener, Count::pg_connections, clients.clone(), closing.clone(), serve));
     if fronts.odata.enabled {
@@ -146,6 +161,7 @@
         tokio::spawn(listen::listen(listener, Count::odata_connections, clients.clone(), closing, serve));
     }
 
+    let _ = phase.send(Phase::Serving);
     let mut term = signal(SignalKind::terminate()).map_err(failed)?;
     let mut int = signal(SignalKind::interrupt()).map_err(failed)?;
     let mut usr1 = signal(SignalKind::user_defined1()).map_err(failed)?;
@@ -156,9 +172,17 @@
             _ = int.recv() => break,
         }
     }
-    log::info!("told to end: clients are still taken for a while, then connections close between requests");
+    if handed.is_some() {
+        // The platform holds the listener, and whoever comes from now on waits there for the next process.
+        log::info!("told to end: connections close with their next answer, the others in a while");
+        let _ = phase.send(Phase::Leaving);
+    } else {
+        log::info!(
+            "told to end: clients are still taken for a while, then connections close between requests"
+        );
+    }
     tokio::time::sleep(fronts.still_coming).await;
-    let _ = close.send(true);
+    let _ = phase.send(Phase::Closing);
     // What was taken is owed its answer: the settings say how long the last of it may take, and days differ in that.
     let ends: Time = clock.now() + longest + LAST_ANSWERS.as_micros() as Time;
     while !clients.all_back() && clock.now() < ends {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -154,11 +154,13 @@
             _ => return None,
         };
         let zone = text("zone").and_then(|z| self.zones.iter().position(|n| n == z));
+        let id = text("instanceId")?;
         let started = item.get("startedAtMs").and_then(Json::as_u64).filter(|ms| *ms > 0);
         Some(Listed {
+            name: id.into(),
             address: text("hostPort")?.parse().ok()?,
             member: Member {
-                id: self.numbers.of(text("instanceId")?),
+                id: self.numbers.of(id),
                 zone: zone.map_or(u32::MAX, |z| z as u32),
                 group: item.get("cell")?.as_u64()?,
                 condition,
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -81,7 +81,7 @@
         if kind == ListKind::Failed {
             return;
         }
-        for Listed { member, address } in entries {
+        for Listed { member, address, .. } in entries {
             if member.condition == Condition::Out {
                 self.gone(member.id);
                 continue;
@@ -97,7 +97,7 @@
             peer.gone = None;
             let _ = peer.orders.try_send(Order::Address(*address));
         }
-        if kind != ListKind::Changes {
+        if matches!(kind, ListKind::Disk | ListKind::Full) {
             let left: Vec<MemberId> = self.peers.keys().copied().collect();
             for id in left {
                 if !entries.iter().any(|e| e.member.id == id) {
--- a/src/net/frames.rs
+++ b/src/net/frames.rs
@@ -6,7 +6,7 @@
 use std::future::poll_fn;
 use std::task::Poll;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio_util::codec::{Decoder, Framed};
 
 /// Room for reading and for writing that a connection starts with: hundreds rest at a time.
@@ -62,7 +62,11 @@
 
 /// Ends a connection on which the last word has been said, so that the client gets to read it.
 pub async fn finish<C>(conn: Framed<Socket, C>) -> std::io::Result<()> {
-    let mut stream = conn.into_inner();
+    finish_stream(conn.into_inner()).await
+}
+
+/// The same for a stream that nothing more is read from.
+pub async fn finish_stream<S: AsyncRead + AsyncWrite + Unpin>(mut stream: S) -> std::io::Result<()> {
     stream.shutdown().await?;
     let (mut rest, mut read) = (vec![0; 16 * 1024], 0);
     let drain = async {
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -1,10 +1,13 @@
-//! Accepting clients, for whichever front.
+//! Accepting clients, for whichever front, and how far the process is with its start and its end.
 
 use super::budget::Pot;
 use crate::core::counters::{count, Count};
 use crate::meter::Socket;
+use listenfd::ListenFd;
+use socket2::SockRef;
 use std::fmt::Display;
 use std::future::Future;
+use std::io::{Error, ErrorKind};
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -14,12 +17,55 @@
 /// How long a client may wait for a seat. Those behind it wait too, and a close is owed within seconds.
 const SEAT: Duration = Duration::from_millis(200);
 
-/// Set once the process is to end: connections then close between requests.
-pub type Closing = watch::Receiver<bool>;
+/// How far the process is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Clients are not taken yet.
+    Starting,
+    /// Clients are taken.
+    Serving,
+    /// Another process takes the clients; each connection here ends with its next answer.
+    Leaving,
+    /// Connections end between requests.
+    Closing,
+}
+
+/// Tells how far the process is.
+pub type Closing = watch::Receiver<Phase>;
+
+/// Waits until the process is so far.
+pub async fn reached(closing: &mut Closing, phase: Phase) {
+    let _ = closing.wait_for(|c| *c >= phase).await;
+}
 
-/// Waits for the end to begin.
+/// Waits until connections are to end.
 pub async fn closed(closing: &mut Closing) {
-    let _ = closing.wait_for(|c| *c).await;
+    reached(closing, Phase::Closing).await;
+}
+
+/// The listener that the platform holds open for this proxy and every process of it inherits. It is never shut down
+/// here, which would end it for the others too: letting go of it closes this process's copy alone.
+///
+/// # Errors
+/// When the descriptor is no listening TCP socket.
+pub fn inherited(descriptor: &str) -> Result<TcpListener, Error> {
+    let wrong = |what: &str| Error::new(ErrorKind::InvalidInput, format!("descriptor '{descriptor}' {what}"));
+    let number: u32 = descriptor.parse().map_err(|_| wrong("is no number"))?;
+    if number < 3 {
+        return Err(wrong("is a standard stream"));
+    }
+    // The library's way in for a descriptor by its number; nothing else reads these variables.
+    std::env::set_var("LISTEN_FDS", "1");
+    std::env::set_var("LISTEN_FDS_FIRST_FD", descriptor);
+    std::env::remove_var("LISTEN_PID");
+    let listener = ListenFd::from_env().take_tcp_listener(0)?.ok_or_else(|| wrong("is taken"))?;
+    if !SockRef::from(&listener).is_listener()? {
+        // Not ours to close.
+        std::mem::forget(listener);
+        return Err(wrong("is a socket that does not listen"));
+    }
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
 }
 
 /// Accepts clients until the end begins, each served in a task of its own that holds a permit of the pot.
@@ -36,8 +82,9 @@
     // The permit comes after the client: a listener without clients keeps none from the other front's.
     loop {
         let accepted = tokio::select! {
+            biased;
+            () = reached(&mut closing, Phase::Leaving) => return,
             accepted = listener.accept() => accepted,
-            () = closed(&mut closing) => return,
         };
         let stream = match accepted {
             Ok((stream, _)) => stream,
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -11,7 +11,7 @@
 use crate::meter::Socket;
 use crate::net::budget::{Budget, Pace};
 use crate::net::frames::{finish, next, shrink, Next, ROOM};
-use crate::net::listen::{closed, Closing};
+use crate::net::listen::{closed, Closing, Phase};
 use crate::settings::Names;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
@@ -125,7 +125,8 @@
                     }
                 }
             };
-            response.closes = request.closes || ahead.is_empty() && broken.is_none() && *closing.borrow();
+            response.closes =
+                request.closes || ahead.is_empty() && broken.is_none() && *closing.borrow() >= Phase::Leaving;
             let closes = response.closes;
             match tokio::time::timeout(PATIENCE, conn.send(response)).await {
                 Ok(sent) => sent?,
--- /dev/null
+++ b/src/overlay.rs
@@ -0,0 +1,183 @@
+//! The member list as the module gets it: what discovery says, and what the operators say by hand, joined in this one
+//! place. It does no I/O and holds no clock.
+//!
+//! A member that was taken out by hand is told as draining for as long as it is out, whatever discovery lists of it in
+//! the meantime; where discovery says that it is gone, it is gone. Being out goes by the member's id, so that it lasts
+//! over whole lists, over the member's leaving and over its return. Put back, a member counts as started at that
+//! moment, since whoever took it out is likely to have restarted it; a start since it went out that discovery knows of
+//! is better knowledge and wins.
+
+use crate::interface::{Condition, ListKind, Member, Time};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Most members that may be out at a time.
+pub const OUT_MOST: usize = 1_024;
+/// Most ids remembered of members that have left, and how long, in us: a call about one of them is no mistake.
+const LEFT_MOST: usize = 4_096;
+const LEFT_KEPT: Time = 600_000_000;
+/// How long it is remembered that a member was put back, in us: much longer than any takes to warm up.
+const BACK_KEPT: Time = 600_000_000;
+
+/// An entry of the member list.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Listed {
+    /// Its id, as the list names it.
+    pub name: Arc<str>,
+    /// What the module needs to know.
+    pub member: Member,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// Why a call about a member is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum No {
+    /// No list has named it.
+    Unknown,
+    /// As many are out as may be.
+    Full,
+}
+
+/// What the operators said of a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Hand {
+    /// When they took it out.
+    pub out: Time,
+    /// When they put it back; none: it is out.
+    pub back: Option<Time>,
+}
+
+impl Hand {
+    fn is_out(&self) -> bool {
+        self.back.is_none()
+    }
+}
+
+/// All that the operators said, by the members' ids.
+pub type Hands = BTreeMap<Arc<str>, Hand>;
+
+/// Both words on every member.
+#[derive(Debug, Default)]
+pub struct Overlay {
+    /// What discovery last said of the members that it lists.
+    listed: BTreeMap<Arc<str>, Listed>,
+    hands: Hands,
+    /// Those that discovery no longer lists, and since when.
+    left: BTreeMap<Arc<str>, Time>,
+}
+
+impl Overlay {
+    /// Discovery's word, turned into what the module is to be told.
+    pub fn list(&mut self, kind: ListKind, entries: Vec<Listed>, now: Time) -> Vec<Listed> {
+        if matches!(kind, ListKind::Disk | ListKind::Full) {
+            let named: BTreeSet<&Arc<str>> = entries.iter().map(|e| &e.name).collect();
+            let gone: Vec<Arc<str>> = self.listed.keys().filter(|n| !named.contains(n)).cloned().collect();
+            gone.into_iter().for_each(|name| self.leave(name, now));
+        }
+        for entry in &entries {
+            if entry.member.condition == Condition::Out {
+                self.leave(entry.name.clone(), now);
+            } else {
+                self.left.remove(&entry.name);
+                self.listed.insert(entry.name.clone(), entry.clone());
+            }
+        }
+        self.forget(now);
+        entries.into_iter().map(|entry| self.told(entry)).collect()
+    }
+
+    fn leave(&mut self, name: Arc<str>, now: Time) {
+        if self.listed.remove(&name).is_some() {
+            self.left.insert(name, now);
+        }
+    }
+
+    fn forget(&mut self, now: Time) {
+        self.left.retain(|_, since| now < *since + LEFT_KEPT);
+        while self.left.len() > LEFT_MOST {
+            let oldest = self.left.iter().min_by_key(|(_, since)| **since).map(|(name, _)| name.clone());
+            oldest.map(|name| self.left.remove(&name));
+        }
+        self.hands.retain(|_, hand| hand.back.is_none_or(|back| now < back + BACK_KEPT));
+    }
+
+    /// An entry of discovery's as the module is to see it.
+    fn told(&self, mut entry: Listed) -> Listed {
+        let member = &mut entry.member;
+        match self.hands.get(&entry.name) {
+            Some(Hand { back: None, .. }) if member.condition == Condition::In => {
+                member.condition = Condition::Draining;
+            }
+            Some(Hand { out, back: Some(back) }) => {
+                let proven = member.up_since.filter(|start| start > out);
+                member.up_since = proven.or(Some(*back));
+            }
+            _ => {}
+        }
+        entry
+    }
+
+    fn again(&self, name: &str) -> Option<Listed> {
+        self.listed.get(name).map(|entry| self.told(entry.clone()))
+    }
+
+    /// Whether a member of this id may be called about: a list has named it, or another process of this proxy knew it.
+    pub fn knows(&self, name: &str) -> bool {
+        self.listed.contains_key(name) || self.left.contains_key(name) || self.hands.contains_key(name)
+    }
+
+    /// Whether any member is listed that may be sent to.
+    pub fn serves(&self) -> bool {
+        let usable = |e: &Listed| e.member.condition == Condition::In;
+        self.listed.values().any(|entry| usable(&self.told(entry.clone())))
+    }
+
+    /// Takes a member out, which may be said more than once; what the module is to be told, if anything.
+    ///
+    /// # Errors
+    /// Why that cannot be done.
+    pub fn suspend(&mut self, name: &str, now: Time) -> Result<Option<Listed>, No> {
+        if !self.knows(name) {
+            return Err(No::Unknown);
+        }
+        if self.hands.get(name).is_some_and(Hand::is_out) {
+            return Ok(None);
+        }
+        if self.hands.values().filter(|h| h.is_out()).count() >= OUT_MOST {
+            return Err(No::Full);
+        }
+        self.hands.insert(name.into(), Hand { out: now, back: None });
+        Ok(self.again(name))
+    }
+
+    /// Puts a member back, however often it was taken out; what the module is to be told, if anything.
+    ///
+    /// # Errors
+    /// Why that cannot be done.
+    pub fn restore(&mut self, name: &str, now: Time) -> Result<Option<Listed>, No> {
+        if !self.knows(name) {
+            return Err(No::Unknown);
+        }
+        match self.hands.get_mut(name) {
+            Some(hand) if hand.is_out() => hand.back = Some(now),
+            _ => return Ok(None),
+        }
+        Ok(self.again(name))
+    }
+
+    /// All that the operators said.
+    pub fn hands(&self) -> &Hands {
+        &self.hands
+    }
+
+    /// What the operators said to any process of this proxy, in place of what is known of it here; what the module is
+    /// to be told.
+    pub fn adopt(&mut self, hands: Hands) -> Vec<Listed> {
+        let former = std::mem::replace(&mut self.hands, hands);
+        let changed = |name: &&Arc<str>| former.get(*name) != self.hands.get(*name);
+        let names: BTreeSet<&Arc<str>> = former.keys().chain(self.hands.keys()).filter(changed).collect();
+        names.into_iter().filter_map(|name| self.again(name)).collect()
+    }
+}
--- a/src/pg/front.rs
+++ b/src/pg/front.rs
@@ -9,7 +9,7 @@
 use crate::meter::Socket;
 use crate::net::budget::{Pace, Pot, Ration};
 use crate::net::frames::{finish, next, shrink, Next, ROOM};
-use crate::net::listen::{closed, Closing};
+use crate::net::listen::{reached, Closing, Phase};
 use crate::settings::Names;
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::{FutureExt, SinkExt, StreamExt};
@@ -121,14 +121,28 @@
             Ok(Err(e)) => return self.bad(conn, e).await,
         }
         let mut owed = VecDeque::new();
-        let (mut leaving, mut ended) = (*closing.borrow(), false);
-        let mut closed = pin!(closed(&mut closing));
+        let (mut phase, mut ended) = (*closing.borrow(), false);
+        // Set anew with each step of the end: first connections end with their next answer, then between requests.
+        let mut leaving = phase >= Phase::Closing;
+        let mut begun = closing.clone();
+        let mut begun = pin!(reached(&mut begun, Phase::Leaving));
+        let mut closed = pin!(reached(&mut closing, Phase::Closing));
         // Set anew only when it rings too early: nearly every wait ends long before its limit.
         let mut timer = pin!(tokio::time::sleep_until(first));
         let (mut talk, mut part, mut rests) = (Talk::default(), None::<Instant>, Instant::now());
         let fault = loop {
             if leaving && owed.is_empty() {
-                return Ok(());
+                // What has come already is still taken, or the client would find its request unread.
+                let come = if ended { None } else { next(&mut conn, true).now_or_never() };
+                match come {
+                    Some(Next::Message(Some(Ok(message)))) if message != Frontend::Terminate => {
+                        (talk.asked, part) = (true, None);
+                        owed.extend(self.take(message, &mut talk).await);
+                        continue;
+                    }
+                    None if !ended && !conn.read_buffer().is_empty() => {}
+                    _ => return Ok(finish(conn).await?),
+                }
             }
             let depth = if self.bytes.tight() { PIPELINE_TIGHT } else { PIPELINE };
             let reads = owed.len() < depth && !ended;
@@ -154,6 +168,7 @@
                     }
                     shrink(&mut conn);
                     rests = Instant::now();
+                    leaving |= phase >= Phase::Leaving;
                 }
                 read = next(&mut conn, part.is_some()), if reads => match read {
                     Next::Part => part = Some(Instant::now()),
@@ -166,7 +181,10 @@
                     }
                     Next::Message(Some(Err(e))) => break e,
                 },
-                () = closed.as_mut(), if !leaving => leaving = true,
+                () = begun.as_mut(), if phase < Phase::Leaving => phase = Phase::Leaving,
+                () = closed.as_mut(), if phase == Phase::Leaving => {
+                    (phase, leaving) = (Phase::Closing, true);
+                }
                 // Others wait for a seat, or too many rest: this one is between requests and has been for longest.
                 () = self.clients.wanted(!talk.sound), if owed.is_empty() => {
                     count(Count::pg_made_room);
--- a/tests/ordinary.rs
+++ b/tests/ordinary.rs
@@ -96,10 +96,8 @@
     let setup = Setup {
         program: env!("CARGO_BIN_EXE_linentrail").into(),
         config: config("127.0.0.1:9", &known, settings(), 1024, 192),
-        odata: false,
-        browse: None,
         loud: true,
-        log: None,
+        ..Setup::default()
     };
     World { member, group, proxy: Proxy::start(&setup).expect("the proxy starts") }
 }
--- /dev/null
+++ b/tests/overlay.rs
@@ -0,0 +1,208 @@
+//! What discovery and the operators say of a member, joined: all short histories, against a plain model of what must
+//! show.
+#![allow(missing_docs)]
+
+use linentrail::overlay::{Listed, No, Overlay};
+use linentrail::{Condition, GroupId, ListKind, Member, MemberId, Time};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+const GROUP: GroupId = 1;
+
+fn entry(name: &str, condition: Condition, up_since: Option<Time>) -> Listed {
+    let id = MemberId(name.bytes().map(u32::from).sum());
+    Listed {
+        name: name.into(),
+        member: Member { id, zone: 0, group: GROUP, condition, primary: false, up_since },
+        address: ([127, 0, 0, 1], 5).into(),
+    }
+}
+
+/// One thing that may happen.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Step {
+    Suspend,
+    Restore,
+    Active,
+    Leaving,
+    Left,
+    /// A whole list without the member.
+    Without,
+    /// A whole list with it, started just now.
+    Restarted,
+    /// Another process goes on from what this one hands it.
+    HandedOver,
+}
+
+const STEPS: [Step; 8] = [
+    Step::Suspend,
+    Step::Restore,
+    Step::Active,
+    Step::Leaving,
+    Step::Left,
+    Step::Without,
+    Step::Restarted,
+    Step::HandedOver,
+];
+
+/// What must show, kept as plainly as can be.
+#[derive(Debug, Clone, Default)]
+struct Model {
+    known: bool,
+    /// Condition and start by discovery's word, while it lists the member.
+    listed: Option<(Condition, Option<Time>)>,
+    out_since: Option<Time>,
+    /// Out and back, of the last time that it was put back.
+    put_back: Option<(Time, Time)>,
+}
+
+impl Model {
+    fn must_show(&self) -> Option<(Condition, Option<Time>)> {
+        let (condition, start) = self.listed?;
+        if self.out_since.is_some() {
+            return Some((Condition::Draining, start));
+        }
+        Some(match self.put_back {
+            Some((out, back)) => (condition, if start > Some(out) { start } else { Some(back) }),
+            None => (condition, start),
+        })
+    }
+}
+
+/// The overlay and what a module would hold of its word.
+struct Run {
+    overlay: Overlay,
+    seen: BTreeMap<Arc<str>, Member>,
+    model: Model,
+    now: Time,
+}
+
+impl Run {
+    fn see(&mut self, kind: ListKind, told: Vec<Listed>) {
+        if matches!(kind, ListKind::Disk | ListKind::Full) {
+            self.seen.clear();
+        }
+        for Listed { name, member, .. } in told {
+            match member.condition {
+                Condition::Out => drop(self.seen.remove(&name)),
+                _ => drop(self.seen.insert(name, member)),
+            }
+        }
+    }
+
+    fn list(&mut self, kind: ListKind, entries: Vec<Listed>) {
+        let told = self.overlay.list(kind, entries, self.now);
+        self.see(kind, told);
+    }
+
+    fn step(&mut self, step: Step) {
+        self.now += 10;
+        let (now, start) = (self.now, self.model.listed.and_then(|(_, start)| start));
+        let model = &mut self.model;
+        match step {
+            Step::Suspend | Step::Restore => {
+                let told = match step {
+                    Step::Suspend => self.overlay.suspend("m", now),
+                    _ => self.overlay.restore("m", now),
+                };
+                assert_eq!(told.is_ok(), model.known, "a no is owed to an unknown id, and to no other");
+                match (step, model.out_since) {
+                    _ if !model.known => assert_eq!(told, Err(No::Unknown)),
+                    (Step::Suspend, None) => (model.out_since, model.put_back) = (Some(now), None),
+                    (Step::Restore, Some(out)) => {
+                        (model.out_since, model.put_back) = (None, Some((out, now)));
+                    }
+                    _ => assert_eq!(told, Ok(None), "said twice, it is no news"),
+                }
+                self.see(ListKind::Operator, told.ok().flatten().into_iter().collect());
+            }
+            Step::Active | Step::Leaving => {
+                let condition = if step == Step::Active { Condition::In } else { Condition::Draining };
+                (model.known, model.listed) = (true, Some((condition, start)));
+                self.list(ListKind::Changes, vec![entry("m", condition, start)]);
+            }
+            Step::Left => {
+                model.listed = None;
+                self.list(ListKind::Changes, vec![entry("m", Condition::Out, start)]);
+            }
+            Step::Without => {
+                model.listed = None;
+                self.list(ListKind::Full, vec![entry("other", Condition::In, None)]);
+            }
+            Step::Restarted => {
+                (model.known, model.listed) = (true, Some((Condition::In, Some(now))));
+                self.list(ListKind::Full, vec![entry("m", Condition::In, Some(now))]);
+            }
+            Step::HandedOver => {
+                let hands = self.overlay.hands().clone();
+                let listed: Vec<Listed> =
+                    model.listed.map(|(condition, start)| entry("m", condition, start)).into_iter().collect();
+                // What left before the other process began is known to it by the operators' word alone.
+                model.known = model.listed.is_some() || hands.contains_key("m");
+                self.overlay = Overlay::default();
+                self.seen.clear();
+                self.overlay.adopt(hands);
+                self.list(ListKind::Disk, listed);
+            }
+        }
+    }
+
+    fn check(&self, history: &[Step]) {
+        let seen = self.seen.get("m").map(|m| (m.condition, m.up_since));
+        assert_eq!(seen, self.model.must_show(), "{history:?}: {:?}", self.model);
+        let usable = seen.is_some_and(|(condition, _)| condition == Condition::In);
+        let other = self.seen.contains_key("other");
+        assert_eq!(self.overlay.serves(), usable || other, "{history:?}");
+    }
+}
+
+#[test]
+fn every_short_history_ends_in_what_both_words_say() {
+    const LENGTH: u32 = 6;
+    let mut history = Vec::new();
+    for mut number in 0..STEPS.len().pow(LENGTH) {
+        let mut run =
+            Run { overlay: Overlay::default(), seen: BTreeMap::new(), model: Model::default(), now: 100 };
+        history.clear();
+        for _ in 0..LENGTH {
+            history.push(STEPS[number % STEPS.len()]);
+            number /= STEPS.len();
+            run.step(history[history.len() - 1]);
+            run.check(&history);
+        }
+    }
+}
+
+#[test]
+fn one_that_another_process_took_out_or_put_back_is_told_at_once_and_no_other() {
+    let (mut here, mut there) = (Overlay::default(), Overlay::default());
+    for side in [&mut here, &mut there] {
+        let entries = vec![entry("a", Condition::In, None), entry("b", Condition::In, None)];
+        side.list(ListKind::Full, entries, 5);
+    }
+    there.suspend("a", 10).expect("it is known");
+    let told = here.adopt(there.hands().clone());
+    assert_eq!(told, [entry("a", Condition::Draining, None)]);
+    assert!(here.adopt(there.hands().clone()).is_empty());
+    there.restore("a", 20).expect("it is known");
+    assert_eq!(here.adopt(there.hands().clone()), [entry("a", Condition::In, Some(20))]);
+}
+
+#[test]
+fn what_is_remembered_has_a_bound() {
+    let mut overlay = Overlay::default();
+    let most = linentrail::overlay::OUT_MOST;
+    let names: Vec<String> = (0..=most).map(|n| format!("m{n}")).collect();
+    let entries = names.iter().map(|n| entry(n, Condition::In, None)).collect();
+    overlay.list(ListKind::Full, entries, 0);
+    for name in &names[..most] {
+        assert!(overlay.suspend(name, 1).is_ok());
+    }
+    assert_eq!(overlay.suspend(&names[most], 1), Err(No::Full));
+    assert!(overlay.restore(&names[0], 2).is_ok() && overlay.suspend(&names[most], 3).is_ok());
+    // A day later all have left, and only those that are out are remembered.
+    overlay.list(ListKind::Full, Vec::new(), 4);
+    overlay.list(ListKind::Full, Vec::new(), 86_400_000_000);
+    assert!(!overlay.knows(&names[0]) && overlay.knows(&names[1]));
+    assert_eq!(overlay.hands().len(), most);
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -32,6 +32,12 @@
 //! descriptors noted           the proxy's descriptors are counted; `descriptors more 6`: by so many more; `descriptors back 1`:
 //!                             they come back to that and 1
 //! stop                        SIGTERM to the proxy; `gone` waits for its end
+//! start console               with a console; `start handed`: that inherits its listener and has a folder for its processes
+//! console 200 SUSPEND p       what the operators call is answered so, within a second; a member's name stands for its id, and
+//!                             \n for a line's end within
+//! silent 40                   so many callers connect to the console and say nothing
+//! upgrade                     a second process takes over from the first, which lives on as the `former` one
+//! former 200 RESTORE p        the same on the former one's console; `former stop`, `former gone` and `former kill`
 //! wait 50                     milliseconds; `clock` begins a span that must not have passed `within 3000`
 //! ```
 #![allow(dead_code)]
@@ -46,6 +52,8 @@
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::TcpStream;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant, SystemTime};
 
@@ -73,9 +81,30 @@
     clock: Option<Instant>,
     descriptors: usize,
     proxy: Option<Proxy>,
+    /// What it was started with, and the one before it.
+    setup: Setup,
+    former: Option<Proxy>,
+    silent: Vec<TcpStream>,
     ids: u64,
 }
 
+/// A folder that the processes of one proxy share; it goes with the stage.
+fn shared() -> std::path::PathBuf {
+    static MADE: AtomicUsize = AtomicUsize::new(0);
+    let made = MADE.fetch_add(1, Ordering::Relaxed);
+    let dir = std::env::temp_dir().join(format!("linentrail-shared-{}-{made}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&dir);
+    std::fs::create_dir_all(&dir).unwrap();
+    dir
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        (self.proxy, self.former) = (None, None);
+        self.setup.shared.as_ref().map(std::fs::remove_dir_all);
+    }
+}
+
 /// Waits until it has come true; if it does not, the failure says so.
 fn until(true_now: impl Fn() -> bool, failure: impl Fn() -> String) {
     let began = Instant::now();
@@ -138,6 +167,20 @@
             }
             ["dns", "does", ref what @ ..] => self.name(what),
             ["counts", name, least] => self.counts(name, least.parse().unwrap()),
+            ["console", code, ..] => self.called(self.proxy(), code, rest(2), line),
+            ["silent", n] => {
+                let address = self.proxy().console.expect("start console");
+                let connect = |_| TcpStream::connect(address).unwrap();
+                self.silent.extend((0..n.parse().unwrap()).map(connect));
+            }
+            ["upgrade"] => {
+                let next = Proxy::start(&self.setup).expect("the next one starts");
+                self.former = self.proxy.replace(next);
+            }
+            ["former", "stop"] => self.former.as_ref().unwrap().signal("TERM").unwrap(),
+            ["former", "gone"] => assert!(self.former.take().unwrap().wait().unwrap().success(), "{line}"),
+            ["former", "kill"] => drop(self.former.take()),
+            ["former", code, ..] => self.called(self.former.as_ref().unwrap(), code, rest(2), line),
             ["stop"] => self.proxy().signal("TERM").unwrap(),
             ["hup"] => self.proxy().signal("HUP").unwrap(),
             ["gone"] => assert!(self.proxy.as_mut().unwrap().wait().unwrap().success(), "{line}"),
@@ -162,6 +205,20 @@
         self.proxy.as_ref().expect("start comes first")
     }
 
+    /// The console's answer to a call begins so and comes within a second.
+    fn called(&self, proxy: &Proxy, code: &str, call: &str, line: &str) {
+        let id = |word: &str| match self.members.iter().position(|(n, _)| n == word) {
+            Some(index) => {
+                entry(index, self.members[index].1.address())["instanceId"].as_str().unwrap().to_string()
+            }
+            None => word.to_string(),
+        };
+        let call: Vec<String> = call.replace("\\n", "\n").split(' ').map(id).collect();
+        let (answer, took) = proxy.call(&format!("{}\n", call.join(" "))).unwrap();
+        assert!(answer.starts_with(&format!("{code} ")) && answer.ends_with('\n'), "{line}: {answer}");
+        assert!(took < Duration::from_secs(1), "{line}: {took:?}");
+    }
+
     fn member(&mut self, name: &str, primary: bool, lag: u64) {
         let member = Member::start(&self.group, primary, lag, Capacity::default());
         self.members.push((name.to_string(), member));
@@ -209,8 +266,9 @@
     }
 
     fn start(&mut self, with: &[&str]) {
-        let [odata, dnssd, watching, small, few, brief, scant] =
-            ["odata", "dnssd", "watching", "small", "few", "brief", "scant"].map(|w| with.contains(&w));
+        let [odata, dnssd, watching, small, few, brief, scant, console, handed] =
+            ["odata", "dnssd", "watching", "small", "few", "brief", "scant", "console", "handed"]
+                .map(|w| with.contains(&w));
         let members = self.members.iter().filter(|_| !dnssd).enumerate();
         let list: Vec<_> = members.map(|(i, (_, m))| entry(i, m.address())).collect();
         let mut settings = proxy::settings();
@@ -230,6 +288,10 @@
             1024
         };
         self.config = proxy::config(&discovery, &list, settings, sockets, if scant { 16 } else { 192 });
+        if console {
+            self.config["console"] = "127.0.0.1:0".into();
+        }
+        let listener = || Arc::new(std::net::TcpListener::bind("127.0.0.1:0").unwrap());
         let setup = Setup {
             program: env!("CARGO_BIN_EXE_linentrail").into(),
             config: self.config.clone(),
@@ -237,8 +299,11 @@
             browse: dnssd.then(|| self.dns.start()),
             loud: true,
             log: None,
+            listener: handed.then(listener),
+            shared: handed.then(shared),
         };
         self.proxy = Some(Proxy::start(&setup).expect("the proxy starts"));
+        self.setup = setup;
         // Repeatable Requests count in whole seconds: the process must be older than the second it began in.
         if odata {
             thread::sleep(Duration::from_millis(1_050 - now_ms() % 1_000));
