Hand the operators' word and what was learned to the next process; share limits

Change: src/handover (format and merge without I/O, files, actor, desk); presence by a lock; the operators' word in a file that changes under a lock; what was learned (src/known.rs) as reports on position and role; half of seats and bytes for each process while both live. Off where no listener is handed on.

Tests: seats, lock, torn files bit by bit; real processes: calls at both at once, files that cannot be used, either process killed, four upgrades in a row under a mixed load with no request broken, no write run twice, no stale read. Not done: a session's write at one process and its read at the other within 200 ms without the position it carries.

--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -133,6 +133,12 @@
         Ok(self.stream.fill_buf().await?.len())
     }
 
+    /// Whether the other side has ended the connection, as far as can be seen now.
+    pub async fn ended(&mut self) -> bool {
+        let look = tokio::time::timeout(std::time::Duration::ZERO, self.stream.fill_buf()).await;
+        look.is_ok_and(|seen| seen.map_or(true, <[u8]>::is_empty))
+    }
+
     /// Bytes that came without being asked for.
     pub fn strays(&self) -> usize {
         self.stream.buffer().len()
--- a/src/config.rs
+++ b/src/config.rs
@@ -6,6 +6,8 @@
 /// All that a proxy is told.
 #[derive(Debug, Clone)]
 pub struct Config {
+    /// Its name, the same after a restart.
+    pub name: String,
     /// Where clients connect.
     pub listen: String,
     /// Where operators call, if anywhere.
@@ -46,7 +48,9 @@
     let console = console.or_else(|| json.get("console").and_then(Value::as_str).map(str::to_string));
     let limit = |name: &str, or: u64| json.pointer(name).and_then(Value::as_u64).unwrap_or(or) as usize;
     let seed = json.get("seed").and_then(Value::as_str).unwrap_or("0");
+    let name = variable("BALANCER_NAME").or_else(|| Some(json.get("name")?.as_str()?.to_string()));
     Ok(Config {
+        name: name.unwrap_or_default(),
         listen: text("listen", "BALANCER_LISTEN")?,
         console: console.filter(|v| !v.is_empty()),
         discovery: text("discovery", "BALANCER_DISCOVERY")?,
--- a/src/console/mod.rs
+++ b/src/console/mod.rs
@@ -9,8 +9,8 @@
 
 use crate::core::counters::{count, Count};
 use crate::core::Order;
+use crate::handover::Desk;
 use crate::net::listen::{Closing, Phase};
-use crate::overlay::No;
 use futures_util::{SinkExt, StreamExt};
 use line::{Call, Line, Lines, Reply};
 use std::collections::VecDeque;
@@ -18,7 +18,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 use tokio_util::codec::Framed;
 
@@ -35,7 +34,7 @@
 /// What every caller needs.
 #[derive(Clone)]
 pub struct Console {
-    orders: mpsc::Sender<Order>,
+    desk: Desk,
     phase: Closing,
 }
 
@@ -46,9 +45,9 @@
 }
 
 impl Console {
-    /// One that hands its calls to the core by `orders`.
-    pub fn new(orders: mpsc::Sender<Order>, phase: Closing) -> Self {
-        Console { orders, phase }
+    /// One that hands its calls to the desk.
+    pub fn new(desk: Desk, phase: Closing) -> Self {
+        Console { desk, phase }
     }
 
     /// Takes callers until the process ends.
@@ -115,24 +114,17 @@
         let _ = tokio::time::timeout(LAST_WORD, last_word).await;
     }
 
-    async fn ask<T>(&self, order: impl FnOnce(oneshot::Sender<T>) -> Order) -> Option<T> {
-        let (reply, answer) = oneshot::channel();
-        self.orders.send(order(reply)).await.ok()?;
-        answer.await.ok()
-    }
-
     async fn answer(&self, call: &Call) -> Reply {
         let (told, done) = match call {
             Call::Status => return self.status().await,
-            Call::Suspend(id) => (self.ask(|reply| Order::Suspend(id.as_str().into(), reply)).await, "out"),
-            Call::Restore(id) => (self.ask(|reply| Order::Restore(id.as_str().into(), reply)).await, "back"),
+            Call::Suspend(id) => {
+                (self.desk.change(|reply| Order::Suspend(id.as_str().into(), reply)).await, "out")
+            }
+            Call::Restore(id) => {
+                (self.desk.change(|reply| Order::Restore(id.as_str().into(), reply)).await, "back")
+            }
         };
-        match told {
-            Some(Ok(())) => Reply::Yes(done),
-            Some(Err(No::Unknown)) => Reply::No("no list has named a member of that id".to_string()),
-            Some(Err(No::Full)) => Reply::No("too many members are out".to_string()),
-            None => Reply::No("the process ends".to_string()),
-        }
+        told.map_or_else(Reply::No, |()| Reply::Yes(done))
     }
 
     /// Yes only where a client would really be served.
@@ -143,7 +135,7 @@
             Phase::Leaving | Phase::Closing => return Reply::No("ending".to_string()),
             Phase::Serving => {}
         }
-        match self.ask(Order::Ready).await {
+        match self.desk.ask(Order::Ready).await {
             Some(true) => Reply::Yes("serving"),
             Some(false) => Reply::No("no member is listed that requests could go to".to_string()),
             None => Reply::No("ending".to_string()),
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -6,6 +6,7 @@
 use super::{Answer, Attempt, Ending, Input, Listed, Members, Order, Request, Taken, REQUEST};
 use crate::clock::Clock;
 use crate::interface::*;
+use crate::known::{Known, KnownMember};
 use crate::overlay::Overlay;
 use crate::Router;
 use bytes::Bytes;
@@ -19,6 +20,8 @@
 
 /// Most messages that go into one step.
 const BATCH: usize = 256;
+/// Commits no older than this, in us, are handed on by session; of the others the latest stands for all.
+const RECENT: Time = 20_000_000;
 /// Sessions remembered.
 const SESSIONS: usize = 16_384;
 
@@ -143,20 +146,81 @@
         }
     }
 
-    /// What the operators ask, and what of it the module must know.
-    fn order(&mut self, order: Order) -> Option<Event> {
+    /// What the operators ask, or another process tells, and what of it the module must know.
+    fn order(&mut self, order: Order) -> Vec<Event> {
         let now = self.clock.now();
         let (told, reply) = match order {
+            Order::Suspend(name, reply) => (self.overlay.suspend(&name, now), reply),
+            Order::Restore(name, reply) => (self.overlay.restore(&name, now), reply),
             Order::Ready(reply) => {
                 let _ = reply.send(self.overlay.serves());
-                return None;
+                return Vec::new();
+            }
+            Order::Hands(reply) => {
+                let _ = reply.send(self.overlay.hands().clone());
+                return Vec::new();
+            }
+            Order::Adopt(hands, reply) => {
+                let told = self.overlay.adopt(hands);
+                let _ = reply.send(());
+                return self.operator(told);
+            }
+            Order::Export(reply) => {
+                let _ = reply.send(self.export(now));
+                return Vec::new();
+            }
+            Order::Learn(known, reply) => {
+                let _ = reply.send(());
+                return self.learn(&known);
             }
-            Order::Suspend(name, reply) => (self.overlay.suspend(&name, now), reply),
-            Order::Restore(name, reply) => (self.overlay.restore(&name, now), reply),
         };
         self.taken.push((reply, told.as_ref().map(|_| ()).map_err(|no| *no)));
-        let told: Vec<Listed> = told.ok().flatten().into_iter().collect();
-        (!told.is_empty()).then(|| self.told(ListKind::Operator, told))
+        let told = told.ok().flatten().into_iter().collect();
+        self.operator(told)
+    }
+
+    fn operator(&mut self, told: Vec<Listed>) -> Vec<Event> {
+        if told.is_empty() {
+            Vec::new()
+        } else {
+            vec![self.told(ListKind::Operator, told)]
+        }
+    }
+
+    /// What was learned so far, for another process of this proxy.
+    fn export(&self, now: Time) -> Known {
+        let named: FxHashMap<MemberId, &Arc<str>> =
+            self.overlay.listed().map(|e| (e.member.id, &e.name)).collect();
+        let members = self.router.learned().filter_map(|m| {
+            let name = (*named.get(&m.id)?).clone();
+            Some(KnownMember { name, position: m.position, primary: m.primary, cold_from: m.cold_from })
+        });
+        let (sessions, floor) = self.sessions.since(now.saturating_sub(RECENT));
+        Known { members: members.collect(), sessions, floor }
+    }
+
+    /// What another process has learned, as the events that would have told it here: a start that discovery does not
+    /// know of, and a report on position and role.
+    fn learn(&mut self, known: &Known) -> Vec<Event> {
+        self.sessions.merge(&known.sessions, known.floor);
+        let cold: FxHashMap<MemberId, Time> =
+            self.router.learned().filter_map(|m| Some((m.id, m.cold_from?))).collect();
+        let (mut starts, mut reports) = (Vec::new(), Vec::new());
+        for m in &known.members {
+            let Some(mut entry) = self.overlay.again(&m.name) else { continue };
+            let id = entry.member.id;
+            if m.cold_from.is_some_and(|at| cold.get(&id).is_none_or(|known| at > *known)) {
+                entry.member.up_since = m.cold_from;
+                starts.push(entry);
+            }
+            if m.position > 0 {
+                let report = Report { position: Some(m.position), primary: m.primary, busy: None };
+                reports.push(Event::Probed { member: id, ok: true, report: Some(report) });
+            }
+        }
+        let mut events = self.operator(starts);
+        events.append(&mut reports);
+        events
     }
 
     /// Members and module are told of the list alike.
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -68,6 +68,8 @@
     console_calls,
     console_refused,
     console_made_room,
+    handovers,
+    handover_files_passed_over,
 );
 
 /// Counts one more.
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -32,9 +32,23 @@
         *at = commit.max(*at);
     }
 
+    /// The commits since then, and the latest of all others: what another process must know to let no stale read
+    /// through.
+    pub fn since(&self, then: Position) -> (Vec<(Arc<str>, Position)>, Position) {
+        let (late, early): (Vec<_>, Vec<_>) = self.commits.iter().partition(|(_, at)| **at >= then);
+        let floor = early.into_iter().map(|(_, at)| *at).max().unwrap_or(0).max(self.floor);
+        (late.into_iter().map(|(name, at)| (name.clone(), *at)).collect(), floor)
+    }
+
+    /// Takes in what another process knows.
+    pub fn merge(&mut self, sessions: &[(Arc<str>, Position)], floor: Position) {
+        self.floor = self.floor.max(floor);
+        sessions.iter().for_each(|(name, at)| self.wrote(name, *at));
+    }
+
     /// What a read of this session must see, by all that this process knows; 0: nothing.
     pub fn written(&self, session: &str) -> Position {
-        self.commits.get(session).copied().unwrap_or(self.floor)
+        self.commits.get(session).copied().unwrap_or(0).max(self.floor)
     }
 }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,8 +9,9 @@
 pub mod ledger;
 
 use crate::interface::*;
+use crate::known::Known;
 pub use crate::overlay::Listed;
-use crate::overlay::No;
+use crate::overlay::{Hands, No};
 use bytes::Bytes;
 use std::future::Future;
 use std::ops::Range;
@@ -175,6 +176,14 @@
     Suspend(Arc<str>, oneshot::Sender<Taken>),
     /// Put it back.
     Restore(Arc<str>, oneshot::Sender<Taken>),
+    /// All that the operators said so far.
+    Hands(oneshot::Sender<Hands>),
+    /// That, as it was said to any process of this proxy.
+    Adopt(Hands, oneshot::Sender<()>),
+    /// What was learned so far.
+    Export(oneshot::Sender<Known>),
+    /// What another process of this proxy has learned.
+    Learn(Known, oneshot::Sender<()>),
 }
 
 /// The members, as the core sees them. No call may wait: the core must always get back to its mailbox, which the
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -145,8 +145,8 @@
     set: Settings,
     now: Time,
     seq: u64,
-    members: BTreeMap<MemberId, Seen>,
-    groups: BTreeMap<GroupId, Group>,
+    pub(crate) members: BTreeMap<MemberId, Seen>,
+    pub(crate) groups: BTreeMap<GroupId, Group>,
     open: FxHashMap<RequestId, Open>,
     /// In the order of their arrival.
     held: Vec<(u64, RequestId)>,
--- /dev/null
+++ b/src/handover/files.rs
@@ -0,0 +1,163 @@
+//! The folder that the processes of one proxy share: seats, the lock, and files that are whole or not there.
+
+use std::fs::{self, File, TryLockError};
+use std::io::{self, ErrorKind, Write};
+use std::path::{Path, PathBuf};
+use std::time::{Duration, SystemTime};
+
+/// Processes of one proxy that may live at a time.
+pub const SEATS: usize = 2;
+/// A look at a seat takes its lock for a moment, and one that ends holds its seat a while; whoever wants a seat then
+/// tries again.
+const PAUSE: Duration = Duration::from_millis(20);
+/// The longest file read.
+const LONGEST: u64 = 4 * 1024 * 1024;
+
+/// What shows that a file has changed.
+pub type Mark = Option<(SystemTime, u64)>;
+
+/// The folder, with the seat held in it. The seat is free again when this is dropped, or its process ends in any way.
+#[derive(Debug)]
+pub struct Folder {
+    path: PathBuf,
+    /// Which seat it is.
+    pub seat: usize,
+    _seat: File,
+}
+
+fn locked(file: &File) -> io::Result<bool> {
+    match file.try_lock() {
+        Ok(()) => Ok(true),
+        Err(TryLockError::WouldBlock) => Ok(false),
+        Err(TryLockError::Error(e)) => Err(e),
+    }
+}
+
+fn made(path: &Path) -> io::Result<File> {
+    File::options().create(true).truncate(false).read(true).write(true).open(path)
+}
+
+impl Folder {
+    /// Takes a seat in the folder, which is made where it is not there; none while others hold all seats, after so
+    /// many tries.
+    ///
+    /// # Errors
+    /// When the folder cannot be used.
+    pub fn join(path: PathBuf, tries: usize) -> io::Result<Option<Self>> {
+        fs::create_dir_all(&path)?;
+        for _ in 0..tries {
+            for seat in 0..SEATS {
+                let file = made(&path.join(format!("seat-{seat}")))?;
+                if locked(&file)? {
+                    return Ok(Some(Folder { path, seat, _seat: file }));
+                }
+            }
+            std::thread::sleep(PAUSE);
+        }
+        Ok(None)
+    }
+
+    /// The other seat.
+    pub fn other(&self) -> usize {
+        1 - self.seat
+    }
+
+    /// Whether another process lives.
+    ///
+    /// # Errors
+    /// When the folder cannot be used.
+    pub fn accompanied(&self) -> io::Result<bool> {
+        let file = made(&self.path.join(format!("seat-{}", self.other())))?;
+        match file.try_lock_shared() {
+            Ok(()) => Ok(false),
+            Err(TryLockError::WouldBlock) => Ok(true),
+            Err(TryLockError::Error(e)) => Err(e),
+        }
+    }
+
+    /// The lock under which files that both write are read, changed and written; none while the other has it. It ends
+    /// when the file is dropped.
+    ///
+    /// # Errors
+    /// When the folder cannot be used.
+    pub fn lock(&self) -> io::Result<Option<File>> {
+        let file = made(&self.path.join("lock"))?;
+        Ok(locked(&file)?.then_some(file))
+    }
+
+    /// What tells whether a file has changed since: it is new with each write.
+    pub fn mark(&self, name: &str) -> Mark {
+        use std::os::unix::fs::MetadataExt;
+        let told = fs::metadata(self.path.join(name)).ok()?;
+        Some((told.modified().ok()?, told.ino()))
+    }
+
+    /// A file's bytes; none where there is no such file.
+    ///
+    /// # Errors
+    /// When it cannot be read.
+    pub fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
+        let path = self.path.join(name);
+        match fs::metadata(&path) {
+            Ok(told) if told.len() > LONGEST => Err(io::Error::other("it is too long")),
+            Ok(_) => fs::read(&path).map(Some),
+            Err(e) if e.kind() == ErrorKind::NotFound => Ok(None),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Writes a file to the side and puts it in its place, so that no one ever sees a part of it.
+    ///
+    /// # Errors
+    /// When it cannot be written; the former one then stays.
+    pub fn write(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        let aside = self.path.join(format!("{name}.{}", self.seat));
+        let mut file = File::create(&aside)?;
+        file.write_all(bytes)?;
+        drop(file);
+        fs::rename(&aside, self.path.join(name))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn folder(name: &str) -> PathBuf {
+        let path = std::env::temp_dir().join(format!("linentrail-files-{name}-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&path);
+        path
+    }
+
+    #[test]
+    fn two_have_a_seat_each_and_a_third_none_until_one_goes() {
+        let path = folder("seats");
+        let a = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
+        assert!(!a.accompanied().expect("fine"));
+        let b = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
+        assert!(a.seat != b.seat && a.accompanied().expect("fine") && b.accompanied().expect("fine"));
+        assert!(Folder::join(path.clone(), 3).expect("fine").is_none());
+        drop(a);
+        assert!(!b.accompanied().expect("fine"));
+        assert!(Folder::join(path.clone(), 3).expect("fine").is_some());
+        let _ = fs::remove_dir_all(path);
+    }
+
+    #[test]
+    fn one_at_a_time_has_the_lock_and_a_write_shows_in_the_mark() {
+        let path = folder("lock");
+        let a = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
+        let b = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
+        let held = a.lock().expect("fine").expect("free");
+        assert!(b.lock().expect("fine").is_none());
+        drop(held);
+        assert!(b.lock().expect("fine").is_some());
+        assert_eq!((a.mark("x"), a.read("x").expect("fine")), (None, None));
+        a.write("x", b"one").expect("fine");
+        let first = b.mark("x");
+        b.write("x", b"two").expect("fine");
+        assert_ne!(a.mark("x"), first);
+        assert_eq!(a.read("x").expect("fine"), Some(b"two".to_vec()));
+        let _ = fs::remove_dir_all(path);
+    }
+}
--- /dev/null
+++ b/src/handover/mod.rs
@@ -0,0 +1,243 @@
+//! Two processes of one proxy, while a new version takes over from the old one: for rules and limits they are one.
+//!
+//! What the operators said stands in a file that either changes under a lock and both follow. While both live, each
+//! writes down what it has learned for the other to take in, and keeps to half of what the proxy may hold. The core
+//! and the module never see a file: what comes from there reaches them as orders, and as events.
+
+pub mod files;
+pub mod format;
+
+use crate::clock::Clock;
+use crate::core::counters::{count, Count};
+use crate::core::{Order, Taken};
+use crate::interface::Time;
+use crate::net::budget::Budget;
+use crate::overlay::{Hands, No};
+use files::{Folder, Mark};
+use format::Unusable;
+use std::io;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot};
+use tokio::task::AbortHandle;
+
+/// Between two looks at the folder: what the operators say at one process binds the other within a second.
+const LOOK: Duration = Duration::from_millis(100);
+/// How long the one that begins waits for what the other has learned, and how long a call waits for the lock.
+const FIRST_WORD: Duration = Duration::from_millis(800);
+const LOCK: Duration = Duration::from_millis(500);
+const PAUSE: Duration = Duration::from_millis(5);
+/// The file of what the operators said.
+const HANDS: &str = "hands";
+
+/// Where the processes of this proxy meet, by its name: one of its own in the folder that they share.
+pub fn place(shared: &str, name: &str) -> PathBuf {
+    let plain = |c: char| if c.is_ascii_alphanumeric() || c == '-' || c == '_' { c } else { '_' };
+    PathBuf::from(shared).join(format!("linentrail-{}", name.chars().map(plain).collect::<String>()))
+}
+
+fn known_of(seat: usize) -> String {
+    format!("known-{seat}")
+}
+
+/// Tells the log why a file was passed over.
+fn passed_over(name: &str, why: &dyn std::fmt::Display) {
+    count(Count::handover_files_passed_over);
+    log::warn!("the file '{name}' of the handover is passed over: {why}");
+}
+
+fn usable<T>(
+    name: &str,
+    read: io::Result<Option<Vec<u8>>>,
+    sound: impl Fn(&[u8]) -> Result<T, Unusable>,
+) -> Option<T> {
+    match read {
+        Ok(bytes) => sound(&bytes?).map_err(|why| passed_over(name, &why)).ok(),
+        Err(e) => {
+            passed_over(name, &e);
+            None
+        }
+    }
+}
+
+/// Where the operators' word on members is taken: recorded for both processes, and done in this one.
+#[derive(Clone)]
+pub struct Desk {
+    orders: mpsc::Sender<Order>,
+    folder: Option<Arc<Folder>>,
+}
+
+impl Desk {
+    /// One that hands orders to the core, and records them where the proxy has a folder.
+    pub fn new(orders: mpsc::Sender<Order>, folder: Option<Arc<Folder>>) -> Self {
+        Desk { orders, folder }
+    }
+
+    /// Asks the core; none once it has ended.
+    pub async fn ask<T>(&self, order: impl FnOnce(oneshot::Sender<T>) -> Order) -> Option<T> {
+        let (reply, answer) = oneshot::channel();
+        self.orders.send(order(reply)).await.ok()?;
+        answer.await.ok()
+    }
+
+    /// Has an order on a member carried out. Yes only once the module has taken it in and it is recorded.
+    ///
+    /// # Errors
+    /// Why not, in words.
+    pub async fn change(&self, order: impl FnOnce(oneshot::Sender<Taken>) -> Order) -> Result<(), String> {
+        let ending = || "the process ends".to_string();
+        let Some(folder) = &self.folder else {
+            return self.ask(order).await.ok_or_else(ending)?.map_err(said);
+        };
+        let fault = |e: io::Error| format!("the call cannot be recorded: {e}");
+        // Held until the end: another call, here or there, must neither be lost nor undo this one.
+        let _lock = self.lock(folder).await.map_err(fault)?;
+        if let Some(hands) = usable(HANDS, folder.read(HANDS), format::read_hands) {
+            self.ask(|reply| Order::Adopt(hands, reply)).await.ok_or_else(ending)?;
+        }
+        self.ask(order).await.ok_or_else(ending)?.map_err(said)?;
+        let hands = self.ask(Order::Hands).await.ok_or_else(ending)?;
+        folder.write(HANDS, &format::write_hands(&hands)).map_err(fault)
+    }
+
+    async fn lock(&self, folder: &Folder) -> io::Result<std::fs::File> {
+        let free = async {
+            loop {
+                if let Some(file) = folder.lock()? {
+                    return Ok(file);
+                }
+                tokio::time::sleep(PAUSE).await;
+            }
+        };
+        tokio::time::timeout(LOCK, free).await.unwrap_or_else(|_| Err(io::Error::other("the lock is taken")))
+    }
+}
+
+fn said(no: No) -> String {
+    match no {
+        No::Unknown => "no list has named a member of that id".to_string(),
+        No::Full => "too many members are out".to_string(),
+    }
+}
+
+/// The actor of the folder.
+pub struct Handover {
+    folder: Arc<Folder>,
+    desk: Desk,
+    budget: Budget,
+    clock: Clock,
+    /// What the files were like when they were last read.
+    hands: Mark,
+    known: Mark,
+    /// Holds what the other may use, while it lives.
+    lent: Option<AbortHandle>,
+}
+
+impl Handover {
+    /// One for a folder in which a seat is held.
+    pub fn new(folder: Arc<Folder>, desk: Desk, budget: Budget, clock: Clock) -> Self {
+        Handover { folder, desk, budget, clock, hands: None, known: None, lent: None }
+    }
+
+    /// Takes over what there is to take over, before the first client comes.
+    pub async fn begin(&mut self) {
+        let began = self.clock.now();
+        self.follow().await;
+        if !self.accompanied() {
+            return;
+        }
+        self.share().await;
+        let word = async {
+            while self.learn().await.is_none_or(|written| written < began) {
+                tokio::time::sleep(PAUSE).await;
+            }
+        };
+        match tokio::time::timeout(FIRST_WORD, word).await {
+            Ok(()) => log::info!("another process of this proxy serves; what it has learned is taken over"),
+            Err(_) => {
+                log::warn!("another process of this proxy serves, but does not tell what it has learned")
+            }
+        }
+    }
+
+    /// Follows the folder until the core has ended.
+    pub async fn run(mut self) {
+        loop {
+            tokio::time::sleep(LOOK).await;
+            self.follow().await;
+            let with = self.accompanied();
+            if with != self.lent.is_some() {
+                if with {
+                    log::info!("another process of this proxy has begun; each keeps to half of the limits");
+                    self.share().await;
+                } else {
+                    log::info!("the other process of this proxy has ended");
+                    self.lent.take().inspect(AbortHandle::abort);
+                }
+            }
+            if with && self.tell().await.is_none() {
+                return;
+            }
+            if with {
+                self.learn().await;
+            }
+        }
+    }
+
+    fn accompanied(&self) -> bool {
+        self.folder.accompanied().unwrap_or_else(|e| {
+            log::warn!("the folder of the handover cannot be used: {e}");
+            self.lent.is_some()
+        })
+    }
+
+    /// Half of the limits is the other's from now on; what is in use beyond that goes as it comes free.
+    async fn share(&mut self) {
+        count(Count::handovers);
+        let budget = self.budget.clone();
+        let (told, held) = oneshot::channel();
+        let task = tokio::spawn(async move {
+            let _half = budget.lend().await;
+            let _ = told.send(());
+            std::future::pending::<()>().await;
+        });
+        self.lent = Some(task.abort_handle());
+        // Before the first client comes all is free at once; later nobody waits for it.
+        let _ = tokio::time::timeout(PAUSE, held).await;
+    }
+
+    /// Takes up what the operators said, here or there.
+    async fn follow(&mut self) -> Option<()> {
+        let mark = self.folder.mark(HANDS);
+        if mark == self.hands {
+            return Some(());
+        }
+        self.hands = mark;
+        let hands: Hands = usable(HANDS, self.folder.read(HANDS), format::read_hands)?;
+        self.desk.ask(|reply| Order::Adopt(hands, reply)).await
+    }
+
+    /// Writes down what was learned here; none once the core has ended.
+    async fn tell(&mut self) -> Option<()> {
+        let known = self.desk.ask(Order::Export).await?;
+        let name = known_of(self.folder.seat);
+        if let Err(e) = self.folder.write(&name, &format::write_known(&known, self.clock.now())) {
+            log::warn!("what was learned cannot be written down: {e}");
+        }
+        Some(())
+    }
+
+    /// Takes in what the other has learned; when that was written.
+    async fn learn(&mut self) -> Option<Time> {
+        let name = known_of(self.folder.other());
+        let mark = self.folder.mark(&name);
+        if mark == self.known {
+            return None;
+        }
+        self.known = mark;
+        let (known, at) = usable(&name, self.folder.read(&name), format::read_known)?;
+        self.desk.ask(|reply| Order::Learn(known, reply)).await?;
+        Some(at)
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -13,6 +13,8 @@
 use linentrail::deploy::{self, DnsSd, Odata};
 use linentrail::dnssd::browse::Browser;
 use linentrail::dnssd::records;
+use linentrail::handover::files::Folder;
+use linentrail::handover::{self, Desk, Handover};
 use linentrail::net::budget::{Budget, Pace};
 use linentrail::net::discovery::{Discovery, Lists};
 use linentrail::net::fleet::Fleet;
@@ -38,6 +40,8 @@
 const ORDERS: usize = 64;
 /// Names the descriptor of a listener that the platform holds for this proxy.
 const ACCEPT: &str = "BALANCER_ACCEPT_FD";
+/// For so many tries, some 5 s, a process waits for the last but one to end.
+const SEAT_TRIES: usize = 250;
 /// Time beyond the longest deadline that open requests get after new clients are no longer taken.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
 
@@ -76,6 +80,21 @@
     }
 }
 
+/// The folder in which the processes of this proxy meet, where the platform has what it takes for two of them to serve.
+fn meet(name: &str, handed: bool) -> Result<Option<Folder>, String> {
+    let shared = std::env::var("TMPDIR").ok().filter(|v| handed && !v.is_empty());
+    let Some(shared) = shared else { return Ok(None) };
+    let place = handover::place(&shared, name);
+    match Folder::join(place.clone(), SEAT_TRIES) {
+        Ok(None) => Err(format!("two processes of this proxy live already, by {}", place.display())),
+        Ok(folder) => Ok(folder),
+        Err(e) => {
+            log::error!("{}: {e}; nothing is shared with another process of this proxy", place.display());
+            Ok(None)
+        }
+    }
+}
+
 async fn run() -> Result<(), String> {
     // Heard from the start: unheard, this signal would end the process.
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
@@ -97,6 +116,8 @@
         "limits: {} descriptors, {memory} MiB; members close what is idle for {idle} ms",
         told.sockets
     );
+    let handed = std::env::var(ACCEPT).ok().filter(|v| !v.is_empty());
+    let folder = meet(&told.name, handed.is_some())?.map(Arc::new);
     let clock = Clock::start();
     let budget = Budget::new(told.sockets, told.memory);
     let (mailbox, inbox) = mpsc::channel(MAILBOX);
@@ -122,17 +143,22 @@
         tokio::spawn(Discovery::new(address, lists, held, mailbox.clone()).run(asked));
     }
 
+    let desk = Desk::new(orders, folder.clone());
     let (phase, closing) = watch::channel(Phase::Starting);
     if let Some(console) = &told.console {
         let listener = TcpListener::bind(console).await.map_err(|e| format!("console {console}: {e}"))?;
         log::info!("operators call at {}", listener.local_addr().map_err(|e| e.to_string())?);
-        tokio::spawn(Console::new(orders, closing.clone()).run(listener));
+        tokio::spawn(Console::new(desk.clone(), closing.clone()).run(listener));
     }
-    let handed = std::env::var(ACCEPT).ok().filter(|v| !v.is_empty());
     let listener = match &handed {
         Some(descriptor) => listen::inherited(descriptor).map_err(|e| format!("{ACCEPT}: {e}"))?,
         None => TcpListener::bind(&told.listen).await.map_err(|e| format!("{}: {e}", told.listen))?,
     };
+    if let Some(folder) = folder.clone() {
+        let mut handover = Handover::new(folder, desk, budget.clone(), clock);
+        handover.begin().await;
+        tokio::spawn(handover.run());
+    }
     let failed = |e: std::io::Error| format!("sockets or signals: {e}");
     log::info!("serving clients at {}", listener.local_addr().map_err(failed)?);
     let (core, pace) = (Handle::new(mailbox.clone()), Pace::default());
@@ -172,8 +198,8 @@
             _ = int.recv() => break,
         }
     }
-    if handed.is_some() {
-        // The platform holds the listener, and whoever comes from now on waits there for the next process.
+    if folder.is_some_and(|f| f.accompanied().unwrap_or(false)) {
+        // Whoever comes from now on is the next process's, which has the same listener.
         log::info!("told to end: connections close with their next answer, the others in a while");
         let _ = phase.send(Phase::Leaving);
     } else {
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -17,6 +17,9 @@
 /// A message counts once here, and stands in memory up to so many times: read, rendered, and written.
 const COPIES: usize = 3;
 const BYTES_LEAST: usize = 2 * 1024 * 1024;
+/// In so many pieces half of the ration is lent to another process, and so long after a piece was not free.
+const PIECES: usize = 16;
+const PIECE_PAUSE: Duration = Duration::from_millis(20);
 /// Bad messages are answered no closer together than this, in us, though none waits longer than `PACE_MOST`.
 const PACE: Time = 10_000;
 const PACE_MOST: Time = 800_000;
@@ -61,12 +64,14 @@
     strangers: Arc<Waiting>,
     idle: Arc<Waiting>,
     size: usize,
+    /// Permits that another process of this proxy has.
+    lent: Arc<AtomicUsize>,
 }
 
 impl Pot {
     fn new(size: usize, idle: usize) -> Self {
         let (strangers, idle) = (Waiting::new(usize::MAX), Waiting::new(idle));
-        Pot { seats: Arc::new(Semaphore::new(size)), strangers, idle, size }
+        Pot { seats: Arc::new(Semaphore::new(size)), strangers, idle, size, lent: Arc::default() }
     }
 
     /// A permit, once there is one.
@@ -88,8 +93,39 @@
 
     /// All permits are back.
     pub fn all_back(&self) -> bool {
-        self.seats.available_permits() == self.size
+        self.seats.available_permits() + self.lent.load(Ordering::Relaxed) == self.size
     }
+
+    /// Half of the permits, as they come free, for as long as what is returned lives.
+    async fn lend(&self) -> Lent {
+        let mut lent = Lent { permits: Vec::new(), count: self.lent.clone() };
+        for _ in 0..self.size / 2 {
+            if let Some(permit) = self.seat().await {
+                lent.permits.push(permit);
+                self.lent.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        lent
+    }
+}
+
+/// Permits that another process has.
+struct Lent {
+    permits: Vec<OwnedSemaphorePermit>,
+    count: Arc<AtomicUsize>,
+}
+
+impl Drop for Lent {
+    fn drop(&mut self) {
+        self.count.fetch_sub(self.permits.len(), Ordering::Relaxed);
+    }
+}
+
+/// Half of a budget, which another process of this proxy may use.
+pub struct Half {
+    _clients: Lent,
+    _members: Lent,
+    _bytes: Vec<Share>,
 }
 
 /// Bytes of messages that all connections together may hold. A message takes its share when its length is known,
@@ -121,6 +157,19 @@
         Some(Share { of: self.clone(), bytes })
     }
 
+    /// Half of it, piece by piece as it comes free.
+    async fn lend(&self) -> Vec<Share> {
+        let piece = self.0.size / (2 * PIECES);
+        let mut lent = Vec::new();
+        while lent.len() < PIECES {
+            match self.take(piece) {
+                Some(share) => lent.push(share),
+                None => tokio::time::sleep(PIECE_PAUSE).await,
+            }
+        }
+        lent
+    }
+
     /// Less than half is left: whoever can hold back should.
     pub fn tight(&self) -> bool {
         self.0.left.load(Ordering::Relaxed) < self.0.size / 2
@@ -200,4 +249,11 @@
             bytes: Ration::new(bytes),
         }
     }
+
+    /// Half of it, for as long as what is returned lives.
+    pub async fn lend(&self) -> Half {
+        let (clients, members, bytes) =
+            tokio::join!(self.clients.lend(), self.members.lend(), self.bytes.lend());
+        Half { _clients: clients, _members: members, _bytes: bytes }
+    }
 }
--- a/src/overlay.rs
+++ b/src/overlay.rs
@@ -119,7 +119,13 @@
         entry
     }
 
-    fn again(&self, name: &str) -> Option<Listed> {
+    /// Discovery's word on the members that it lists.
+    pub fn listed(&self) -> impl Iterator<Item = &Listed> {
+        self.listed.values()
+    }
+
+    /// What the module is to be told of a listed member.
+    pub fn again(&self, name: &str) -> Option<Listed> {
         self.listed.get(name).map(|entry| self.told(entry.clone()))
     }
 
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -157,3 +157,244 @@
          console 200 STATUS",
     );
 }
+
+#[test]
+fn what_the_operators_say_at_either_process_binds_both_and_the_next() {
+    play(
+        "member p primary
+         member r replica 0
+         start console handed
+         console 200 SUSPEND r
+         upgrade
+         a send write k0 01
+         a expect row 01
+         a send read k1 monthly-report
+         a expect row -
+         console 200 RESTORE r
+         former 200 SUSPEND p
+         wait 1000
+         b send read k2 monthly-report
+         b expect row -
+         c send read k2 monthly-report
+         c expect row -
+         d send read k2 monthly-report
+         d expect row -
+         r expect 0 read k1
+         r expect 3 read k2
+         former stop
+         former gone
+         console 200 SUSPEND r
+         console 400 STATUS
+         console 200 RESTORE p
+         upgrade
+         former stop
+         former gone
+         e send read k3 monthly-report
+         e expect row -
+         p expect 1 read k3
+         r expect 0 read k3",
+    );
+}
+
+#[test]
+fn calls_at_both_processes_at_once_are_all_recorded() {
+    // Each call reads, changes and writes the same file.
+    play(
+        "member p primary
+         member a replica 0
+         member b replica 0
+         member c replica 0
+         member d replica 0
+         start console handed
+         upgrade
+         both SUSPEND a b c d
+         former stop
+         former gone
+         upgrade
+         x send write k0 01
+         x expect row 01
+         x send read k1 monthly-report
+         x expect row -
+         x send read k1 monthly-report
+         x expect row -
+         p expect 2 read k1
+         a expect 0 read k1
+         b expect 0 read k1
+         c expect 0 read k1
+         d expect 0 read k1",
+    );
+}
+
+#[test]
+fn a_file_of_the_handover_that_cannot_be_used_is_passed_over() {
+    play(
+        "member p primary
+         member r replica 0
+         start console handed
+         console 200 SUSPEND r
+         shared hands is linentrail-handover 1 90 00000000
+         upgrade
+         counts handover_files_passed_over 1
+         shared hands is [odata]
+         console 200 SUSPEND p
+         former stop
+         former gone
+         upgrade
+         a send read k1 monthly-report
+         a expect row -
+         p expect 0 read k1",
+    );
+}
+
+#[test]
+fn one_process_goes_on_where_the_other_is_killed() {
+    play(
+        "member p primary
+         start console handed
+         upgrade
+         back out
+         console 200 STATUS
+         a send write k1 01
+         a expect row 01
+         upgrade
+         former kill
+         console 200 STATUS
+         b send read k1 monthly-report
+         b expect row 01
+         upgrade
+         counts handovers 1",
+    );
+}
+
+/// Clients that never stop, and what has become of their requests.
+mod load {
+    use linentrail_standins::client::{request_id, Ask, Pg, Told};
+    use linentrail_standins::{runtime, wire};
+    use std::net::SocketAddr;
+    use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+    use std::sync::Arc;
+
+    #[derive(Default)]
+    pub struct Seen {
+        pub served: AtomicU64,
+        pub refused: AtomicU64,
+        pub stale: AtomicU64,
+        /// Connections that ended under a request, or that could not be had.
+        pub broken: AtomicU64,
+        pub wrong: AtomicU64,
+        over: AtomicBool,
+    }
+
+    impl Seen {
+        pub fn end(&self) {
+            self.over.store(true, Ordering::Relaxed);
+        }
+    }
+
+    fn add(to: &AtomicU64) {
+        to.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// One client: a booking on a key of its own, then a read of it that carries the commit, as the platform's do.
+    pub fn client(to: SocketAddr, number: usize, seen: Arc<Seen>) -> tokio::task::JoinHandle<u64> {
+        runtime().spawn(async move {
+            let (mut conn, mut n, mut written) = (None::<Pg>, 0u64, 0);
+            while !seen.over.load(Ordering::Relaxed) {
+                let mut pg = match conn.take() {
+                    Some(pg) => pg,
+                    None => match Pg::connect(to).await {
+                        Ok(pg) => pg,
+                        Err(_) => {
+                            add(&seen.broken);
+                            continue;
+                        }
+                    },
+                };
+                let write = n.is_multiple_of(2);
+                let value = (n / 2).to_be_bytes().to_vec();
+                let ask = Ask {
+                    class: if write { "place-order" } else { "my-booking" },
+                    key: format!("load{number}"),
+                    value: write.then(|| value.clone()),
+                    wait_ms: 8_000,
+                    after: (!write).then(linentrail_standins::now_ms),
+                };
+                if pg.send(&wire::query(&ask.sql(&request_id()))).await.is_err() {
+                    add(&seen.broken);
+                    continue;
+                }
+                match pg.answer().await {
+                    Ok(Told::Served(got)) if write || got == value => {
+                        add(&seen.served);
+                        written += u64::from(write);
+                        n += 1;
+                    }
+                    Ok(Told::Served(_)) => {
+                        add(&seen.stale);
+                        n += 1;
+                    }
+                    Ok(Told::Refused(_)) => add(&seen.refused),
+                    Ok(Told::Failed(_)) => add(&seen.wrong),
+                    Err(_) => {
+                        add(&seen.broken);
+                        continue;
+                    }
+                }
+                // A close that stands right behind the answer is seen before the next request.
+                tokio::time::sleep(std::time::Duration::from_millis(2)).await;
+                conn = (!pg.ended().await).then_some(pg);
+            }
+            written
+        })
+    }
+}
+
+#[test]
+fn upgrades_in_a_row_under_load_lose_nothing_and_run_nothing_twice() {
+    use linentrail_standins::group::Group;
+    use linentrail_standins::member::{Capacity, Member};
+    use linentrail_standins::proxy::{config, settings, Proxy, Setup};
+    use linentrail_standins::registry::entry;
+    use std::sync::atomic::Ordering::Relaxed;
+    use std::sync::Arc;
+    let group = Group::default();
+    let members: Vec<Member> =
+        [true, false, false].map(|p| Member::start(&group, p, 0, Capacity::default())).into();
+    let known: Vec<_> = members.iter().enumerate().map(|(i, m)| entry(i, m.address())).collect();
+    let listener = Arc::new(std::net::TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let address = listener.local_addr().expect("an address");
+    let shared = std::env::temp_dir().join(format!("linentrail-load-{}", std::process::id()));
+    std::fs::create_dir_all(&shared).expect("a folder");
+    let mut told = config("127.0.0.1:9", &known, settings(), 256, 64);
+    told["console"] = "127.0.0.1:0".into();
+    let setup = Setup {
+        program: env!("CARGO_BIN_EXE_linentrail").into(),
+        config: told,
+        loud: true,
+        listener: Some(listener),
+        shared: Some(shared.clone()),
+        ..Setup::default()
+    };
+    let mut proxy = Proxy::start(&setup).expect("the proxy starts");
+    let seen = Arc::new(load::Seen::default());
+    let clients: Vec<_> = (0..12).map(|n| load::client(address, n, seen.clone())).collect();
+    for _ in 0..4 {
+        std::thread::sleep(std::time::Duration::from_millis(500));
+        let next = Proxy::start(&setup).expect("the next one starts");
+        let mut former = std::mem::replace(&mut proxy, next);
+        former.signal("TERM").expect("it lives");
+        assert!(former.wait().expect("its end").success());
+    }
+    std::thread::sleep(std::time::Duration::from_millis(300));
+    seen.end();
+    let written: u64 =
+        clients.into_iter().map(|c| linentrail_standins::runtime().block_on(c).expect("a client")).sum();
+    let counts =
+        [&seen.served, &seen.refused, &seen.stale, &seen.broken, &seen.wrong].map(|c| c.load(Relaxed));
+    let [served, _, stale, broken, wrong] = counts;
+    assert!(served > 100, "{counts:?}");
+    assert_eq!((stale, broken, wrong), (0, 0, 0), "served, refused, stale, broken, wrong: {counts:?}");
+    assert_eq!(group.runs(), (written, Vec::new()));
+    drop(proxy);
+    let _ = std::fs::remove_dir_all(shared);
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -37,6 +37,9 @@
 //!                             \n for a line's end within
 //! silent 40                   so many callers connect to the console and say nothing
 //! upgrade                     a second process takes over from the first, which lives on as the `former` one
+//! both SUSPEND a b            calls about these at once, in turn at the one and the other process
+//! back out                    the next process is killed, and the former one goes on alone; `shared NAME is TEXT` writes a file
+//!                             of theirs
 //! former 200 RESTORE p        the same on the former one's console; `former stop`, `former gone` and `former kill`
 //! wait 50                     milliseconds; `clock` begins a span that must not have passed `within 3000`
 //! ```
@@ -177,6 +180,21 @@
                 let next = Proxy::start(&self.setup).expect("the next one starts");
                 self.former = self.proxy.replace(next);
             }
+            ["back", "out"] => self.proxy = self.former.take(),
+            ["shared", name, "is", ..] => {
+                let shared = self.setup.shared.as_ref().expect("start handed");
+                std::fs::write(shared.join("linentrail-t").join(name), rest(3)).unwrap();
+            }
+            ["both", call, ref who @ ..] => {
+                let (here, there) = (self.proxy(), self.former.as_ref().expect("upgrade"));
+                thread::scope(|scope| {
+                    for (n, name) in who.iter().enumerate() {
+                        let (proxy, call) = (if n % 2 == 0 { here } else { there }, format!("{call} {name}"));
+                        let this = &*self;
+                        scope.spawn(move || this.called(proxy, "200", &call, line));
+                    }
+                });
+            }
             ["former", "stop"] => self.former.as_ref().unwrap().signal("TERM").unwrap(),
             ["former", "gone"] => assert!(self.former.take().unwrap().wait().unwrap().success(), "{line}"),
             ["former", "kill"] => drop(self.former.take()),
