--- a/src/config.rs
+++ b/src/config.rs
@@ -1,6 +1,7 @@
 //! What the platform tells a proxy: the file that `BALANCER_CONFIG` names, and the variables beside it.
 
-use crate::settings::Pairs;
+use crate::interface::Settings;
+use crate::settings::{Names, Pairs, SocketTimes};
 use serde_json::Value;
 
 /// All that a proxy is told.
@@ -24,14 +25,82 @@
     pub known: Value,
     /// The settings, flat.
     pub settings: Pairs,
+    /// Everything but the list, flat.
+    pub all: Pairs,
+}
+
+/// Missing names that are told one by one.
+const SHOWN: usize = 5;
+
+/// The settings of a configuration, checked whole and ready to hold.
+#[derive(Debug, Clone)]
+pub struct Sound {
+    /// Names of classes and tenants, in the settings' order.
+    pub names: Names,
+    /// For the module.
+    pub settings: Settings,
+    /// For the members' side.
+    pub times: SocketTimes,
 }
 
 impl Config {
-    /// Whether nothing but discovery's address, and what only a start needs, has changed.
-    pub fn same_but_discovery(&self, other: &Config) -> bool {
-        (&self.listen, self.sockets, self.memory) == (&other.listen, other.sockets, other.memory)
-            && self.settings == other.settings
+    /// The settings, checked whole.
+    ///
+    /// # Errors
+    /// With all that is wrong with them.
+    pub fn sound(&self) -> Result<Sound, String> {
+        let names = self.settings.names()?;
+        let settings = self.settings.settings(self.seed)?;
+        settings.check().map_err(|e| e.to_string())?;
+        for (what, list) in [("class", &names.classes), ("tenant", &names.tenants)] {
+            let twice = list.iter().enumerate().find(|(n, name)| list[..*n].contains(name));
+            if let Some((_, name)) = twice {
+                return Err(format!("settings: two of {what} are named '{name}'"));
+            }
+        }
+        Ok(Sound { names, settings, times: self.settings.socket_times()? })
+    }
+
+    /// What a new configuration changes that only a new start can take up.
+    pub fn fixed(&self, new: &Config) -> Vec<&'static str> {
+        let mut fixed = Vec::new();
+        for (what, differs) in [
+            ("listen", self.listen != new.listen),
+            ("console", self.console != new.console),
+            ("limits.sockets", self.sockets != new.sockets),
+            ("limits.memory_mb", self.memory != new.memory),
+        ] {
+            if differs {
+                fixed.push(what);
+            }
+        }
+        fixed
+    }
+}
+
+/// Reads a configuration that is to take the place of the running one: whole, or not at all.
+///
+/// # Errors
+/// With one plain message on all that is wrong with it.
+pub fn reread(
+    text: &[u8],
+    running: &Config,
+    variable: impl Fn(&str) -> Option<String>,
+) -> Result<(Config, Sound), String> {
+    let new = read(text, variable)?;
+    let lacks = new.all.lacking(&running.all);
+    if !lacks.is_empty() {
+        let (first, more) = (lacks[..lacks.len().min(SHOWN)].join(", "), lacks.len().saturating_sub(SHOWN));
+        let more = if more > 0 { format!(" and {more} more") } else { String::new() };
+        return Err(format!("missing, though the running configuration has them: {first}{more}"));
+    }
+    let mut sound = new.sound()?;
+    if running.settings.names().is_ok_and(|names| names.zones != sound.names.zones) {
+        return Err("settings: zones cannot change while the process runs".to_string());
     }
+    // The running process goes on with its own random numbers.
+    sound.settings.seed = running.seed;
+    Ok((new, sound))
 }
 
 /// Reads a configuration; a variable that `variable` knows wins over the file.
@@ -40,6 +109,8 @@
 /// With one plain message on what is missing or malformed, as in a file that is only half written.
 pub fn read(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
     let json: Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    let mut all = json.clone();
+    all.as_object_mut().map(|fields| fields.remove("known"));
     let text = |name: &str, known_as: &str| {
         let file = || json.get(name).and_then(Value::as_str).filter(|v| !v.is_empty()).map(str::to_string);
         variable(known_as).or_else(file).ok_or_else(|| format!("neither {known_as} nor '{name}' is given"))
@@ -59,18 +130,117 @@
         memory: limit("/limits/memory_mb", 192).saturating_mul(1024 * 1024),
         known: json.get("known").cloned().unwrap_or_default(),
         settings: Pairs::from_json(json.get("settings").unwrap_or(&Value::Null)),
+        all: Pairs::from_json(&all),
     })
 }
 
-/// Reads the file that `BALANCER_CONFIG` names; `anew`: while the program runs. Its environment is then as old as
-/// its start, so that only the file can tell where discovery is now.
+fn text() -> Result<(String, Vec<u8>), String> {
+    let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set".to_string())?;
+    let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
+    Ok((path, text))
+}
+
+/// Reads the file that `BALANCER_CONFIG` names.
 ///
 /// # Errors
 /// With one plain message.
-pub fn load(anew: bool) -> Result<Config, String> {
-    let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set".to_string())?;
-    let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-    let counts = |name: &str| !(anew && name == "BALANCER_DISCOVERY");
-    let variable = |name: &str| std::env::var(name).ok().filter(|_| counts(name));
-    read(&text, variable).map_err(|e| format!("{path}: {e}"))
+pub fn load() -> Result<Config, String> {
+    let (path, text) = text()?;
+    read(&text, |name| std::env::var(name).ok()).map_err(|e| format!("{path}: {e}"))
+}
+
+/// Reads that file again while the program runs. Its environment is then as old as its start, so that only the file can
+/// tell where discovery is now.
+///
+/// # Errors
+/// As [`reread`].
+pub fn load_again(running: &Config) -> Result<(Config, Sound), String> {
+    let (path, text) = text()?;
+    let variable = |name: &str| std::env::var(name).ok().filter(|_| name != "BALANCER_DISCOVERY");
+    reread(&text, running, variable).map_err(|e| format!("{path}: {e}"))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn running() -> (Value, Config) {
+        let settings = linentrail_standins::proxy::settings();
+        let json = linentrail_standins::proxy::config("127.0.0.1:9", &[], settings, 1024, 192);
+        let config = read(json.to_string().as_bytes(), |_| None).expect("it is sound");
+        (json, config)
+    }
+
+    /// All paths to plain values and to objects and arrays, but for the list's.
+    fn paths(json: &Value, at: &str, found: &mut Vec<String>) {
+        let below: Vec<(String, &Value)> = match json {
+            Value::Object(fields) => fields.iter().map(|(n, v)| (format!("{at}/{n}"), v)).collect(),
+            Value::Array(items) => items.iter().enumerate().map(|(n, v)| (format!("{at}/{n}"), v)).collect(),
+            _ => Vec::new(),
+        };
+        for (path, value) in below.into_iter().filter(|(path, _)| !path.starts_with("/known")) {
+            paths(value, &path, found);
+            found.push(path);
+        }
+    }
+
+    fn refused(json: &Value, running: &Config) -> bool {
+        reread(json.to_string().as_bytes(), running, |_| None).is_err()
+    }
+
+    #[test]
+    fn a_file_that_lacks_anything_that_runs_is_refused_and_a_whole_one_is_not() {
+        let (json, running) = running();
+        assert!(!refused(&json, &running));
+        let mut all = Vec::new();
+        paths(&json, "", &mut all);
+        assert!(all.len() > 60, "{}", all.len());
+        for path in &all {
+            let (within, name) = path.rsplit_once('/').expect("a path");
+            let mut less = json.clone();
+            match less.pointer_mut(within).expect("it is there") {
+                Value::Object(fields) => drop(fields.remove(name)),
+                Value::Array(items) => drop(items.remove(name.parse::<usize>().expect("an index"))),
+                _ => panic!("{path}"),
+            }
+            // One class or tenant fewer is a change like another, were it not for what belongs to it.
+            let tenant = within == "/settings/tenants"
+                && less.pointer(within).is_some_and(|t| t != &Value::Array(Vec::new()));
+            assert_eq!(refused(&less, &running), !tenant, "without {path}");
+        }
+    }
+
+    #[test]
+    fn a_file_that_is_cut_off_anywhere_is_refused() {
+        let (json, running) = running();
+        let text = json.to_string();
+        for end in 0..text.len() {
+            assert!(reread(&text.as_bytes()[..end], &running, |_| None).is_err(), "{end}");
+        }
+        let (told, _) = reread(text.as_bytes(), &running, |_| None).expect("it is whole");
+        assert_eq!(told.all, running.all);
+    }
+
+    #[test]
+    fn deadlines_and_attempts_that_are_no_numbers_above_0_are_refused_by_their_place() {
+        let (json, running) = running();
+        let places =
+            ["services/0/deadline_us", "services/3/deadline_us", "services/2/aim_us", "limits/max_attempts"];
+        for place in places {
+            for bad in [
+                0.into(),
+                (-1).into(),
+                0.5.into(),
+                "soon".into(),
+                true.into(),
+                Value::Null,
+                Value::Array(Vec::new()),
+            ] {
+                let mut new = json.clone();
+                *new.pointer_mut(&format!("/settings/{place}")).expect("it is there") = bad.clone();
+                let fault = reread(new.to_string().as_bytes(), &running, |_| None).expect_err(place);
+                assert!(!fault.contains('\n'), "{fault}");
+            }
+        }
+    }
 }
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -38,9 +38,6 @@
 /// The actor's state.
 pub struct Actor<M> {
     router: Router,
-    classes: Vec<Class>,
-    /// Their names, for the log.
-    class_names: Vec<String>,
     max_attempts: usize,
     members: M,
     clock: Clock,
@@ -68,16 +65,13 @@
     /// When the settings cannot be acted on.
     pub fn new(
         settings: Settings,
-        names: Vec<String>,
         members: M,
         clock: Clock,
         (mailbox, orders): (mpsc::Receiver<Input>, mpsc::Receiver<Order>),
     ) -> Result<Self, SettingsError> {
-        let (classes, max_attempts) = (settings.classes.clone(), settings.max_attempts as usize);
+        let max_attempts = settings.max_attempts as usize;
         Ok(Actor {
             router: Router::new(settings)?,
-            classes,
-            class_names: names,
             max_attempts,
             members,
             clock,
@@ -160,6 +154,12 @@
                 let _ = reply.send(self.overlay.hands().clone());
                 return Vec::new();
             }
+            Order::Settings(settings, times, reply) => {
+                let _ = reply.send(());
+                self.max_attempts = settings.max_attempts as usize;
+                self.members.times(times);
+                return vec![Event::Settings(settings)];
+            }
             Order::Adopt(hands, reply) => {
                 let told = self.overlay.adopt(hands);
                 let _ = reply.send(());
@@ -258,7 +258,7 @@
         reply: oneshot::Sender<Answer>,
         now: Time,
     ) -> Option<Event> {
-        let Some(class) = self.classes.get(request.class) else {
+        let Some(need) = request.terms.classes.get(request.class).map(|c| c.need) else {
             let _ = reply.send(Answer::Failed);
             return None;
         };
@@ -272,7 +272,7 @@
         // only what it carries, so that for a later one the module must go by proven positions.
         let carried = request.after.unwrap_or(0);
         let written = sessions(&request).map(|s| self.sessions.written(s)).max().unwrap_or(0);
-        let token = if class.need == Need::Session { carried.max(written) } else { carried };
+        let token = if need == Need::Session { carried.max(written) } else { carried };
         let proven = token > carried;
         let event = Event::Request {
             id,
@@ -287,7 +287,7 @@
         };
         let unseen = if proven { token } else { 0 };
         log::debug!(
-            target: REQUEST, id = id.0, class = self.class(request.class), group = request.group,
+            target: REQUEST, id = id.0, class = request.terms.class_name(request.class), group = request.group,
             wait_us = request.deadline.saturating_sub(now), repeat = request.repeat;
             "taken"
         );
@@ -324,7 +324,7 @@
             outcome = Miss;
         }
         if outcome == Completed {
-            let write = self.classes[live.request.class].need == Need::Write;
+            let write = live.request.terms.classes[live.request.class].need == Need::Write;
             // A write whose commit cannot be read was committed by now at the latest.
             let told = note.and_then(|n| n.position);
             let position = told.or_else(|| write.then(|| self.clock.now()));
@@ -343,10 +343,6 @@
         Some(Event::Ended { id, attempt, outcome, complete, spent, note, report })
     }
 
-    fn class(&self, class: usize) -> &str {
-        self.class_names.get(class).map_or("", |name| name)
-    }
-
     /// Forgets a request that is over and has nothing out.
     fn settle(&mut self, id: RequestId) {
         if self.live.get(&id).is_some_and(|l| l.reply.is_none() && l.out == 0) {
@@ -411,7 +407,7 @@
         let number = live.attempts.len() as u32;
         live.attempts.push(member);
         let stop_at = stop_at.unwrap_or(Time::MAX).min(live.request.deadline);
-        let safe = self.classes[live.request.class].repeat == Repeat::Safe;
+        let safe = live.request.terms.classes[live.request.class].repeat == Repeat::Safe;
         let attempt = Attempt { id, number, work: live.request.work.clone(), stop_at, safe };
         let may = live.reply.is_some() && now < stop_at && live.attempts.len() <= self.max_attempts;
         if may && self.members.attempt(member, attempt) {
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,6 +12,8 @@
 use crate::known::Known;
 pub use crate::overlay::Listed;
 use crate::overlay::{Hands, No};
+use crate::settings::SocketTimes;
+use crate::terms::Terms;
 use bytes::Bytes;
 use std::future::Future;
 use std::ops::Range;
@@ -25,7 +27,7 @@
 pub const REQUEST: &str = "request";
 
 /// What a member is to do; the core never looks inside, and the members' side puts it into words.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Work {
     /// In its client's words, which members accept with no change but that of the waiting time.
     Verbatim {
@@ -39,8 +41,10 @@
 }
 
 /// An operation on one record.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Operation {
+    /// The terms that it was read under.
+    pub terms: Arc<Terms>,
     /// The request's id, as members are to know it.
     pub id: u64,
     /// Index of its class.
@@ -67,6 +71,8 @@
 /// A request that a front has taken.
 #[derive(Debug, Clone)]
 pub struct Request {
+    /// The terms that it was read under, and keeps.
+    pub terms: Arc<Terms>,
     /// The name that its client gave it, where it did: no two open requests may share one.
     pub name: Option<Bytes>,
     /// Index of its class.
@@ -176,6 +182,8 @@
     Suspend(Arc<str>, oneshot::Sender<Taken>),
     /// Put it back.
     Restore(Arc<str>, oneshot::Sender<Taken>),
+    /// New settings, with the classes by slot, and times for connections.
+    Settings(Box<Settings>, SocketTimes, oneshot::Sender<()>),
     /// All that the operators said so far.
     Hands(oneshot::Sender<Hands>),
     /// That, as it was said to any process of this proxy.
@@ -199,6 +207,8 @@
     fn close_idle(&mut self, member: MemberId);
     /// Takes in addresses.
     fn list(&mut self, kind: ListKind, entries: &[Listed]);
+    /// Takes new times for connections.
+    fn times(&mut self, times: SocketTimes);
     /// Asks for the list and its changes; false if that cannot even be queued.
     fn follow(&mut self) -> bool;
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -51,8 +51,7 @@
 const SCOUT_GAP: Time = 100_000;
 /// A member with work out is silent after this many times the mean service time ...
 const SILENCE_FACTOR: f64 = 5.0;
-/// ... but not before the first of these, in us, as short standstills are no failure, nor later than the
-/// other.
+/// ... but neither before the first of these, in us, as short standstills are no failure, nor past the other.
 const SILENCE_LEAST: Time = 300_000;
 const SILENCE_MOST: Time = 500_000;
 /// Where a probe is answered, work is taken back only after this multiple of the limit: it may be slow.
@@ -147,9 +146,9 @@
     seq: u64,
     pub(crate) members: BTreeMap<MemberId, Seen>,
     pub(crate) groups: BTreeMap<GroupId, Group>,
-    open: FxHashMap<RequestId, Open>,
+    pub(crate) open: FxHashMap<RequestId, Open>,
     /// In the order of their arrival.
-    held: Vec<(u64, RequestId)>,
+    pub(crate) held: Vec<(u64, RequestId)>,
     /// Kept for its room: what one round goes through.
     round: Vec<(bool, u64, RequestId)>,
     service: Vec<f64>,
@@ -200,9 +199,13 @@
         self.arm(out);
     }
 
-    /// How many things it remembers, all kinds together.
-    pub fn remembered(&self) -> usize {
-        self.members.len() + self.groups.len() + self.open.len() + self.held.len()
+    /// New settings, for what comes from now on. A number that now is another class's starts with a guess.
+    fn retune(&mut self, set: &Settings) {
+        let same = |n: &usize| self.set.classes.get(*n) == set.classes.get(*n);
+        let known = |n: usize| Some(n).filter(same).map(|n| self.service[n]);
+        let all = set.classes.iter().enumerate();
+        self.service = all.map(|(n, c)| known(n).unwrap_or(c.aim as f64 / 4.0)).collect();
+        self.set = set.clone();
     }
 
     fn absorb(&mut self, event: &Event, out: &mut Vec<Action>) {
@@ -234,12 +237,14 @@
                     arrived: self.now,
                     deadline: *deadline,
                     repeat: *repeat,
+                    most: self.set.max_attempts,
                     ..Open::default()
                 };
                 self.held.push((open.seq, *id));
                 self.open.insert(*id, open);
             }
             Event::HangUp { id } => self.close(*id, out),
+            Event::Settings(set) => self.retune(set),
             Event::Wake { .. } => self.wake = None,
             Event::Probed { member, ok, report } => self.probed(*member, *ok, *report, out),
             Event::Started { id, .. } => {
@@ -287,10 +292,8 @@
     fn replicas<'a>(&'a self, open: &'a Open) -> impl Iterator<Item = (Rank, MemberId, &'a Seen)> {
         let (primary, faulty) = (self.primary(open.group), self.idle_fault());
         let fits = move |id, m: &Seen| self.usable(m) && self.room((id, m), open, (m.reads, MEMBER_READS));
-        let sound = self
-            .of_group(open.group)
-            .filter(move |(id, m)| Some(*id) != primary && !open.tried(*id) && fits(*id, m));
-        sound.map(move |(id, m)| {
+        let sound = move |id, m| Some(id) != primary && !open.tried(id) && fits(id, m);
+        self.of_group(open.group).filter(move |(id, m)| sound(*id, m)).map(move |(id, m)| {
             let dead = faulty && m.idle(self.now, IDLE_LEAST);
             let lot = lot(self.set.seed, open.seq, u64::from(id.0));
             (((m.reads, self.slow(m), dead, m.zone != self.set.zone), lot), id, m)
@@ -366,8 +369,7 @@
         for (_, _, id) in round.drain(..) {
             let Some(open) = self.open.get(&id) else { continue };
             let class = &self.set.classes[open.class];
-            let write = class.need == Need::Write;
-            let hopeless = write && !open.written && self.now >= self.half_time(open);
+            let hopeless = class.need == Need::Write && !open.written && self.now >= self.half_time(open);
             if hopeless || self.now + ANSWER_LEAD >= open.deadline || !self.allows(open, None).0 {
                 self.give_up(id, out);
                 continue;
@@ -837,7 +839,7 @@
         };
         // A read that two members answered with an error is at fault itself.
         let send = send && (write || open.errors < ERRORS_MOST);
-        (send && open.attempts.len() < self.set.max_attempts as usize, refuse)
+        (send && open.attempts.len() < self.set.max_attempts.min(open.most) as usize, refuse)
     }
 
     fn give_up(&mut self, id: RequestId, out: &mut Vec<Action>) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -304,6 +304,11 @@
         /// The client has tried before.
         repeat: bool,
     },
+    /// New settings, with classes by the numbers that requests refer to. What is open keeps its own.
+    Settings(
+        /// The settings.
+        Box<Settings>,
+    ),
     /// The client has left; nothing more is owed.
     HangUp {
         /// The request.
--- a/src/known.rs
+++ b/src/known.rs
@@ -43,6 +43,11 @@
 }
 
 impl Router {
+    /// How many things it remembers, all kinds together.
+    pub fn remembered(&self) -> usize {
+        self.members.len() + self.groups.len() + self.open.len() + self.held.len()
+    }
+
     /// What is known of each member.
     pub fn learned(&self) -> impl Iterator<Item = Learned> + '_ {
         self.members.iter().map(|(id, m)| {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,8 +19,10 @@
 pub mod odata;
 pub mod overlay;
 pub mod pg;
+pub mod reload;
 pub mod settings;
 mod state;
+pub mod terms;
 
 pub use decide::Router;
 pub use interface::*;
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,11 +4,11 @@
 use linentrail::check::{self, Finding};
 use linentrail::cli::{self, Arguments, Command};
 use linentrail::clock::Clock;
-use linentrail::config::{self, Config};
+use linentrail::config::{self, Sound};
 use linentrail::console::Console;
 use linentrail::core::actor::Actor;
 use linentrail::core::bookings::Bookings;
-use linentrail::core::counters::{self, count, Count};
+use linentrail::core::counters::{self, Count};
 use linentrail::core::{Handle, Input};
 use linentrail::deploy::{self, DnsSd, Odata};
 use linentrail::dnssd::browse::Browser;
@@ -19,6 +19,8 @@
 use linentrail::net::discovery::{Discovery, Lists};
 use linentrail::net::fleet::Fleet;
 use linentrail::net::listen::{self, Phase};
+use linentrail::reload::{tell_classes, Reload};
+use linentrail::terms::Slots;
 use linentrail::{logs, meter, odata, pg};
 use linentrail::{ListKind, Time};
 use std::path::Path;
@@ -26,7 +28,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
-use tokio::signal::unix::{signal, Signal, SignalKind};
+use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 
 /// Counts what the program allocates; never in service.
@@ -45,41 +47,6 @@
 /// Time beyond the longest deadline that open requests get after new clients are no longer taken.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
 
-/// First and longest pause before a file that could not be read is read again: it may be half written.
-const READ_AGAIN: Duration = Duration::from_millis(100);
-const READ_AGAIN_MOST: Duration = Duration::from_secs(1);
-
-/// Reads the file again at each SIGHUP. A file that cannot be used changes nothing and is read again until it can.
-async fn reload(mut hangup: Signal, discovery: watch::Sender<String>, mut runs: Config) {
-    while hangup.recv().await.is_some() {
-        let mut pause = READ_AGAIN;
-        let told = loop {
-            match config::load(true) {
-                Ok(told) => break told,
-                Err(e) => {
-                    count(Count::reloads_failed);
-                    log::error!("what runs is kept, as the new configuration cannot be used: {e}");
-                }
-            }
-            tokio::select! {
-                again = hangup.recv() => match again {
-                    Some(()) => pause = READ_AGAIN,
-                    None => return,
-                },
-                () = tokio::time::sleep(pause) => pause = (pause * 2).min(READ_AGAIN_MOST),
-            }
-        };
-        count(Count::reloads);
-        log::info!("the configuration was read again: discovery is asked at {} from now on", told.discovery);
-        if !told.same_but_discovery(&runs) {
-            log::warn!("of the new configuration only 'discovery' is taken up; the rest needs a new start");
-        }
-        // Also where it is the same: the list is then asked for anew.
-        let _ = discovery.send(told.discovery.clone());
-        runs = told;
-    }
-}
-
 /// The folder in which the processes of this proxy meet, where the platform has what it takes for two of them to serve.
 fn meet(name: &str, handed: bool) -> Result<Option<Folder>, String> {
     let shared = std::env::var("TMPDIR").ok().filter(|v| handed && !v.is_empty());
@@ -98,19 +65,13 @@
 async fn run() -> Result<(), String> {
     // Heard from the start: unheard, this signal would end the process.
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
-    let told = config::load(false)?;
+    let told = config::load()?;
     let fronts = deploy::load()?;
-    let (names, times) = (told.settings.names()?, told.settings.socket_times()?);
-    let settings = told.settings.settings(told.seed)?;
-    let classes = settings.classes.clone();
-    let longest = classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-    for (name, class) in names.classes.iter().zip(&classes) {
-        log::info!(
-            "class {name}: wanted in {} ms, given up after {} ms",
-            class.aim / 1000,
-            class.deadline / 1000
-        );
-    }
+    let Sound { names, settings, times } = told.sound()?;
+    let zones = names.zones.clone();
+    let mut slots = Slots::default();
+    let (terms, read_under) = watch::channel(slots.change(names, settings.classes.clone()));
+    tell_classes(&slots.now());
     let (memory, idle) = (told.memory >> 20, times.keepalive / 1000);
     log::info!(
         "limits: {} descriptors, {memory} MiB; members close what is idle for {idle} ms",
@@ -123,19 +84,17 @@
     let (mailbox, inbox) = mpsc::channel(MAILBOX);
     let (orders, ordered) = mpsc::channel(ORDERS);
     let (follow, asked) = mpsc::channel(1);
-    let wire = pg::member::Pg::new(budget.bytes.clone(), clock, names.clone());
+    let wire = pg::member::Pg::new(budget.bytes.clone(), clock);
     let fleet = Fleet::new(mailbox.clone(), follow, budget.clone(), clock, times, wire);
-    let actor = Actor::new(settings, names.classes.clone(), fleet, clock, (inbox, ordered))
-        .map_err(|e| e.to_string())?;
+    let actor = Actor::new(settings, fleet, clock, (inbox, ordered)).map_err(|e| e.to_string())?;
 
-    let mut lists = Lists::new(names.zones.clone());
+    let mut lists = Lists::new(zones);
     // Known before the first client comes, and perhaps old.
     let known = lists.read(&told.known, None);
     let (held, known) = known.map_or_else(Default::default, |(held, _, entries)| (Some(held), entries));
     mailbox.send(Input::List(ListKind::Disk, known)).await.map_err(|e| e.to_string())?;
     tokio::spawn(actor.run());
     let (discovery, address) = watch::channel(told.discovery.clone());
-    tokio::spawn(reload(hangup, discovery, told.clone()));
     if fronts.dnssd.browse {
         let DnsSd { server, service, .. } = &fronts.dnssd;
         tokio::spawn(Browser::new(*server, service, lists, mailbox.clone(), clock)?.run(asked));
@@ -144,6 +103,8 @@
     }
 
     let desk = Desk::new(orders, folder.clone());
+    let reload = Reload { running: told.clone(), slots, terms, discovery, desk: desk.clone() };
+    tokio::spawn(reload.run(hangup));
     let (phase, closing) = watch::channel(Phase::Starting);
     if let Some(console) = &told.console {
         let listener = TcpListener::bind(console).await.map_err(|e| format!("console {console}: {e}"))?;
@@ -165,8 +126,7 @@
     let clients = budget.clients.clone();
     let front = Arc::new(pg::front::Front {
         core: core.clone(),
-        names: names.clone(),
-        classes: classes.clone(),
+        terms: read_under.clone(),
         clock,
         clients: clients.clone(),
         bytes: budget.bytes.clone(),
@@ -181,7 +141,8 @@
         // Answers that are remembered share the memory with all else.
         let repeat_bytes = repeat_bytes.min(told.memory / 8);
         let bookings = Bookings::new(core.clone(), clock, repeat_ids, repeat_bytes, repeat_span);
-        let front = odata::front::Front::new(core, bookings, (names, classes), clock, (budget.clone(), pace));
+        let front =
+            odata::front::Front::new(core, bookings, read_under.clone(), clock, (budget.clone(), pace));
         let front = Arc::new(front);
         let serve = move |stream, closing| front.clone().serve(stream, closing);
         tokio::spawn(listen::listen(listener, Count::odata_connections, clients.clone(), closing, serve));
@@ -210,6 +171,7 @@
     tokio::time::sleep(fronts.still_coming).await;
     let _ = phase.send(Phase::Closing);
     // What was taken is owed its answer: the settings say how long the last of it may take, and days differ in that.
+    let longest = read_under.borrow().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
     let ends: Time = clock.now() + longest + LAST_ANSWERS.as_micros() as Time;
     while !clients.all_back() && clock.now() < ends {
         tokio::time::sleep(Duration::from_millis(10)).await;
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -109,6 +109,11 @@
         self.peers.retain(|_, p| p.gone.is_none_or(|t| now < t + KEPT));
     }
 
+    fn times(&mut self, times: SocketTimes) {
+        self.times = times;
+        self.peers.values().for_each(|p| drop(p.orders.try_send(Order::Times(times))));
+    }
+
     fn follow(&mut self) -> bool {
         // One that waits already will do.
         !matches!(self.discovery.try_send(discovery::Follow), Err(mpsc::error::TrySendError::Closed(_)))
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -38,6 +38,8 @@
     Probe,
     /// Close idle connections.
     CloseIdle,
+    /// Times for its connections.
+    Times(SocketTimes),
     /// Where the member listens now.
     Address(SocketAddr),
 }
@@ -81,8 +83,7 @@
         times: SocketTimes,
         wire: W,
     ) -> Self {
-        let idle_most = Duration::from_micros(times.keepalive).mul_f64(IDLE_SHARE);
-        let pool = Pool::new(idle_most.as_micros() as Time);
+        let pool = Pool::new(idle_most(times));
         let (done, ends) = mpsc::unbounded_channel();
         let (running, probing, ends) = (FxHashMap::default(), 0, Some(ends));
         Peer { id, address, core, budget, clock, times, wire, pool, running, probing, done, ends }
@@ -151,6 +152,10 @@
             }
             Order::Probe => self.probe(),
             Order::CloseIdle => self.pool.clear(),
+            Order::Times(times) => {
+                self.times = times;
+                self.pool.keep(idle_most(times));
+            }
             Order::Address(address) => {
                 if address != self.address {
                     self.pool.clear();
@@ -240,6 +245,11 @@
     }
 }
 
+/// How long a connection may rest.
+fn idle_most(times: SocketTimes) -> Time {
+    Duration::from_micros(times.keepalive).mul_f64(IDLE_SHARE).as_micros() as Time
+}
+
 /// How an attempt comes by its connection.
 struct Dial<W: Wire> {
     /// One of the pool.
--- a/src/net/pool.rs
+++ b/src/net/pool.rs
@@ -41,6 +41,11 @@
         Pool { idle: VecDeque::new(), most }
     }
 
+    /// From now on a connection may rest for so long, in us.
+    pub fn keep(&mut self, most: Time) {
+        self.most = most;
+    }
+
     /// Takes in a connection whose answer has come to its end now.
     pub fn rest(&mut self, link: L, now: Time) {
         self.idle.push_back(Idle { link, since: now });
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -12,7 +12,7 @@
 use crate::net::budget::{Budget, Pace};
 use crate::net::frames::{finish, next, shrink, Next, ROOM};
 use crate::net::listen::{closed, Closing, Phase};
-use crate::settings::Names;
+use crate::terms::Terms;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use std::collections::VecDeque;
@@ -20,6 +20,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio_util::codec::Framed;
 
@@ -40,8 +41,7 @@
 pub struct Front {
     core: Handle,
     bookings: Bookings,
-    names: Names,
-    classes: Vec<Class>,
+    terms: watch::Receiver<Arc<Terms>>,
     clock: Clock,
     budget: Budget,
     pace: Pace,
@@ -57,12 +57,12 @@
     pub fn new(
         core: Handle,
         bookings: Bookings,
-        (names, classes): (Names, Vec<Class>),
+        terms: watch::Receiver<Arc<Terms>>,
         clock: Clock,
         (budget, pace): (Budget, Pace),
     ) -> Self {
         let (random, sent) = (RandomState::new(), AtomicU64::new(0));
-        Front { core, bookings, names, classes, clock, budget, pace, random, sent }
+        Front { core, bookings, terms, clock, budget, pace, random, sent }
     }
 
     /// Serves one client.
@@ -171,19 +171,20 @@
             Ok(form) => form,
             Err(fault) => return refused(fault, Form::default()),
         };
-        match request::read(http, &self.names, &self.classes) {
+        let terms = self.terms.borrow().clone();
+        match request::read(http, &terms) {
             Ok(Call::Service) => reply::service(form),
             Ok(Call::Metadata) => reply::metadata(form),
             Ok(Call::Read(facts, key)) => {
-                let request = self.request(facts, &key, None);
+                let request = self.request(&terms, facts, &key, None);
                 let deadline = request.deadline;
                 let answer = self.core.submit(request).await.await;
                 reply::answer(form, Asked::Read(&key), answer, self.late(deadline))
             }
             Ok(Call::Create { facts, key, value, repeatable, minimal }) => {
                 let asked = Asked::Create { key: &key, minimal, repeatable: repeatable.is_some() };
-                let print = print(&facts, &key, &value);
-                let (weight, request) = (value.len() + 512, self.request(facts, &key, Some(value)));
+                let print = print(&terms, &facts, &key, &value);
+                let (weight, request) = (value.len() + 512, self.request(&terms, facts, &key, Some(value)));
                 let deadline = request.deadline;
                 let Some(Repeatable { id, first_sent }) = repeatable else {
                     let answer = self.core.submit(request).await.await;
@@ -217,23 +218,37 @@
         self.clock.now() + LEAD >= deadline
     }
 
-    fn request(&self, facts: Facts, key: &str, value: Option<Bytes>) -> Request {
+    fn request(&self, terms: &Arc<Terms>, facts: Facts, key: &str, value: Option<Bytes>) -> Request {
         let Facts { class, tenant, group, session, after, wait, repeat } = facts;
         let id = self.random.hash_one(self.sent.fetch_add(1, Ordering::Relaxed));
         let key_text = key.to_string();
-        let operation = Operation { id, class, tenant, group, after, repeat, key: key_text, value };
+        let operation =
+            Operation { terms: terms.clone(), id, class, tenant, group, after, repeat, key: key_text, value };
         let work = Work::Operation(Arc::new(operation));
         let deadline = self.clock.now().saturating_add(wait);
         let session: Option<Arc<str>> = session.map(Arc::from);
         let key_session = session.as_ref().filter(|s| &***s != key).map(|_| Arc::from(key));
-        Request { name: None, class, tenant, group, session, key_session, after, deadline, repeat, work }
+        Request {
+            terms: terms.clone(),
+            name: None,
+            class,
+            tenant,
+            group,
+            session,
+            key_session,
+            after,
+            deadline,
+            repeat,
+            work,
+        }
     }
 }
 
 /// Fingerprint of what a booking asks for; how long a try waits is not part of it.
-fn print(facts: &Facts, key: &str, value: &[u8]) -> u64 {
+fn print(terms: &Terms, facts: &Facts, key: &str, value: &[u8]) -> u64 {
     let mut hasher = DefaultHasher::new();
-    (facts.class, facts.tenant, facts.group, &facts.session, key, value).hash(&mut hasher);
+    // By its name, as a reload may give a class another number.
+    (terms.class_name(facts.class), facts.tenant, facts.group, &facts.session, key, value).hash(&mut hasher);
     hasher.finish()
 }
 
--- a/src/odata/request.rs
+++ b/src/odata/request.rs
@@ -4,7 +4,7 @@
 use crate::core::plain_key;
 use crate::http::{Headers, HttpRequest};
 use crate::interface::*;
-use crate::settings::Names;
+use crate::terms::Terms;
 use base64::engine::general_purpose::{GeneralPurpose, GeneralPurposeConfig, URL_SAFE_NO_PAD};
 use base64::engine::DecodePaddingMode;
 use base64::{alphabet, Engine};
@@ -239,7 +239,8 @@
 }
 
 /// Reads a request as a call.
-pub fn read(request: &HttpRequest, names: &Names, classes: &[Class]) -> Result<Call, Fault> {
+pub fn read(request: &HttpRequest, terms: &Terms) -> Result<Call, Fault> {
+    let classes = &terms.classes;
     options(query(&request.target))?;
     let path = decoded(path(&request.target))?;
     let path = path.trim_matches('/');
@@ -255,7 +256,7 @@
         "$metadata" if get => Ok(Call::Metadata),
         "" | "$metadata" => only("GET"),
         "records" if post => {
-            let facts = facts(&request.headers, names, classes)?;
+            let facts = facts(&request.headers, terms)?;
             if read_class(&facts) {
                 return Err(misfit());
             }
@@ -271,7 +272,7 @@
         }
         _ => match key_of(path)? {
             Some(key) if get => {
-                let mut facts = facts(&request.headers, names, classes)?;
+                let mut facts = facts(&request.headers, terms)?;
                 if !read_class(&facts) {
                     return Err(misfit());
                 }
@@ -293,7 +294,7 @@
     facts.session = if named { facts.session.take().or_else(|| Some(key.to_string())) } else { None };
 }
 
-fn facts(headers: &Headers, names: &Names, classes: &[Class]) -> Result<Facts, Fault> {
+fn facts(headers: &Headers, terms: &Terms) -> Result<Facts, Fault> {
     let bad = |name: &'static str, text: String| Fault::new(400, "BadHeader", text).at(name);
     let must = |name: &'static str| {
         headers
@@ -303,16 +304,16 @@
     let number = |name: &'static str, text: &str| -> Result<u64, Fault> {
         text.parse().map_err(|_| bad(name, format!("{name} is not a whole number")))
     };
-    let listed = |name: &'static str, list: &[String]| -> Result<usize, Fault> {
+    let listed = |name: &'static str, find: &dyn Fn(&str) -> Option<usize>| -> Result<usize, Fault> {
         let given = must(name)?;
-        let at = list.iter().position(|n| n == given);
-        at.ok_or_else(|| bad(name, format!("{name} names none that is known: {given}")))
+        find(given).ok_or_else(|| bad(name, format!("{name} names none that is known: {given}")))
     };
-    let class = listed("Skip-Class", &names.classes)?;
-    let tenant = if names.tenants.is_empty() { 0 } else { listed("Skip-Tenant", &names.tenants)? };
+    let class = listed("Skip-Class", &|given| terms.class(given))?;
+    let tenant =
+        if terms.names.tenants.is_empty() { 0 } else { listed("Skip-Tenant", &|given| terms.tenant(given))? };
     let wait = match headers.get("Skip-Wait") {
         Some(text) => number("Skip-Wait", text)?.min(3_600_000) * 1000,
-        None => classes[class].deadline,
+        None => terms.classes[class].deadline,
     };
     if wait == 0 {
         return Err(bad("Skip-Wait", "Skip-Wait must be above 0".to_string()));
--- a/src/pg/front.rs
+++ b/src/pg/front.rs
@@ -10,7 +10,7 @@
 use crate::net::budget::{Pace, Pot, Ration};
 use crate::net::frames::{finish, next, shrink, Next, ROOM};
 use crate::net::listen::{reached, Closing, Phase};
-use crate::settings::Names;
+use crate::terms::Terms;
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use std::collections::VecDeque;
@@ -20,6 +20,7 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
+use tokio::sync::watch;
 use tokio::time::{Instant, Sleep};
 use tokio_util::codec::Framed;
 
@@ -44,10 +45,8 @@
 pub struct Front {
     /// Way into the core.
     pub core: Handle,
-    /// Names of classes and tenants.
-    pub names: Names,
-    /// The classes.
-    pub classes: Vec<Class>,
+    /// The terms under which requests are read.
+    pub terms: watch::Receiver<Arc<Terms>>,
     /// The clock.
     pub clock: Clock,
     /// Permits for clients' connections.
@@ -250,11 +249,12 @@
             return Some(Owed::Ready(Reply::Empty));
         }
         count(Count::pg_requests);
-        match statement::read(text, &self.names, &self.classes, self.clock.now()) {
+        let terms = self.terms.borrow().clone();
+        match statement::read(text, &terms, self.clock.now()) {
             Ok(mut request) => {
                 talk.sound = true;
                 request.deadline = request.deadline.saturating_sub(MARGIN);
-                let write = self.classes[request.class].need == Need::Write;
+                let write = request.terms.classes[request.class].need == Need::Write;
                 Some(Owed::Waiting(self.core.submit(request).await, write))
             }
             Err(Fault { code, message }) => {
--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -15,14 +15,12 @@
 use crate::net::budget::Ration;
 use crate::net::frames::{next, shrink, Next, ROOM};
 use crate::net::link::{Exchange, Guard, Link, Wire};
-use crate::settings::Names;
 use bytes::Bytes;
 use futures_util::SinkExt;
 use socket2::SockRef;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -43,13 +41,12 @@
 pub struct Pg {
     bytes: Ration,
     clock: Clock,
-    names: Arc<Names>,
 }
 
 impl Pg {
-    /// Connections count the bytes of what they hold in `bytes`; classes and tenants have these names.
-    pub fn new(bytes: Ration, clock: Clock, names: Names) -> Self {
-        Pg { bytes, clock, names: Arc::new(names) }
+    /// Connections count the bytes of what they hold in `bytes`.
+    pub fn new(bytes: Ration, clock: Clock) -> Self {
+        Pg { bytes, clock }
     }
 }
 
@@ -57,7 +54,6 @@
 pub struct Connection {
     framed: Framed<Socket, ClientCodec>,
     clock: Clock,
-    names: Arc<Names>,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -91,8 +87,7 @@
         let stream = TcpStream::connect(address).await.map_err(|_| Outcome::Refused)?;
         let _ = stream.set_nodelay(true);
         let framed = Framed::with_capacity(Socket::new(stream), ClientCodec::new(self.bytes.clone()), ROOM);
-        let names = self.names.clone();
-        let mut link = Connection { framed, clock: self.clock, names, _permit: permit };
+        let mut link = Connection { framed, clock: self.clock, _permit: permit };
         link.framed.send(Frontend::Startup).await.map_err(|_| Outcome::Refused)?;
         // No statement has been written, so that nothing here can have run.
         let mut known = false;
@@ -200,7 +195,7 @@
         let (text, at) = match work {
             Work::Verbatim { text, wait } => (&text[..], wait),
             Work::Operation(operation) => {
-                rendered = render(operation, &self.names);
+                rendered = render(operation);
                 (rendered.0.as_bytes(), &rendered.1)
             }
         };
--- /dev/null
+++ b/src/reload.rs
@@ -0,0 +1,91 @@
+//! Settings at SIGHUP: the file is read and checked whole, then taken up whole or not at all.
+
+use crate::config::{self, Config, Sound};
+use crate::core::counters::{count, Count};
+use crate::core::Order;
+use crate::handover::Desk;
+use crate::terms::{Slots, Terms};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::signal::unix::Signal;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+/// First pause before a file that could not be used is read again, as it may be half written, and for how long it is.
+const READ_AGAIN: Duration = Duration::from_millis(50);
+const READ_AGAIN_MOST: Duration = Duration::from_secs(1);
+
+/// What a reload changes, and who is told.
+pub struct Reload {
+    /// The configuration that holds.
+    pub running: Config,
+    /// Its classes.
+    pub slots: Slots,
+    /// Where the fronts learn the terms of new requests.
+    pub terms: watch::Sender<Arc<Terms>>,
+    /// Where discovery's reader learns its address.
+    pub discovery: watch::Sender<String>,
+    /// The way to the core.
+    pub desk: Desk,
+}
+
+impl Reload {
+    /// Reads the file again at each SIGHUP. A file that cannot be used may be half written: it is read again for a
+    /// while, and then left until the next SIGHUP.
+    pub async fn run(mut self, mut hangup: Signal) {
+        while hangup.recv().await.is_some() {
+            let (mut pause, mut until) = (READ_AGAIN, Instant::now() + READ_AGAIN_MOST);
+            let fault = loop {
+                match config::load_again(&self.running) {
+                    Ok((told, sound)) => {
+                        self.take(told, sound).await;
+                        break None;
+                    }
+                    Err(fault) if Instant::now() >= until => break Some(fault),
+                    Err(_) => {}
+                }
+                tokio::select! {
+                    again = hangup.recv() => match again {
+                        Some(()) => (pause, until) = (READ_AGAIN, Instant::now() + READ_AGAIN_MOST),
+                        None => return,
+                    },
+                    () = tokio::time::sleep(pause) => pause *= 2,
+                }
+            };
+            if let Some(fault) = fault {
+                count(Count::reloads_failed);
+                log::error!("what runs is kept whole, as the new configuration cannot be used: {fault}");
+            }
+        }
+    }
+
+    async fn take(&mut self, told: Config, sound: Sound) {
+        let Sound { names, mut settings, times } = sound;
+        let terms = self.slots.change(names, std::mem::take(&mut settings.classes));
+        settings.classes = terms.classes.clone();
+        // The module first: no request may come under terms that it does not know.
+        self.desk.ask(|reply| Order::Settings(Box::new(settings), times, reply)).await;
+        let _ = self.terms.send(terms);
+        // Also where it is the same: the list is then asked for anew.
+        let _ = self.discovery.send(told.discovery.clone());
+        count(Count::reloads);
+        let fixed = self.running.fixed(&told);
+        if !fixed.is_empty() {
+            log::warn!("taken up only by a new start: {}", fixed.join(", "));
+        }
+        log::info!("the configuration was read again; discovery is asked at {} from now on", told.discovery);
+        tell_classes(&self.slots.now());
+        self.running = told;
+    }
+}
+
+/// Tells the log what holds for new requests.
+pub fn tell_classes(terms: &Terms) {
+    for (slot, class) in terms.classes.iter().enumerate() {
+        let name = terms.class_name(slot);
+        if terms.class(name) == Some(slot) {
+            let (aim, deadline) = (class.aim / 1000, class.deadline / 1000);
+            log::info!("class {name}: wanted in {aim} ms, given up after {deadline} ms");
+        }
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -11,7 +11,7 @@
 pub struct Pairs(HashMap<String, String>);
 
 /// Names that the wires use for what the module numbers.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Names {
     /// Classes, in the order of [`Settings::classes`].
     pub classes: Vec<String>,
@@ -22,7 +22,7 @@
 }
 
 /// Limits that concern sockets rather than decisions.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SocketTimes {
     /// Idle connections are closed by the members' machines after this, in us.
     pub keepalive: Time,
@@ -64,6 +64,33 @@
         }
     }
 
+    /// Names that `running` has and these lack, those of lists of things aside: where all of the running list's have a
+    /// field, all of this one's must.
+    pub fn lacking(&self, running: &Pairs) -> Vec<String> {
+        let within = |name: &str, list: &str| name.contains(&format!("{list}."));
+        let listed = |name: &str| within(name, "services") || within(name, "tenants");
+        let mut lacks: Vec<String> =
+            running.0.keys().filter(|n| !listed(n) && !self.0.contains_key(*n)).cloned().collect();
+        for list in ["settings.services", "settings.tenants"] {
+            let count =
+                |p: &Pairs| p.0.get(&format!("{list}.count")).and_then(|n| n.parse().ok()).unwrap_or(0);
+            let first = format!("{list}.0.");
+            let fields = running.0.keys().filter_map(|n| n.strip_prefix(&first));
+            let all = |field: &&str| {
+                (0..count(running)).all(|i| running.0.contains_key(&format!("{list}.{i}.{field}")))
+            };
+            for field in fields.filter(all) {
+                let names = (0..count(self)).map(|i: usize| format!("{list}.{i}.{field}"));
+                lacks.extend(names.filter(|n| !self.0.contains_key(n)));
+            }
+            if count(running) > 0 && count(self) == 0 {
+                lacks.push(list.to_string());
+            }
+        }
+        lacks.sort();
+        lacks
+    }
+
     fn wrong(name: &str, value: &str) -> String {
         format!("settings: {name} has the bad value '{value}'")
     }
@@ -166,6 +193,13 @@
     pub fn settings(&self, seed: u64) -> Result<Settings, String> {
         let count: usize = self.must("services.count")?;
         let (needs, ages) = (self.list("family_info.needs_by_class"), self.list("family_info.max_age_us"));
+        if needs.len() != count || !ages.is_empty() && ages.len() != count {
+            return Err(format!(
+                "settings: there are {count} classes, {} needs and {} ages",
+                needs.len(),
+                ages.len()
+            ));
+        }
         let mut classes = Vec::new();
         for i in 0..count {
             let age = ages.get(i).map_or("0", String::as_str);
--- a/src/state.rs
+++ b/src/state.rs
@@ -62,6 +62,8 @@
     pub repeat: bool,
     /// Its answer has begun.
     pub streaming: bool,
+    /// Most attempts, as the settings had it when it came.
+    pub most: u32,
     /// Answered; only attempts are left.
     pub done: bool,
 }
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -616,6 +616,7 @@
          a send write k1 01
          a expect row 01
          config does whole
+         hup
          counts reloads 1
          counts list_answers 1
          list does leaving r
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -868,3 +868,53 @@
     }
     assert_eq!(d.router.remembered(), before);
 }
+
+#[test]
+fn new_settings_change_neither_what_is_known_nor_how_an_open_request_is_judged() {
+    let mut d = Driver::new(settings());
+    d.hear(1, d.now, Role::Primary);
+    let (id, actions) = d.request(UNSAFE, None);
+    assert_eq!(sent(&actions), [(id, 1)]);
+    // Fewer attempts than before, and a slot more, which has the former class made safe.
+    let mut new = settings();
+    new.max_attempts = 2;
+    new.classes.push(Class { repeat: Repeat::Safe, ..new.classes[UNSAFE].clone() });
+    d.step(&[Event::Settings(Box::new(new.clone()))]);
+    let actions = d.ended(id, 0, Outcome::Severed, None);
+    assert!(
+        failed(&actions, id) && sent(&actions).is_empty(),
+        "it came as one that must not run twice: {actions:?}"
+    );
+    // Sent anew, the primary is still known; and a request has two attempts from now on.
+    d.hear(1, d.now, Role::Primary);
+    let (id, actions) = d.request(KEYED, None);
+    assert_eq!(sent(&actions), [(id, 1)]);
+    let again = d.ended(id, 0, Outcome::Saturated, None);
+    let again = [again, d.after(100 * MS), d.after(100 * MS)].concat();
+    assert_eq!(sent(&again), [(id, 1)]);
+    let last = d.ended(id, 1, Outcome::Saturated, None);
+    let last = [last, d.after(100 * MS), d.after(100 * MS)].concat();
+    assert!(sent(&last).is_empty() && refused(&last, id), "{last:?}");
+}
+
+#[test]
+fn attempts_allowed_later_are_not_for_a_request_that_came_before() {
+    let mut few = settings();
+    few.max_attempts = 1;
+    let mut d = Driver::new(few);
+    d.hear(1, d.now, Role::Primary);
+    let (id, actions) = d.request(KEYED, None);
+    assert_eq!(sent(&actions), [(id, 1)]);
+    d.step(&[Event::Settings(Box::new(settings()))]);
+    let actions = d.ended(id, 0, Outcome::Saturated, None);
+    assert!(sent(&actions).is_empty() && refused(&actions, id), "{actions:?}");
+}
+
+#[test]
+fn the_operators_word_on_a_member_leaves_a_call_to_discovery_due() {
+    let mut d = Driver::new(Settings { subscribe: true, ..settings() });
+    let out = Member { condition: Condition::Draining, ..member(2, false) };
+    let first = d.list(ListKind::Operator, vec![out]);
+    let later = [first, d.after(10 * MS), d.after(10_000 * MS)].concat();
+    assert!(later.contains(&Action::Follow), "{later:?}");
+}
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -398,3 +398,93 @@
     drop(proxy);
     let _ = std::fs::remove_dir_all(shared);
 }
+
+#[test]
+fn new_settings_hold_for_both_fronts_and_a_dropped_class_is_like_an_unknown_one() {
+    play(
+        "member p primary
+         start odata
+         a send read k1 haste
+         a expect error 22023
+         config adds haste read_like any
+         config does whole
+         hup
+         counts reloads 1
+         a send read k1 haste
+         a expect row -
+         o send GET k1 haste
+         o expect 200
+         config drops haste
+         config does whole
+         hup
+         counts reloads 2
+         a send read k1 haste
+         a expect error 22023
+         o send GET k1 haste
+         o expect 400 Skip-Class
+         a send read k1 yard-board
+         a expect row -",
+    );
+}
+
+#[test]
+fn a_configuration_that_cannot_be_used_changes_nothing() {
+    for fault in [
+        "config sets services/1/deadline_us 0",
+        "config sets limits/max_attempts 0",
+        "config sets limits/max_attempts \"many\"",
+        "config lacks limits/max_attempts",
+        "config lacks rules/fall_us",
+        "config lacks services/3/aim_us",
+        "config sets family_info/needs_by_class [\"any\"]",
+    ] {
+        play(&format!(
+            "member p primary
+             start watching
+             list expect 1 watches
+             config adds haste read_like any
+             list does move
+             {fault}
+             config does whole
+             hup
+             counts reloads_failed 1
+             a send read k1 haste
+             a expect error 22023
+             a send write k1 01
+             a expect row 01
+             list expect 0 whole
+             list expect 0 watches
+             counts reloads under 1"
+        ));
+    }
+}
+
+#[test]
+fn an_open_request_is_judged_by_the_class_that_it_came_with() {
+    // A booking came as one that must never run twice; now it may be repeated, and the other way round.
+    for (before, after, told) in
+        [("non_idempotent", "read_like", "error XX000"), ("read_like", "non_idempotent", "row 01")]
+    {
+        play(&format!(
+            "member p primary
+             start
+             config drops place-order
+             config adds place-order {before} write
+             config does whole
+             hup
+             counts reloads 1
+             p does hold
+             a send write k1 01
+             p expect 1 write k1
+             config drops place-order
+             config adds place-order {after} write
+             config does whole
+             hup
+             counts reloads 2
+             p does reset
+             counts severed 1
+             p does answer
+             a expect {told}"
+        ));
+    }
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -14,6 +14,9 @@
 //! list expect 1 watches       so many calls for `watches` or for the `whole` list have come; 0: none ever
 //! list does move              discovery is to be another one that starts with the same list; `config does half` writes
 //!                             half of the file that says so, `config does whole` all of it, `hup` sends SIGHUP
+//! config adds NAME read_like any   the configuration gets another class; `config drops NAME`; `config sets limits/max_attempts 2`
+//!                             sets a value of the settings, `config lacks limits/max_attempts` leaves it out; until `config
+//!                             does whole` and `hup` nobody knows
 //! counts NAME 1               one of the proxy's counters reaches this; `counts NAME under 9`: is less than that now
 //! p does hold                 answer | hold | reset | half | full | error | miss: what p does with statements from now on;
 //!                             twice: a second copy comes right behind, after: one comes 30 ms later, behind US: one comes so
@@ -52,6 +55,7 @@
 use linentrail_standins::registry::{entry, Registry};
 use linentrail_standins::wire::{hex, message, query, unhex};
 use linentrail_standins::{now_ms, wire};
+use serde_json::Value;
 use std::collections::HashMap;
 use std::io::{Read, Write};
 use std::net::TcpStream;
@@ -80,7 +84,7 @@
     clients: HashMap<String, TcpStream>,
     dns: Dns,
     registry: Registry,
-    config: serde_json::Value,
+    config: Value,
     clock: Option<Instant>,
     descriptors: usize,
     proxy: Option<Proxy>,
@@ -157,6 +161,27 @@
                 config["discovery"] = address.into();
                 self.config = config;
             }
+            ["config", "adds", name, effect, need] => {
+                let class = proxy::class(name, effect, (8_000_000, 15_000_000));
+                self.classes().0.push(class);
+                self.classes().1.push(need.into());
+                self.classes().2.push(0.into());
+            }
+            ["config", "drops", name] => {
+                let at = self.classes().0.iter().position(|c| c["name"] == *name).expect(line);
+                self.classes().0.remove(at);
+                self.classes().1.remove(at);
+                self.classes().2.remove(at);
+            }
+            ["config", "sets", path, ..] => {
+                let value = serde_json::from_str(rest(3)).expect(line);
+                *self.config.pointer_mut(&format!("/settings/{path}")).expect(line) = value;
+            }
+            ["config", "lacks", path] => {
+                let (within, name) = path.rsplit_once('/').expect(line);
+                let within = self.config.pointer_mut(&format!("/settings/{within}")).expect(line);
+                within.as_object_mut().unwrap().remove(name).expect(line);
+            }
             ["config", "does", how] => {
                 let text = self.config.to_string();
                 let part = if how == "half" { &text[..text.len() / 2] } else { &text };
@@ -219,6 +244,28 @@
         }
     }
 
+    /// Classes, their needs and their ages, in the configuration.
+    fn classes(&mut self) -> (&mut Vec<Value>, &mut Vec<Value>, &mut Vec<Value>) {
+        let settings = self.config["settings"].as_object_mut().unwrap();
+        let (mut services, mut family) = (None, None);
+        for (name, value) in settings.iter_mut() {
+            match name.as_str() {
+                "services" => services = value.as_array_mut(),
+                "family_info" => family = value.as_object_mut(),
+                _ => {}
+            }
+        }
+        let (mut needs, mut ages) = (None, None);
+        for (name, value) in family.unwrap().iter_mut() {
+            match name.as_str() {
+                "needs_by_class" => needs = value.as_array_mut(),
+                "max_age_us" => ages = value.as_array_mut(),
+                _ => {}
+            }
+        }
+        (services.unwrap(), needs.unwrap(), ages.unwrap())
+    }
+
     fn proxy(&self) -> &Proxy {
         self.proxy.as_ref().expect("start comes first")
     }
