Pass large values on in pieces, with back-pressure, from member to client

Change: a row's value over 64 KiB is told by its start (ClientCodec), the attempt ends for the module with its first bytes, and the rest goes through a mailbox of two pieces (src/core/flow.rs) that the front empties; a value that breaks off ends the client's connection in the middle of it and is not begun again. OData gathers it under the ration. What comes of an answer counts by progress. A client's message may take 2.4 s.

Tests: tests/flows.rs with the real program: first bytes before the last, a break, a client that leaves, 64 values of 4 MiB under 40 MiB while another client is served.

--- a/crates/standins/src/member.rs
+++ b/crates/standins/src/member.rs
@@ -28,6 +28,8 @@
     Half,
     /// Runs them and resets the connection after so many bytes of the answer.
     Broken(usize),
+    /// Runs them and keeps all but so many bytes of the answer back until it does something else.
+    Paused(usize),
     /// Turns them away, unseen.
     Full,
     /// The same, without ReadyForQuery.
@@ -64,6 +66,7 @@
             "reset" => Behaviour::Reset,
             "half" => Behaviour::Half,
             "broken" => Behaviour::Broken(number("bytes")? as usize),
+            "paused" => Behaviour::Paused(number("bytes")? as usize),
             "full" => Behaviour::Full,
             "unready" => Behaviour::Unready,
             "noisy" => Behaviour::Noisy,
@@ -133,6 +136,8 @@
 enum Then {
     Go,
     Copy(Duration),
+    /// So many bytes first.
+    Pause(usize),
     Close,
     Reset,
 }
@@ -224,10 +229,15 @@
             let sql = std::str::from_utf8(body.strip_suffix(&[0])?).ok()?;
             reply.clear();
             let then = self.answer(sql, &mut reply).await;
-            stream.write_all(&reply).await.ok()?;
+            let first = if let Then::Pause(bytes) = then { bytes.min(reply.len()) } else { reply.len() };
+            stream.write_all(&reply[..first]).await.ok()?;
             self.state().answered += 1;
             match then {
                 Then::Go => {}
+                Then::Pause(_) => {
+                    self.until(|does| !matches!(does, Behaviour::Paused(_))).await?;
+                    stream.write_all(&reply[first..]).await.ok()?;
+                }
                 Then::Copy(later) => {
                     tokio::time::sleep(later).await;
                     stream.write_all(&reply).await.ok()?;
@@ -338,6 +348,15 @@
         true
     }
 
+    /// Waits until it does something of this sort.
+    async fn until(&self, fits: impl Fn(Behaviour) -> bool) -> Option<()> {
+        let mut changes = self.0.changed.subscribe();
+        while !fits(self.state().does) {
+            changes.changed().await.ok()?;
+        }
+        Some(())
+    }
+
     fn note(&self, what: String) {
         let mut state = self.state();
         state.served += 1;
@@ -373,6 +392,7 @@
                 Then::Go
             }
             Behaviour::Behind(later) => Then::Copy(later),
+            Behaviour::Paused(bytes) => Then::Pause(bytes),
             Behaviour::Swapped => {
                 let row =
                     1 + reply[DESCRIPTION + 1..].first_chunk().map_or(0, |l| u32::from_be_bytes(*l)) as usize;
@@ -380,11 +400,8 @@
                 Then::Go
             }
             _ => {
-                let mut changes = self.0.changed.subscribe();
-                while self.state().does == Behaviour::Hold {
-                    if changes.changed().await.is_err() {
-                        return Then::Close;
-                    }
+                if self.until(|does| does != Behaviour::Hold).await.is_none() {
+                    return Then::Close;
                 }
                 match self.state().does {
                     Behaviour::Reset => {
--- a/crates/standins/src/wire.rs
+++ b/crates/standins/src/wire.rs
@@ -5,7 +5,7 @@
 use tokio::io::{AsyncRead, AsyncReadExt};
 
 /// The longest message that a stand-in reads.
-const LONGEST: usize = 1 << 20;
+const LONGEST: usize = 16 << 20;
 
 /// One message: its tag, its length, its body.
 pub fn message(tag: u8, body: &[u8]) -> Vec<u8> {
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -319,7 +319,10 @@
         // A member that was taken for the primary, or for further on than it is, may answer from before the
         // session's last write. Such an answer is not passed on; the read goes elsewhere like any miss.
         let old = |n: &Note| n.role != Some(Role::Primary) && n.position.is_none_or(|p| p < live.unseen);
-        if outcome == Completed && live.unseen > 0 && note.as_ref().is_none_or(old) {
+        // A value that has only begun to come may not have told yet what it shows; what is known already must do.
+        let flows = value.as_ref().is_some_and(|v| v.flow.is_some());
+        let proven = flows && self.router.position(MemberId(member)) >= live.unseen;
+        if outcome == Completed && live.unseen > 0 && !proven && note.as_ref().is_none_or(old) {
             count(Count::stale_caught);
             outcome = Miss;
         }
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -64,6 +64,8 @@
     reloads,
     reloads_failed,
     dnssd_skipped,
+    flows,
+    flows_broken,
     console_connections,
     console_calls,
     console_refused,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -6,6 +6,7 @@
 pub mod actor;
 pub mod bookings;
 pub mod counters;
+pub mod flow;
 pub mod ledger;
 
 use crate::interface::*;
@@ -102,8 +103,10 @@
     pub binary: bool,
     /// Type of the column, as the member names it.
     pub type_id: u32,
-    /// The bytes; none stands for no value.
+    /// The bytes; none stands for no value, or for one that flows.
     pub bytes: Option<Bytes>,
+    /// A large value, whose bytes are still to come.
+    pub flow: Option<flow::Flow>,
     /// Rows: 0 where the key is unknown.
     pub rows: u32,
 }
--- a/src/known.rs
+++ b/src/known.rs
@@ -48,6 +48,11 @@
         self.members.len() + self.groups.len() + self.open.len() + self.held.len()
     }
 
+    /// The highest position heard of a member; 0: none.
+    pub fn position(&self, member: MemberId) -> Position {
+        self.members.get(&member).map_or(0, |m| m.position)
+    }
+
     /// What is known of each member.
     pub fn learned(&self) -> impl Iterator<Item = Learned> + '_ {
         self.members.iter().map(|(id, m)| {
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -1,5 +1,6 @@
 //! What the peers need of a member's wire, without naming one: open a connection, run a statement, ask for a report.
 
+use crate::core::flow::Source;
 use crate::core::{Value, Work};
 use crate::interface::*;
 use std::future::Future;
@@ -19,12 +20,21 @@
     pub report: Option<Report>,
     /// The connection may carry another.
     pub reusable: bool,
+    /// Of the value only the start has come; the rest is to be passed on here, by [`Link::rest`].
+    pub begun: Option<Source>,
 }
 
 /// One that never got as far as being written.
 impl Default for Exchange {
     fn default() -> Self {
-        Exchange { outcome: Outcome::Refused, value: None, note: None, report: None, reusable: false }
+        Exchange {
+            outcome: Outcome::Refused,
+            value: None,
+            note: None,
+            report: None,
+            reusable: false,
+            begun: None,
+        }
     }
 }
 
@@ -57,6 +67,10 @@
         written: &mut bool,
     ) -> impl Future<Output = Exchange> + Send;
 
+    /// Passes on the rest of a value that has begun, no faster than it is taken; whether the connection may carry
+    /// another statement.
+    fn rest(&mut self, to: Source) -> impl Future<Output = bool> + Send;
+
     /// Asks for the member's report, and tells whether the connection may carry another query; none if the member
     /// does not answer. An answer that cannot be read shows no more than that the member is there.
     fn probe(&mut self, guard: Guard) -> impl Future<Output = Option<(Report, bool)>> + Send;
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -10,6 +10,7 @@
 use super::pool::{Before, Pool};
 use crate::clock::Clock;
 use crate::core::counters::{count, Count};
+use crate::core::flow::Source;
 use crate::core::{Attempt, Ending, Input};
 use crate::interface::*;
 use crate::settings::SocketTimes;
@@ -198,7 +199,8 @@
                     // Members are told how long this proxy waits; rounded up, as 0 would say that it is over.
                     let wait = attempt.stop_at.saturating_sub(clock.now()).div_ceil(1000).max(1);
                     let exchange = link.run(&attempt.work, wait, guard, &mut written).await;
-                    (exchange.reusable.then_some(link), exchange)
+                    let kept = exchange.reusable || exchange.begun.is_some();
+                    (kept.then_some(link), exchange)
                 });
                 patience.within(stop, run).await
             };
@@ -210,12 +212,21 @@
                     (None, Exchange { outcome, ..Exchange::default() })
                 }
             };
-            let Exchange { outcome, value, note, report, .. } = exchange;
+            let Exchange { mut outcome, mut value, note, report, mut begun, .. } = exchange;
+            // Whoever asks again for a write's answer needs the whole of it.
+            if begun.is_some() && !attempt.safe {
+                (outcome, value, begun) = (Outcome::Errored, None, None);
+            }
             let spent = clock.now().saturating_sub(since);
             let told =
                 matches!(outcome, Outcome::Completed | Outcome::Errored | Outcome::Saturated | Outcome::Miss);
             let ending = Ending { outcome, value, note: note.filter(|_| told), report, spent };
             let _ = core.send(Input::Ended(key.0, key.1, ending)).await;
+            // The value is the client's now: neither the attempt's time nor the request's ends it.
+            let link = match begun {
+                Some(source) => Box::pin(pass_on(link, source)).await,
+                None => link,
+            };
             let link = link.map(|link| (link, patience));
             let _ = done.send(Done { attempt: Some(key), link });
         }));
@@ -245,6 +256,12 @@
     }
 }
 
+/// Passes a value's rest on, in a future of its own: nearly all tasks need no room for it.
+async fn pass_on<L: Link>(link: Option<L>, to: Source) -> Option<L> {
+    let mut link = link?;
+    link.rest(to).await.then_some(link)
+}
+
 /// How long a connection may rest.
 fn idle_most(times: SocketTimes) -> Time {
     Duration::from_micros(times.keepalive).mul_f64(IDLE_SHARE).as_micros() as Time
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -5,7 +5,7 @@
 use crate::clock::Clock;
 use crate::core::bookings::{Booked, Bookings, Try};
 use crate::core::counters::{count, Count};
-use crate::core::{Handle, Operation, Request, Work};
+use crate::core::{Answer, Handle, Operation, Request, Work};
 use crate::http::{HttpError, HttpRequest, HttpResponse, HttpServer, Incoming};
 use crate::interface::*;
 use crate::meter::Socket;
@@ -178,7 +178,7 @@
             Ok(Call::Read(facts, key)) => {
                 let request = self.request(&terms, facts, &key, None);
                 let deadline = request.deadline;
-                let answer = self.core.submit(request).await.await;
+                let answer = self.gathered(self.core.submit(request).await.await).await;
                 reply::answer(form, Asked::Read(&key), answer, self.late(deadline))
             }
             Ok(Call::Create { facts, key, value, repeatable, minimal }) => {
@@ -213,6 +213,23 @@
         }
     }
 
+    /// An answer whose value is whole: this wire's form of it cannot be begun before it ends.
+    async fn gathered(&self, answer: Answer) -> Answer {
+        let Answer::Served(mut value, position) = answer else { return answer };
+        let Some(flow) = value.flow.take() else { return Answer::Served(value, position) };
+        // As it is, and in base64 in its response.
+        let Some(_share) = self.budget.bytes.take(flow.length().saturating_mul(3)) else {
+            return Answer::Refused(None);
+        };
+        match tokio::time::timeout(PATIENCE, flow.gather()).await {
+            Ok(Some(bytes)) => {
+                value.bytes = Some(bytes);
+                Answer::Served(value, position)
+            }
+            _ => Answer::Failed,
+        }
+    }
+
     /// Whether an answer given now comes of the deadline: the module gives up a little before it.
     fn late(&self, deadline: Time) -> bool {
         self.clock.now() + LEAD >= deadline
--- a/src/pg/codec.rs
+++ b/src/pg/codec.rs
@@ -183,12 +183,13 @@
         d.put_u16(u16::from(value.binary));
     });
     if value.rows > 0 {
-        let length = value.bytes.as_ref().map_or(0, Bytes::len) as u32;
+        let flows = value.flow.as_ref().map(|flow| flow.length());
+        let length = flows.or(value.bytes.as_ref().map(Bytes::len));
         dst.put_u8(b'D');
-        dst.put_u32(length + 10);
+        dst.put_u32(length.unwrap_or(0) as u32 + 10);
         dst.put_u16(1);
-        match value.bytes {
-            Some(_) => dst.put_u32(length),
+        match length {
+            Some(length) => dst.put_u32(length as u32),
             None => dst.put_i32(-1),
         }
     }
--- a/src/pg/front.rs
+++ b/src/pg/front.rs
@@ -4,7 +4,8 @@
 use super::statement::{self, Fault};
 use crate::clock::Clock;
 use crate::core::counters::{count, Count};
-use crate::core::{Answer, Handle, Pending};
+use crate::core::flow::Piece;
+use crate::core::{Answer, Handle, Pending, Value};
 use crate::interface::*;
 use crate::meter::Socket;
 use crate::net::budget::{Pace, Pot, Ration};
@@ -15,6 +16,7 @@
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use std::collections::VecDeque;
 use std::future::{poll_fn, Future};
+use std::io::ErrorKind;
 use std::pin::{pin, Pin};
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -29,9 +31,9 @@
 const PIPELINE_TIGHT: usize = 1;
 /// From a connection's start to the end of its first message after the startup: a client that says nothing, or
 /// begins and does not end, is owed a close within 3 s.
-const FIRST: Duration = Duration::from_millis(2_200);
+const FIRST: Duration = Duration::from_millis(2_500);
 /// How long a message that was begun may take to end.
-const UNFINISHED: Duration = Duration::from_millis(2_000);
+const UNFINISHED: Duration = Duration::from_millis(2_400);
 /// How long a client may hold its connection without asking anything more: its seat costs memory and a descriptor,
 /// and some never come back.
 const IDLE: Duration = Duration::from_millis(4_000);
@@ -161,10 +163,7 @@
                 biased;
                 reply = due(&mut owed), if !owed.is_empty() => {
                     // A client that takes in nothing must not hold its seat for ever.
-                    match tokio::time::timeout(PATIENCE, put(&mut conn, reply, &mut owed)).await {
-                        Ok(put) => put?,
-                        Err(_) => return Ok(()),
-                    }
+                    put(&mut conn, reply, &mut owed).await?;
                     shrink(&mut conn);
                     rests = Instant::now();
                     leaving |= phase >= Phase::Leaving;
@@ -204,10 +203,7 @@
         // What was asked before is still answered first.
         while !owed.is_empty() {
             let reply = due(&mut owed).await;
-            match tokio::time::timeout(PATIENCE, put(&mut conn, reply, &mut owed)).await {
-                Ok(put) => put?,
-                Err(_) => return Ok(()),
-            }
+            put(&mut conn, reply, &mut owed).await?;
         }
         self.bad(conn, fault).await
     }
@@ -307,15 +303,48 @@
                 row_head(&value, &mut head);
                 row_tail(&value, write, &mut tail);
                 let bytes = value.bytes.unwrap_or_default();
-                conn.get_mut().write_all_buf(&mut (&head[..]).chain(bytes).chain(tail)).await?;
+                let mut all = (&head[..]).chain(bytes).chain(tail);
+                in_time(conn.get_mut().write_all_buf(&mut all)).await?;
                 head.clear();
                 *conn.write_buffer_mut() = head;
             }
-            reply => conn.feed(reply).await?,
+            Reply::Row(value, write) if value.flow.is_some() => flow(conn, value, write).await?,
+            reply => in_time(conn.feed(reply)).await?,
         }
         next = if owed.is_empty() { None } else { due(owed).now_or_never() };
     }
-    SinkExt::<Reply>::flush(conn).await
+    in_time(SinkExt::<Reply>::flush(conn)).await
+}
+
+/// A client that takes in nothing for so long must not hold its seat for ever.
+async fn in_time<E: Into<WireError>>(write: impl Future<Output = Result<(), E>>) -> Result<(), WireError> {
+    match tokio::time::timeout(PATIENCE, write).await {
+        Ok(written) => written.map_err(Into::into),
+        Err(_) => Err(WireError::Io(ErrorKind::TimedOut.into())),
+    }
+}
+
+/// Passes on a large value as it comes. Its length stands before it, so that a client can tell when it breaks off:
+/// all that is left then is to end the connection.
+async fn flow(conn: &mut Conn, value: Value, write: bool) -> Result<(), WireError> {
+    let Some(flow) = &value.flow else { return Ok(()) };
+    let (mut head, mut left) = (std::mem::take(conn.write_buffer_mut()), flow.length());
+    row_head(&value, &mut head);
+    in_time(conn.get_mut().write_all(&head)).await?;
+    head.clear();
+    *conn.write_buffer_mut() = head;
+    loop {
+        match flow.next().await {
+            Some(Piece::Bytes(mut bytes)) if bytes.len() <= left => {
+                left -= bytes.len();
+                in_time(conn.get_mut().write_all_buf(&mut bytes)).await?;
+            }
+            Some(Piece::Whole) if left == 0 => break,
+            _ => return Err(WireError::Io(ErrorKind::UnexpectedEof.into())),
+        }
+    }
+    row_tail(&value, write, conn.write_buffer_mut());
+    Ok(())
 }
 
 fn error(code: &'static str, message: &'static str, after: After) -> Reply {
--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -9,6 +9,7 @@
 use super::told::{statement, Backend, ClientCodec, Column, Frontend, Parameter};
 use crate::clock::Clock;
 use crate::core::counters::{count, Count};
+use crate::core::flow::{Flow, Piece, Source};
 use crate::core::{Value, Work};
 use crate::interface::*;
 use crate::meter::{self, Cost, Socket};
@@ -28,9 +29,11 @@
 use tokio::time::Instant;
 use tokio_util::codec::Framed;
 
-/// Once an answer's first bytes are there, the rest must be within this: a member writes an answer at once, and what
-/// is missing then will not come.
+/// Once an answer's first bytes are there, more must come within this, time after time: what is missing then will not
+/// come.
 const STALL: Duration = Duration::from_millis(300);
+/// The same for a large value that is passed on as it comes.
+const FLOW_STALL: Duration = Duration::from_secs(3);
 /// No position lies further ahead of this proxy's clock than this, in us.
 const AHEAD: Time = 1_000_000;
 /// Most messages that are passed over before the fence's answer.
@@ -54,6 +57,8 @@
 pub struct Connection {
     framed: Framed<Socket, ClientCodec>,
     clock: Clock,
+    /// An answer of which the value has begun to come.
+    begun: Option<Box<Reply>>,
     _permit: OwnedSemaphorePermit,
 }
 
@@ -64,6 +69,8 @@
     Whole { ready: bool },
     /// The connection broke or ended before that.
     Broken,
+    /// Not yet: so many bytes of its value follow.
+    Begun(usize),
     /// With something that does not belong there.
     Spoilt(&'static str),
 }
@@ -87,7 +94,7 @@
         let stream = TcpStream::connect(address).await.map_err(|_| Outcome::Refused)?;
         let _ = stream.set_nodelay(true);
         let framed = Framed::with_capacity(Socket::new(stream), ClientCodec::new(self.bytes.clone()), ROOM);
-        let mut link = Connection { framed, clock: self.clock, _permit: permit };
+        let mut link = Connection { framed, clock: self.clock, begun: None, _permit: permit };
         link.framed.send(Frontend::Startup).await.map_err(|_| Outcome::Refused)?;
         // No statement has been written, so that nothing here can have run.
         let mut known = false;
@@ -131,10 +138,16 @@
         let mut reply = Reply::default();
         let mut stall: Option<Instant> = None;
         loop {
+            let held = self.framed.read_buffer().len();
             let read = next(&mut self.framed, stall.is_some());
             let read = match stall {
                 Some(at) => match tokio::time::timeout_at(at, read).await {
                     Ok(read) => read,
+                    // A slow member's answer comes in small pieces; so long as any come, more may.
+                    Err(_) if self.framed.read_buffer().len() > held => {
+                        stall = Some(Instant::now() + STALL);
+                        continue;
+                    }
                     Err(_) => return (reply, End::Spoilt("the rest of an answer did not come")),
                 },
                 None => read.await,
@@ -154,6 +167,12 @@
                     return (reply, End::Spoilt("a message of an answer cannot be read"));
                 }
             };
+            if let Backend::RowBegins(length) = message {
+                return match reply.row.is_none() && reply.column.is_some() && !reply.complete {
+                    true => (reply, End::Begun(length)),
+                    false => (reply, End::Spoilt("a message stands where it does not belong")),
+                };
+            }
             // A notice or a parameter may come long before the answer proper.
             let aside = matches!(message, Backend::ParameterStatus(..) | Backend::Other(_));
             stall = if aside { None } else { stall.or_else(|| Some(Instant::now() + STALL)) };
@@ -236,10 +255,10 @@
             return Exchange::default();
         }
         *written = true;
-        let (reply, end, strays) = self.answer(guard).await;
+        let (mut reply, end, strays) = self.answer(guard).await;
         shrink(&mut self.framed);
         let outcome = match (end, reply.code.as_ref()) {
-            (End::Whole { .. }, None) => Outcome::Completed,
+            (End::Whole { .. }, None) | (End::Begun(_), _) => Outcome::Completed,
             (End::Whole { .. }, Some(b"25006" | b"72000")) => Outcome::Miss,
             (End::Whole { .. }, Some(b"53300")) => Outcome::Saturated,
             // The member answered, but not with what can be passed on, and it may have run.
@@ -257,14 +276,58 @@
             log::debug!("an answer is spoilt: {what}");
             return Exchange { outcome, ..Exchange::default() };
         }
+        if let End::Begun(length) = end {
+            count(Count::flows);
+            let (source, flow) = Flow::new(length);
+            let value = reply.column.as_ref().map(|c| Value {
+                binary: c.binary,
+                type_id: c.type_id,
+                rows: 1,
+                bytes: None,
+                flow: Some(flow),
+            });
+            let (note, report) = (reply.note, reply.report);
+            reply.row = Some(None);
+            self.begun = Some(Box::new(reply));
+            return Exchange { outcome, value, note, report, reusable: false, begun: Some(source) };
+        }
         let Reply { column, row, note, report, .. } = reply;
         let value = column.filter(|_| outcome == Outcome::Completed).map(|c| Value {
             binary: c.binary,
             type_id: c.type_id,
             rows: u32::from(row.is_some()),
             bytes: row.flatten(),
+            flow: None,
         });
-        Exchange { outcome, value, note, report, reusable: whole && !more }
+        Exchange { outcome, value, note, report, reusable: whole && !more, begun: None }
+    }
+
+    async fn rest(&mut self, to: Source) -> bool {
+        let Some(mut reply) = self.begun.take() else { return false };
+        let clock = self.clock;
+        let whole = loop {
+            let read = tokio::time::timeout(FLOW_STALL, next(&mut self.framed, true)).await;
+            let Ok(Next::Message(Some(Ok(message)))) = read else { break false };
+            match message {
+                // As fast as it is taken; whoever wanted it may have left.
+                Backend::Piece(bytes) => match to.send(Piece::Bytes(bytes)).await {
+                    Ok(()) => {}
+                    Err(_) => break false,
+                },
+                message => match reply.take(message, &clock) {
+                    Ok(false) => {}
+                    Ok(true) => break reply.code.is_none(),
+                    Err(_) => break false,
+                },
+            }
+        };
+        shrink(&mut self.framed);
+        if whole {
+            let _ = to.send(Piece::Whole).await;
+        } else {
+            count(Count::flows_broken);
+        }
+        whole && !self.left_over()
     }
 
     async fn probe(&mut self, guard: Guard) -> Option<(Report, bool)> {
--- a/src/pg/told.rs
+++ b/src/pg/told.rs
@@ -1,7 +1,8 @@
 //! The client's end of a connection to a member: what members say, decoded once, and statements, encoded once.
 
 use super::frames::{Body, Frames, WireError, LONGEST};
-use crate::net::budget::Ration;
+use crate::core::flow;
+use crate::net::budget::{Ration, Share};
 use crate::net::frames::Holds;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use smallvec::SmallVec;
@@ -10,6 +11,14 @@
 /// Messages up to this length are counted by no share.
 const FREE: usize = 512;
 
+/// A value longer than this comes in pieces; shorter ones are passed on only once they are whole.
+pub const FLOWS_FROM: usize = 64 * 1024;
+/// The longest value: 4 MiB, in text form too.
+pub const LONGEST_VALUE: usize = 2 * 4 * 1024 * 1024 + 2;
+/// Room for one piece, and what of a flowing value may be in memory.
+const PIECE: usize = 16 * 1024;
+const IN_MEMORY: usize = PIECE * (flow::WAITING + 2);
+
 /// The description of the one column that answers have.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Column {
@@ -49,6 +58,10 @@
     RowDescription(Column),
     /// A row of one column.
     DataRow(Option<Bytes>),
+    /// The start of a row whose value has so many bytes; they follow in pieces.
+    RowBegins(usize),
+    /// The next of them.
+    Piece(Bytes),
     /// The end of a command.
     CommandComplete,
     /// The answer to an empty query.
@@ -80,6 +93,10 @@
 /// The client's end.
 pub struct ClientCodec {
     frames: Frames,
+    ration: Ration,
+    /// Bytes of a value that are still to come, and the share for what of them is in memory.
+    left: usize,
+    share: Option<Share>,
 }
 
 impl ClientCodec {
@@ -87,7 +104,24 @@
     pub fn new(ration: Ration) -> Self {
         // A member's word for a length is taken as soon as there is a share for it: members send what they announce, or
         // else the connection ends within the time that an answer may take.
-        ClientCodec { frames: Frames::new(ration, FREE, 0) }
+        ClientCodec { frames: Frames::new(ration.clone(), FREE, 0), ration, left: 0, share: None }
+    }
+}
+
+impl ClientCodec {
+    /// What has come of a value's bytes.
+    fn piece(&mut self, src: &mut BytesMut) -> Option<Backend> {
+        let some = src.len().min(self.left).min(PIECE);
+        if some == 0 {
+            // Cut off before, the buffer has no room left, and little would be read at a time.
+            src.reserve(PIECE);
+            return None;
+        }
+        self.left -= some;
+        if self.left == 0 {
+            self.share = None;
+        }
+        Some(Backend::Piece(src.split_to(some).freeze()))
     }
 }
 
@@ -98,6 +132,9 @@
     type Error = WireError;
 
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Backend>, WireError> {
+        if self.left > 0 {
+            return Ok(self.piece(src));
+        }
         let longest = |tag| match tag {
             b'D' => Some(LONGEST),
             b'E' | b'N' | b'S' | b'R' => Some(8 * 1024),
@@ -114,6 +151,19 @@
             if i64::from(message) != 10 + i64::from(row.max(0)) {
                 return Err(WireError::Malformed("a row's length is off"));
             }
+            let row = row.max(0) as usize;
+            if row > LONGEST_VALUE {
+                return Err(WireError::TooLong(row));
+            }
+            if row > FLOWS_FROM {
+                if src[5..7] != [0, 1] {
+                    return Err(WireError::Malformed("a row does not have one column"));
+                }
+                self.share = Some(self.ration.take(IN_MEMORY).ok_or(WireError::NoRoom)?);
+                self.left = row;
+                src.advance(11);
+                return Ok(Some(Backend::RowBegins(row)));
+            }
         }
         let Some(found) = self.frames.next(src, true, longest)? else { return Ok(None) };
         let mut body = Body(found.body(src));
--- /dev/null
+++ b/tests/flows.rs
@@ -0,0 +1,185 @@
+//! Large values, with the real program between stand-ins: passed on as they come, no faster than they are taken.
+#![allow(missing_docs)]
+
+use bytes::Bytes;
+use linentrail_standins::client::{request_id, Ask};
+use linentrail_standins::group::Group;
+use linentrail_standins::member::{Behaviour, Capacity, Member};
+use linentrail_standins::proxy::{config, settings, Proxy, Setup};
+use linentrail_standins::registry::entry;
+use linentrail_standins::{runtime, wire};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+
+/// Longer than anything here takes on a slow machine: only a failure waits so long.
+const PATIENCE: Duration = Duration::from_secs(20);
+const MIB: usize = 1024 * 1024;
+
+struct World {
+    member: Member,
+    proxy: Proxy,
+}
+
+fn value(size: usize) -> Vec<u8> {
+    (0..size).map(|n| (n * 7 + n / 256) as u8).collect()
+}
+
+fn world(size: usize, memory_mb: u64) -> World {
+    let group = Group::default();
+    let member = Member::start(&group, true, 0, Capacity::default());
+    group.preset("big", Bytes::from(value(size)));
+    group.preset("small", Bytes::from_static(b"small"));
+    let known = [entry(0, member.address())];
+    let setup = Setup {
+        program: env!("CARGO_BIN_EXE_linentrail").into(),
+        config: config("127.0.0.1:9", &known, settings(), 1024, memory_mb),
+        odata: true,
+        loud: true,
+        ..Setup::default()
+    };
+    World { member, proxy: Proxy::start(&setup).expect("the proxy starts") }
+}
+
+fn query(key: &str) -> Vec<u8> {
+    let ask =
+        Ask { class: "monthly-report", key: key.to_string(), value: None, wait_ms: 12_000, after: None };
+    wire::query(&ask.sql(&request_id()))
+}
+
+fn connect(to: SocketAddr) -> TcpStream {
+    let mut stream = TcpStream::connect(to).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a time");
+    stream.write_all(&wire::startup()).expect("it reads");
+    while wire::read(&mut stream, true).expect("a welcome").0 != b'Z' {}
+    stream
+}
+
+/// The value of a whole answer.
+fn answer(stream: &mut TcpStream) -> Option<Vec<u8>> {
+    let mut row = None;
+    loop {
+        match wire::read(stream, true).ok()? {
+            (b'D', body) => row = Some(body[6..].to_vec()),
+            (b'Z', _) => return row,
+            _ => {}
+        }
+    }
+}
+
+fn counted(world: &World, name: &str) -> u64 {
+    let began = Instant::now();
+    loop {
+        let seen = world.proxy.counters().expect("counters").get(name).copied().unwrap_or_default();
+        if seen > 0 || began.elapsed() > PATIENCE {
+            return seen;
+        }
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+#[test]
+fn the_first_bytes_are_passed_on_before_the_last_have_come() {
+    let world = world(4 * MIB, 64);
+    world.member.does(Behaviour::Paused(MIB));
+    let mut client = connect(world.proxy.pg);
+    client.write_all(&query("big")).expect("it reads");
+    // The member keeps the rest back until this much has been seen here.
+    let mut first = vec![0; MIB / 2];
+    client.read_exact(&mut first).expect("the first half MiB");
+    world.member.does(Behaviour::Answer);
+    let mut rest = Vec::new();
+    let whole = value(4 * MIB);
+    let at = first.windows(64).position(|w| w == &whole[..64]).expect("the value begins");
+    while rest.len() < at + whole.len() - first.len() {
+        let mut some = [0; 65536];
+        let n = client.read(&mut some).expect("the rest");
+        assert!(n > 0, "cut off after {} bytes", first.len() + rest.len());
+        rest.extend_from_slice(&some[..n]);
+    }
+    first.extend_from_slice(&rest);
+    assert!(first[at..at + whole.len()] == whole);
+    // The same connections carry the next.
+    let mut again = connect(world.proxy.pg);
+    for _ in 0..3 {
+        again.write_all(&query("big")).expect("it reads");
+        let got = answer(&mut again);
+        assert!(got == Some(value(4 * MIB)), "{:?} {:?}", got.map(|g| g.len()), world.proxy.counters());
+    }
+    assert_eq!(world.member.totals().2, 1, "connections to the member");
+}
+
+#[test]
+fn a_value_that_breaks_off_is_neither_whole_nor_begun_again() {
+    let world = world(2 * MIB, 64);
+    world.member.does(Behaviour::Broken(MIB));
+    let mut client = connect(world.proxy.pg);
+    client.write_all(&query("big")).expect("it reads");
+    assert_eq!(answer(&mut client), None);
+    assert_eq!(counted(&world, "flows_broken"), 1);
+    assert_eq!(world.member.given("read big"), 1);
+    // By OData it has not begun, and fails as a whole.
+    let mut http = TcpStream::connect(world.proxy.odata.expect("it serves OData")).expect("it listens");
+    http.set_read_timeout(Some(PATIENCE)).expect("a time");
+    let fields = "Skip-Class: monthly-report\r\nSkip-Tenant: acme\r\nSkip-Group: 1\r\nConnection: close\r\n";
+    write!(http, "GET /records('big') HTTP/1.1\r\nHost: t\r\n{fields}\r\n").expect("it reads");
+    let mut text = String::new();
+    http.read_to_string(&mut text).expect("a response");
+    assert!(text.starts_with("HTTP/1.1 502 "), "{text}");
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_own_value_and_no_other() {
+    let world = world(4 * MIB, 64);
+    world.member.does(Behaviour::Paused(MIB));
+    let mut leaves = connect(world.proxy.pg);
+    let mut stays = connect(world.proxy.pg);
+    for client in [&mut leaves, &mut stays] {
+        client.write_all(&query("big")).expect("it reads");
+        client.read_exact(&mut [0; 4096]).expect("the first bytes");
+    }
+    drop(leaves);
+    world.member.does(Behaviour::Answer);
+    assert_eq!(counted(&world, "flows_broken"), 1);
+    let mut rest = vec![0; 4 * MIB - 4096];
+    stays.read_exact(&mut rest).expect("the rest");
+}
+
+#[test]
+fn many_at_once_take_little_memory_and_hold_up_nobody_else() {
+    const MANY: usize = 64;
+    let world = world(4 * MIB, 48);
+    let to = world.proxy.pg;
+    let before = world.proxy.usage().expect("its memory").1;
+    let slow = |_| {
+        runtime().spawn(async move {
+            let mut stream = tokio::net::TcpStream::connect(to).await.expect("it listens");
+            stream.write_all(&wire::startup()).await.expect("it reads");
+            stream.write_all(&query("big")).await.expect("it reads");
+            let (mut taken, mut some) = (0, vec![0; 32 * 1024]);
+            while taken < 4 * MIB {
+                let n = stream.read(&mut some).await.expect("the value");
+                assert!(n > 0, "cut off after {taken} bytes");
+                taken += n;
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+        })
+    };
+    let clients: Vec<_> = (0..MANY).map(slow).collect();
+    let (mut most, mut served) = (0, 0);
+    let mut quick = connect(to);
+    while clients.iter().any(|c| !c.is_finished()) {
+        most = most.max(world.proxy.usage().expect("its memory").1);
+        quick.write_all(&query("small")).expect("it reads");
+        assert_eq!(answer(&mut quick), Some(b"small".to_vec()));
+        served += 1;
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    for client in clients {
+        runtime().block_on(client).expect("it got its value");
+    }
+    assert!(served > 10, "{served}");
+    assert!(most < 40 * 1024, "{most} KiB at most, {before} before");
+    assert_eq!(counted(&world, "flows"), MANY as u64);
+}
