Tell a session's commit to the other process before the answer leaves

Need: while two processes of one proxy live, a session may write by the one and read by the other at once; what each learns reached the other only every 100 ms.

Change: handover/commits.rs appends each commit to a file of the writer's, and the core's actor looks at the other's before a session's read (core::Beside); only while both live. Session reads at the primary meanwhile were rejected: too much load.

Test: a write whose answer leaves the former process when it no longer takes clients, and a read by the next, with a replica far behind: 'row -' three times of three without the call to Beside::wrote, never with it. An earlier form of the test passed without it, as the session was known already, and was replaced.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -3,7 +3,7 @@
 
 use super::counters::{count, Count};
 use super::ledger::SessionLedger;
-use super::{Answer, Attempt, Ending, Input, Listed, Members, Order, Request, Taken, REQUEST};
+use super::{Answer, Attempt, Beside, Ending, Input, Listed, Members, Order, Request, Taken, REQUEST};
 use crate::clock::Clock;
 use crate::interface::*;
 use crate::known::{Known, KnownMember};
@@ -47,6 +47,8 @@
     /// Answers to that, which wait until the module has taken it in.
     taken: Vec<(oneshot::Sender<Taken>, Taken)>,
     overlay: Overlay,
+    /// Another process of this proxy, while one lives.
+    beside: Option<Box<dyn Beside>>,
     live: FxHashMap<RequestId, Live>,
     /// The names of those.
     names: HashSet<Bytes>,
@@ -79,6 +81,7 @@
             orders,
             taken: Vec::new(),
             overlay: Overlay::default(),
+            beside: None,
             live: FxHashMap::default(),
             names: HashSet::new(),
             sessions: SessionLedger::new(SESSIONS),
@@ -169,6 +172,13 @@
                 let _ = reply.send(self.export(now));
                 return Vec::new();
             }
+            Order::Beside(beside, reply) => {
+                // What the one that has gone said last still counts.
+                self.catch_up();
+                self.beside = beside;
+                let _ = reply.send(());
+                return Vec::new();
+            }
             Order::Learn(known, reply) => {
                 let _ = reply.send(());
                 return self.learn(&known);
@@ -187,6 +197,17 @@
         }
     }
 
+    /// Takes in what sessions have written by another process of this proxy.
+    fn catch_up(&mut self) {
+        let Some(other) = &mut self.beside else { return };
+        let news = other.news();
+        let (all, named): (Vec<_>, Vec<_>) = news.into_iter().partition(|(name, _)| name.is_empty());
+        let floor = all.into_iter().map(|(_, at)| at).max().unwrap_or(0);
+        if floor > 0 || !named.is_empty() {
+            self.sessions.merge(&named, floor);
+        }
+    }
+
     /// What was learned so far, for another process of this proxy.
     fn export(&self, now: Time) -> Known {
         let named: FxHashMap<MemberId, &Arc<str>> =
@@ -270,6 +291,9 @@
         }
         // The later of what a session read carries and what any front has seen its session commit. Members check
         // only what it carries, so that for a later one the module must go by proven positions.
+        if need == Need::Session {
+            self.catch_up();
+        }
         let carried = request.after.unwrap_or(0);
         let written = sessions(&request).map(|s| self.sessions.written(s)).max().unwrap_or(0);
         let token = if need == Need::Session { carried.max(written) } else { carried };
@@ -333,7 +357,10 @@
             let position = told.or_else(|| write.then(|| self.clock.now()));
             // Remembered before the answer leaves: whoever has the answer may read at once.
             if let (true, Some(p)) = (write, position) {
-                sessions(&live.request).for_each(|s| self.sessions.wrote(s, p));
+                for session in sessions(&live.request) {
+                    self.sessions.wrote(session, p);
+                    self.beside.iter_mut().for_each(|other| other.wrote(session, p));
+                }
             }
             if let (Some(value), Some(reply)) = (value, live.reply.take()) {
                 count(Count::served);
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -176,8 +176,16 @@
 /// What came of the operators' word on a member.
 pub type Taken = Result<(), No>;
 
+/// Another process of this proxy, as far as a session's commits must reach it before the client that wrote is answered.
+/// Neither call may take longer than a look at memory.
+pub trait Beside: Send {
+    /// A session's write went through here.
+    fn wrote(&mut self, session: &str, at: Position);
+    /// Those that went through there since the last call; an empty name stands for all sessions.
+    fn news(&mut self) -> Vec<(Arc<str>, Position)>;
+}
+
 /// What the operators ask of the core.
-#[derive(Debug)]
 pub enum Order {
     /// Whether there is a member that requests could go to.
     Ready(oneshot::Sender<bool>),
@@ -193,6 +201,8 @@
     Adopt(Hands, oneshot::Sender<()>),
     /// What was learned so far.
     Export(oneshot::Sender<Known>),
+    /// Another process of this proxy lives beside this one, or no longer does.
+    Beside(Option<Box<dyn Beside>>, oneshot::Sender<()>),
     /// What another process of this proxy has learned.
     Learn(Known, oneshot::Sender<()>),
 }
--- /dev/null
+++ b/src/handover/commits.rs
@@ -0,0 +1,149 @@
+//! Commits of sessions, as one process of a proxy tells them to the other before it answers the client that wrote.
+//!
+//! Whoever has the answer to a write may read at once, and by the other process. So a commit is appended to a file of
+//! the writer's before the answer leaves, and a session's read first looks at what the other has appended. This holds
+//! only while both live; what was committed before, each has from the other's file of what it has learned.
+
+use crate::core::Beside;
+use crate::interface::Position;
+use std::fs::File;
+use std::io::{self, Write};
+use std::os::unix::fs::{FileExt, MetadataExt};
+use std::path::PathBuf;
+use std::sync::Arc;
+
+/// The longest name of a session; a longer one's commits count for all sessions.
+const LONGEST: usize = 255;
+/// The longest file: some hours of two processes beside each other.
+const MOST: u64 = 4 * 1024 * 1024;
+/// Read at a time.
+const CHUNK: usize = 16 * 1024;
+
+/// One commit, as it stands in the file: the length of the name, the name, the position.
+pub fn record(session: &str, at: Position) -> Vec<u8> {
+    let name = if session.len() > LONGEST { "" } else { session };
+    let mut record = Vec::with_capacity(name.len() + 9);
+    record.push(name.len() as u8);
+    record.extend_from_slice(name.as_bytes());
+    record.extend_from_slice(&at.to_be_bytes());
+    record
+}
+
+/// Takes whole records off what was read; an unfinished one stays: its writer has not answered anybody yet. An empty
+/// name stands for all sessions.
+pub fn records(read: &mut Vec<u8>) -> Vec<(Arc<str>, Position)> {
+    let (mut found, mut at) = (Vec::new(), 0);
+    while let Some(length) = read.get(at).map(|n| usize::from(*n)) {
+        let Some(record) = read.get(at + 1..at + 1 + length + 8) else { break };
+        let (name, position) = record.split_at(length);
+        let position = position.first_chunk().map_or(0, |p| u64::from_be_bytes(*p));
+        found.push((String::from_utf8_lossy(name).into(), position));
+        at += 9 + length;
+    }
+    read.drain(..at);
+    found
+}
+
+/// Both files, each read or appended to by this process alone.
+pub struct Log {
+    own: File,
+    full: bool,
+    other: PathBuf,
+    /// The other's file, as far as it was read; another process there has another file.
+    file: Option<(File, u64)>,
+    at: u64,
+    rest: Vec<u8>,
+}
+
+impl Log {
+    /// On this process's file, and the other's.
+    ///
+    /// # Errors
+    /// When its own cannot be opened.
+    pub fn open(own: &PathBuf, other: PathBuf) -> io::Result<Self> {
+        let own = File::options().create(true).append(true).open(own)?;
+        Ok(Log { own, full: false, other, file: None, at: 0, rest: Vec::new() })
+    }
+
+    fn append(&mut self, record: &[u8]) -> io::Result<()> {
+        if self.own.metadata()?.len() > MOST {
+            return Err(io::Error::other("the file is full"));
+        }
+        self.own.write_all(record)
+    }
+
+    fn read(&mut self) -> io::Result<()> {
+        let now = std::fs::metadata(&self.other)?.ino();
+        if self.file.as_ref().is_none_or(|(_, ino)| *ino != now) {
+            let file = File::open(&self.other)?;
+            let ino = file.metadata()?.ino();
+            (self.file, self.at) = (Some((file, ino)), 0);
+            self.rest.clear();
+        }
+        let Some((file, _)) = &self.file else { return Ok(()) };
+        let mut chunk = [0; CHUNK];
+        loop {
+            let n = file.read_at(&mut chunk, self.at)?;
+            if n == 0 {
+                return Ok(());
+            }
+            self.at += n as u64;
+            self.rest.extend_from_slice(&chunk[..n]);
+        }
+    }
+}
+
+impl Beside for Log {
+    fn wrote(&mut self, session: &str, at: Position) {
+        if let Err(e) = self.append(&record(session, at)) {
+            if !std::mem::replace(&mut self.full, true) {
+                log::error!("commits cannot be told to the other process of this proxy: {e}");
+            }
+        }
+    }
+
+    fn news(&mut self) -> Vec<(Arc<str>, Position)> {
+        // Where there is no such file the other process does not write one.
+        let _ = self.read();
+        records(&mut self.rest)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn records_are_found_whole_however_they_are_read() {
+        let all = [record("a", 5), record("", 6), record("longer", 7), record(&"x".repeat(300), 8)].concat();
+        let expected: Vec<(Arc<str>, Position)> =
+            vec![("a".into(), 5), ("".into(), 6), ("longer".into(), 7), ("".into(), 8)];
+        for cut in 0..=all.len() {
+            let mut read = all[..cut].to_vec();
+            let mut found = records(&mut read);
+            read.extend_from_slice(&all[cut..]);
+            found.extend(records(&mut read));
+            assert!(read.is_empty() && found == expected, "cut at {cut}");
+        }
+    }
+
+    #[test]
+    fn what_one_appends_the_other_reads_once_and_from_the_start_in_a_new_file() {
+        let dir = std::env::temp_dir().join(format!("linentrail-commits-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        let (a, b) = (dir.join("a"), dir.join("b"));
+        let mut here = Log::open(&a, b.clone()).expect("fine");
+        assert!(here.news().is_empty(), "there is no other yet");
+        let mut there = Log::open(&b, a.clone()).expect("fine");
+        there.wrote("k", 5);
+        assert_eq!(here.news(), [("k".into(), 5)]);
+        assert!(here.news().is_empty() && there.news().is_empty());
+        // Another process takes the other's place.
+        std::fs::write(dir.join("new"), b"").expect("fine");
+        std::fs::rename(dir.join("new"), &b).expect("fine");
+        let mut there = Log::open(&b, a).expect("fine");
+        there.wrote("k", 9);
+        assert_eq!(here.news(), [("k".into(), 9)]);
+        let _ = std::fs::remove_dir_all(dir);
+    }
+}
--- a/src/handover/files.rs
+++ b/src/handover/files.rs
@@ -106,6 +106,11 @@
         }
     }
 
+    /// Where a file lies.
+    pub fn place(&self, name: &str) -> PathBuf {
+        self.path.join(name)
+    }
+
     /// Writes a file to the side and puts it in its place, so that no one ever sees a part of it.
     ///
     /// # Errors
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -4,15 +4,17 @@
 //! writes down what it has learned for the other to take in, and keeps to half of what the proxy may hold. The core
 //! and the module never see a file: what comes from there reaches them as orders, and as events.
 
+pub mod commits;
 pub mod files;
 pub mod format;
 
 use crate::clock::Clock;
 use crate::core::counters::{count, Count};
-use crate::core::{Order, Taken};
+use crate::core::{Beside, Order, Taken};
 use crate::interface::Time;
 use crate::net::budget::Budget;
 use crate::overlay::{Hands, No};
+use commits::Log;
 use files::{Folder, Mark};
 use format::Unusable;
 use std::io;
@@ -37,6 +39,10 @@
     PathBuf::from(shared).join(format!("linentrail-{}", name.chars().map(plain).collect::<String>()))
 }
 
+fn commits_of(seat: usize) -> String {
+    format!("commits-{seat}")
+}
+
 fn known_of(seat: usize) -> String {
     format!("known-{seat}")
 }
@@ -144,6 +150,10 @@
     pub async fn begin(&mut self) {
         let began = self.clock.now();
         self.follow().await;
+        // A file of this process's own, whatever the last one in this seat has left.
+        if let Err(e) = self.folder.write(&commits_of(self.folder.seat), &[]) {
+            log::warn!("the folder of the handover cannot be used: {e}");
+        }
         if !self.accompanied() {
             return;
         }
@@ -174,6 +184,7 @@
                 } else {
                     log::info!("the other process of this proxy has ended");
                     self.lent.take().inspect(AbortHandle::abort);
+                    self.desk.ask(|reply| Order::Beside(None, reply)).await;
                 }
             }
             if with && self.tell().await.is_none() {
@@ -205,6 +216,15 @@
         self.lent = Some(task.abort_handle());
         // Before the first client comes all is free at once; later nobody waits for it.
         let _ = tokio::time::timeout(PAUSE, held).await;
+        // From now on the other hears of each commit; what came before it learns next.
+        let place = |seat| self.folder.place(&commits_of(seat));
+        match Log::open(&place(self.folder.seat), place(self.folder.other())) {
+            Ok(log) => {
+                let beside: Option<Box<dyn Beside>> = Some(Box::new(log));
+                self.desk.ask(|reply| Order::Beside(beside, reply)).await;
+            }
+            Err(e) => log::warn!("the folder of the handover cannot be used: {e}"),
+        }
     }
 
     /// Takes up what the operators said, here or there.
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -488,3 +488,29 @@
         ));
     }
 }
+
+#[test]
+fn a_session_reads_by_the_next_process_what_it_has_just_written_by_the_former() {
+    // The replica is far behind, and the read carries no position by which it could know. The write's answer leaves the
+    // former process when that no longer takes clients, so that the read can only come by the next.
+    play(
+        "member p primary
+         member r replica 600000
+         start console handed
+         a send write k0 01
+         a expect row 01
+         upgrade
+         p does hold
+         a send write k1 02
+         p expect 1 write k1
+         former stop
+         wait 100
+         p does answer
+         a expect row 02
+         b send read k1 my-booking
+         b expect row 02
+         former gone
+         c send read k1 my-booking
+         c expect row 02",
+    );
+}
