--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -514,3 +514,81 @@
          c expect row 02",
     );
 }
+
+#[test]
+fn both_told_to_end_answer_what_they_have_taken() {
+    play(
+        "member p primary
+         start console handed
+         p does hold
+         a send write k1 01
+         p expect 1 write k1
+         upgrade
+         former stop
+         wait 100
+         b send write k2 02
+         p expect 1 write k2
+         stop
+         console 400 STATUS
+         p does answer
+         a expect row 01
+         a expect closed
+         b expect row 02
+         b expect closed
+         former gone
+         gone",
+    );
+}
+
+#[test]
+fn the_console_answers_in_time_while_the_core_has_all_it_can_do() {
+    use linentrail_standins::client::{request_id, Ask, Pg};
+    use linentrail_standins::group::Group;
+    use linentrail_standins::member::{Capacity, Member};
+    use linentrail_standins::proxy::{config, settings, Proxy, Setup};
+    use linentrail_standins::registry::entry;
+    use linentrail_standins::{runtime, wire};
+    use std::time::Duration;
+    // Queries without end, sixteen at a time on each connection, for a member that answers at once.
+    let member = Member::start(&Group::default(), true, 0, Capacity::default());
+    let mut told = config("127.0.0.1:9", &[entry(0, member.address())], settings(), 1024, 64);
+    told["console"] = "127.0.0.1:0".into();
+    let program = env!("CARGO_BIN_EXE_linentrail").into();
+    let proxy = Proxy::start(&Setup { program, config: told, loud: true, ..Setup::default() });
+    let proxy = proxy.expect("the proxy starts");
+    let to = proxy.pg;
+    let flood = |n: usize| {
+        runtime().spawn(async move {
+            let mut pg = Pg::connect(to).await.expect("it listens");
+            let mut answered = 0u64;
+            loop {
+                let mut queries = Vec::new();
+                for _ in 0..16 {
+                    let key = format!("k{n}");
+                    let ask = Ask { class: "monthly-report", key, value: None, wait_ms: 8_000, after: None };
+                    queries.extend(wire::query(&ask.sql(&request_id())));
+                }
+                if pg.send(&queries).await.is_err() {
+                    return answered;
+                }
+                for _ in 0..16 {
+                    if pg.answer().await.is_err() {
+                        return answered;
+                    }
+                    answered += 1;
+                }
+            }
+        })
+    };
+    let clients: Vec<_> = (0..96).map(flood).collect();
+    std::thread::sleep(Duration::from_millis(300));
+    for n in 0..40 {
+        let line = ["STATUS\n", "SUSPEND s-00000000\n", "RESTORE s-00000000\n"][n % 3];
+        let (answer, took) = proxy.call(line).expect("an answer");
+        assert!(answer.starts_with("200 ") && took < Duration::from_secs(1), "{line}: {answer} {took:?}");
+    }
+    let served = proxy.counters().expect("counters")["pg_requests"];
+    drop(proxy);
+    let answered: u64 = clients.into_iter().map(|c| runtime().block_on(c).expect("a client")).sum();
+    assert!(served > 1_000 && answered > 0, "{served} {answered}");
+}
