Ask quiet members once a silence limit, and let the limit grow with the work

Work takes 220 ms and more there, the silence limit ended at 500 ms, and the probe came again each 150 ms.

Change: the limit may last 2.5 mean service times (SILENCE_MEANS) where that is longer than 500 ms, and the probe comes once a limit.

Test: a request of 1.5 s where work takes 700 ms asks for no probe; 2 without the change.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -51,9 +51,10 @@
 const SCOUT_GAP: Time = 100_000;
 /// A member with work out is silent after this many times the mean service time ...
 const SILENCE_FACTOR: f64 = 5.0;
-/// ... but neither before the first of these, in us, as short standstills are no failure, nor past the other.
+/// ... but neither before the first of these, in us, nor past the longer of the others: work may take long.
 const SILENCE_LEAST: Time = 300_000;
 const SILENCE_MOST: Time = 500_000;
+const SILENCE_MEANS: f64 = 2.5;
 /// Where a probe is answered, work is taken back only after this multiple of the limit: it may be slow.
 const SILENCE_EXCUSE: u64 = 2;
 /// Weight of the newest result in a member's error share: some eight results make the picture.
@@ -201,10 +202,9 @@
 
     /// New settings, for what comes from now on. A number that now is another class's starts with a guess.
     fn retune(&mut self, set: &Settings) {
-        let same = |n: &usize| self.set.classes.get(*n) == set.classes.get(*n);
-        let known = |n: usize| Some(n).filter(same).map(|n| self.service[n]);
-        let all = set.classes.iter().enumerate();
-        self.service = all.map(|(n, c)| known(n).unwrap_or(c.aim as f64 / 4.0)).collect();
+        let same = |n: usize| self.set.classes.get(n) == set.classes.get(n);
+        let guess = |(n, c): (usize, &Class)| if same(n) { self.service[n] } else { c.aim as f64 / 4.0 };
+        self.service = set.classes.iter().enumerate().map(guess).collect();
         self.set = set.clone();
     }
 
@@ -392,9 +392,8 @@
         self.round = round;
     }
 
-    /// Overload: members that would do have had no room for this read for as long as the queue may last. The
-    /// wait for a position or a primary is another matter and may last until the aim. Can hurt in a short
-    /// standstill of all members, when a longer wait would have served. A client's repeat does not wait.
+    /// Overload: members that would do have had no room for this read for as long as the queue may last (for
+    /// a position or a primary it may wait until the aim). Can hurt in a short standstill of all members.
     fn crowded_out(&self, open: &Open) -> bool {
         let reads = self.set.classes.iter().filter(|c| !matches!(c.need, Need::Write | Need::Fresh));
         let tightest = reads.map(|c| c.aim).min().unwrap_or(0);
@@ -617,7 +616,8 @@
 
     fn silence_limit(&self) -> Time {
         let mean = self.service.iter().fold(0.0f64, |a, b| a.max(*b));
-        ((mean * SILENCE_FACTOR) as Time).clamp(SILENCE_LEAST, SILENCE_MOST)
+        ((mean * SILENCE_FACTOR) as Time)
+            .clamp(SILENCE_LEAST, SILENCE_MOST.max((mean * SILENCE_MEANS) as Time))
     }
 
     fn watch(&mut self, out: &mut Vec<Action>) {
@@ -638,7 +638,7 @@
             }
         }
         for (id, lost) in quiet {
-            self.probe(id, PROBE_GAP, out);
+            self.probe(id, limit, out);
             if lost {
                 self.suspect(id, (false, false), out);
             }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -918,3 +918,28 @@
     let later = [first, d.after(10 * MS), d.after(10_000 * MS)].concat();
     assert!(later.contains(&Action::Follow), "{later:?}");
 }
+
+#[test]
+fn a_long_request_costs_a_quiet_member_few_probes_and_where_work_takes_long_none() {
+    // Nothing is answered while it runs: a member that hangs looks the same.
+    let asked = |d: &mut Driver, span: Time| {
+        let mut asked = 0;
+        for _ in 0..span / (50 * MS) {
+            asked += probes(&d.after(50 * MS)).len();
+        }
+        asked
+    };
+    let mut d = Driver::new(settings());
+    d.hear(1, d.now, Role::Primary);
+    d.request(UNSAFE, None);
+    assert!(asked(&mut d, 450 * MS) <= 1);
+    let more = asked(&mut d, 1_000 * MS);
+    assert!((1..=3).contains(&more), "{more} probes in a second");
+    // The same where a write takes 700 ms as a rule.
+    let mut long = settings();
+    long.classes.iter_mut().for_each(|c| (c.aim, c.deadline) = (2_800 * MS, 9_000 * MS));
+    let mut d = Driver::new(long);
+    d.hear(1, d.now, Role::Primary);
+    d.request(UNSAFE, None);
+    assert_eq!(asked(&mut d, 1_500 * MS), 0);
+}
