Check names that stand twice in one place; read a configuration without copying its list

Config::sound had written again what check.rs does (two classes or tenants of one name), and config::read copied the whole file, the list included, to leave the list out of the copy.

Change: Names::faults serves both; 'known' is taken out of what was read. No behaviour changes; the tests are as they were.

--- a/src/check.rs
+++ b/src/check.rs
@@ -57,10 +57,7 @@
         }
     };
     if let Ok(names) = &names {
-        for (what, list) in [("class", &names.classes), ("tenant", &names.tenants)] {
-            let twice = list.iter().enumerate().find(|(n, name)| list[..*n].contains(name));
-            faults.extend(twice.map(|(_, name)| format!("two of {what} are named '{name}'")));
-        }
+        faults.extend(names.faults());
     }
     let known = told.known.get("instances").and_then(|i| i.as_array()).map_or(0, Vec::len);
     let limits = (told.sockets, told.memory >> 20);
--- a/src/config.rs
+++ b/src/config.rs
@@ -52,11 +52,8 @@
         let names = self.settings.names()?;
         let settings = self.settings.settings(self.seed)?;
         settings.check().map_err(|e| e.to_string())?;
-        for (what, list) in [("class", &names.classes), ("tenant", &names.tenants)] {
-            let twice = list.iter().enumerate().find(|(n, name)| list[..*n].contains(name));
-            if let Some((_, name)) = twice {
-                return Err(format!("settings: two of {what} are named '{name}'"));
-            }
+        if let Some(fault) = names.faults().next() {
+            return Err(format!("settings: {fault}"));
         }
         Ok(Sound { names, settings, times: self.settings.socket_times()? })
     }
@@ -108,9 +105,8 @@
 /// # Errors
 /// With one plain message on what is missing or malformed, as in a file that is only half written.
 pub fn read(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    let json: Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-    let mut all = json.clone();
-    all.as_object_mut().map(|fields| fields.remove("known"));
+    let mut json: Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    let known = json.as_object_mut().and_then(|fields| fields.remove("known")).unwrap_or_default();
     let text = |name: &str, known_as: &str| {
         let file = || json.get(name).and_then(Value::as_str).filter(|v| !v.is_empty()).map(str::to_string);
         variable(known_as).or_else(file).ok_or_else(|| format!("neither {known_as} nor '{name}' is given"))
@@ -128,9 +124,9 @@
         seed: u64::from_str_radix(seed, 16).map_err(|_| format!("the seed '{seed}' is not hex"))?,
         sockets: limit("/limits/sockets", 1024),
         memory: limit("/limits/memory_mb", 192).saturating_mul(1024 * 1024),
-        known: json.get("known").cloned().unwrap_or_default(),
+        known,
         settings: Pairs::from_json(json.get("settings").unwrap_or(&Value::Null)),
-        all: Pairs::from_json(&all),
+        all: Pairs::from_json(&json),
     })
 }
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -21,6 +21,16 @@
     pub zones: Vec<String>,
 }
 
+impl Names {
+    /// What is wrong with them: of classes and of tenants, no two may have one name.
+    pub fn faults(&self) -> impl Iterator<Item = String> + '_ {
+        [("class", &self.classes), ("tenant", &self.tenants)].into_iter().filter_map(|(what, list)| {
+            let twice = list.iter().enumerate().find(|(n, name)| list[..*n].contains(name));
+            twice.map(|(_, name)| format!("two of {what} are named '{name}'"))
+        })
+    }
+}
+
 /// Limits that concern sockets rather than decisions.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SocketTimes {
