--- a/crates/standins/src/group.rs
+++ b/crates/standins/src/group.rs
@@ -25,7 +25,13 @@
 
     /// A write that runs under a request's id at `now` (Unix ms); its commit, never earlier than the one before.
     pub fn write(&self, id: &str, key: &str, value: Bytes, now: u64) -> u64 {
+        self.write_with(id, key, value, now, || {})
+    }
+
+    /// The same; `noted` is called between this commit and the next one.
+    pub fn write_with(&self, id: &str, key: &str, value: Bytes, now: u64, noted: impl FnOnce()) -> u64 {
         let mut state = self.state();
+        noted();
         *state.runs.entry(id.to_string()).or_default() += 1;
         let commit = now.max(state.last);
         state.last = commit;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod member;
 pub mod proxy;
 pub mod registry;
+pub mod rig;
 pub mod wire;
 
 use std::sync::OnceLock;
--- a/crates/standins/src/member.rs
+++ b/crates/standins/src/member.rs
@@ -2,6 +2,7 @@
 //! and every fault that the proxy must bear, by name.
 
 use crate::group::Group;
+use crate::rig::events::{Log, What};
 use crate::{listener, now_ms, runtime, wire};
 use bytes::Bytes;
 use std::collections::VecDeque;
@@ -11,7 +12,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncWriteExt, BufReader};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
 
 /// What a member does with statements.
@@ -94,13 +95,17 @@
     pub service: (Duration, Duration),
     /// Share of its capacity at its start, and how long until it is warm.
     pub cold: Option<(f64, Duration)>,
+    /// Work of a new connection, in a slot like a request's.
+    pub handshake: Duration,
+    /// Connections at once, beyond which new ones are closed; 0: any number.
+    pub most: usize,
 }
 
 impl Default for Capacity {
     /// As much as the machine gives, at once.
     fn default() -> Self {
         let service = (Duration::ZERO, Duration::ZERO);
-        Capacity { slots: 4096, queue: 4096, service, cold: None }
+        Capacity { slots: 4096, queue: 4096, service, cold: None, handshake: Duration::ZERO, most: 0 }
     }
 }
 
@@ -112,7 +117,10 @@
     served: u64,
     answered: u64,
     opened: u64,
+    standing: usize,
     waiting: usize,
+    /// When it was last started.
+    since: Instant,
 }
 
 /// Statements that are remembered for a scenario to look at.
@@ -123,9 +131,12 @@
     group: Group,
     capacity: Capacity,
     slots: Semaphore,
-    since: Instant,
     state: Mutex<State>,
     changed: watch::Sender<u64>,
+    /// Whether it is there at all.
+    up: watch::Sender<bool>,
+    /// Its number in a run of many processes, and where it notes what comes to it.
+    log: Option<(u32, Log)>,
 }
 
 /// A member. Copies are the same one.
@@ -145,6 +156,17 @@
 impl Member {
     /// Starts one on a free port.
     pub fn start(group: &Group, primary: bool, lag_ms: u64, capacity: Capacity) -> Self {
+        Self::start_noting(group, primary, lag_ms, capacity, None)
+    }
+
+    /// The same, which notes what comes to it under a number.
+    pub fn start_noting(
+        group: &Group,
+        primary: bool,
+        lag_ms: u64,
+        capacity: Capacity,
+        log: Option<(u32, Log)>,
+    ) -> Self {
         let (listener, address) = listener();
         let state = State {
             does: Behaviour::Answer,
@@ -154,27 +176,99 @@
             served: 0,
             answered: 0,
             opened: 0,
+            standing: 0,
             waiting: 0,
+            since: Instant::now(),
         };
         let this = Member(Arc::new(Inner {
             address,
             group: group.clone(),
             capacity,
             slots: Semaphore::new(capacity.slots),
-            since: Instant::now(),
             state: state.into(),
             changed: watch::channel(0).0,
+            up: watch::channel(true).0,
+            log,
         }));
-        let member = this.clone();
-        runtime().spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
-                let member = member.clone();
-                tokio::spawn(async move { member.serve(stream).await });
-            }
-        });
+        runtime().spawn(this.clone().listen(listener));
         this
     }
 
+    /// Takes connections while it is up; while it is down its port refuses them.
+    async fn listen(self, mut listener: TcpListener) {
+        let mut up = self.0.up.subscribe();
+        loop {
+            tokio::select! {
+                taken = listener.accept() => {
+                    let Ok((stream, _)) = taken else { return };
+                    let member = self.clone();
+                    tokio::spawn(async move { member.connection(stream).await });
+                }
+                () = async { drop(up.wait_for(|up| !up).await) } => {
+                    drop(listener);
+                    if up.wait_for(|up| *up).await.is_err() {
+                        return;
+                    }
+                    listener = loop {
+                        match TcpListener::bind(self.0.address).await {
+                            Ok(listener) => break listener,
+                            Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+                        }
+                    };
+                }
+            }
+        }
+    }
+
+    /// Serves a connection until it ends, or the member goes down under it.
+    async fn connection(&self, stream: TcpStream) {
+        {
+            let mut state = self.state();
+            state.opened += 1;
+            if self.0.capacity.most > 0 && state.standing >= self.0.capacity.most {
+                return;
+            }
+            state.standing += 1;
+        }
+        self.tells(|member| What::Opened { member });
+        let mut up = self.0.up.subscribe();
+        let linger = socket2::SockRef::from(&stream).try_clone();
+        let down = tokio::select! {
+            _ = self.serve(stream) => false,
+            () = async { drop(up.wait_for(|up| !up).await) } => true,
+        };
+        if let (true, Ok(stream)) = (down, linger) {
+            let _ = stream.set_linger(Some(Duration::ZERO));
+        }
+        self.state().standing -= 1;
+    }
+
+    fn tells(&self, what: impl FnOnce(u32) -> What) {
+        if let Some((number, log)) = &self.0.log {
+            log.note(what(*number));
+        }
+    }
+
+    /// Goes away with all its connections, or comes back, started anew.
+    pub fn is_up(&self, up: bool) {
+        if up {
+            self.state().since = Instant::now();
+            self.starts();
+        }
+        self.0.up.send_replace(up);
+    }
+
+    /// Notes that it is cold, where it starts so.
+    pub fn starts(&self) {
+        let Capacity { slots, service: (least, most), cold, .. } = self.0.capacity;
+        if let Some((share, warm)) = cold {
+            let mean = ((least + most) / 2).max(Duration::from_micros(1));
+            let rate = (slots as f64 / mean.as_secs_f64()) as u64;
+            let (share, warm) = ((share * 1e3) as u64, warm.as_micros() as u64);
+            self.tells(|member| What::Cold { member, share, warm, rate });
+        }
+    }
+
     /// Where it listens.
     pub fn address(&self) -> SocketAddr {
         self.0.address
@@ -213,11 +307,14 @@
     }
 
     async fn serve(&self, stream: TcpStream) -> Option<()> {
-        self.state().opened += 1;
         let _ = stream.set_nodelay(true);
         let mut stream = BufReader::with_capacity(16 * 1024, stream);
         let (mut body, mut reply) = (Vec::new(), Vec::new());
         wire::read_async(&mut stream, false, &mut body).await.ok()?;
+        if !self.0.capacity.handshake.is_zero() {
+            let _slot = self.0.slots.acquire().await.ok()?;
+            tokio::time::sleep(self.0.capacity.handshake).await;
+        }
         wire::put(&mut reply, b'R', &[0; 4]);
         wire::put(&mut reply, b'Z', b"I");
         stream.write_all(&reply).await.ok()?;
@@ -258,8 +355,9 @@
         let mut hasher = DefaultHasher::new();
         id.hash(&mut hasher);
         let part = (hasher.finish() >> 32) as f64 / (1u64 << 32) as f64;
+        let since = self.state().since;
         let warmth = self.0.capacity.cold.map_or(1.0, |(share, warm)| {
-            share + (1.0 - share) * (self.0.since.elapsed().as_secs_f64() / warm.as_secs_f64()).min(1.0)
+            share + (1.0 - share) * (since.elapsed().as_secs_f64() / warm.as_secs_f64()).min(1.0)
         });
         (least + (most - least).mul_f64(part)).div_f64(warmth)
     }
@@ -275,6 +373,7 @@
             (state.does, state.primary, now_ms().saturating_sub(state.lag))
         };
         if sql == "SHOW stats" {
+            self.tells(|member| What::Probed { member });
             let report = match does {
                 Behaviour::Boast => "x0=9e99,x1=1,q=0".to_string(),
                 _ => format!("x0={:.3},x1={},q=0", position as f64 / 1e3, u8::from(primary)),
@@ -286,6 +385,9 @@
         let field = |name: &str| sql.rsplit_once(&format!("{name}="))?.1.split([',', ' ']).next();
         let write = sql.starts_with("INSERT");
         self.note(format!("{} {key}", if write { "write" } else { "read" }));
+        let id = field("id").unwrap_or_default();
+        let number = u64::from_str_radix(id, 16).unwrap_or(0);
+        self.tells(|member| What::Given { member, id: number });
         let refusal = match does {
             Behaviour::Full | Behaviour::Unready | Behaviour::Noisy => Some("53300"),
             Behaviour::Error => Some("XX000"),
@@ -305,7 +407,6 @@
             }
             return Then::Go;
         }
-        let id = field("id").unwrap_or_default();
         if !self.work(id).await {
             *reply = wire::error("53300");
             return Then::Go;
@@ -313,7 +414,10 @@
         let (value, commit) = if write {
             let hex = sql.split("'\\x").nth(1).and_then(|v| v.split('\'').next()).unwrap_or_default();
             let value = Bytes::from(wire::unhex(hex));
-            (Some(value.clone()), self.0.group.write(id, key, value, now_ms()))
+            let brings = value.iter().take(8).fold(0, |n, b| n << 8 | u64::from(*b));
+            let ran = |member| What::Ran { member, id: number, key: key.to_string(), value: brings };
+            let noted = || self.tells(ran);
+            (Some(value.clone()), self.0.group.write_with(id, key, value, now_ms(), noted))
         } else {
             (self.0.group.read(key, if primary { u64::MAX } else { position }), position)
         };
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -1,8 +1,11 @@
 //! Discovery by the platform's protocol: the whole list, and watches that wait for a change.
 
+use crate::rig::events::{Log, What};
 use crate::{listener, runtime};
 use serde_json::{json, Value};
+use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
@@ -13,7 +16,7 @@
 type List = (u64, Value, Value);
 
 /// What it does with calls.
-#[derive(Clone, Copy, Default, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum Ill {
     /// Answers.
     #[default]
@@ -63,21 +66,59 @@
     pub watches: usize,
 }
 
+/// One caller's way in, where many are told apart.
+#[derive(Clone)]
+struct Door {
+    proxy: u32,
+    log: Log,
+    /// Addresses as this caller is to see them.
+    seen: Arc<HashMap<String, String>>,
+}
+
+impl Door {
+    /// Notes what an answer that went out has told of members: their numbers are their ids'.
+    fn told(&self, entries: &Value) {
+        for entry in entries.as_array().into_iter().flatten() {
+            let id = entry["instanceId"].as_str().and_then(|id| id.rsplit('-').next());
+            let Some(index) = id.and_then(|id| u32::from_str_radix(id, 16).ok()) else { continue };
+            let on = entry["lifecycle"] != "active";
+            self.log.note(What::Drains { proxy: self.proxy, member: index + 1, on });
+        }
+    }
+
+    fn shown(&self, mut entries: Value) -> Value {
+        for entry in entries.as_array_mut().into_iter().flatten() {
+            let shown = entry["hostPort"].as_str().and_then(|a| self.seen.get(a)).cloned();
+            if let Some(shown) = shown {
+                entry["hostPort"] = shown.into();
+            }
+        }
+        entries
+    }
+}
+
+/// How many calls it can take.
+struct Desk {
+    /// Time that each call costs; zero: none.
+    each: Duration,
+    /// Calls that may wait; beyond that they are answered with 503.
+    queue: usize,
+    waiting: AtomicUsize,
+    turn: tokio::sync::Mutex<()>,
+}
+
 /// Discovery and what it lists. Copies share it.
 #[derive(Clone)]
 pub struct Registry {
     list: Arc<Mutex<List>>,
     changed: watch::Sender<u64>,
     state: Arc<Mutex<(Ill, Calls)>>,
+    desk: Arc<Desk>,
 }
 
 impl Default for Registry {
     fn default() -> Self {
-        Registry {
-            list: Arc::new(Mutex::new((1, json!([]), json!([])))),
-            changed: watch::channel(1).0,
-            state: Arc::default(),
-        }
+        Self::bounded(0.0, usize::MAX)
     }
 }
 
@@ -88,23 +129,65 @@
 }
 
 impl Registry {
+    /// One that answers so many calls a second, one after the other, and lets so many wait; 0: any number at once.
+    pub fn bounded(rate: f64, queue: usize) -> Self {
+        let each = if rate > 0.0 { Duration::from_secs_f64(1.0 / rate) } else { Duration::ZERO };
+        let desk = Desk { each, queue, waiting: AtomicUsize::new(0), turn: tokio::sync::Mutex::new(()) };
+        Registry {
+            list: Arc::new(Mutex::new((1, json!([]), json!([])))),
+            changed: watch::channel(1).0,
+            state: Arc::default(),
+            desk: Arc::new(desk),
+        }
+    }
+
     /// Starts it with a whole list; where it listens.
     pub fn start(&self, whole: Value) -> SocketAddr {
-        let (listener, address) = listener();
         self.with(|list| list.1 = whole);
+        self.open(None)
+    }
+
+    /// A listener of its own for one caller, that sees members under other addresses.
+    pub fn door(&self, proxy: u32, log: Log, seen: HashMap<String, String>) -> SocketAddr {
+        self.open(Some(Door { proxy, log, seen: Arc::new(seen) }))
+    }
+
+    /// The whole list is another one, without a word to those that watch.
+    pub fn lists(&self, whole: Value) {
+        self.with(|list| list.1 = whole);
+    }
+
+    fn open(&self, door: Option<Door>) -> SocketAddr {
+        let (listener, address) = listener();
         let this = self.clone();
         runtime().spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let this = this.clone();
+                let (this, door) = (this.clone(), door.clone());
                 tokio::spawn(async move {
                     let mut stream = BufReader::new(stream);
-                    while this.serve(&mut stream).await.is_some() {}
+                    while this.serve(&mut stream, door.as_ref()).await.is_some() {}
                 });
             }
         });
         address
     }
 
+    /// Waits for a call's turn; false where too many wait.
+    async fn turn(&self) -> bool {
+        if self.desk.each.is_zero() {
+            return true;
+        }
+        if self.desk.waiting.fetch_add(1, Ordering::Relaxed) >= self.desk.queue {
+            self.desk.waiting.fetch_sub(1, Ordering::Relaxed);
+            return false;
+        }
+        let turn = self.desk.turn.lock().await;
+        tokio::time::sleep(self.desk.each).await;
+        drop(turn);
+        self.desk.waiting.fetch_sub(1, Ordering::Relaxed);
+        true
+    }
+
     fn with<R>(&self, f: impl FnOnce(&mut List) -> R) -> R {
         f(&mut self.list.lock().unwrap_or_else(PoisonError::into_inner))
     }
@@ -128,7 +211,7 @@
         self.with(|list| list.1.clone())
     }
 
-    async fn serve(&self, stream: &mut BufReader<TcpStream>) -> Option<()> {
+    async fn serve(&self, stream: &mut BufReader<TcpStream>, door: Option<&Door>) -> Option<()> {
         let (mut first, mut line) = (String::new(), String::new());
         stream.read_line(&mut first).await.ok().filter(|n| *n > 0)?;
         while line != "\r\n" {
@@ -141,7 +224,17 @@
             let calls = &mut self.state().1;
             *(if after.is_some() { &mut calls.watches } else { &mut calls.whole }) += 1;
         }
+        if let Some(Door { proxy, log, .. }) = door {
+            log.note(What::Called { proxy: *proxy, whole: after.is_none() });
+        }
+        let unanswered = || door.map(|d| d.log.note(What::Unanswered { proxy: d.proxy }));
         let ill = || self.state().0;
+        // A caller that leaves while it waits has had its turn all the same.
+        if !self.turn().await {
+            unanswered();
+            let busy = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+            return stream.write_all(busy.as_bytes()).await.ok();
+        }
         if let Some(after) = after.filter(|_| ill() == Ill::Well) {
             let mut changes = self.changed.subscribe();
             let newer = changes.wait_for(|version| *version > after);
@@ -154,14 +247,22 @@
             Some(after) if version == after + 1 => (false, change),
             _ => (true, whole),
         };
-        let body = json!({"generation": version, "reset": reset, "instances": entries}).to_string();
+        let shown = door.map_or(entries.clone(), |d| d.shown(entries.clone()));
+        let body = json!({"generation": version, "reset": reset, "instances": shown}).to_string();
         let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         let text = match ill() {
             Ill::Well | Ill::Hasty => answer(&body),
             Ill::Overbooked => "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".to_string(),
-            Ill::Reset => return None,
-            Ill::Silent => std::future::pending().await,
+            Ill::Reset => {
+                unanswered();
+                return None;
+            }
+            Ill::Silent => {
+                unanswered();
+                std::future::pending().await
+            }
             Ill::Cut => {
+                unanswered();
                 let _ = stream.write_all(&answer(&body).as_bytes()[..60]).await;
                 return None;
             }
@@ -172,7 +273,19 @@
                 answer(&json!({"generation": version + 9, "reset": true, "instances": many}).to_string())
             }
         };
-        stream.write_all(text.as_bytes()).await.ok()
+        let sound = matches!(ill(), Ill::Well | Ill::Hasty);
+        let gone = async {
+            // Whoever has given up does not hear this answer, even if it still can be written.
+            stream.get_mut().peek(&mut [0]).await.is_ok_and(|n| n == 0)
+        };
+        let left = matches!(tokio::time::timeout(Duration::ZERO, gone).await, Ok(true));
+        let written = if left { None } else { stream.write_all(text.as_bytes()).await.ok() };
+        match (written.is_some() && sound, door) {
+            (true, Some(door)) => door.told(&entries),
+            (false, _) => drop(unanswered()),
+            _ => {}
+        }
+        written
     }
 
     /// One entry's lifecycle changes; watches are told.
--- /dev/null
+++ b/crates/standins/src/rig/checker.rs
@@ -0,0 +1,460 @@
+//! Judges a run by its log alone: whatever the proxies are made of, these rules hold or they do not. One pass over the
+//! events in their order; what is measured on the way is told beside the breaches.
+
+use super::events::{End, Event, Shows, Us, What};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+
+/// Span in which new connections at one member are counted.
+pub const OPENED_SPAN: Us = 250_000;
+/// Span in which probes of all members are counted.
+pub const PROBED_SPAN: Us = 4_000_000;
+/// A cold member's work counts together over this.
+pub const COLD_SPAN: Us = 1_500_000;
+/// Statements that a cold member may have in a span whatever its rate: single trials.
+const COLD_FEW: f64 = 4.0;
+/// Breaches told of each rule; the others are counted.
+const TOLD: usize = 5;
+
+/// What must hold, as numbers.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Bounds {
+    /// A final answer may come so long after the client's time.
+    pub late: Us,
+    /// Nothing new reaches a member so long after it was told to be draining or said to be out.
+    pub drain: Us,
+    /// The operators' word on a member outlasts the process that it was said to.
+    pub hands_kept: bool,
+    /// A cold member gets at most so many times what it can do.
+    pub cold: f64,
+    /// New connections at one member in any 250 ms after the first fault.
+    pub opened: Option<u64>,
+    /// Probes of all members in any 4 s after the first fault.
+    pub probed: Option<u64>,
+    /// Calls that discovery could not answer.
+    pub unanswered: Option<u64>,
+    /// Calls of one process for the whole list.
+    pub whole: Option<u64>,
+}
+
+impl Default for Bounds {
+    /// The rules of the platform, and no bounds on sums.
+    fn default() -> Self {
+        Bounds {
+            late: 500_000,
+            drain: 500_000,
+            hands_kept: false,
+            cold: 4.0,
+            opened: None,
+            probed: None,
+            unanswered: None,
+            whole: None,
+        }
+    }
+}
+
+/// The rules, each by the name that scenarios and reports have for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Rule {
+    /// One final answer each, in time.
+    Answer,
+    /// No write runs twice.
+    Once,
+    /// No read older than its class allows.
+    Stale,
+    /// Nothing new to a draining member.
+    Drain,
+    /// Nothing new to a member that is out by hand.
+    Hand,
+    /// No cold member pushed over.
+    Cold,
+    /// New connections at one member.
+    Opened,
+    /// Probes.
+    Probed,
+    /// Calls that discovery could not answer.
+    Unanswered,
+    /// Whole lists.
+    Whole,
+    /// The log itself cannot be true, or is not whole.
+    Log,
+}
+
+/// One breach.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Breach {
+    /// Of which rule.
+    pub rule: Rule,
+    /// When it was seen.
+    pub at: Us,
+    /// What was seen.
+    pub what: String,
+}
+
+/// The most that was seen, before the first fault and after it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Peaks {
+    /// New connections at one member in 250 ms.
+    pub opened: u64,
+    /// Probes of all members in 4 s.
+    pub probed: u64,
+    /// Calls at discovery in a second.
+    pub called: u64,
+}
+
+/// What a run has shown.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Verdict {
+    /// The first breaches of each rule.
+    pub breaches: Vec<Breach>,
+    /// How many there were, by rule.
+    pub counts: BTreeMap<Rule, u64>,
+    /// Peaks before the first fault, and after.
+    pub peaks: [Peaks; 2],
+    /// Calls that discovery could not answer.
+    pub unanswered: u64,
+    /// Requests asked.
+    pub asked: u64,
+}
+
+impl Verdict {
+    fn breach(&mut self, rule: Rule, at: Us, what: String) {
+        let count = self.counts.entry(rule).or_default();
+        *count += 1;
+        if *count <= TOLD as u64 {
+            self.breaches.push(Breach { rule, at, what });
+        }
+    }
+
+    /// Whether all rules were kept.
+    pub fn kept(&self) -> bool {
+        self.counts.is_empty()
+    }
+}
+
+struct Asked {
+    at: Us,
+    proxy: u32,
+    key: String,
+    writes: Option<u64>,
+    shows: Shows,
+    wait: Us,
+    ended: Option<Us>,
+}
+
+#[derive(Default)]
+struct Proxy {
+    up: bool,
+    /// When it last was not there, from and to; none: since it began.
+    gaps: Vec<(Us, Us)>,
+    whole: u64,
+    draining: HashMap<u32, Us>,
+    out: HashMap<u32, Us>,
+}
+
+struct Cold {
+    since: Us,
+    share: f64,
+    warm: Us,
+    rate: f64,
+    given: VecDeque<Us>,
+    told: bool,
+}
+
+#[derive(Default)]
+struct Key {
+    /// Writes that ran, in the order of their commits.
+    ran: Vec<(Us, u64)>,
+    /// Of those that a client was told of, the latest by commit, after each telling.
+    told: Vec<(Us, usize)>,
+}
+
+/// A sliding count.
+#[derive(Default)]
+struct Window(VecDeque<Us>);
+
+impl Window {
+    fn see(&mut self, at: Us, span: Us) -> u64 {
+        self.0.push_back(at);
+        while self.0.front().is_some_and(|t| *t + span <= at) {
+            self.0.pop_front();
+        }
+        self.0.len() as u64
+    }
+}
+
+#[derive(Default)]
+struct Judge {
+    verdict: Verdict,
+    asked: HashMap<u64, Asked>,
+    proxies: HashMap<u32, Proxy>,
+    ran: HashMap<u64, u32>,
+    keys: HashMap<String, Key>,
+    cold: HashMap<u32, Cold>,
+    opened: HashMap<u32, Window>,
+    probed: Window,
+    called: Window,
+    /// Over one bound a stretch of events is one breach, not one for each of them.
+    over: HashSet<(Rule, u32)>,
+    faulted: bool,
+}
+
+/// Judges a whole run; `lost` events found no room in the log.
+pub fn judge(events: &[Event], lost: u64, bounds: &Bounds) -> Verdict {
+    let mut judge = Judge::default();
+    let mut last = 0;
+    for event in events {
+        if event.at < last {
+            judge.verdict.breach(Rule::Log, event.at, "an event is older than the one before it".into());
+        }
+        last = event.at;
+        judge.take(event.at, &event.what, bounds);
+    }
+    if lost > 0 {
+        judge.verdict.breach(Rule::Log, last, format!("{lost} events found no room"));
+    }
+    judge.end(last, bounds);
+    judge.verdict
+}
+
+impl Judge {
+    fn take(&mut self, at: Us, what: &What, bounds: &Bounds) {
+        match what {
+            What::Asked { id, proxy, key, writes, shows, wait, .. } => {
+                self.verdict.asked += 1;
+                let asked = Asked {
+                    at,
+                    proxy: *proxy,
+                    key: key.clone(),
+                    writes: *writes,
+                    shows: *shows,
+                    wait: *wait,
+                    ended: None,
+                };
+                if self.asked.insert(*id, asked).is_some() {
+                    self.verdict.breach(Rule::Log, at, format!("request {id} is asked twice"));
+                }
+            }
+            What::Ended { id, how, value } => self.ended(at, *id, *how, *value, bounds),
+            What::Given { member, id } => self.given(at, *member, *id, bounds),
+            What::Ran { member, id, key, value } => {
+                let runs = self.ran.entry(*id).or_default();
+                *runs += 1;
+                if *runs > 1 {
+                    let what = format!("write {id} has run {runs} times, now at member {member}");
+                    self.verdict.breach(Rule::Once, at, what);
+                }
+                self.keys.entry(key.clone()).or_default().ran.push((at, *value));
+            }
+            What::Opened { member } => {
+                let seen = self.opened.entry(*member).or_default().see(at, OPENED_SPAN);
+                let peak = &mut self.verdict.peaks[usize::from(self.faulted)].opened;
+                *peak = seen.max(*peak);
+                let text = || format!("{seen} new connections at member {member} in 250 ms");
+                self.bound(Rule::Opened, *member, at, seen, bounds.opened, text);
+            }
+            What::Probed { .. } => {
+                let seen = self.probed.see(at, PROBED_SPAN);
+                let peak = &mut self.verdict.peaks[usize::from(self.faulted)].probed;
+                *peak = seen.max(*peak);
+                self.bound(Rule::Probed, 0, at, seen, bounds.probed, || format!("{seen} probes in 4 s"));
+            }
+            What::Cold { member, share, warm, rate } => {
+                let (share, rate) = (*share as f64 / 1e3, *rate as f64);
+                let cold = Cold { since: at, share, warm: *warm, rate, given: VecDeque::new(), told: false };
+                self.cold.insert(*member, cold);
+            }
+            What::Called { proxy, whole } => {
+                let seen = self.called.see(at, 1_000_000);
+                let peak = &mut self.verdict.peaks[usize::from(self.faulted)].called;
+                *peak = seen.max(*peak);
+                let of = self.proxies.entry(*proxy).or_default();
+                of.whole += u64::from(*whole);
+                let n = of.whole;
+                if *whole && bounds.whole.is_some_and(|most| n > most) {
+                    let what = format!("proxy {proxy} asks for the whole list for the {n}. time");
+                    self.verdict.breach(Rule::Whole, at, what);
+                }
+            }
+            What::Unanswered { proxy } => {
+                self.verdict.unanswered += 1;
+                if bounds.unanswered.is_some_and(|most| self.verdict.unanswered > most) {
+                    let what = format!("discovery could not answer proxy {proxy}");
+                    self.verdict.breach(Rule::Unanswered, at, what);
+                }
+            }
+            What::Drains { proxy, member, on } => {
+                let draining = &mut self.proxies.entry(*proxy).or_default().draining;
+                match on {
+                    true => drop(draining.entry(*member).or_insert(at)),
+                    false => drop(draining.remove(member)),
+                }
+            }
+            What::Hand { proxy, member, out } => {
+                let hands = &mut self.proxies.entry(*proxy).or_default().out;
+                match out {
+                    true => drop(hands.entry(*member).or_insert(at)),
+                    false => drop(hands.remove(member)),
+                }
+            }
+            What::Exec { proxy } => {
+                let of = self.proxies.entry(*proxy).or_default();
+                of.whole = 0;
+                // What discovery told the last process, this one has to hear anew.
+                of.draining.clear();
+                if !bounds.hands_kept {
+                    of.out.clear();
+                }
+            }
+            What::Serves { proxy } | What::Resumed { proxy } => {
+                let of = self.proxies.entry(*proxy).or_default();
+                of.up = true;
+                if let Some(gap) = of.gaps.last_mut().filter(|g| g.1 == Us::MAX) {
+                    gap.1 = at;
+                }
+            }
+            What::Down { proxy } => {
+                self.faulted = true;
+                let of = self.proxies.entry(*proxy).or_default();
+                of.up = false;
+                if of.gaps.last().is_none_or(|g| g.1 != Us::MAX) {
+                    of.gaps.push((at, Us::MAX));
+                }
+            }
+            What::Fault(_) => self.faulted = true,
+        }
+    }
+
+    /// A sum over its bound, once the first fault has come; told anew only after it was within it again.
+    fn bound(
+        &mut self,
+        rule: Rule,
+        of: u32,
+        at: Us,
+        seen: u64,
+        most: Option<u64>,
+        text: impl FnOnce() -> String,
+    ) {
+        let Some(most) = most.filter(|_| self.faulted) else { return };
+        if seen <= most {
+            self.over.remove(&(rule, of));
+        } else if self.over.insert((rule, of)) {
+            self.verdict.breach(rule, at, text());
+        }
+    }
+
+    fn ended(&mut self, at: Us, id: u64, how: End, value: u64, bounds: &Bounds) {
+        let Some(asked) = self.asked.get_mut(&id) else {
+            self.verdict.breach(Rule::Log, at, format!("request {id} ends, and nobody asked it"));
+            return;
+        };
+        if asked.ended.replace(at).is_some() {
+            self.verdict.breach(Rule::Answer, at, format!("request {id} got two answers"));
+            return;
+        }
+        let (since, proxy, until) = (asked.at, asked.proxy, asked.at + asked.wait + bounds.late);
+        let unanswered = matches!(how, End::Broken | End::Silent);
+        if (unanswered || at > until) && !gone(self.proxies.get(&proxy), since, at) {
+            let what = format!("request {id} at proxy {proxy}: {how:?} after {} ms", (at - since) / 1000);
+            self.verdict.breach(Rule::Answer, at, what);
+        }
+        if how != End::Served {
+            return;
+        }
+        let key = self.keys.entry(asked.key.clone()).or_default();
+        if let Some(value) = asked.writes {
+            match key.ran.iter().position(|(_, ran)| *ran == value) {
+                Some(n) => {
+                    let n = key.told.last().map_or(n, |(_, last)| n.max(*last));
+                    key.told.push((at, n));
+                }
+                None => {
+                    let what = format!("write {id} was told as served, and no member ran it");
+                    self.verdict.breach(Rule::Once, at, what);
+                }
+            }
+            return;
+        }
+        // Of each write, how many commits of its key a read must show.
+        let least = match asked.shows {
+            Shows::Any => 0,
+            Shows::Session => key.told.iter().rev().find(|(t, _)| *t < since).map_or(0, |(_, n)| n + 1),
+            Shows::Within(age) => key.ran.partition_point(|(t, _)| *t + age < since),
+        };
+        let shown = match value {
+            0 => Some(0),
+            _ => key.ran.iter().position(|(_, ran)| *ran == value).map(|n| n + 1),
+        };
+        match shown {
+            None => {
+                let what = format!("read {id} of {} shows a value that no write brought", asked.key);
+                self.verdict.breach(Rule::Stale, at, what);
+            }
+            Some(shown) if shown < least => {
+                let what = format!("read {id} of {} shows commit {shown}, {least} due", asked.key);
+                self.verdict.breach(Rule::Stale, at, what);
+            }
+            Some(_) => {}
+        }
+    }
+
+    fn given(&mut self, at: Us, member: u32, id: u64, bounds: &Bounds) {
+        let proxy = self.asked.get(&id).map(|a| a.proxy);
+        let Some(proxy) = proxy else {
+            self.verdict.breach(Rule::Log, at, format!("member {member} got {id}, and nobody asked it"));
+            return;
+        };
+        let of = self.proxies.entry(proxy).or_default();
+        for (rule, since) in [(Rule::Drain, of.draining.get(&member)), (Rule::Hand, of.out.get(&member))] {
+            if let Some(since) = since.filter(|t| at > **t + bounds.drain) {
+                let what = format!(
+                    "member {member} got request {id} from proxy {proxy} after {} ms",
+                    (at - since) / 1000
+                );
+                self.verdict.breach(rule, at, what);
+            }
+        }
+        let Some(cold) = self.cold.get_mut(&member) else { return };
+        let age = at - cold.since;
+        if age >= cold.warm {
+            self.cold.remove(&member);
+            return;
+        }
+        cold.given.push_back(at);
+        while cold.given.front().is_some_and(|t| *t + COLD_SPAN <= at) {
+            cold.given.pop_front();
+        }
+        let warmth = cold.share + (1.0 - cold.share) * age as f64 / cold.warm as f64;
+        let can = cold.rate * warmth * age.min(COLD_SPAN) as f64 / 1e6;
+        let given = cold.given.len();
+        let over = given as f64 > bounds.cold * can + COLD_FEW;
+        if over && !cold.told {
+            let what = format!("cold member {member} got {given} in 1.5 s and can do {can:.1}");
+            self.verdict.breach(Rule::Cold, at, what);
+        }
+        cold.told = over;
+    }
+
+    fn end(&mut self, last: Us, bounds: &Bounds) {
+        let mut open: Vec<(&u64, &Asked)> = self.asked.iter().filter(|(_, a)| a.ended.is_none()).collect();
+        open.sort_unstable_by_key(|(id, _)| **id);
+        let mut breaches = Vec::new();
+        for (id, asked) in open {
+            let until = asked.at + asked.wait + bounds.late;
+            if last >= until && !gone(self.proxies.get(&asked.proxy), asked.at, until) {
+                breaches.push((until, format!("request {id} at proxy {} has no answer", asked.proxy)));
+            }
+        }
+        breaches.into_iter().for_each(|(at, what)| self.verdict.breach(Rule::Answer, at, what));
+    }
+}
+
+/// Whether a proxy was not there at some moment of a span.
+fn gone(proxy: Option<&Proxy>, from: Us, to: Us) -> bool {
+    let Some(proxy) = proxy else { return true };
+    proxy.gaps.iter().any(|(began, ended)| *began <= to && *ended >= from)
+        || !proxy.up && proxy.gaps.is_empty()
+}
+
+#[cfg(test)]
+#[path = "checker_tests.rs"]
+mod tests;
--- /dev/null
+++ b/crates/standins/src/rig/checker_tests.rs
@@ -0,0 +1,195 @@
+//! Each rule's breach planted in a log that is sound without it.
+
+use super::*;
+
+const MS: Us = 1_000;
+
+/// A log under construction; times in ms.
+#[derive(Default, Clone)]
+struct Plot(Vec<Event>);
+
+impl Plot {
+    fn at(mut self, ms: Us, what: What) -> Self {
+        self.0.push(Event { at: ms * MS, what });
+        self
+    }
+
+    fn ask(self, ms: Us, id: u64, writes: Option<u64>, shows: Shows) -> Self {
+        let (key, aim, wait) = ("k".to_string(), 200 * MS, 500 * MS);
+        self.at(ms, What::Asked { id, proxy: 1, key, writes, shows, aim, wait })
+    }
+
+    fn told(self, ms: Us, id: u64, how: End, value: u64) -> Self {
+        self.at(ms, What::Ended { id, how, value })
+    }
+
+    fn ran(self, ms: Us, id: u64, value: u64) -> Self {
+        self.at(ms, What::Ran { member: 1, id, key: "k".into(), value })
+    }
+
+    fn write(self, ms: Us, id: u64, value: u64) -> Self {
+        let asked = self.ask(ms, id, Some(value), Shows::Any).at(ms + 1, What::Given { member: 1, id });
+        asked.ran(ms + 2, id, value).told(ms + 3, id, End::Served, value)
+    }
+
+    fn rules(&self, bounds: &Bounds) -> Vec<Rule> {
+        judge(&self.0, 0, bounds).counts.into_keys().collect()
+    }
+
+    fn broken(&self) -> Vec<Rule> {
+        self.rules(&Bounds::default())
+    }
+}
+
+/// A proxy that serves, and a write of value 1 that was told at 4 ms.
+fn sound() -> Plot {
+    let plot = Plot::default().at(0, What::Exec { proxy: 1 }).at(0, What::Serves { proxy: 1 });
+    plot.write(1, 100, 1)
+}
+
+#[test]
+fn a_sound_log_breaks_nothing() {
+    let plot = sound().ask(10, 1, None, Shows::Session).told(20, 1, End::Served, 1);
+    assert_eq!(plot.broken(), []);
+    let verdict = judge(&plot.0, 0, &Bounds::default());
+    assert!(verdict.kept());
+    assert_eq!(verdict.asked, 2);
+}
+
+#[test]
+fn an_answer_that_is_missing_doubled_broken_or_late_is_a_breach_but_not_of_a_proxy_that_was_gone() {
+    let asked = sound().ask(10, 1, None, Shows::Any);
+    assert_eq!(asked.clone().at(1_011, What::Fault("end".into())).broken(), [Rule::Answer]);
+    // Its time is not over yet.
+    assert_eq!(asked.clone().at(900, What::Fault("end".into())).broken(), []);
+    let twice = asked.clone().told(20, 1, End::Served, 1).told(21, 1, End::Served, 1);
+    assert_eq!(twice.broken(), [Rule::Answer]);
+    assert_eq!(asked.clone().told(20, 1, End::Broken, 0).broken(), [Rule::Answer]);
+    assert_eq!(asked.clone().told(1_011, 1, End::Refused, 0).broken(), [Rule::Answer]);
+    assert_eq!(asked.clone().told(1_010, 1, End::Refused, 0).broken(), []);
+    let killed = asked.clone().at(12, What::Down { proxy: 1 });
+    assert_eq!(killed.clone().told(20, 1, End::Broken, 0).broken(), []);
+    assert_eq!(killed.clone().at(2_000, What::Fault("end".into())).broken(), []);
+    // One that has come back is held to the rule again.
+    let back = killed.told(20, 1, End::Broken, 0).at(30, What::Serves { proxy: 1 });
+    let again = back.ask(40, 2, None, Shows::Any).told(50, 2, End::Broken, 0);
+    assert_eq!(again.broken(), [Rule::Answer]);
+}
+
+#[test]
+fn a_write_that_runs_twice_or_was_told_and_never_ran_is_a_breach() {
+    assert_eq!(sound().ran(9, 100, 1).broken(), [Rule::Once]);
+    let told = sound().ask(10, 1, Some(2), Shows::Any).told(20, 1, End::Served, 2);
+    assert_eq!(told.broken(), [Rule::Once]);
+}
+
+#[test]
+fn a_session_read_that_shows_less_than_was_told_to_its_session_is_a_breach() {
+    let two = sound().write(10, 101, 2);
+    let read =
+        |plot: Plot, value| plot.ask(20, 1, None, Shows::Session).told(25, 1, End::Served, value).broken();
+    assert_eq!(read(two.clone(), 2), []);
+    assert_eq!(read(two.clone(), 1), [Rule::Stale]);
+    assert_eq!(read(two.clone(), 0), [Rule::Stale]);
+    assert_eq!(read(two.clone(), 9), [Rule::Stale]);
+    // A write of which nobody was told may show or not.
+    let third = two.ask(14, 102, Some(3), Shows::Any).ran(15, 102, 3).told(16, 102, End::Failed, 0);
+    assert_eq!(read(third.clone(), 2), []);
+    assert_eq!(read(third, 3), []);
+    // Nor one that was told only after the read was asked.
+    let later = sound().ask(10, 1, None, Shows::Session).write(11, 101, 2).told(25, 1, End::Served, 1);
+    assert_eq!(later.broken(), []);
+}
+
+#[test]
+fn a_bounded_read_that_is_older_than_its_bound_is_a_breach() {
+    let read = |at: Us, value| {
+        let plot = sound().write(100, 101, 2).ask(at, 1, None, Shows::Within(50 * MS));
+        plot.told(at + 5, 1, End::Served, value).broken()
+    };
+    assert_eq!(read(140, 1), []);
+    assert_eq!(read(160, 1), [Rule::Stale]);
+    assert_eq!(read(160, 2), []);
+}
+
+#[test]
+fn what_reaches_a_draining_member_or_one_out_by_hand_after_its_time_is_a_breach() {
+    let drains = |on| What::Drains { proxy: 1, member: 3, on };
+    let hand = |out| What::Hand { proxy: 1, member: 3, out };
+    let give = |plot: Plot, ms| {
+        let asked = plot.ask(ms, ms, None, Shows::Any).at(ms, What::Given { member: 3, id: ms });
+        asked.told(ms + 1, ms, End::Served, 1).broken()
+    };
+    for (what, back, rule) in
+        [(drains(true), drains(false), Rule::Drain), (hand(true), hand(false), Rule::Hand)]
+    {
+        let told = sound().at(10, what);
+        assert_eq!(give(told.clone(), 510), []);
+        assert_eq!(give(told.clone(), 511), [rule]);
+        assert_eq!(give(told.clone().at(20, back), 600), []);
+        // Another proxy was not told.
+        let other = told.clone().at(20, What::Exec { proxy: 2 }).at(21, What::Serves { proxy: 2 });
+        let (key, shows) = ("k".to_string(), Shows::Any);
+        let ask = What::Asked { id: 9, proxy: 2, key, writes: None, shows, aim: MS, wait: 500 * MS };
+        let other = other.at(600, ask).at(600, What::Given { member: 3, id: 9 }).told(601, 9, End::Served, 1);
+        assert_eq!(other.broken(), []);
+    }
+    // The operators' word outlasts a process where that is asked for.
+    let again = sound().at(10, hand(true)).at(15, What::Down { proxy: 1 }).at(20, What::Exec { proxy: 1 });
+    let again = again.at(25, What::Serves { proxy: 1 });
+    assert_eq!(give(again.clone(), 600), []);
+    let asked = again.ask(600, 600, None, Shows::Any).at(600, What::Given { member: 3, id: 600 });
+    let kept = Bounds { hands_kept: true, ..Bounds::default() };
+    assert_eq!(asked.told(601, 600, End::Served, 1).rules(&kept), [Rule::Hand]);
+}
+
+#[test]
+fn a_cold_member_that_gets_more_than_its_budget_is_a_breach_of_its_own() {
+    let run = |each: Us| {
+        let cold = What::Cold { member: 3, share: 100, warm: 10_000 * MS, rate: 100 };
+        let mut plot = sound().at(10, cold);
+        for n in 0..60 {
+            let (at, id) = (20 + n * each, 1_000 + n);
+            plot = plot.ask(at, id, None, Shows::Any).at(at, What::Given { member: 3, id });
+            plot = plot.told(at, id, End::Served, 1);
+        }
+        judge(&plot.0, 0, &Bounds::default())
+    };
+    let flood = run(2);
+    assert_eq!(flood.counts.get(&Rule::Cold), Some(&1), "a stretch over the budget is one breach");
+    assert!(run(100).kept());
+}
+
+#[test]
+fn sums_over_their_bounds_are_breaches_once_a_fault_has_come() {
+    let bounds =
+        Bounds { opened: Some(3), probed: Some(2), unanswered: Some(1), whole: Some(1), ..Bounds::default() };
+    let burst = |plot: Plot, at: Us, each: Us| {
+        (0..4).fold(plot, |plot, n| plot.at(at + n * each, What::Opened { member: 2 }))
+    };
+    assert_eq!(burst(sound(), 10, 1).rules(&bounds), []);
+    let fault = sound().at(20, What::Fault("kill".into()));
+    assert_eq!(burst(fault.clone(), 21, 1).rules(&bounds), [Rule::Opened]);
+    assert_eq!(burst(fault.clone(), 21, 84).rules(&bounds), []);
+    let peaks =
+        judge(&burst(burst(sound(), 1, 1).at(20, What::Fault("x".into())), 700, 1).0, 0, &bounds).peaks;
+    assert_eq!(peaks.map(|p| p.opened), [4, 4]);
+    let probes = (0..3).fold(fault.clone(), |p, n| p.at(30 + n, What::Probed { member: n as u32 }));
+    assert_eq!(probes.rules(&bounds), [Rule::Probed]);
+    let no = What::Unanswered { proxy: 1 };
+    assert_eq!(sound().at(10, no.clone()).rules(&bounds), []);
+    assert_eq!(sound().at(10, no.clone()).at(11, no).rules(&bounds), [Rule::Unanswered]);
+    let whole = What::Called { proxy: 1, whole: true };
+    assert_eq!(sound().at(10, whole.clone()).at(11, whole.clone()).rules(&bounds), [Rule::Whole]);
+    let restarted = sound().at(10, whole.clone()).at(12, What::Exec { proxy: 1 }).at(13, whole);
+    assert_eq!(restarted.rules(&bounds), []);
+}
+
+#[test]
+fn a_log_that_cannot_be_true_or_is_not_whole_is_no_verdict() {
+    assert_eq!(sound().told(20, 9, End::Served, 1).broken(), [Rule::Log]);
+    assert_eq!(sound().at(20, What::Given { member: 1, id: 9 }).broken(), [Rule::Log]);
+    assert_eq!(sound().at(0, What::Exec { proxy: 2 }).broken(), [Rule::Log]);
+    assert_eq!(sound().write(30, 100, 1).broken().first(), Some(&Rule::Once));
+    assert!(!judge(&sound().0, 3, &Bounds::default()).kept());
+}
--- /dev/null
+++ b/crates/standins/src/rig/events.rs
@@ -0,0 +1,265 @@
+//! The one event log of a run: clients, members, discovery and whoever deals out faults write into it, each what it has
+//! itself seen or done. It can be written out and read back, a JSON object a line, so that a run can be judged again.
+
+use serde::{Deserialize, Serialize};
+use std::io::{self, BufRead, Write};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+/// Microseconds since the log began.
+pub type Us = u64;
+
+/// Most events of one run: enough for 200 proxies over some minutes; what comes beyond that is counted, and a run with
+/// such a loss is not judged.
+const MOST: usize = 8_000_000;
+
+/// How a client's request ended, as the client was told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum End {
+    /// A value.
+    Served,
+    /// Refused; trying again is harmless.
+    Refused,
+    /// Failed, with no word on its effect.
+    Failed,
+    /// The connection ended without an answer.
+    Broken,
+    /// The client's time was over and more.
+    Silent,
+}
+
+/// What data a read must show.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Shows {
+    /// Any.
+    Any,
+    /// What its session has written.
+    Session,
+    /// All that was committed so many us before it was asked.
+    Within(Us),
+}
+
+/// What happened.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum What {
+    /// A client asks a proxy for the first time, or again under a new id.
+    Asked {
+        /// The request's id.
+        id: u64,
+        /// Whom.
+        proxy: u32,
+        /// The key.
+        key: String,
+        /// Number of the value that a write brings; none: a read.
+        writes: Option<u64>,
+        /// What a read must show.
+        shows: Shows,
+        /// An answer is good within this.
+        aim: Us,
+        /// How long the client waits.
+        wait: Us,
+    },
+    /// It is told, with the number of the value that it got.
+    Ended {
+        /// The request's id.
+        id: u64,
+        /// How.
+        how: End,
+        /// The value's number; 0: the key was unknown.
+        value: u64,
+    },
+    /// A statement reached a member.
+    Given {
+        /// The member.
+        member: u32,
+        /// The request's id.
+        id: u64,
+    },
+    /// A member has run a write, as its group's next commit.
+    Ran {
+        /// The member.
+        member: u32,
+        /// The request's id.
+        id: u64,
+        /// The key.
+        key: String,
+        /// The value's number.
+        value: u64,
+    },
+    /// A new connection at a member.
+    Opened {
+        /// The member.
+        member: u32,
+    },
+    /// A member was asked for its report.
+    Probed {
+        /// The member.
+        member: u32,
+    },
+    /// A member starts with this share of its capacity, in parts of 1,000, and is warm after a span.
+    Cold {
+        /// The member.
+        member: u32,
+        /// Share of capacity at the start.
+        share: u64,
+        /// When it is warm.
+        warm: Us,
+        /// Statements a second when warm.
+        rate: u64,
+    },
+    /// A call reached discovery.
+    Called {
+        /// Whose.
+        proxy: u32,
+        /// For the whole list.
+        whole: bool,
+    },
+    /// Discovery could not answer a call.
+    Unanswered {
+        /// Whose.
+        proxy: u32,
+    },
+    /// Discovery has told a proxy that this member is draining, or that it serves again.
+    Drains {
+        /// The proxy.
+        proxy: u32,
+        /// The member.
+        member: u32,
+        /// Draining, or serving.
+        on: bool,
+    },
+    /// A proxy has said yes to leaving a member out, or to using it again.
+    Hand {
+        /// The proxy.
+        proxy: u32,
+        /// The member.
+        member: u32,
+        /// Out, or back.
+        out: bool,
+    },
+    /// A proxy's process is started.
+    Exec {
+        /// The proxy.
+        proxy: u32,
+    },
+    /// It says that it serves.
+    Serves {
+        /// The proxy.
+        proxy: u32,
+    },
+    /// It was killed, told to end, or stopped for a while: what it held may get no answer, or a late one.
+    Down {
+        /// The proxy.
+        proxy: u32,
+    },
+    /// A stopped one goes on.
+    Resumed {
+        /// The proxy.
+        proxy: u32,
+    },
+    /// A fault, in the scenario's words.
+    Fault(String),
+}
+
+/// Something that happened, and when.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event {
+    /// Since the log began.
+    pub at: Us,
+    /// What.
+    pub what: What,
+}
+
+#[derive(Default)]
+struct Inner {
+    events: Vec<Event>,
+    lost: u64,
+}
+
+/// The log. Copies write into the same one.
+#[derive(Clone)]
+pub struct Log {
+    began: Instant,
+    inner: Arc<Mutex<Inner>>,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Log { began: Instant::now(), inner: Arc::default() }
+    }
+}
+
+impl Log {
+    /// Microseconds since it began.
+    pub fn now(&self) -> Us {
+        self.began.elapsed().as_micros() as Us
+    }
+
+    /// The moment so long after it began.
+    pub fn instant(&self, at: Us) -> Instant {
+        self.began + std::time::Duration::from_micros(at)
+    }
+
+    /// Writes down what happens now; when that was.
+    pub fn note(&self, what: What) -> Us {
+        let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        // Taken under the lock: the log is in the order of its times.
+        let at = self.now();
+        if inner.events.len() < MOST {
+            inner.events.push(Event { at, what });
+        } else {
+            inner.lost += 1;
+        }
+        at
+    }
+
+    /// All so far, and how many found no room.
+    pub fn take(&self) -> (Vec<Event>, u64) {
+        let inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
+        (inner.events.clone(), inner.lost)
+    }
+}
+
+/// Writes events out.
+///
+/// # Errors
+/// When they cannot be written.
+pub fn write(events: &[Event], mut to: impl Write) -> io::Result<()> {
+    for event in events {
+        serde_json::to_writer(&mut to, event)?;
+        to.write_all(b"\n")?;
+    }
+    to.flush()
+}
+
+/// Reads them back.
+///
+/// # Errors
+/// With the number of the line that cannot be read.
+pub fn read(from: impl BufRead) -> Result<Vec<Event>, String> {
+    let line = |(n, line): (usize, io::Result<String>)| {
+        let text = line.map_err(|e| format!("line {}: {e}", n + 1))?;
+        serde_json::from_str(&text).map_err(|e| format!("line {}: {e}", n + 1))
+    };
+    from.lines().enumerate().map(line).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_was_noted_is_in_order_and_comes_back_from_a_file() {
+        let log = Log::default();
+        log.note(What::Exec { proxy: 1 });
+        log.clone().note(What::Ended { id: 7, how: End::Refused, value: 0 });
+        let (events, lost) = log.take();
+        assert_eq!((events.len(), lost), (2, 0));
+        assert!(events[0].at <= events[1].at);
+        let mut text = Vec::new();
+        write(&events, &mut text).expect("memory");
+        assert_eq!(read(&text[..]), Ok(events));
+        let cut = &text[..text.len() - 5];
+        assert!(read(cut).expect_err("cut off").starts_with("line 2: "));
+    }
+}
--- /dev/null
+++ b/crates/standins/src/rig/measure.rs
@@ -0,0 +1,131 @@
+//! What a run's log tells of its service: the share of good answers over time, and the time to full service.
+
+use super::events::{End, Event, Us, What};
+use std::collections::HashMap;
+
+/// Width of a step of the curve.
+pub const STEP: Us = 100_000;
+/// Full service: the first second in which the share of good answers reaches this part of the share before.
+const FULL: f64 = 0.98;
+const SECOND: usize = 10;
+
+/// Requests by the step in which they were asked: all, and those with a good answer.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Curve(pub Vec<(u64, u64)>);
+
+impl Curve {
+    /// The share of good answers among those asked in a span; none where none was asked.
+    pub fn share(&self, from: Us, to: Us) -> Option<f64> {
+        let steps = self.0.get((from / STEP) as usize..).unwrap_or_default();
+        let steps = steps.iter().take(to.saturating_sub(from).div_ceil(STEP) as usize);
+        let (asked, good) = steps.fold((0, 0), |(a, g), step| (a + step.0, g + step.1));
+        (asked > 0).then(|| good as f64 / asked as f64)
+    }
+}
+
+/// What a run has shown of coming back.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Return {
+    /// When the first process was started after the first fault, or else when that fault came.
+    pub began: Us,
+    /// Share of good answers before the first fault.
+    pub before: f64,
+    /// In the first half second after the beginning.
+    pub half_second: f64,
+    /// From the beginning to the first second of full service; none: it was never reached.
+    pub full: Option<Us>,
+}
+
+/// Good answers over time. A request counts as good that was served within its aim.
+pub fn curve(events: &[Event]) -> Curve {
+    let mut asked: HashMap<u64, (Us, Us)> = HashMap::new();
+    let mut curve = Curve::default();
+    for event in events {
+        match &event.what {
+            What::Asked { id, aim, .. } => {
+                asked.insert(*id, (event.at, *aim));
+                let step = (event.at / STEP) as usize;
+                curve.0.resize(curve.0.len().max(step + 1), (0, 0));
+                curve.0[step].0 += 1;
+            }
+            What::Ended { id, how: End::Served, .. } => {
+                let good = asked.remove(id).filter(|(at, aim)| event.at <= at + aim);
+                if let Some((at, _)) = good {
+                    curve.0[(at / STEP) as usize].1 += 1;
+                }
+            }
+            _ => {}
+        }
+    }
+    curve
+}
+
+/// How service came back after the first fault; `from`: when the run had settled.
+pub fn came_back(events: &[Event], from: Us) -> Option<Return> {
+    let fault = |e: &&Event| matches!(e.what, What::Fault(_));
+    let fault = events.iter().find(fault)?.at;
+    let exec = |e: &&Event| e.at >= fault && matches!(e.what, What::Exec { .. });
+    let began = events.iter().find(exec).map_or(fault, |e| e.at);
+    let curve = curve(events);
+    let before = curve.share(from, fault)?;
+    let half_second = curve.share(began, began + 500_000).unwrap_or(0.0);
+    let first = began.div_ceil(STEP) as usize;
+    // The last step is cut off by the run's end.
+    let last = curve.0.len().saturating_sub(SECOND + 1);
+    let full = (first..last).find(|step| {
+        let at = *step as Us * STEP;
+        curve.share(at, at + 1_000_000).is_some_and(|share| share >= FULL * before)
+    });
+    let full = full.map(|step| (step as Us * STEP).saturating_sub(began));
+    Some(Return { began, before, half_second, full })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::rig::events::Shows;
+
+    /// Ten requests a step, `good` of ten answered in time at each.
+    fn run(steps: &[u64], fault: usize, exec: usize) -> Vec<Event> {
+        let mut events = Vec::new();
+        for (n, good) in steps.iter().enumerate() {
+            let at = n as Us * STEP;
+            if n == fault {
+                events.push(Event { at, what: What::Fault("kill".into()) });
+            }
+            if n == exec {
+                events.push(Event { at, what: What::Exec { proxy: 1 } });
+            }
+            for k in 0..10 {
+                let (id, key) = (n as u64 * 10 + k, "k".to_string());
+                let (shows, aim) = (Shows::Any, 50_000);
+                let what = What::Asked { id, proxy: 1, key, writes: None, shows, aim, wait: aim };
+                events.push(Event { at: at + 1, what });
+                let late = if k < *good { 1_000 } else { 60_000 };
+                let what = What::Ended { id, how: End::Served, value: 0 };
+                events.push(Event { at: at + 1 + late, what });
+            }
+        }
+        events.sort_by_key(|e| e.at);
+        events
+    }
+
+    #[test]
+    fn full_service_is_the_first_second_as_good_as_before() {
+        let mut steps = vec![10; 10];
+        steps.extend([0; 5]);
+        steps.extend([5; 5]);
+        steps.extend([10; 20]);
+        let back = came_back(&run(&steps, 10, 12), 0).expect("a fault");
+        assert_eq!((back.began, back.before), (1_200_000, 1.0));
+        assert_eq!(back.full, Some(800_000));
+        assert!((back.half_second - 0.2).abs() < 1e-9, "{}", back.half_second);
+    }
+
+    #[test]
+    fn service_that_never_comes_back_has_no_time_and_a_run_without_fault_no_return() {
+        let steps = [[10; 10], [9; 10], [9; 10]].concat();
+        assert_eq!(came_back(&run(&steps, 10, 10), 0).expect("a fault").full, None);
+        assert_eq!(came_back(&run(&steps, 99, 99), 0), None);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/rig/mod.rs
@@ -0,0 +1,8 @@
+//! The rig of many processes: one log of what all parties do, a checker that knows nothing of the proxy's code, a
+//! fault plane between any two parties, and the scenarios that say what happens when (`docs/rig.md`).
+
+pub mod checker;
+pub mod events;
+pub mod measure;
+pub mod relay;
+pub mod script;
--- /dev/null
+++ b/crates/standins/src/rig/script.rs
@@ -0,0 +1,493 @@
+//! Scenarios of many processes in the project's one scenario language: a step a line, `who verb what`. What stands before
+//! the first `at` describes the world; each `at MS` is a step on the time line. `docs/rig.md` lists all of it.
+
+use super::checker::Bounds;
+use super::relay::Fault;
+use crate::member::Behaviour;
+use crate::registry::Ill;
+use std::fmt::{self, Display};
+use std::time::Duration;
+
+/// Most processes of a scenario.
+pub const PROXIES_MOST: u32 = 200;
+const MEMBERS_MOST: u32 = 400;
+
+/// Which of many, as a scenario names them.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Who {
+    /// All.
+    All,
+    /// So many of a hundred, by lot.
+    Share(u32),
+    /// These, by number from 1.
+    These(Vec<u32>),
+}
+
+impl Who {
+    /// The numbers meant, of 1 to `all`, drawn by `seed` where a share is.
+    pub fn of(&self, all: u32, seed: u64) -> Vec<u32> {
+        match self {
+            Who::All => (1..=all).collect(),
+            Who::These(these) => these.iter().copied().filter(|n| (1..=all).contains(n)).collect(),
+            Who::Share(percent) => {
+                let mut every: Vec<u32> = (1..=all).collect();
+                fastrand::Rng::with_seed(seed).shuffle(&mut every);
+                every.truncate((all * percent).div_ceil(100) as usize);
+                every.sort_unstable();
+                every
+            }
+        }
+    }
+}
+
+/// What is done to the folder in which a proxy keeps its state, while the proxy is down.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Harm {
+    /// All of it is gone.
+    Wiped,
+    /// A copy is put aside ...
+    Kept,
+    /// ... and put back.
+    RolledBack,
+    /// Its newest file is cut off at this part of its length, in parts of 1,000.
+    Torn(u32),
+    /// One bit of its newest file is another.
+    Flipped,
+    /// It can no longer be written.
+    ReadOnly,
+    /// It can be written again.
+    Writable,
+}
+
+/// One step of the time line.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Step {
+    /// Processes are killed, each at a moment of this span.
+    Kill(Who, Duration),
+    /// Processes are told to end.
+    Term(Who, Duration),
+    /// Those that are down are started, each at a moment of this span.
+    Start(Who, Duration),
+    /// Processes stand still for so long.
+    Stop(Who, Duration),
+    /// Processes read their configuration again.
+    Hup(Who, Duration),
+    /// What is kept of their state comes to harm.
+    Harm(Who, Harm),
+    /// Operators call.
+    Console(Who, String),
+    /// Links between proxies and members.
+    Link(Who, Who, Fault),
+    /// Links between proxies and discovery.
+    ListLink(Who, Fault),
+    /// Links between clients and proxies.
+    ClientLink(Who, Fault),
+    /// Members do something with statements.
+    Does(Who, Behaviour),
+    /// A member is the primary of its group from now on, the former one a replica.
+    Primary(u32),
+    /// Members are gone, connections and all.
+    MemberDown(Who),
+    /// They are back, started anew and cold.
+    MemberUp(Who),
+    /// Discovery does something with calls.
+    Ill(Ill),
+    /// Discovery tells a new state of a member.
+    Lists(u32, String),
+}
+
+/// A member's make.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Make {
+    /// How many.
+    pub members: u32,
+    /// In how many groups.
+    pub groups: u32,
+    /// Requests in work at once.
+    pub slots: usize,
+    /// Shortest and longest work of a request.
+    pub work: (Duration, Duration),
+    /// Work of a new connection.
+    pub handshake: Duration,
+    /// Most connections; 0: any number.
+    pub most: usize,
+    /// Share of its capacity at a start, and how long until it is warm.
+    pub cold: Option<(f64, Duration)>,
+    /// Lag of replicas.
+    pub lag: Duration,
+}
+
+/// A whole scenario.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Script {
+    /// All that is drawn follows from it.
+    pub seed: u64,
+    /// How many proxies.
+    pub proxies: u32,
+    /// How many they believe there are.
+    pub told: u32,
+    /// The members.
+    pub make: Make,
+    /// Calls that discovery answers a second, and those that may wait; rate 0: any number.
+    pub list: (f64, usize),
+    /// Whether a start finds the list in the configuration.
+    pub known: bool,
+    /// Requests a second, and clients that ask them.
+    pub load: (f64, u32),
+    /// How long it runs.
+    pub end: Duration,
+    /// What must hold.
+    pub bounds: Bounds,
+    /// Longest time to full service; none: it is told and not judged.
+    pub full: Option<Duration>,
+    /// The time line, in its order.
+    pub steps: Vec<(Duration, Step)>,
+}
+
+impl Default for Script {
+    fn default() -> Self {
+        let ms = Duration::from_millis;
+        Script {
+            seed: 1,
+            proxies: 3,
+            told: 0,
+            make: Make {
+                members: 4,
+                groups: 1,
+                slots: 4,
+                work: (ms(20), ms(40)),
+                handshake: ms(15),
+                most: 0,
+                cold: None,
+                lag: ms(5),
+            },
+            list: (0.0, 64),
+            known: true,
+            load: (60.0, 24),
+            end: ms(5_000),
+            bounds: Bounds::default(),
+            full: None,
+            steps: Vec::new(),
+        }
+    }
+}
+
+/// What is wrong with a scenario, and where.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wrong {
+    /// The line's number, from 1.
+    pub line: usize,
+    /// What.
+    pub what: String,
+}
+
+impl Display for Wrong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "line {}: {}", self.line, self.what)
+    }
+}
+
+fn number<T: std::str::FromStr>(word: &str) -> Result<T, String> {
+    word.parse().map_err(|_| format!("'{word}' is no number that fits here"))
+}
+
+fn ms(word: &str) -> Result<Duration, String> {
+    number(word).map(Duration::from_millis)
+}
+
+/// `within MS` or nothing.
+fn within(words: &[&str]) -> Result<Duration, String> {
+    match words {
+        [] => Ok(Duration::ZERO),
+        ["within", span] => ms(span),
+        _ => Err(format!("'{}' where only 'within MS' may stand", words.join(" "))),
+    }
+}
+
+/// `proxies`, `members`, `75%`, `p3,p7` or `m2`.
+fn who(word: &str, all: &str, letter: char) -> Result<Who, String> {
+    if word == all {
+        return Ok(Who::All);
+    }
+    if let Some(percent) = word.strip_suffix('%') {
+        return number(percent).and_then(|n| match n {
+            1..=100 => Ok(Who::Share(n)),
+            _ => Err(format!("'{word}' is no share")),
+        });
+    }
+    let one = |name: &str| match name.strip_prefix(letter).map(number) {
+        Some(Ok(n @ 1..)) => Ok(n),
+        _ => Err(format!("'{name}' is none of the {all}: '{all}', a share like 75%, or {letter}1,{letter}2")),
+    };
+    word.split(',').map(one).collect::<Result<_, _>>().map(Who::These)
+}
+
+fn proxies(word: &str) -> Result<Who, String> {
+    who(word, "proxies", 'p')
+}
+
+fn members(word: &str) -> Result<Who, String> {
+    who(word, "members", 'm')
+}
+
+/// Whether a word names members rather than proxies.
+fn is_members(word: &str) -> bool {
+    word == "members" || word.starts_with('m')
+}
+
+impl Script {
+    /// Reads a scenario.
+    ///
+    /// # Errors
+    /// All that is wrong with it, by line.
+    pub fn read(text: &str) -> Result<Self, Vec<Wrong>> {
+        let (mut script, mut wrong) = (Script::default(), Vec::new());
+        for (n, line) in text.lines().enumerate() {
+            let line = line.split('#').next().unwrap_or_default().trim();
+            let words: Vec<&str> = line.split_whitespace().collect();
+            if let Err(what) = script.line(&words) {
+                wrong.push(Wrong { line: n + 1, what });
+            }
+        }
+        if script.told == 0 {
+            script.told = script.proxies;
+        }
+        if let Err(what) = script.fits() {
+            wrong.push(Wrong { line: text.lines().count(), what });
+        }
+        script.steps.sort_by_key(|(at, _)| *at);
+        if wrong.is_empty() {
+            Ok(script)
+        } else {
+            Err(wrong)
+        }
+    }
+
+    fn line(&mut self, words: &[&str]) -> Result<(), String> {
+        match words {
+            [] => {}
+            ["at", at, rest @ ..] => self.steps.push((ms(at)?, step(rest)?)),
+            ["seed", n] => self.seed = number(n)?,
+            ["proxies", n] => self.proxies = number(n)?,
+            ["proxies", n, "told", told] => (self.proxies, self.told) = (number(n)?, number(told)?),
+            ["members", n, rest @ ..] => {
+                self.make.members = number(n)?;
+                self.make.describe(rest)?;
+            }
+            ["list", "rate", rate] => self.list.0 = number(rate)?,
+            ["list", "rate", rate, "queue", queue] => self.list = (number(rate)?, number(queue)?),
+            ["known", "old"] => self.known = true,
+            ["known", "lost"] => self.known = false,
+            ["load", rate, "clients", n] => self.load = (number(rate)?, number(n)?),
+            ["end", at] => self.end = ms(at)?,
+            ["bound", "full", span] => self.full = Some(ms(span)?),
+            ["bound", what, n] => self.bound(what, n)?,
+            ["hands", "kept"] => self.bounds.hands_kept = true,
+            _ => return Err(format!("no such step: '{}'", words.join(" "))),
+        }
+        Ok(())
+    }
+
+    fn bound(&mut self, what: &str, n: &str) -> Result<(), String> {
+        let bounds = &mut self.bounds;
+        match what {
+            "late" => bounds.late = number::<u64>(n)? * 1000,
+            "drain" => bounds.drain = number::<u64>(n)? * 1000,
+            "cold" => bounds.cold = number(n)?,
+            "opened" => bounds.opened = Some(number(n)?),
+            "probed" => bounds.probed = Some(number(n)?),
+            "unanswered" => bounds.unanswered = Some(number(n)?),
+            "whole" => bounds.whole = Some(number(n)?),
+            _ => return Err(format!("there is no bound '{what}'")),
+        }
+        Ok(())
+    }
+
+    fn fits(&self) -> Result<(), String> {
+        let Make { members, groups, slots, work, .. } = self.make;
+        for (fine, what) in [
+            ((1..=PROXIES_MOST).contains(&self.proxies), format!("1 to {PROXIES_MOST} proxies can run")),
+            ((1..=MEMBERS_MOST).contains(&members), format!("1 to {MEMBERS_MOST} members can run")),
+            (groups >= 1 && groups <= members, "each group needs a member".to_string()),
+            (slots > 0 && work.0 <= work.1, "members need slots, and work from less to more".to_string()),
+            (self.load.0 > 0.0 && self.load.1 > 0, "there must be load, and clients for it".to_string()),
+            (
+                self.steps.iter().all(|(at, _)| *at <= self.end),
+                "a step lies behind the end of the run".to_string(),
+            ),
+        ] {
+            if !fine {
+                return Err(what);
+            }
+        }
+        let all = |who: &Who, most: u32| !matches!(who, Who::These(these) if these.iter().any(|n| *n > most));
+        let known = |step: &Step| match step {
+            Step::Kill(w, _) | Step::Term(w, _) | Step::Start(w, _) | Step::Stop(w, _) | Step::Hup(w, _) => {
+                all(w, self.proxies)
+            }
+            Step::Harm(w, _) | Step::Console(w, _) | Step::ListLink(w, _) | Step::ClientLink(w, _) => {
+                all(w, self.proxies)
+            }
+            Step::Link(p, m, _) => all(p, self.proxies) && all(m, members),
+            Step::Does(m, _) | Step::MemberDown(m) | Step::MemberUp(m) => all(m, members),
+            Step::Primary(m) | Step::Lists(m, _) => *m <= members,
+            Step::Ill(_) => true,
+        };
+        match self.steps.iter().find(|(_, step)| !known(step)) {
+            Some((at, _)) => Err(format!("the step at {} names one that is not there", at.as_millis())),
+            None => Ok(()),
+        }
+    }
+}
+
+impl Make {
+    fn describe(&mut self, words: &[&str]) -> Result<(), String> {
+        match words {
+            [] => Ok(()),
+            ["groups", n, rest @ ..] => {
+                self.groups = number(n)?;
+                self.describe(rest)
+            }
+            ["slots", n, rest @ ..] => {
+                self.slots = number(n)?;
+                self.describe(rest)
+            }
+            ["work", least, most, rest @ ..] => {
+                self.work = (ms(least)?, ms(most)?);
+                self.describe(rest)
+            }
+            ["handshake", span, rest @ ..] => {
+                self.handshake = ms(span)?;
+                self.describe(rest)
+            }
+            ["most", n, rest @ ..] => {
+                self.most = number(n)?;
+                self.describe(rest)
+            }
+            ["cold", share, warm, rest @ ..] => {
+                let share: f64 = number(share)?;
+                let share = Some(share).filter(|s| *s > 0.0 && *s <= 1.0).ok_or("a share lies in (0, 1]")?;
+                self.cold = Some((share, ms(warm)?));
+                self.describe(rest)
+            }
+            ["lag", span, rest @ ..] => {
+                self.lag = ms(span)?;
+                self.describe(rest)
+            }
+            _ => Err(format!("members have no '{}'", words.join(" "))),
+        }
+    }
+}
+
+fn step(words: &[&str]) -> Result<Step, String> {
+    let rest = |n: usize| words[n..].join(" ");
+    Ok(match words {
+        ["list", "does", state @ ("active" | "leaving" | "left"), member] => match members(member)? {
+            Who::These(these) if these.len() == 1 => Step::Lists(these[0], state.to_string()),
+            _ => return Err("discovery tells of one member at a time".to_string()),
+        },
+        ["list", "does", ..] => Step::Ill(rest(2).parse()?),
+        ["clients", "link", to, ..] if words.len() > 3 => Step::ClientLink(proxies(to)?, rest(3).parse()?),
+        [of, "link", "list", ..] if words.len() > 3 => Step::ListLink(proxies(of)?, rest(3).parse()?),
+        [of, "link", to, ..] if words.len() > 3 => Step::Link(proxies(of)?, members(to)?, rest(3).parse()?),
+        [of, "console", ..] if words.len() > 2 => Step::Console(proxies(of)?, rest(2)),
+        [of, "does", "down"] => Step::MemberDown(members(of)?),
+        [of, "does", "up"] => Step::MemberUp(members(of)?),
+        [of, "does", "primary"] => match members(of)? {
+            Who::These(these) if these.len() == 1 => Step::Primary(these[0]),
+            _ => return Err("a group has one primary".to_string()),
+        },
+        [of, "does", ..] if is_members(of) => Step::Does(members(of)?, rest(2).parse()?),
+        [of, "does", "kill", span @ ..] => Step::Kill(proxies(of)?, within(span)?),
+        [of, "does", "term", span @ ..] => Step::Term(proxies(of)?, within(span)?),
+        [of, "does", "start", span @ ..] => Step::Start(proxies(of)?, within(span)?),
+        [of, "does", "hup", span @ ..] => Step::Hup(proxies(of)?, within(span)?),
+        [of, "does", "stop", span] => Step::Stop(proxies(of)?, ms(span)?),
+        [of, "store", harm @ ..] => Step::Harm(proxies(of)?, self::harm(harm)?),
+        _ => return Err(format!("no such step: '{}'", words.join(" "))),
+    })
+}
+
+fn harm(words: &[&str]) -> Result<Harm, String> {
+    Ok(match words {
+        ["wiped"] => Harm::Wiped,
+        ["kept"] => Harm::Kept,
+        ["back"] => Harm::RolledBack,
+        ["torn", part] => match number(part)? {
+            part @ 0..=1000 => Harm::Torn(part),
+            _ => return Err(format!("'{part}' is over 1000")),
+        },
+        ["flipped"] => Harm::Flipped,
+        ["readonly"] => Harm::ReadOnly,
+        ["writable"] => Harm::Writable,
+        _ => return Err(format!("no store comes to '{}'", words.join(" "))),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_scenario_is_read_with_all_that_it_says() {
+        let text = "
+            seed 7                      # drawn from
+            proxies 24 told 96
+            members 8 groups 2 slots 4 work 20 40 handshake 15 most 64 cold 0.2 9000 lag 5
+            list rate 20 queue 100
+            known lost
+            load 600 clients 120
+            bound opened 12
+            bound full 1300
+            hands kept
+            end 9000
+            at 4000 proxies does start within 20
+            at 3000 75% does kill within 50
+            at 3500 p1,p3 link members silent up
+            at 3600 list does overbooked
+            at 3700 list does leaving m3
+            at 3800 m2 does primary
+            at 3900 m1 does hold
+            at 3950 p4 console SUSPEND m3
+            at 3960 p4 store torn 500
+            at 3970 p4 does stop 5000
+            at 3980 clients link p2 delay 10 5";
+        let script = Script::read(text).expect("it is sound");
+        assert_eq!((script.seed, script.proxies, script.told, script.known), (7, 24, 96, false));
+        assert_eq!((script.make.groups, script.make.most, script.list), (2, 64, (20.0, 100)));
+        assert_eq!(script.make.cold, Some((0.2, Duration::from_millis(9000))));
+        assert_eq!((script.bounds.opened, script.bounds.hands_kept), (Some(12), true));
+        assert_eq!(script.full, Some(Duration::from_millis(1300)));
+        let ms = Duration::from_millis;
+        assert_eq!(script.steps.len(), 11);
+        assert_eq!(script.steps[0], (ms(3000), Step::Kill(Who::Share(75), ms(50))));
+        let up = Fault { mute_up: true, ..Fault::default() };
+        assert_eq!(script.steps[1].1, Step::Link(Who::These(vec![1, 3]), Who::All, up));
+        assert_eq!(script.steps[3].1, Step::Lists(3, "leaving".into()));
+        assert_eq!(script.steps[6].1, Step::Console(Who::These(vec![4]), "SUSPEND m3".into()));
+        assert_eq!(script.steps[10].1, Step::Start(Who::All, ms(20)));
+    }
+
+    #[test]
+    fn all_that_is_wrong_is_said_by_its_line() {
+        let text = "proxies 3\nproxies many\nbound tea 3\nat 10 p9 does kill\nat x proxies does kill\n\
+            at 10 proxies does kill soon\nat 20 m1 does sing\nat 30 proxies link m1 loud\nmembers 4 tall\n\
+            at 40 0% does kill\nat 40 proxies store torn 2000\nat 9999 proxies does kill";
+        let wrong = Script::read(text).expect_err("it is not sound");
+        let lines: Vec<usize> = wrong.iter().map(|w| w.line).collect();
+        assert_eq!(lines, [2, 3, 5, 6, 7, 8, 9, 10, 11, 12], "{wrong:?}");
+        assert!(wrong[9].what.contains("behind the end"), "{}", wrong[9]);
+        let none = Script::read("proxies 3\nat 10 p9 does kill").expect_err("there is no p9");
+        assert!(none[0].what.contains("not there"), "{}", none[0]);
+    }
+
+    #[test]
+    fn shares_are_drawn_alike_for_a_like_seed_and_in_full_measure() {
+        assert_eq!(Who::Share(75).of(24, 3).len(), 18);
+        assert_eq!(Who::Share(1).of(24, 3).len(), 1);
+        assert_eq!(Who::Share(50).of(24, 3), Who::Share(50).of(24, 3));
+        assert_ne!(Who::Share(50).of(24, 3), Who::Share(50).of(24, 4));
+        assert_eq!(Who::These(vec![2, 9]).of(4, 1), [2]);
+        assert_eq!(Who::All.of(3, 1), [1, 2, 3]);
+    }
+}
