Keep what a proxy knows in one sans-I/O model with evidence; the handover uses it

Two processes of a proxy had a format and types of their own; a store beside them would have been a twin.

Change: src/knowledge: facts of members by life (a start), sessions' commits, the operators' word, settings and list that held; merging is associative, commutative and idempotent; evidence says what a fact may be used for (proof, bound, hint, nothing): a stored position is a bound only while a list heard by this process names the same start, a stored role a hint, warmth and the operators' word bind. The handover's format moved there; processes of the version before read its files as ever.

Fault mended on the way (core::actor, learn): what the other process has learned was taken in as a probe's answer each 100 ms, news or not, so that a member in doubt was tried again on hearsay. Only a newer position passes now. The test showed one more: a report's position counts as rounded up, so that the same position was news for ever; it passes exactly now.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -5,8 +5,10 @@
 use super::ledger::SessionLedger;
 use super::{Answer, Attempt, Beside, Ending, Input, Listed, Members, Order, Request, Taken, REQUEST};
 use crate::clock::Clock;
+use crate::decide::REPORT_ROUNDING;
 use crate::interface::*;
-use crate::known::{Known, KnownMember};
+use crate::knowledge::{Known, MemberFacts};
+use crate::known::Learned;
 use crate::overlay::Overlay;
 use crate::Router;
 use bytes::Bytes;
@@ -204,7 +206,7 @@
         let (all, named): (Vec<_>, Vec<_>) = news.into_iter().partition(|(name, _)| name.is_empty());
         let floor = all.into_iter().map(|(_, at)| at).max().unwrap_or(0);
         if floor > 0 || !named.is_empty() {
-            self.sessions.merge(&named, floor);
+            self.sessions.merge(named.iter().map(|(name, at)| (name, at)), floor);
         }
     }
 
@@ -214,29 +216,37 @@
             self.overlay.listed().map(|e| (e.member.id, &e.name)).collect();
         let members = self.router.learned().filter_map(|m| {
             let name = (*named.get(&m.id)?).clone();
-            Some(KnownMember { name, position: m.position, primary: m.primary, cold_from: m.cold_from })
+            let facts = MemberFacts {
+                start: m.start,
+                position: m.position,
+                heard: m.heard,
+                primary: m.primary,
+                role_at: m.role_at,
+                cold_from: m.cold_from,
+            };
+            Some((name, facts))
         });
         let (sessions, floor) = self.sessions.since(now.saturating_sub(RECENT));
-        Known { members: members.collect(), sessions, floor }
+        Known { members: members.collect(), sessions: sessions.into_iter().collect(), floor }
     }
 
     /// What another process has learned, as the events that would have told it here: a start that discovery does not
-    /// know of, and a report on position and role.
+    /// know of, and a report on position and role. Only what is news here: what is not says nothing of a member that is
+    /// in doubt here.
     fn learn(&mut self, known: &Known) -> Vec<Event> {
-        self.sessions.merge(&known.sessions, known.floor);
-        let cold: FxHashMap<MemberId, Time> =
-            self.router.learned().filter_map(|m| Some((m.id, m.cold_from?))).collect();
+        self.sessions.merge(known.sessions.iter(), known.floor);
+        let here: FxHashMap<MemberId, Learned> = self.router.learned().map(|m| (m.id, m)).collect();
         let (mut starts, mut reports) = (Vec::new(), Vec::new());
-        for m in &known.members {
-            let Some(mut entry) = self.overlay.again(&m.name) else { continue };
+        for (name, m) in &known.members {
+            let Some(mut entry) = self.overlay.again(name) else { continue };
             let id = entry.member.id;
-            if m.cold_from.is_some_and(|at| cold.get(&id).is_none_or(|known| at > *known)) {
+            let (position, cold) = here.get(&id).map_or((0, None), |h| (h.position, h.cold_from));
+            if m.cold_from > cold {
                 entry.member.up_since = m.cold_from;
                 starts.push(entry);
             }
-            if m.position > 0 {
-                let report = Report { position: Some(m.position), primary: m.primary, busy: None };
-                reports.push(Event::Probed { member: id, ok: true, report: Some(report) });
+            if m.position > position {
+                reports.push(heard(id, m.position, m.primary));
             }
         }
         let mut events = self.operator(starts);
@@ -459,7 +469,18 @@
     }
 }
 
+/// A position that a member has surely reached, as the report that would have told it.
+fn heard(member: MemberId, position: Position, primary: Option<bool>) -> Event {
+    // The module takes a report's position for rounded up; this one is exact, and would be news for ever.
+    let report = Report { position: Some(position + REPORT_ROUNDING), primary, busy: None };
+    Event::Probed { member, ok: true, report: Some(report) }
+}
+
 /// The sessions that a request belongs to: the one it names, and the one that its key names.
 fn sessions(request: &Request) -> impl Iterator<Item = &Arc<str>> {
     request.session.iter().chain(&request.key_session)
 }
+
+#[cfg(test)]
+#[path = "actor_tests.rs"]
+mod tests;
--- a/src/core/ledger.rs
+++ b/src/core/ledger.rs
@@ -41,9 +41,13 @@
     }
 
     /// Takes in what another process knows.
-    pub fn merge(&mut self, sessions: &[(Arc<str>, Position)], floor: Position) {
+    pub fn merge<'a>(
+        &mut self,
+        sessions: impl Iterator<Item = (&'a Arc<str>, &'a Position)>,
+        floor: Position,
+    ) {
         self.floor = self.floor.max(floor);
-        sessions.iter().for_each(|(name, at)| self.wrote(name, *at));
+        sessions.for_each(|(name, at)| self.wrote(name, *at));
     }
 
     /// What a read of this session must see, by all that this process knows; 0: nothing.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -10,7 +10,7 @@
 pub mod ledger;
 
 use crate::interface::*;
-use crate::known::Known;
+use crate::knowledge::Known;
 pub use crate::overlay::Listed;
 use crate::overlay::{Hands, No};
 use crate::settings::SocketTimes;
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -32,7 +32,7 @@
 /// us: its client can still come back then, and a later refusal costs more than the chance is worth.
 const HALF_LEAD: Time = 18_000;
 /// Reports may round a position up by less than this, in us; notes are rounded down already.
-const REPORT_ROUNDING: Time = 1_000;
+pub(crate) const REPORT_ROUNDING: Time = 1_000;
 /// A checking member is tried on an estimated position no older than this, in us: lag changes in seconds, yet
 /// one of hundreds of drivers hears of a member but every few, and a miss is cheaper than a probe.
 const ESTIMATE_TRUST: Time = 10_000_000;
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -6,17 +6,16 @@
 
 pub mod commits;
 pub mod files;
-pub mod format;
 
 use crate::clock::Clock;
 use crate::core::counters::{count, Count};
 use crate::core::{Beside, Order, Taken};
 use crate::interface::Time;
+use crate::knowledge::format::{self, Unusable};
 use crate::net::budget::Budget;
 use crate::overlay::{Hands, No};
 use commits::Log;
 use files::{Folder, Mark};
-use format::Unusable;
 use std::io;
 use std::path::PathBuf;
 use std::sync::Arc;
--- a/src/handover/format.rs
+++ b/src/knowledge/format.rs
@@ -1,10 +1,10 @@
-//! What two processes of one proxy tell each other, and how it is written down. It does no I/O.
+//! How knowledge is written down, for another process of the proxy and for later starts. It does no I/O.
 //!
 //! A file is one line that names the format, its version, the length and the checksum of what follows, then JSON. What
 //! does not agree with that line is not used, not even in part: a torn file, another program's, or a newer version's.
 
+use super::{Held, Knowledge, Known, MemberFacts, MOST};
 use crate::interface::Time;
-use crate::known::{Known, KnownMember};
 use crate::overlay::{Hand, Hands, OUT_MOST};
 use serde_json::{json, Map, Value};
 use std::collections::BTreeMap;
@@ -12,8 +12,6 @@
 /// The version written, and the only one read.
 pub const VERSION: u32 = 1;
 const MAGIC: &str = "linentrail-handover";
-/// Most entries taken from one file.
-const MOST: usize = 16_384;
 
 /// Why a file cannot be used.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -39,13 +37,13 @@
     }
 }
 
-fn seal(body: &Value) -> Vec<u8> {
+pub(crate) fn seal(body: &Value) -> Vec<u8> {
     let body = body.to_string();
     let sum = crc32fast::hash(body.as_bytes());
     format!("{MAGIC} {VERSION} {} {sum:08x}\n{body}", body.len()).into_bytes()
 }
 
-fn open(bytes: &[u8]) -> Result<Value, Unusable> {
+pub(crate) fn open(bytes: &[u8]) -> Result<Value, Unusable> {
     let end = memchr::memchr(b'\n', bytes.get(..bytes.len().min(128)).unwrap_or_default());
     let (head, body) = bytes.split_at(end.ok_or(Unusable::Foreign)?);
     let body = &body[1..];
@@ -65,9 +63,13 @@
 
 /// Writes down what the operators said.
 pub fn write_hands(hands: &Hands) -> Vec<u8> {
+    seal(&json!({ "hands": hands_body(hands) }))
+}
+
+fn hands_body(hands: &Hands) -> Value {
     let all: Map<String, Value> =
         hands.iter().map(|(name, h)| (name.to_string(), json!([h.out, h.back]))).collect();
-    seal(&json!({ "hands": all }))
+    all.into()
 }
 
 /// Reads it.
@@ -75,8 +77,11 @@
 /// # Errors
 /// Why it cannot be used.
 pub fn read_hands(bytes: &[u8]) -> Result<Hands, Unusable> {
+    hands_of(&open(bytes)?)
+}
+
+fn hands_of(body: &Value) -> Result<Hands, Unusable> {
     let bad = Unusable::Malformed("word on a member");
-    let body = open(bytes)?;
     let all = body.get("hands").and_then(Value::as_object).ok_or(Unusable::Malformed("list of members"))?;
     if all.len() > MOST {
         return Err(Unusable::Malformed("number of members"));
@@ -100,11 +105,30 @@
 
 /// Writes down what was learned, at this moment.
 pub fn write_known(known: &Known, at: Time) -> Vec<u8> {
+    let mut body = known_body(known);
+    body.insert("at".into(), at.into());
+    seal(&body.into())
+}
+
+fn known_body(known: &Known) -> Map<String, Value> {
     let members: Vec<Value> =
-        known.members.iter().map(|m| json!([&*m.name, m.position, m.primary, m.cold_from])).collect();
+        known.members.iter().map(|(name, m)| json!([&**name, m.position, m.primary, m.cold_from])).collect();
+    // In a table of its own: processes of the version before pass over what they do not know, but not over entries of
+    // another length.
+    let lives: Map<String, Value> = known
+        .members
+        .iter()
+        .map(|(name, m)| (name.to_string(), json!([m.start, m.heard, m.role_at])))
+        .collect();
     let sessions: Map<String, Value> =
         known.sessions.iter().map(|(name, at)| (name.to_string(), json!(at))).collect();
-    seal(&json!({ "at": at, "members": members, "sessions": sessions, "floor": known.floor }))
+    let body = [
+        ("members", members.into()),
+        ("lives", lives.into()),
+        ("sessions", sessions.into()),
+        ("floor", known.floor.into()),
+    ];
+    body.map(|(name, value): (&str, Value)| (name.to_string(), value)).into_iter().collect()
 }
 
 /// Reads it, and when it was written.
@@ -113,8 +137,15 @@
 /// Why it cannot be used.
 pub fn read_known(bytes: &[u8]) -> Result<(Known, Time), Unusable> {
     let body = open(bytes)?;
-    let number = |name: &'static str| body.get(name).and_then(Value::as_u64).ok_or(Unusable::Malformed(name));
-    let (at, floor) = (number("at")?, number("floor")?);
+    Ok((known_of(&body)?, number(&body, "at")?))
+}
+
+fn number(body: &Value, name: &'static str) -> Result<u64, Unusable> {
+    body.get(name).and_then(Value::as_u64).ok_or(Unusable::Malformed(name))
+}
+
+fn known_of(body: &Value) -> Result<Known, Unusable> {
+    let floor = number(body, "floor")?;
     let listed = body.get("members").and_then(Value::as_array).ok_or(Unusable::Malformed("members"))?;
     let said = body.get("sessions").and_then(Value::as_object).ok_or(Unusable::Malformed("sessions"))?;
     if listed.len() > MOST || said.len() > MOST {
@@ -122,22 +153,64 @@
     }
     let mut known = Known { floor, ..Known::default() };
     for entry in listed {
-        let member = match entry.as_array().map(Vec::as_slice) {
-            Some([Value::String(name), position, primary, cold]) => Some(KnownMember {
-                name: name.as_str().into(),
-                position: position.as_u64().ok_or(Unusable::Malformed("position"))?,
-                primary: primary.as_bool(),
-                cold_from: cold.as_u64(),
-            }),
-            _ => None,
+        let Some([Value::String(name), position, primary, cold]) = entry.as_array().map(Vec::as_slice) else {
+            return Err(Unusable::Malformed("member"));
+        };
+        // A process of the version before has written none.
+        let life = body.get("lives").and_then(|lives| lives.get(name)).and_then(Value::as_array);
+        let of = |n: usize| life.and_then(|l| l.get(n)).and_then(Value::as_u64);
+        let facts = MemberFacts {
+            start: of(0),
+            position: position.as_u64().ok_or(Unusable::Malformed("position"))?,
+            heard: of(1).unwrap_or(0),
+            primary: primary.as_bool(),
+            role_at: of(2).unwrap_or(0),
+            cold_from: cold.as_u64(),
         };
-        known.members.push(member.ok_or(Unusable::Malformed("member"))?);
+        known.members.insert(name.as_str().into(), facts);
     }
     for (name, commit) in said {
         let commit = commit.as_u64().ok_or(Unusable::Malformed("commit"))?;
-        known.sessions.push((name.as_str().into(), commit));
+        known.sessions.insert(name.as_str().into(), commit);
     }
-    Ok((known, at))
+    Ok(known)
+}
+
+/// Writes down all that is known, at this moment of this start of the proxy.
+pub fn write_snapshot(all: &Knowledge, at: Time, boot: u64) -> Vec<u8> {
+    let held = |held: &Option<Held>| held.as_ref().map(|h| json!([h.at, &*h.text]));
+    let mut body = known_body(&all.known);
+    body.insert("hands".into(), hands_body(&all.hands));
+    for (name, value) in [
+        ("settings", json!(held(&all.settings))),
+        ("list", json!(held(&all.list))),
+        ("at", at.into()),
+        ("boot", boot.into()),
+    ] {
+        body.insert(name.into(), value);
+    }
+    seal(&body.into())
+}
+
+/// Reads it, when it was written and by which start.
+///
+/// # Errors
+/// Why it cannot be used.
+pub fn read_snapshot(bytes: &[u8]) -> Result<(Knowledge, Time, u64), Unusable> {
+    let body = open(bytes)?;
+    let held = |name: &'static str| match body.get(name) {
+        None | Some(Value::Null) => Ok(None),
+        Some(value) => match value.as_array().map(Vec::as_slice) {
+            Some([at, Value::String(text)]) => {
+                let at = at.as_u64().ok_or(Unusable::Malformed(name))?;
+                Ok(Some(Held { at, text: text.as_str().into() }))
+            }
+            _ => Err(Unusable::Malformed(name)),
+        },
+    };
+    let (settings, list) = (held("settings")?, held("list")?);
+    let all = Knowledge { known: known_of(&body)?, hands: hands_of(&body)?, settings, list };
+    Ok((all, number(&body, "at")?, number(&body, "boot")?))
 }
 
 #[cfg(test)]
@@ -150,23 +223,31 @@
     }
 
     fn known() -> Known {
-        let member = |name: &str, primary, cold_from| KnownMember {
-            name: name.into(),
+        let member = |primary, cold_from| MemberFacts {
+            start: cold_from,
             position: 77,
+            heard: 78,
             primary,
+            role_at: 76,
             cold_from,
         };
+        let members =
+            [("a", member(Some(true), None)), ("b", member(Some(false), Some(4))), ("c", member(None, None))];
         Known {
-            members: vec![
-                member("a", Some(true), None),
-                member("b", Some(false), Some(4)),
-                member("c", None, None),
-            ],
-            sessions: vec![("k1".into(), 70)],
+            members: members.map(|(name, facts)| (name.into(), facts)).into(),
+            sessions: [("k1".into(), 70)].into(),
             floor: 60,
         }
     }
 
+    #[test]
+    fn what_a_process_of_the_version_before_wrote_is_read_without_what_it_did_not_know() {
+        let body = json!({"at": 5, "members": [["a", 77, true, null]], "sessions": {"k": 3}, "floor": 2});
+        let (known, at) = read_known(&seal(&body)).expect("it is sound");
+        let facts = MemberFacts { position: 77, primary: Some(true), ..MemberFacts::default() };
+        assert_eq!((known.members.get("a"), at), (Some(&facts), 5));
+    }
+
     #[test]
     fn what_was_written_is_read() {
         assert_eq!(read_hands(&write_hands(&hands())), Ok(hands()));
--- /dev/null
+++ b/src/knowledge/tests.rs
@@ -0,0 +1,119 @@
+//! Merging in any order, any number of times, ends in the same.
+
+use super::*;
+use proptest::prelude::*;
+
+/// Few names and moments, so that most of what is drawn meets.
+fn name() -> impl Strategy<Value = Arc<str>> {
+    prop_oneof![Just("a"), Just("b"), Just("c")].prop_map(Arc::from)
+}
+
+fn facts() -> impl Strategy<Value = MemberFacts> {
+    (
+        prop::option::of(0..3u64),
+        0..4u64,
+        0..4u64,
+        prop::option::of(any::<bool>()),
+        0..3u64,
+        prop::option::of(0..3u64),
+    )
+        .prop_map(|(start, position, heard, primary, role_at, cold_from)| MemberFacts {
+            start,
+            position,
+            heard,
+            primary,
+            role_at,
+            cold_from,
+        })
+}
+
+fn held() -> impl Strategy<Value = Option<Held>> {
+    prop::option::of((0..3u64, name()).prop_map(|(at, text)| Held { at, text }))
+}
+
+fn knowledge() -> impl Strategy<Value = Knowledge> {
+    let hand = (0..3u64, prop::option::of(0..3u64)).prop_map(|(out, back)| Hand { out, back });
+    (
+        prop::collection::btree_map(name(), facts(), 0..3),
+        prop::collection::btree_map(name(), 0..4u64, 0..3),
+        0..4u64,
+        prop::collection::btree_map(name(), hand, 0..3),
+        held(),
+        held(),
+    )
+        .prop_map(|(members, sessions, floor, hands, settings, list)| Knowledge {
+            known: Known { members, sessions, floor },
+            hands,
+            settings,
+            list,
+        })
+}
+
+fn join(a: &Knowledge, b: &Knowledge) -> Knowledge {
+    let mut all = a.clone();
+    all.merge(b);
+    all
+}
+
+proptest! {
+    #[test]
+    fn merging_is_associative_commutative_and_idempotent(
+        a in knowledge(), b in knowledge(), c in knowledge(),
+    ) {
+        prop_assert_eq!(join(&join(&a, &b), &c), join(&a, &join(&b, &c)));
+        prop_assert_eq!(join(&a, &b), join(&b, &a));
+        prop_assert_eq!(join(&a, &a), a.clone());
+        prop_assert_eq!(join(&join(&a, &b), &b), join(&a, &b));
+    }
+
+    #[test]
+    fn nothing_that_binds_is_lost_by_merging(a in knowledge(), b in knowledge()) {
+        let all = join(&a, &b);
+        for (name, at) in a.known.sessions.iter().chain(&b.known.sessions) {
+            prop_assert!(all.known.sessions[name] >= *at);
+        }
+        prop_assert!(all.known.floor >= a.known.floor.max(b.known.floor));
+        for (name, hand) in a.hands.iter().chain(&b.hands) {
+            prop_assert!(all.hands[name].out >= hand.out);
+        }
+        for (name, facts) in a.known.members.iter().chain(&b.known.members) {
+            let known = &all.known.members[name];
+            prop_assert!(known.start >= facts.start);
+            // Nothing of an earlier life remains, and nothing of this one is forgotten.
+            if known.start == facts.start {
+                prop_assert!(known.position >= facts.position && known.cold_from >= facts.cold_from);
+            }
+        }
+    }
+
+    #[test]
+    fn what_is_written_is_read_again(a in knowledge(), at in 0..9u64, boot in 0..9u64) {
+        let bytes = format::write_snapshot(&a, at, boot);
+        prop_assert_eq!(format::read_snapshot(&bytes), Ok((a, at, boot)));
+    }
+}
+
+#[test]
+fn a_later_life_of_a_member_leaves_nothing_of_the_former_one() {
+    let old = MemberFacts { start: Some(5), position: 90, heard: 91, ..MemberFacts::default() };
+    let new = MemberFacts { start: Some(50), position: 60, heard: 61, ..MemberFacts::default() };
+    for (mut a, b) in [(old.clone(), new.clone()), (new.clone(), old.clone())] {
+        a.merge(&b);
+        assert_eq!(a, new);
+    }
+}
+
+#[test]
+fn the_operators_last_word_wins_whoever_heard_it() {
+    let hands = |out, back| -> Hands { [("m".into(), Hand { out, back })].into() };
+    for (a, b, last) in [
+        (hands(5, None), hands(5, Some(8)), hands(5, Some(8))),
+        (hands(5, Some(8)), hands(9, None), hands(9, None)),
+        (hands(5, Some(8)), hands(5, Some(7)), hands(5, Some(8))),
+    ] {
+        for (mut one, other) in [(a.clone(), b.clone()), (b, a)] {
+            merge_hands(&mut one, &other);
+            assert_eq!(one, last);
+        }
+    }
+}
--- a/src/known.rs
+++ b/src/known.rs
@@ -3,42 +3,23 @@
 
 use crate::decide::Router;
 use crate::interface::{MemberId, Position, Time};
-use std::sync::Arc;
-
-/// What is known of a member, by its id in the list.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct KnownMember {
-    /// Its id.
-    pub name: Arc<str>,
-    /// Highest position heard; 0: none.
-    pub position: Position,
-    /// Whether it is the primary, where it has shown its role.
-    pub primary: Option<bool>,
-    /// Start of its warm-up, while that lasts.
-    pub cold_from: Option<Time>,
-}
-
-/// All that one process of a proxy hands on to the other.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
-pub struct Known {
-    /// The members.
-    pub members: Vec<KnownMember>,
-    /// The last commits of sessions that wrote lately ...
-    pub sessions: Vec<(Arc<str>, Position)>,
-    /// ... and the latest of all others.
-    pub floor: Position,
-}
 
 /// What a router knows of a member, by its number.
 #[derive(Debug, Clone, Copy)]
 pub struct Learned {
     /// The member.
     pub id: MemberId,
-    /// See [`KnownMember`].
+    /// Its start, as the list has it.
+    pub start: Option<Time>,
+    /// Highest position heard; 0: none.
     pub position: Position,
-    /// See there.
+    /// When it was last heard.
+    pub heard: Time,
+    /// Whether it is the primary, where it has shown its role.
     pub primary: Option<bool>,
-    /// See there.
+    /// As of when.
+    pub role_at: Time,
+    /// Start of its warm-up, while that lasts.
     pub cold_from: Option<Time>,
 }
 
@@ -56,10 +37,17 @@
     /// What is known of each member.
     pub fn learned(&self) -> impl Iterator<Item = Learned> + '_ {
         self.members.iter().map(|(id, m)| {
-            let primary = self.groups.get(&m.group).is_some_and(|g| g.primary == Some(*id));
+            let head = self.groups.get(&m.group).filter(|g| g.primary == Some(*id));
             let replica = m.replica_at > 0;
-            let role = (primary || replica).then_some(primary);
-            Learned { id: *id, position: m.position, primary: role, cold_from: m.cold_from }
+            Learned {
+                id: *id,
+                start: m.up_since,
+                position: m.position,
+                heard: m.heard,
+                primary: (head.is_some() || replica).then_some(head.is_some()),
+                role_at: head.map_or(m.replica_at, |g| g.as_of),
+                cold_from: m.cold_from,
+            }
         })
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod handover;
 pub mod http;
 mod interface;
+pub mod knowledge;
 pub mod known;
 pub mod logs;
 pub mod meter;
