Move the settings of fronts into the operators' file deploy/linentrail.hcl, read strictly

Change: src/operators: blocks odata, dnssd, shutdown and store (which follows), by hcl-edit for its spans; unknown, doubled and malformed names are faults, all told at once with line and column. The former file, or the variable that named one, is refused by name. Defaults are the same; a test holds the shipped file against what no file says.

The toml library is no longer needed.

--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -35,6 +35,8 @@
     pub listener: Option<Arc<TcpListener>>,
     /// The folder that its processes share; none: it gets none.
     pub shared: Option<PathBuf>,
+    /// More of the operators' file.
+    pub operators: String,
     /// How long after SIGTERM it still takes clients; none: longer than any test takes to bring one.
     pub still_coming: Option<Duration>,
 }
@@ -126,16 +128,17 @@
         let dir = folder()?;
         std::fs::write(dir.join("config.json"), setup.config.to_string())?;
         let server = setup.browse.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 9)));
-        let fronts = format!(
-            "[odata]\nenabled = {}\nlisten = \"127.0.0.1:0\"\n\
-             [dnssd]\nbrowse = {}\nserver = \"{server}\"\nservice = \"{}\"\n\
-             [shutdown]\nstill_coming_ms = {}\n",
+        let operators = format!(
+            "odata {{\n enabled = {}\n listen = \"127.0.0.1:0\"\n}}\n\
+             dnssd {{\n browse = {}\n server = \"{server}\"\n service = \"{}\"\n}}\n\
+             shutdown {{\n still_coming_ms = {}\n}}\n{}",
             setup.odata,
             setup.browse.is_some(),
             dns::SERVICE,
-            setup.still_coming.unwrap_or(Duration::from_secs(3)).as_millis()
+            setup.still_coming.unwrap_or(Duration::from_secs(3)).as_millis(),
+            setup.operators
         );
-        std::fs::write(dir.join("fronts.toml"), fronts)?;
+        std::fs::write(dir.join("linentrail.hcl"), operators)?;
         let mut command = match &setup.listener {
             None => Command::new(&setup.program),
             // The shell puts it where the platform has it.
@@ -156,7 +159,7 @@
         command
             .env("BALANCER_DISCOVERY", setup.config["discovery"].as_str().unwrap_or_default())
             .env("BALANCER_CONFIG", dir.join("config.json"))
-            .env("LINENTRAIL_FRONTS", dir.join("fronts.toml"));
+            .env("LINENTRAIL_FILE", dir.join("linentrail.hcl"));
         let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn()?;
         let (out, err) = (child.stdout.take(), child.stderr.take());
         let (Some(out), Some(err)) = (out, err) else { return Err(Error::other("no pipes")) };
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -23,7 +23,7 @@
 pub enum Command {
     /// Serves, told what it needs by BALANCER_CONFIG and its fellows; also what is done without a command
     Serve,
-    /// Says whether a configuration (.json) or a file of fronts (.toml) can be used, and what is wrong with it
+    /// Says whether a configuration (.json) or an operators' file (.hcl) can be used, and what is wrong with it
     Check {
         /// The file
         file: PathBuf,
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,7 +10,6 @@
 use linentrail::core::bookings::Bookings;
 use linentrail::core::counters::{self, Count};
 use linentrail::core::{Handle, Input};
-use linentrail::deploy::{self, DnsSd, Odata};
 use linentrail::dnssd::browse::Browser;
 use linentrail::dnssd::records;
 use linentrail::handover::files::Folder;
@@ -19,6 +18,7 @@
 use linentrail::net::discovery::{Discovery, Lists};
 use linentrail::net::fleet::Fleet;
 use linentrail::net::listen::{self, Phase};
+use linentrail::operators::{self, DnsSd, Odata};
 use linentrail::reload::{tell_classes, Reload};
 use linentrail::terms::Slots;
 use linentrail::{logs, meter, odata, pg};
@@ -66,7 +66,7 @@
     // Heard from the start: unheard, this signal would end the process.
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let told = config::load()?;
-    let fronts = deploy::load()?;
+    let fronts = operators::load()?;
     let Sound { names, settings, times } = told.sound()?;
     let zones = names.zones.clone();
     let mut slots = Slots::default();
@@ -182,7 +182,7 @@
 
 /// Prints the records under which the OData front can be found, as a zone file has them.
 fn print_records() -> Result<(), String> {
-    let fronts = deploy::load()?;
+    let fronts = operators::load()?;
     for record in records::own(&fronts.dnssd.instance, &fronts.dnssd.domain, fronts.odata.listen)? {
         println!("{}", records::line(&record));
     }
