--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -37,6 +37,12 @@
     pub shared: Option<PathBuf>,
     /// More of the operators' file.
     pub operators: String,
+    /// What stands in its configuration's file, where that is not the configuration.
+    pub instead: Option<String>,
+    /// More of its environment.
+    pub environment: Vec<(String, String)>,
+    /// It is started as the deploy file says, from the repository's root: without an operators' file of its own.
+    pub shipped: bool,
     /// How long after SIGTERM it still takes clients; none: longer than any test takes to bring one.
     pub still_coming: Option<Duration>,
 }
@@ -126,7 +132,8 @@
     /// When it cannot be started, or ends before it serves.
     pub fn start(setup: &Setup) -> Result<Self> {
         let dir = folder()?;
-        std::fs::write(dir.join("config.json"), setup.config.to_string())?;
+        let text = setup.instead.clone().unwrap_or_else(|| setup.config.to_string());
+        std::fs::write(dir.join("config.json"), text)?;
         let server = setup.browse.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 9)));
         let operators = format!(
             "odata {{\n enabled = {}\n listen = \"127.0.0.1:0\"\n}}\n\
@@ -158,8 +165,13 @@
         }
         command
             .env("BALANCER_DISCOVERY", setup.config["discovery"].as_str().unwrap_or_default())
+            .env("BALANCER_NAME", setup.config["name"].as_str().unwrap_or_default())
             .env("BALANCER_CONFIG", dir.join("config.json"))
-            .env("LINENTRAIL_FILE", dir.join("linentrail.hcl"));
+            .env_remove("LINENTRAIL_FILE");
+        command.envs(setup.environment.iter().cloned());
+        if !setup.shipped {
+            command.env("LINENTRAIL_FILE", dir.join("linentrail.hcl"));
+        }
         let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn()?;
         let (out, err) = (child.stdout.take(), child.stderr.take());
         let (Some(out), Some(err)) = (out, err) else { return Err(Error::other("no pipes")) };
--- a/crates/standins/src/rig/world.rs
+++ b/crates/standins/src/rig/world.rs
@@ -327,7 +327,7 @@
             Step::Hup(who, span) => self.signal(&self.ids(who), "HUP", *span),
             Step::Harm(who, harm) => {
                 for n in self.proxies(who) {
-                    super::harm::carry_out(&self.0.folder.join(format!("p{n}")), *harm)?;
+                    super::harm::carry_out(&self.0.folder.join(format!("linentrail-p{n}")), *harm)?;
                     if matches!(harm, Harm::Wiped) {
                         self.0.log.note(What::Wiped { proxy: n });
                     }
--- a/src/config.rs
+++ b/src/config.rs
@@ -130,19 +130,34 @@
     })
 }
 
-fn text() -> Result<(String, Vec<u8>), String> {
+/// The bytes of the file that `BALANCER_CONFIG` names, and where it lies.
+///
+/// # Errors
+/// With one plain message.
+pub fn text() -> Result<(String, Vec<u8>), String> {
     let path = std::env::var("BALANCER_CONFIG").map_err(|_| "BALANCER_CONFIG is not set".to_string())?;
     let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
     Ok((path, text))
 }
 
-/// Reads the file that `BALANCER_CONFIG` names.
+/// Reads the file that `BALANCER_CONFIG` names, and checks it whole.
 ///
 /// # Errors
 /// With one plain message.
-pub fn load() -> Result<Config, String> {
+pub fn load() -> Result<(Config, Sound, Vec<u8>), String> {
     let (path, text) = text()?;
-    read(&text, |name| std::env::var(name).ok()).map_err(|e| format!("{path}: {e}"))
+    let (told, sound) = sound_text(&text).map_err(|e| format!("{path}: {e}"))?;
+    Ok((told, sound, text))
+}
+
+/// Reads a configuration as it is read at a start, and checks it whole.
+///
+/// # Errors
+/// With one plain message.
+pub fn sound_text(text: &[u8]) -> Result<(Config, Sound), String> {
+    let told = read(text, |name| std::env::var(name).ok())?;
+    let sound = told.sound()?;
+    Ok((told, sound))
 }
 
 /// Reads that file again while the program runs. Its environment is then as old as its start, so that only the file can
@@ -150,10 +165,11 @@
 ///
 /// # Errors
 /// As [`reread`].
-pub fn load_again(running: &Config) -> Result<(Config, Sound), String> {
+pub fn load_again(running: &Config) -> Result<(Config, Sound, Vec<u8>), String> {
     let (path, text) = text()?;
     let variable = |name: &str| std::env::var(name).ok().filter(|_| name != "BALANCER_DISCOVERY");
-    reread(&text, running, variable).map_err(|e| format!("{path}: {e}"))
+    let (told, sound) = reread(&text, running, variable).map_err(|e| format!("{path}: {e}"))?;
+    Ok((told, sound, text))
 }
 
 #[cfg(test)]
--- a/src/console/line.rs
+++ b/src/console/line.rs
@@ -20,6 +20,8 @@
     Suspend(String),
     /// Put a member back.
     Restore(String),
+    /// All that was said by hand and may have been lost has been said again.
+    Confirm,
 }
 
 /// The one answer to a call.
@@ -103,13 +105,14 @@
     let words: Vec<&str> = line.split_ascii_whitespace().collect();
     match words[..] {
         ["STATUS"] => Line::Call(Call::Status),
+        ["CONFIRM"] => Line::Call(Call::Confirm),
         ["SUSPEND", id] => Line::Call(Call::Suspend(id.to_string())),
         ["RESTORE", id] => Line::Call(Call::Restore(id.to_string())),
         [] => Line::Wrong("the line is empty".to_string()),
-        ["STATUS", ..] => Line::Wrong("STATUS takes no more words".to_string()),
+        ["STATUS" | "CONFIRM", ..] => Line::Wrong(format!("{} takes no more words", words[0])),
         ["SUSPEND" | "RESTORE"] => Line::Wrong(format!("{} needs a member's id", words[0])),
         ["SUSPEND" | "RESTORE", ..] => Line::Wrong(format!("{} takes one id", words[0])),
-        _ => Line::Wrong("no such call; there are STATUS, SUSPEND ID and RESTORE ID".to_string()),
+        _ => Line::Wrong("no such call; there are STATUS, SUSPEND ID, RESTORE ID and CONFIRM".to_string()),
     }
 }
 
--- a/src/console/mod.rs
+++ b/src/console/mod.rs
@@ -8,7 +8,7 @@
 pub mod line;
 
 use crate::core::counters::{count, Count};
-use crate::core::Order;
+use crate::core::{Order, Readiness};
 use crate::handover::Desk;
 use crate::net::listen::{Closing, Phase};
 use futures_util::{SinkExt, StreamExt};
@@ -36,6 +36,8 @@
 pub struct Console {
     desk: Desk,
     phase: Closing,
+    /// The configuration was not to be read, and a stored one holds.
+    stored: Arc<AtomicBool>,
 }
 
 struct Caller {
@@ -46,8 +48,8 @@
 
 impl Console {
     /// One that hands its calls to the desk.
-    pub fn new(desk: Desk, phase: Closing) -> Self {
-        Console { desk, phase }
+    pub fn new(desk: Desk, phase: Closing, stored: Arc<AtomicBool>) -> Self {
+        Console { desk, phase, stored }
     }
 
     /// Takes callers until the process ends.
@@ -117,11 +119,18 @@
     async fn answer(&self, call: &Call) -> Reply {
         let (told, done) = match call {
             Call::Status => return self.status().await,
+            Call::Confirm => {
+                return match self.desk.ask(Order::Confirm).await {
+                    Some(true) => Reply::Yes("confirmed"),
+                    Some(false) => Reply::No("nothing waits to be confirmed".to_string()),
+                    None => Reply::No("ending".to_string()),
+                }
+            }
             Call::Suspend(id) => {
-                (self.desk.change(|reply| Order::Suspend(id.as_str().into(), reply)).await, "out")
+                (self.desk.change(id, |reply| Order::Suspend(id.as_str().into(), reply)).await, "out")
             }
             Call::Restore(id) => {
-                (self.desk.change(|reply| Order::Restore(id.as_str().into(), reply)).await, "back")
+                (self.desk.change(id, |reply| Order::Restore(id.as_str().into(), reply)).await, "back")
             }
         };
         told.map_or_else(Reply::No, |()| Reply::Yes(done))
@@ -136,8 +145,15 @@
             Phase::Serving => {}
         }
         match self.desk.ask(Order::Ready).await {
-            Some(true) => Reply::Yes("serving"),
-            Some(false) => Reply::No("no member is listed that requests could go to".to_string()),
+            Some(Readiness::Ready) if self.stored.load(Ordering::Relaxed) => {
+                Reply::Yes("serving, by the last configuration that held")
+            }
+            Some(Readiness::Ready) => Reply::Yes("serving"),
+            Some(Readiness::Nobody) => Reply::No("no member is listed that requests could go to".to_string()),
+            Some(Readiness::Unconfirmed) => {
+                let why = "what was said by hand may be lost; say it again, then CONFIRM";
+                Reply::No(why.to_string())
+            }
             None => Reply::No("ending".to_string()),
         }
     }
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -3,12 +3,10 @@
 
 use super::counters::{count, Count};
 use super::ledger::SessionLedger;
-use super::{Answer, Attempt, Beside, Ending, Input, Listed, Members, Order, Request, Taken, REQUEST};
+use super::{Answer, Attempt, Beside, Ending, Input, Listed, Members, Order, Request, Taken, Work, REQUEST};
 use crate::clock::Clock;
-use crate::decide::REPORT_ROUNDING;
 use crate::interface::*;
-use crate::knowledge::{Known, MemberFacts};
-use crate::known::Learned;
+use crate::knowledge::evidence::Recalled;
 use crate::overlay::Overlay;
 use crate::Router;
 use bytes::Bytes;
@@ -22,8 +20,6 @@
 
 /// Most messages that go into one step.
 const BATCH: usize = 256;
-/// Commits no older than this, in us, are handed on by session; of the others the latest stands for all.
-const RECENT: Time = 20_000_000;
 /// Sessions remembered.
 const SESSIONS: usize = 16_384;
 
@@ -39,24 +35,30 @@
 
 /// The actor's state.
 pub struct Actor<M> {
-    router: Router,
-    max_attempts: usize,
-    members: M,
-    clock: Clock,
+    pub(super) router: Router,
+    pub(super) max_attempts: usize,
+    pub(super) members: M,
+    pub(super) clock: Clock,
     mailbox: mpsc::Receiver<Input>,
     /// What the operators ask, read first: a full mailbox must not hold it up.
-    orders: mpsc::Receiver<Order>,
+    pub(super) orders: mpsc::Receiver<Order>,
     /// Answers to that, which wait until the module has taken it in.
-    taken: Vec<(oneshot::Sender<Taken>, Taken)>,
-    overlay: Overlay,
+    pub(super) taken: Vec<(oneshot::Sender<Taken>, Taken)>,
+    pub(super) overlay: Overlay,
     /// Another process of this proxy, while one lives.
-    beside: Option<Box<dyn Beside>>,
+    pub(super) beside: Option<Box<dyn Beside>>,
     live: FxHashMap<RequestId, Live>,
     /// The names of those.
     names: HashSet<Bytes>,
-    sessions: SessionLedger,
+    pub(super) sessions: SessionLedger,
+    /// What was stored of members, until a list tells what it may be used for.
+    pub(super) recalled: Recalled,
+    /// Sessions of clients that carry no mark may have written up to then, unknown to this process.
+    pub(super) blind: Position,
+    /// Until then the operators' word may be lacking.
+    pub(super) unconfirmed: Time,
     /// What followed from actions at once, for the next step.
-    local: VecDeque<Event>,
+    pub(super) local: VecDeque<Event>,
     wake: Option<Time>,
     /// Kept for its room.
     actions: Vec<Action>,
@@ -87,6 +89,9 @@
             live: FxHashMap::default(),
             names: HashSet::new(),
             sessions: SessionLedger::new(SESSIONS),
+            recalled: Recalled::default(),
+            blind: 0,
+            unconfirmed: 0,
             local: VecDeque::new(),
             wake: None,
             actions: Vec::new(),
@@ -145,117 +150,8 @@
         }
     }
 
-    /// What the operators ask, or another process tells, and what of it the module must know.
-    fn order(&mut self, order: Order) -> Vec<Event> {
-        let now = self.clock.now();
-        let (told, reply) = match order {
-            Order::Suspend(name, reply) => (self.overlay.suspend(&name, now), reply),
-            Order::Restore(name, reply) => (self.overlay.restore(&name, now), reply),
-            Order::Ready(reply) => {
-                let _ = reply.send(self.overlay.serves());
-                return Vec::new();
-            }
-            Order::Hands(reply) => {
-                let _ = reply.send(self.overlay.hands().clone());
-                return Vec::new();
-            }
-            Order::Settings(settings, times, reply) => {
-                let _ = reply.send(());
-                self.max_attempts = settings.max_attempts as usize;
-                self.members.times(times);
-                return vec![Event::Settings(settings)];
-            }
-            Order::Adopt(hands, reply) => {
-                let told = self.overlay.adopt(hands);
-                let _ = reply.send(());
-                return self.operator(told);
-            }
-            Order::Export(reply) => {
-                let _ = reply.send(self.export(now));
-                return Vec::new();
-            }
-            Order::Beside(beside, reply) => {
-                // What the one that has gone said last still counts.
-                self.catch_up();
-                self.beside = beside;
-                let _ = reply.send(());
-                return Vec::new();
-            }
-            Order::Learn(known, reply) => {
-                let _ = reply.send(());
-                return self.learn(&known);
-            }
-        };
-        self.taken.push((reply, told.as_ref().map(|_| ()).map_err(|no| *no)));
-        let told = told.ok().flatten().into_iter().collect();
-        self.operator(told)
-    }
-
-    fn operator(&mut self, told: Vec<Listed>) -> Vec<Event> {
-        if told.is_empty() {
-            Vec::new()
-        } else {
-            vec![self.told(ListKind::Operator, told)]
-        }
-    }
-
-    /// Takes in what sessions have written by another process of this proxy.
-    fn catch_up(&mut self) {
-        let Some(other) = &mut self.beside else { return };
-        let news = other.news();
-        let (all, named): (Vec<_>, Vec<_>) = news.into_iter().partition(|(name, _)| name.is_empty());
-        let floor = all.into_iter().map(|(_, at)| at).max().unwrap_or(0);
-        if floor > 0 || !named.is_empty() {
-            self.sessions.merge(named.iter().map(|(name, at)| (name, at)), floor);
-        }
-    }
-
-    /// What was learned so far, for another process of this proxy.
-    fn export(&self, now: Time) -> Known {
-        let named: FxHashMap<MemberId, &Arc<str>> =
-            self.overlay.listed().map(|e| (e.member.id, &e.name)).collect();
-        let members = self.router.learned().filter_map(|m| {
-            let name = (*named.get(&m.id)?).clone();
-            let facts = MemberFacts {
-                start: m.start,
-                position: m.position,
-                heard: m.heard,
-                primary: m.primary,
-                role_at: m.role_at,
-                cold_from: m.cold_from,
-            };
-            Some((name, facts))
-        });
-        let (sessions, floor) = self.sessions.since(now.saturating_sub(RECENT));
-        Known { members: members.collect(), sessions: sessions.into_iter().collect(), floor }
-    }
-
-    /// What another process has learned, as the events that would have told it here: a start that discovery does not
-    /// know of, and a report on position and role. Only what is news here: what is not says nothing of a member that is
-    /// in doubt here.
-    fn learn(&mut self, known: &Known) -> Vec<Event> {
-        self.sessions.merge(known.sessions.iter(), known.floor);
-        let here: FxHashMap<MemberId, Learned> = self.router.learned().map(|m| (m.id, m)).collect();
-        let (mut starts, mut reports) = (Vec::new(), Vec::new());
-        for (name, m) in &known.members {
-            let Some(mut entry) = self.overlay.again(name) else { continue };
-            let id = entry.member.id;
-            let (position, cold) = here.get(&id).map_or((0, None), |h| (h.position, h.cold_from));
-            if m.cold_from > cold {
-                entry.member.up_since = m.cold_from;
-                starts.push(entry);
-            }
-            if m.position > position {
-                reports.push(heard(id, m.position, m.primary));
-            }
-        }
-        let mut events = self.operator(starts);
-        events.append(&mut reports);
-        events
-    }
-
     /// Members and module are told of the list alike.
-    fn told(&mut self, kind: ListKind, entries: Vec<Listed>) -> Event {
+    pub(super) fn told(&mut self, kind: ListKind, entries: Vec<Listed>) -> Event {
         self.members.list(kind, &entries);
         Event::List { kind, members: entries.into_iter().map(|e| e.member).collect() }
     }
@@ -277,7 +173,11 @@
             }
             Input::List(kind, entries) => {
                 let entries = self.overlay.list(kind, entries, now);
-                Some(self.told(kind, entries))
+                let told = self.told(kind, entries);
+                if matches!(kind, ListKind::Full | ListKind::Changes) && !self.recalled.is_empty() {
+                    self.confirm();
+                }
+                Some(told)
             }
         }
     }
@@ -306,6 +206,9 @@
         }
         let carried = request.after.unwrap_or(0);
         let written = sessions(&request).map(|s| self.sessions.written(s)).max().unwrap_or(0);
+        // Where the protocol has no mark for 'never wrote', none carried may mean one that only the last process knew.
+        let unmarked = request.after.is_none() && matches!(request.work, Work::Operation(_));
+        let written = if unmarked { written.max(self.blind) } else { written };
         let token = if need == Need::Session { carried.max(written) } else { carried };
         let proven = token > carried;
         let event = Event::Request {
@@ -469,13 +372,6 @@
     }
 }
 
-/// A position that a member has surely reached, as the report that would have told it.
-fn heard(member: MemberId, position: Position, primary: Option<bool>) -> Event {
-    // The module takes a report's position for rounded up; this one is exact, and would be news for ever.
-    let report = Report { position: Some(position + REPORT_ROUNDING), primary, busy: None };
-    Event::Probed { member, ok: true, report: Some(report) }
-}
-
 /// The sessions that a request belongs to: the one it names, and the one that its key names.
 fn sessions(request: &Request) -> impl Iterator<Item = &Arc<str>> {
     request.session.iter().chain(&request.key_session)
--- a/src/core/actor_tests.rs
+++ b/src/core/actor_tests.rs
@@ -1,6 +1,7 @@
 //! What the actor makes of what others have learned.
 
 use super::*;
+use crate::knowledge::{Knowledge, Known, MemberFacts};
 use std::net::SocketAddr;
 
 /// Members that only stand there.
@@ -68,3 +69,67 @@
         assert_eq!(actor.learn(&stranger), []);
     });
 }
+
+fn recalled(members: &[(&str, MemberFacts)]) -> Knowledge {
+    let members = members.iter().map(|(name, facts)| ((*name).into(), facts.clone())).collect();
+    Knowledge { known: Known { members, ..Known::default() }, ..Knowledge::default() }
+}
+
+#[test]
+fn a_stored_position_counts_once_a_list_of_this_process_names_the_same_start_and_never_otherwise() {
+    in_runtime(|| {
+        let start = Some(1_000_000);
+        let facts = MemberFacts { start, position: 5_000_000, primary: Some(true), ..MemberFacts::default() };
+        for (listed_start, kind, counts) in [
+            (start, ListKind::Full, true),
+            (start, ListKind::Changes, true),
+            (Some(2_000_000), ListKind::Full, false),
+            (None, ListKind::Full, false),
+            // What a start finds in its configuration is as old as what was stored.
+            (start, ListKind::Disk, false),
+        ] {
+            let mut actor = actor(vec![]);
+            actor.recall(recalled(&[("m1", facts.clone())]));
+            let now = actor.clock.now();
+            let event = actor.take(Input::List(kind, vec![listed(1, listed_start)]), now).expect("an event");
+            actor.step(now, &[event]);
+            let follows: Vec<Event> = actor.local.drain(..).collect();
+            actor.step(now, &follows);
+            let position = actor.router.position(MemberId(1));
+            assert_eq!(position, if counts { 5_000_000 } else { 0 }, "{listed_start:?} {kind:?}");
+            // A stored role is never more than whom a write tries first: nobody is taken for the primary by it.
+            assert!(actor.router.learned().all(|m| m.primary != Some(true)));
+        }
+    });
+}
+
+#[test]
+fn a_stored_warm_up_lasts_over_lists_that_do_not_know_of_it() {
+    in_runtime(|| {
+        let mut actor = actor(vec![]);
+        let now = actor.clock.now();
+        let began = Some(now - 1_000_000);
+        actor.recall(recalled(&[("m1", MemberFacts { cold_from: began, ..MemberFacts::default() })]));
+        for kind in [ListKind::Disk, ListKind::Full, ListKind::Changes] {
+            let event = actor.take(Input::List(kind, vec![listed(1, None)]), now).expect("an event");
+            actor.step(now, &[event]);
+            let cold = actor.router.learned().find(|m| m.id == MemberId(1)).and_then(|m| m.cold_from);
+            assert_eq!(cold, began, "{kind:?}");
+        }
+    });
+}
+
+#[test]
+fn the_operators_word_binds_from_the_first_list_on() {
+    in_runtime(|| {
+        let mut actor = actor(vec![]);
+        let mut all = recalled(&[]);
+        all.hands.insert("m1".into(), crate::overlay::Hand { out: 1, back: None });
+        actor.recall(all);
+        let now = actor.clock.now();
+        let event = actor.take(Input::List(ListKind::Disk, vec![listed(1, None), listed(2, None)]), now);
+        let Some(Event::List { members, .. }) = event else { panic!("{event:?}") };
+        let of = |id| members.iter().find(|m| m.id == MemberId(id)).map(|m| m.condition);
+        assert_eq!((of(1), of(2)), (Some(Condition::Draining), Some(Condition::In)));
+    });
+}
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -72,6 +72,15 @@
     console_made_room,
     handovers,
     handover_files_passed_over,
+    store_lost,
+    store_torn,
+    store_foreign,
+    store_newer,
+    store_rolled_back,
+    store_snapshots,
+    store_failures,
+    store_settings_taken,
+    store_list_taken,
 );
 
 /// Counts one more.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,9 +8,10 @@
 pub mod counters;
 pub mod flow;
 pub mod ledger;
+mod orders;
 
 use crate::interface::*;
-use crate::knowledge::Known;
+use crate::knowledge::{Knowledge, Known};
 pub use crate::overlay::Listed;
 use crate::overlay::{Hands, No};
 use crate::settings::SocketTimes;
@@ -185,10 +186,27 @@
     fn news(&mut self) -> Vec<(Arc<str>, Position)>;
 }
 
+/// Whether a process is ready to serve.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Readiness {
+    /// It is.
+    Ready,
+    /// No member is listed that requests could go to.
+    Nobody,
+    /// The operators' word may have been lost, and they have not said so.
+    Unconfirmed,
+}
+
 /// What the operators ask of the core.
 pub enum Order {
-    /// Whether there is a member that requests could go to.
-    Ready(oneshot::Sender<bool>),
+    /// Whether this process is ready to serve.
+    Ready(oneshot::Sender<Readiness>),
+    /// What was written down before this process began; until then, without a word of the operators', it is not ready.
+    Recall(Box<Knowledge>, Time, oneshot::Sender<()>),
+    /// The operators have said all that there is to say again; whether that was waited for.
+    Confirm(oneshot::Sender<bool>),
+    /// The members as discovery has them.
+    Listed(oneshot::Sender<Vec<Listed>>),
     /// Take a member out, by its id.
     Suspend(Arc<str>, oneshot::Sender<Taken>),
     /// Put it back.
--- /dev/null
+++ b/src/core/orders.rs
@@ -0,0 +1,185 @@
+//! What the core is asked and told beside its requests: by the operators, by another process of the proxy, and by an
+//! earlier start through what that has stored. All of it reaches the module as events that it knows.
+
+use super::actor::Actor;
+use super::{Listed, Members, Order, Readiness};
+use crate::decide::REPORT_ROUNDING;
+use crate::interface::*;
+use crate::knowledge::evidence::{Listed as Life, Recalled, Usable};
+use crate::knowledge::{merge_hands, Knowledge, Known, MemberFacts};
+use crate::known::Learned;
+use rustc_hash::FxHashMap;
+use std::sync::Arc;
+
+/// Commits no older than this, in us, are handed on by session; of the others the latest stands for all.
+const RECENT: Time = 20_000_000;
+
+impl<M: Members> Actor<M> {
+    /// What the operators ask, or another process tells, and what of it the module must know.
+    pub(super) fn order(&mut self, order: Order) -> Vec<Event> {
+        let now = self.clock.now();
+        let (told, reply) = match order {
+            Order::Suspend(name, reply) => (self.overlay.suspend(&name, now), reply),
+            Order::Restore(name, reply) => (self.overlay.restore(&name, now), reply),
+            Order::Ready(reply) => {
+                let _ = reply.send(match (self.overlay.serves(), now < self.unconfirmed) {
+                    (_, true) => Readiness::Unconfirmed,
+                    (true, _) => Readiness::Ready,
+                    (false, _) => Readiness::Nobody,
+                });
+                return Vec::new();
+            }
+            Order::Recall(all, until, reply) => {
+                self.unconfirmed = until;
+                let _ = reply.send(());
+                return self.recall(*all);
+            }
+            Order::Confirm(reply) => {
+                let _ = reply.send(now < std::mem::take(&mut self.unconfirmed));
+                return Vec::new();
+            }
+            Order::Listed(reply) => {
+                let _ = reply.send(self.overlay.listed().cloned().collect());
+                return Vec::new();
+            }
+            Order::Hands(reply) => {
+                let _ = reply.send(self.overlay.hands().clone());
+                return Vec::new();
+            }
+            Order::Settings(settings, times, reply) => {
+                let _ = reply.send(());
+                self.max_attempts = settings.max_attempts as usize;
+                self.members.times(times);
+                return vec![Event::Settings(settings)];
+            }
+            Order::Adopt(hands, reply) => {
+                let told = self.overlay.adopt(hands);
+                let _ = reply.send(());
+                return self.operator(told);
+            }
+            Order::Export(reply) => {
+                let _ = reply.send(self.export(now));
+                return Vec::new();
+            }
+            Order::Beside(beside, reply) => {
+                // What the one that has gone said last still counts.
+                self.catch_up();
+                self.beside = beside;
+                let _ = reply.send(());
+                return Vec::new();
+            }
+            Order::Learn(known, reply) => {
+                let _ = reply.send(());
+                return self.learn(&known);
+            }
+        };
+        self.taken.push((reply, told.as_ref().map(|_| ()).map_err(|no| *no)));
+        let told = told.ok().flatten().into_iter().collect();
+        self.operator(told)
+    }
+
+    fn operator(&mut self, told: Vec<Listed>) -> Vec<Event> {
+        if told.is_empty() {
+            Vec::new()
+        } else {
+            vec![self.told(ListKind::Operator, told)]
+        }
+    }
+
+    /// Takes in what sessions have written by another process of this proxy.
+    pub(super) fn catch_up(&mut self) {
+        let Some(other) = &mut self.beside else { return };
+        let news = other.news();
+        let (all, named): (Vec<_>, Vec<_>) = news.into_iter().partition(|(name, _)| name.is_empty());
+        let floor = all.into_iter().map(|(_, at)| at).max().unwrap_or(0);
+        if floor > 0 || !named.is_empty() {
+            self.sessions.merge(named.iter().map(|(name, at)| (name, at)), floor);
+        }
+    }
+
+    /// What was learned so far, for another process of this proxy.
+    fn export(&self, now: Time) -> Known {
+        let named: FxHashMap<MemberId, &Arc<str>> =
+            self.overlay.listed().map(|e| (e.member.id, &e.name)).collect();
+        let members = self.router.learned().filter_map(|m| {
+            let name = (*named.get(&m.id)?).clone();
+            let facts = MemberFacts {
+                start: m.start,
+                position: m.position,
+                heard: m.heard,
+                primary: m.primary,
+                role_at: m.role_at,
+                cold_from: m.cold_from,
+            };
+            Some((name, facts))
+        });
+        let (sessions, floor) = self.sessions.since(now.saturating_sub(RECENT));
+        Known { members: members.collect(), sessions: sessions.into_iter().collect(), floor }
+    }
+
+    /// What another process has learned, as the events that would have told it here: a start that discovery does not
+    /// know of, and a report on position and role. Only what is news here: what is not says nothing of a member that is
+    /// in doubt here.
+    pub(super) fn learn(&mut self, known: &Known) -> Vec<Event> {
+        self.sessions.merge(known.sessions.iter(), known.floor);
+        let here: FxHashMap<MemberId, Learned> = self.router.learned().map(|m| (m.id, m)).collect();
+        let mut events = Vec::new();
+        for (name, m) in &known.members {
+            let Some(entry) = self.overlay.again(name) else { continue };
+            let known = here.get(&entry.member.id);
+            if m.position > known.map_or(0, |h| h.position) {
+                events.push(heard(entry.member.id, m.position, m.primary));
+            }
+        }
+        let mut told = self.warms(known);
+        told.append(&mut events);
+        told
+    }
+
+    /// Warm-ups that discovery may not know of: none is warmer than its latest start allows.
+    fn warms(&mut self, known: &Known) -> Vec<Event> {
+        let begun = known.members.iter().filter_map(|(name, m)| Some((name, m.cold_from?)));
+        let told = begun.filter_map(|(name, at)| self.overlay.warms(name, at)).collect();
+        self.operator(told)
+    }
+
+    /// What was written down before this process began. What binds does from now on; what is of a member's life waits
+    /// for a list that tells whether the member still lives it.
+    pub(super) fn recall(&mut self, all: Knowledge) -> Vec<Event> {
+        self.blind = self.clock.now();
+        self.sessions.merge(all.known.sessions.iter(), all.known.floor);
+        let mut hands = self.overlay.hands().clone();
+        merge_hands(&mut hands, &all.hands);
+        let told = self.overlay.adopt(hands);
+        let mut events = self.operator(told);
+        events.append(&mut self.warms(&all.known));
+        self.recalled = Recalled::new(all.known);
+        events
+    }
+
+    /// A list of this process's own has come: what was stored of members may be used as far as it says.
+    pub(super) fn confirm(&mut self) {
+        let Actor { recalled, overlay, .. } = self;
+        let life = |name: &str| overlay.again(name).map_or(Life::Absent, |e| Life::Named(e.member.up_since));
+        let Usable { bounds, primaries } = recalled.confirm(life);
+        let bounds =
+            bounds.into_iter().filter_map(|(name, at)| Some((self.overlay.again(&name)?.member.id, at)));
+        let events: Vec<Event> = bounds.map(|(id, at)| heard(id, at, None)).collect();
+        self.local.extend(events);
+        let hint = |name: Arc<str>| {
+            let mut entry = self.overlay.again(&name)?;
+            entry.member.primary = true;
+            Some(entry)
+        };
+        let hints = primaries.into_iter().filter_map(hint).collect();
+        let hints = self.operator(hints);
+        self.local.extend(hints);
+    }
+}
+
+/// A position that a member has surely reached, as the report that would have told it.
+fn heard(member: MemberId, position: Position, primary: Option<bool>) -> Event {
+    // The module takes a report's position for rounded up; this one is exact, and would be news for ever.
+    let report = Report { position: Some(position + REPORT_ROUNDING), primary, busy: None };
+    Event::Probed { member, ok: true, report: Some(report) }
+}
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -14,6 +14,7 @@
 use crate::knowledge::format::{self, Unusable};
 use crate::net::budget::Budget;
 use crate::overlay::{Hands, No};
+use crate::store::actor::Scribe;
 use commits::Log;
 use files::{Folder, Mark};
 use std::io;
@@ -71,12 +72,19 @@
 pub struct Desk {
     orders: mpsc::Sender<Order>,
     folder: Option<Arc<Folder>>,
+    /// Where the operators' word is written down for later starts.
+    scribe: Option<Scribe>,
 }
 
 impl Desk {
     /// One that hands orders to the core, and records them where the proxy has a folder.
     pub fn new(orders: mpsc::Sender<Order>, folder: Option<Arc<Folder>>) -> Self {
-        Desk { orders, folder }
+        Desk { orders, folder, scribe: None }
+    }
+
+    /// The same, which also writes down the operators' word for later starts.
+    pub fn writing(self, scribe: Option<Scribe>) -> Self {
+        Desk { scribe, ..self }
     }
 
     /// Asks the core; none once it has ended.
@@ -90,7 +98,21 @@
     ///
     /// # Errors
     /// Why not, in words.
-    pub async fn change(&self, order: impl FnOnce(oneshot::Sender<Taken>) -> Order) -> Result<(), String> {
+    pub async fn change(
+        &self,
+        member: &str,
+        order: impl FnOnce(oneshot::Sender<Taken>) -> Order,
+    ) -> Result<(), String> {
+        self.record(order).await?;
+        let Some(scribe) = &self.scribe else { return Ok(()) };
+        let hands = self.ask(Order::Hands).await.ok_or_else(|| "the process ends".to_string())?;
+        let Some((name, hand)) = hands.get_key_value(member) else { return Ok(()) };
+        let written = scribe.word(name.clone(), *hand).await;
+        written.map_err(|e| format!("done, but not written down for later starts: {e}"))
+    }
+
+    /// Has it done, and recorded for the other process.
+    async fn record(&self, order: impl FnOnce(oneshot::Sender<Taken>) -> Order) -> Result<(), String> {
         let ending = || "the process ends".to_string();
         let Some(folder) = &self.folder else {
             return self.ask(order).await.ok_or_else(ending)?.map_err(said);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -20,9 +20,11 @@
 pub mod operators;
 pub mod overlay;
 pub mod pg;
+pub mod recovery;
 pub mod reload;
 pub mod settings;
 mod state;
+pub mod store;
 pub mod terms;
 
 pub use decide::Router;
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,7 +4,7 @@
 use linentrail::check::{self, Finding};
 use linentrail::cli::{self, Arguments, Command};
 use linentrail::clock::Clock;
-use linentrail::config::{self, Sound};
+use linentrail::config::Sound;
 use linentrail::console::Console;
 use linentrail::core::actor::Actor;
 use linentrail::core::bookings::Bookings;
@@ -14,17 +14,20 @@
 use linentrail::dnssd::records;
 use linentrail::handover::files::Folder;
 use linentrail::handover::{self, Desk, Handover};
+use linentrail::knowledge::Held;
 use linentrail::net::budget::{Budget, Pace};
 use linentrail::net::discovery::{Discovery, Lists};
 use linentrail::net::fleet::Fleet;
 use linentrail::net::listen::{self, Phase};
 use linentrail::operators::{self, DnsSd, Odata};
+use linentrail::recovery::{self, Gatherer, Start};
 use linentrail::reload::{tell_classes, Reload};
 use linentrail::terms::Slots;
 use linentrail::{logs, meter, odata, pg};
 use linentrail::{ListKind, Time};
 use std::path::Path;
 use std::process::ExitCode;
+use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -46,6 +49,8 @@
 const SEAT_TRIES: usize = 250;
 /// Time beyond the longest deadline that open requests get after new clients are no longer taken.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
+/// How long the last writing of the store may take.
+const LAST_WRITING: Duration = Duration::from_secs(2);
 
 /// The folder in which the processes of this proxy meet, where the platform has what it takes for two of them to serve.
 fn meet(name: &str, handed: bool) -> Result<Option<Folder>, String> {
@@ -65,9 +70,9 @@
 async fn run() -> Result<(), String> {
     // Heard from the start: unheard, this signal would end the process.
     let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
-    let told = config::load()?;
-    let fronts = operators::load()?;
-    let Sound { names, settings, times } = told.sound()?;
+    let file = operators::load()?;
+    let Start { told, sound, text, stored, store } = recovery::start(&file.store)?;
+    let Sound { names, settings, times } = sound;
     let zones = names.zones.clone();
     let mut slots = Slots::default();
     let (terms, read_under) = watch::channel(slots.change(names, settings.classes.clone()));
@@ -88,28 +93,53 @@
     let fleet = Fleet::new(mailbox.clone(), follow, budget.clone(), clock, times, wire);
     let actor = Actor::new(settings, fleet, clock, (inbox, ordered)).map_err(|e| e.to_string())?;
 
-    let mut lists = Lists::new(zones);
+    let mut lists = Lists::new(zones.clone());
     // Known before the first client comes, and perhaps old.
-    let known = lists.read(&told.known, None);
+    let known = lists.read(&recovery::list(&told.known, store.as_ref().map(|s| &s.1)), None);
     let (held, known) = known.map_or_else(Default::default, |(held, _, entries)| (Some(held), entries));
     mailbox.send(Input::List(ListKind::Disk, known)).await.map_err(|e| e.to_string())?;
     tokio::spawn(actor.run());
     let (discovery, address) = watch::channel(told.discovery.clone());
-    if fronts.dnssd.browse {
-        let DnsSd { server, service, .. } = &fronts.dnssd;
+    let mut version = Arc::default();
+    if file.dnssd.browse {
+        let DnsSd { server, service, .. } = &file.dnssd;
         tokio::spawn(Browser::new(*server, service, lists, mailbox.clone(), clock)?.run(asked));
     } else {
-        tokio::spawn(Discovery::new(address, lists, held, mailbox.clone()).run(asked));
+        let discovery = Discovery::new(address, lists, held, mailbox.clone());
+        version = discovery.told.clone();
+        tokio::spawn(discovery.run(asked));
     }
 
-    let desk = Desk::new(orders, folder.clone());
-    let reload = Reload { running: told.clone(), slots, terms, discovery, desk: desk.clone() };
+    let scribe = store.as_ref().map(|(scribe, _)| scribe.clone());
+    let desk = Desk::new(orders, folder.clone()).writing(scribe);
+    let (stored, mut held, mut last) = (Arc::new(AtomicBool::new(stored)), None, None);
+    if let Some((scribe, found)) = store {
+        recovery::recall(&file.store, found, &desk, clock.now()).await;
+        let text = String::from_utf8_lossy(&text).as_ref().into();
+        let (holds, settings) = watch::channel(Some(Held { at: clock.now(), text }));
+        held = Some(holds);
+        let gatherer = Gatherer { scribe, desk: desk.clone(), clock, settings, version, zones };
+        let gatherer = Arc::new(gatherer);
+        last = Some(gatherer.clone());
+        let every = file.store.every;
+        tokio::spawn(async move { gatherer.run(every).await });
+    }
+    let reload = Reload {
+        running: told.clone(),
+        slots,
+        terms,
+        discovery,
+        desk: desk.clone(),
+        held,
+        stored: stored.clone(),
+        clock,
+    };
     tokio::spawn(reload.run(hangup));
     let (phase, closing) = watch::channel(Phase::Starting);
     if let Some(console) = &told.console {
         let listener = TcpListener::bind(console).await.map_err(|e| format!("console {console}: {e}"))?;
         log::info!("operators call at {}", listener.local_addr().map_err(|e| e.to_string())?);
-        tokio::spawn(Console::new(desk.clone(), closing.clone()).run(listener));
+        tokio::spawn(Console::new(desk.clone(), closing.clone(), stored).run(listener));
     }
     let listener = match &handed {
         Some(descriptor) => listen::inherited(descriptor).map_err(|e| format!("{ACCEPT}: {e}"))?,
@@ -134,8 +164,8 @@
     });
     let serve = move |stream, closing| front.clone().serve(stream, closing);
     tokio::spawn(listen::listen(listener, Count::pg_connections, clients.clone(), closing.clone(), serve));
-    if fronts.odata.enabled {
-        let Odata { listen: address, repeat_span, repeat_ids, repeat_bytes, .. } = fronts.odata;
+    if file.odata.enabled {
+        let Odata { listen: address, repeat_span, repeat_ids, repeat_bytes, .. } = file.odata;
         let listener = TcpListener::bind(address).await.map_err(|e| format!("{address}: {e}"))?;
         log::info!("serving OData at {}", listener.local_addr().map_err(failed)?);
         // Answers that are remembered share the memory with all else.
@@ -168,7 +198,7 @@
             "told to end: clients are still taken for a while, then connections close between requests"
         );
     }
-    tokio::time::sleep(fronts.still_coming).await;
+    tokio::time::sleep(file.still_coming).await;
     let _ = phase.send(Phase::Closing);
     // What was taken is owed its answer: the settings say how long the last of it may take, and days differ in that.
     let longest = read_under.borrow().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
@@ -176,14 +206,18 @@
     while !clients.all_back() && clock.now() < ends {
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
+    if let Some(last) = last {
+        // What was learned up to now; a disk that does not answer holds no end up.
+        let _ = tokio::time::timeout(LAST_WRITING, last.write()).await;
+    }
     println!("counters: {}{}", counters::line(), meter::line());
     Ok(())
 }
 
 /// Prints the records under which the OData front can be found, as a zone file has them.
 fn print_records() -> Result<(), String> {
-    let fronts = operators::load()?;
-    for record in records::own(&fronts.dnssd.instance, &fronts.dnssd.domain, fronts.odata.listen)? {
+    let file = operators::load()?;
+    for record in records::own(&file.dnssd.instance, &file.dnssd.domain, file.odata.listen)? {
         println!("{}", records::line(&record));
     }
     Ok(())
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -15,8 +15,10 @@
 use crate::interface::*;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
-use serde_json::Value as Json;
+use serde_json::{json, Value as Json};
 use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
@@ -171,8 +173,22 @@
     }
 }
 
+/// A list as discovery words it, for a later start.
+pub fn write(entries: &[Listed], version: u64, zones: &[String]) -> Json {
+    let entry = |Listed { name, address, member }: &Listed| {
+        let lifecycle = if member.condition == Condition::Draining { "leaving" } else { "active" };
+        json!({"instanceId": &**name, "hostPort": address.to_string(), "cell": member.group,
+            "zone": zones.get(member.zone as usize), "lifecycle": lifecycle,
+            "startedAtMs": member.up_since.unwrap_or(0) / 1000})
+    };
+    let entries: Vec<Json> = entries.iter().map(entry).collect();
+    json!({"generation": version, "reset": true, "instances": entries})
+}
+
 /// The actor's state.
 pub struct Discovery {
+    /// Where the version that is held is told.
+    pub told: Arc<AtomicU64>,
     address: watch::Receiver<String>,
     lists: Lists,
     core: mpsc::Sender<Input>,
@@ -191,7 +207,8 @@
         held: Option<u64>,
         core: mpsc::Sender<Input>,
     ) -> Self {
-        Discovery { address, lists, core, link: None, after: held, moving: None }
+        let told = Arc::new(AtomicU64::new(held.unwrap_or(0)));
+        Discovery { told, address, lists, core, link: None, after: held, moving: None }
     }
 
     /// Runs until the core is gone.
@@ -273,6 +290,7 @@
         }
         let (version, whole, entries) = read?;
         self.after = Some(version);
+        self.told.store(version, Ordering::Relaxed);
         count(Count::list_answers);
         Some((if whole { ListKind::Full } else { ListKind::Changes }, entries))
     }
--- a/src/overlay.rs
+++ b/src/overlay.rs
@@ -66,6 +66,8 @@
     hands: Hands,
     /// Those that discovery no longer lists, and since when.
     left: BTreeMap<Arc<str>, Time>,
+    /// Starts that others have seen and discovery may not know of.
+    begun: BTreeMap<Arc<str>, Time>,
 }
 
 impl Overlay {
@@ -101,6 +103,8 @@
             oldest.map(|name| self.left.remove(&name));
         }
         self.hands.retain(|_, hand| hand.back.is_none_or(|back| now < back + BACK_KEPT));
+        let listed = &self.listed;
+        self.begun.retain(|name, at| now < *at + BACK_KEPT && listed.contains_key(name));
     }
 
     /// An entry of discovery's as the module is to see it.
@@ -116,9 +120,21 @@
             }
             _ => {}
         }
+        member.up_since = member.up_since.max(self.begun.get(&entry.name).copied());
         entry
     }
 
+    /// A member was seen to begin its warm-up then; what the module is to be told, if that is later than it knows. It
+    /// lasts over later lists, until one no longer names the member: none is warmer than its latest start allows.
+    pub fn warms(&mut self, name: &Arc<str>, at: Time) -> Option<Listed> {
+        let known = self.again(name).map(|e| e.member.up_since);
+        if known.is_some_and(|start| start >= Some(at)) {
+            return None;
+        }
+        self.begun.insert(name.clone(), at);
+        self.again(name)
+    }
+
     /// Discovery's word on the members that it lists.
     pub fn listed(&self) -> impl Iterator<Item = &Listed> {
         self.listed.values()
--- /dev/null
+++ b/src/recovery.rs
@@ -0,0 +1,153 @@
+//! A start that goes on from what was stored, and the gathering of what the next one goes on from: the wiring between the
+//! operators' file, the store, the configuration, the list and the core.
+
+use crate::clock::Clock;
+use crate::config::{self, Config, Sound};
+use crate::core::counters::{count, Count};
+use crate::core::Order;
+use crate::handover::Desk;
+use crate::interface::Time;
+use crate::knowledge::{Held, Knowledge};
+use crate::net::discovery;
+use crate::operators::{self, Broken, Fsync};
+use crate::store::actor::Scribe;
+use crate::store::disk::Folder;
+use crate::store::state::{Recovered, Store};
+use crate::store::tell;
+use serde_json::Value;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::watch;
+
+/// What a start has.
+pub struct Start {
+    /// The configuration that holds, and its text.
+    pub told: Config,
+    /// The same, checked.
+    pub sound: Sound,
+    /// Its text.
+    pub text: Vec<u8>,
+    /// It is the stored one, as the file cannot be used.
+    pub stored: bool,
+    /// The store, and what it had.
+    pub store: Option<(Scribe, Recovered)>,
+}
+
+/// The name of the proxy, by which it finds its folder: it must be known even where the configuration cannot be read.
+fn name() -> Result<String, String> {
+    if let Some(name) = std::env::var("BALANCER_NAME").ok().filter(|n| !n.is_empty()) {
+        return Ok(name);
+    }
+    let (path, text) = config::text()?;
+    let json: Option<Value> = serde_json::from_slice(&text).ok();
+    let name = json.as_ref().and_then(|j| j.get("name")?.as_str()).filter(|n| !n.is_empty());
+    name.map(str::to_string).ok_or_else(|| {
+        format!("{path}: it tells no name, nor does BALANCER_NAME: the store's folder cannot be found")
+    })
+}
+
+fn open(file: &operators::Store) -> Result<(Scribe, Recovered), String> {
+    let place = crate::handover::place(&file.folder.to_string_lossy(), &name()?);
+    let bad = |e: std::io::Error| format!("store {}: {e}", place.display());
+    let folder = Folder::take(&place, file.fsync == Fsync::Word).map_err(bad)?;
+    let folder = folder.ok_or_else(|| format!("store {}: another process has it", place.display()))?;
+    let (store, found) = Store::open(folder, file.most).map_err(bad)?;
+    tell(&found);
+    Ok((Scribe::start(store).map_err(bad)?, found))
+}
+
+/// Reads the configuration, or where it cannot be used and the operators' file says so, takes the last that held.
+///
+/// # Errors
+/// With one plain message.
+pub fn start(file: &operators::Store) -> Result<Start, String> {
+    let store = if file.enabled { Some(open(file)?) } else { None };
+    let fault = match config::load() {
+        Ok((told, sound, text)) => return Ok(Start { told, sound, text, stored: false, store }),
+        Err(fault) => fault,
+    };
+    let last = match &store {
+        Some((_, found)) if file.broken == Broken::TakeLast && found.finding.settings_hold() => {
+            found.all.settings.as_ref().map(|held| held.text.as_bytes().to_vec())
+        }
+        _ => None,
+    };
+    let Some(text) = last else { return Err(fault) };
+    let (told, sound) = config::sound_text(&text).map_err(|e| format!("{fault}; the last that held: {e}"))?;
+    log::error!("the configuration cannot be used, and the last that held is taken: {fault}");
+    count(Count::store_settings_taken);
+    Ok(Start { told, sound, text, stored: true, store })
+}
+
+/// The list to begin with: of the configuration's and the stored one the later. Either only says whom to ask.
+pub fn list(configured: &Value, found: Option<&Recovered>) -> Value {
+    let version = |list: &Value| list.get("generation").and_then(Value::as_u64);
+    let stored = found.and_then(|f| serde_json::from_str::<Value>(&f.all.list.as_ref()?.text).ok());
+    match stored {
+        Some(stored) if version(&stored) > version(configured) => {
+            count(Count::store_list_taken);
+            stored
+        }
+        _ => configured.clone(),
+    }
+}
+
+/// Hands the core what was stored, before the first client comes.
+pub async fn recall(file: &operators::Store, found: Recovered, desk: &Desk, now: Time) {
+    let waits = found.finding.may_lack_words() && !file.confirm.is_zero();
+    let until = if waits { now + file.confirm.as_micros() as Time } else { 0 };
+    if waits {
+        log::warn!(
+            "what was said by hand may be lost: STATUS is no until CONFIRM, or for {:?}",
+            file.confirm
+        );
+    }
+    desk.ask(|reply| Order::Recall(Box::new(found.all), until, reply)).await;
+}
+
+/// Gathers what is known, from where it is known.
+pub struct Gatherer {
+    /// The way to the disk.
+    pub scribe: Scribe,
+    /// The way to the core.
+    pub desk: Desk,
+    /// The clock.
+    pub clock: Clock,
+    /// The configuration that holds.
+    pub settings: watch::Receiver<Option<Held>>,
+    /// Version of the list that is held; 0: none.
+    pub version: Arc<AtomicU64>,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+}
+
+impl Gatherer {
+    /// Writes all down at this rate, until the core has ended.
+    pub async fn run(&self, every: Duration) {
+        loop {
+            if self.write().await.is_none() {
+                return;
+            }
+            tokio::time::sleep(every).await;
+        }
+    }
+
+    /// Writes all down now; none once the core has ended.
+    pub async fn write(&self) -> Option<()> {
+        let known = self.desk.ask(Order::Export).await?;
+        let hands = self.desk.ask(Order::Hands).await?;
+        let listed = self.desk.ask(Order::Listed).await?;
+        let now = self.clock.now();
+        let list = (!listed.is_empty()).then(|| {
+            let version = self.version.load(Ordering::Relaxed);
+            Held { at: now, text: discovery::write(&listed, version, &self.zones).to_string().into() }
+        });
+        let settings = self.settings.borrow().clone();
+        let all = Box::new(Knowledge { known, hands, settings, list });
+        if self.scribe.snapshot(all, now).await.is_ok() {
+            count(Count::store_snapshots);
+        }
+        Some(())
+    }
+}
--- a/src/reload.rs
+++ b/src/reload.rs
@@ -1,10 +1,13 @@
 //! Settings at SIGHUP: the file is read and checked whole, then taken up whole or not at all.
 
+use crate::clock::Clock;
 use crate::config::{self, Config, Sound};
 use crate::core::counters::{count, Count};
 use crate::core::Order;
 use crate::handover::Desk;
+use crate::knowledge::Held;
 use crate::terms::{Slots, Terms};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::signal::unix::Signal;
@@ -27,6 +30,12 @@
     pub discovery: watch::Sender<String>,
     /// The way to the core.
     pub desk: Desk,
+    /// Where the text that holds is told to the store, if there is one.
+    pub held: Option<watch::Sender<Option<Held>>>,
+    /// A stored configuration holds, as the file could not be read at the start.
+    pub stored: Arc<AtomicBool>,
+    /// The clock.
+    pub clock: Clock,
 }
 
 impl Reload {
@@ -37,8 +46,13 @@
             let (mut pause, mut until) = (READ_AGAIN, Instant::now() + READ_AGAIN_MOST);
             let fault = loop {
                 match config::load_again(&self.running) {
-                    Ok((told, sound)) => {
+                    Ok((told, sound, text)) => {
                         self.take(told, sound).await;
+                        self.stored.store(false, Ordering::Relaxed);
+                        if let Some(held) = &self.held {
+                            let text = String::from_utf8_lossy(&text).as_ref().into();
+                            held.send_replace(Some(Held { at: self.clock.now(), text }));
+                        }
                         break None;
                     }
                     Err(fault) if Instant::now() >= until => break Some(fault),
--- /dev/null
+++ b/src/store/actor.rs
@@ -0,0 +1,69 @@
+//! Writes down what is known: the operators' word when it is said, all else at a bounded rate. A thread of its own waits
+//! for the disk, so that no request ever does; its mailbox is bounded, and a word that finds no room is refused.
+
+use super::disk::Folder;
+use super::state::Store;
+use crate::core::counters::{count, Count};
+use crate::interface::Time;
+use crate::knowledge::Knowledge;
+use crate::overlay::Hand;
+use std::sync::Arc;
+use tokio::sync::{mpsc, oneshot};
+
+/// Jobs that may wait for the disk.
+const JOBS: usize = 32;
+
+enum Job {
+    Word(Arc<str>, Hand, oneshot::Sender<Result<(), String>>),
+    Snapshot(Box<Knowledge>, Time, oneshot::Sender<Result<(), String>>),
+}
+
+/// The way to the store. Copies lead to the same one.
+#[derive(Clone)]
+pub struct Scribe(mpsc::Sender<Job>);
+
+impl Scribe {
+    /// Hands a store to a thread of its own, which ends with the last copy of this.
+    ///
+    /// # Errors
+    /// When there is no thread to be had.
+    pub fn start(mut store: Store<Folder>) -> std::io::Result<Self> {
+        let (jobs, mut mailbox) = mpsc::channel(JOBS);
+        std::thread::Builder::new().name("store".into()).spawn(move || {
+            while let Some(job) = mailbox.blocking_recv() {
+                let (done, reply) = match job {
+                    Job::Word(name, hand, reply) => (store.word(&name, &hand), reply),
+                    Job::Snapshot(all, at, reply) => (store.snapshot(&all, at), reply),
+                };
+                if let Err(e) = &done {
+                    count(Count::store_failures);
+                    log::warn!("store: it cannot be written: {e}");
+                }
+                let _ = reply.send(done.map_err(|e| e.to_string()));
+            }
+        })?;
+        Ok(Scribe(jobs))
+    }
+
+    async fn ask(&self, job: impl FnOnce(oneshot::Sender<Result<(), String>>) -> Job) -> Result<(), String> {
+        let (reply, done) = oneshot::channel();
+        self.0.try_send(job(reply)).map_err(|_| "the disk does not keep up".to_string())?;
+        done.await.unwrap_or_else(|_| Err("the store has ended".to_string()))
+    }
+
+    /// Writes down all that is known.
+    ///
+    /// # Errors
+    /// Why it could not be.
+    pub async fn snapshot(&self, all: Box<Knowledge>, at: Time) -> Result<(), String> {
+        self.ask(|reply| Job::Snapshot(all, at, reply)).await
+    }
+
+    /// Writes down what the operators said of a member; only then it may have its yes.
+    ///
+    /// # Errors
+    /// Why it cannot be proved to be written.
+    pub async fn word(&self, name: Arc<str>, hand: Hand) -> Result<(), String> {
+        self.ask(|reply| Job::Word(name, hand, reply)).await
+    }
+}
--- /dev/null
+++ b/src/store/mod.rs
@@ -0,0 +1,40 @@
+//! What outlasts the process, in a folder that the operators name: knowledge, written down off the request path.
+//!
+//! [`state`] says what is written in which order and what is believed after; [`actor`] does it beside the runtime's
+//! thread, with a bounded mailbox, at a bounded rate. The core and the module never see a file.
+
+pub mod actor;
+pub mod disk;
+pub mod record;
+pub mod state;
+
+use crate::core::counters::{count, Count};
+use state::{Finding, Recovered};
+
+/// Tells the log and the counters what a start has found.
+pub fn tell(found: &Recovered) {
+    let Recovered { all, finding, boot, at } = found;
+    let (what, counter) = match finding {
+        Finding::Sound => ("all that was written is there", None),
+        Finding::Fresh => ("there is nothing yet", None),
+        Finding::Lost => ("what was written is LOST", Some(Count::store_lost)),
+        Finding::Torn => ("a part is torn or damaged; the rest is used", Some(Count::store_torn)),
+        Finding::Foreign => {
+            ("it is none of this program's; nothing of it is used", Some(Count::store_foreign))
+        }
+        Finding::Newer => ("a later version has written it; nothing of it is used", Some(Count::store_newer)),
+        Finding::RolledBack => {
+            ("it is an OLDER COPY; its configuration is not used", Some(Count::store_rolled_back))
+        }
+    };
+    let (members, out) = (all.known.members.len(), all.hands.values().filter(|h| h.back.is_none()).count());
+    let line =
+        format!("store: start {boot}: {what}; {members} members known, {out} out by hand, written at {at}");
+    match counter {
+        Some(counter) => {
+            count(counter);
+            log::warn!("{line}");
+        }
+        None => log::info!("{line}"),
+    }
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -14,16 +14,20 @@
 static TURN: Mutex<()> = Mutex::new(());
 
 fn play_with(text: &str, more: impl Fn(&mut Setup, u32, &Path)) -> Outcome {
-    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
-    let script = Script::read(&format!("bound late 20000\n{text}")).expect("a sound scenario");
-    let program = Path::new(env!("CARGO_BIN_EXE_linentrail"));
-    let outcome = run(&script, program, more, |_| {}, &AtomicBool::new(false)).expect("it runs to its end");
+    let outcome = judged(text, more);
     let Outcome { verdict, .. } = &outcome;
     assert!(verdict.kept(), "{:#?}", verdict.breaches);
     assert!(verdict.asked > 50, "{} requests", verdict.asked);
     outcome
 }
 
+fn judged(text: &str, more: impl Fn(&mut Setup, u32, &Path)) -> Outcome {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let script = Script::read(&format!("bound late 20000\n{text}")).expect("a sound scenario");
+    let program = Path::new(env!("CARGO_BIN_EXE_linentrail"));
+    run(&script, program, more, |_| {}, &AtomicBool::new(false)).expect("it runs to its end")
+}
+
 /// Whether anything asked after the last process had come back was served.
 fn serves_again(outcome: &Outcome) -> bool {
     let back = |e: &Event| matches!(e.what, What::Serves { .. });
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -366,8 +366,7 @@
             log: None,
             listener: handed.then(listener),
             shared: handed.then(shared),
-            operators: String::new(),
-            still_coming: None,
+            ..Setup::default()
         };
         self.proxy = Some(Proxy::start(&setup).expect("the proxy starts"));
         self.setup = setup;
