Open first connections by turns, and seek a primary at few members when all start at once

Cause (24 proxies, 8 members, all killed and started 0.3 s later, by the rig's log): in the first 250 ms each of 8 members got 19 to 25 new connections, and 47 of the 66 probes of the first half second fell there. Each proxy's first write, with no primary known, asked all members for their role (seek_primary), a probe is a connection too, and reads tie between members with and without one (replicas, rank). Clients' backlog alone was ruled out: with the probes gone 14 to 17 were left.

Change (src/decide.rs): of members with like counts those that were connected to go first until the others' turn by lot, 30 ms a router, at most 3 s; a primary that was never known is sought at two members at a time, in an order by lot; one that is named and has not denied it is tried before others are asked, and no longer first again after it has denied.

--- a/crates/standins/src/rig/script.rs
+++ b/crates/standins/src/rig/script.rs
@@ -132,6 +132,8 @@
     pub list: (f64, usize),
     /// Whether a start finds the list in the configuration.
     pub known: bool,
+    /// Least time between two snapshots of the proxies' stores; none: nothing is stored.
+    pub store: Option<Duration>,
     /// Requests a second, and clients that ask them.
     pub load: (f64, u32),
     /// How long it runs.
@@ -163,6 +165,7 @@
             },
             list: (0.0, 64),
             known: true,
+            store: None,
             load: (60.0, 24),
             end: ms(5_000),
             bounds: Bounds::default(),
@@ -278,6 +281,7 @@
             ["list", "rate", rate, "queue", queue] => self.list = (number(rate)?, number(queue)?),
             ["known", "old"] => self.known = true,
             ["known", "lost"] => self.known = false,
+            ["store", "every", span] => self.store = Some(ms(span)?),
             ["load", rate, "clients", n] => self.load = (number(rate)?, number(n)?),
             ["end", at] => self.end = ms(at)?,
             ["bound", "full", span] => self.full = Some(ms(span)?),
--- a/crates/standins/src/rig/world.rs
+++ b/crates/standins/src/rig/world.rs
@@ -186,6 +186,9 @@
             }
             let still_coming = Some(Duration::from_millis(550));
             let mut setup = Setup { program: program.into(), config, still_coming, ..Setup::default() };
+            if let Some(every) = script.store {
+                setup.operators = store(&folder, every);
+            }
             more(&mut setup, n, &folder);
             seats.push(Mutex::new(Seat { setup, running: None, front, starts: 0 }));
         }
@@ -415,6 +418,12 @@
     }
 }
 
+/// The block of the operators' file that has a proxy store what it knows.
+fn store(folder: &Path, every: Duration) -> String {
+    let (folder, every) = (folder.display(), every.as_millis());
+    format!("store {{\n enabled = true\n folder = \"{folder}\"\n every_ms = {every}\n}}\n")
+}
+
 /// A member's entry in the list.
 fn listed(n: usize, member: &Member, groups: u32) -> Value {
     let mut entry = entry(n, member.address());
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -174,8 +174,8 @@
             Input::List(kind, entries) => {
                 let entries = self.overlay.list(kind, entries, now);
                 let told = self.told(kind, entries);
-                if matches!(kind, ListKind::Full | ListKind::Changes) && !self.recalled.is_empty() {
-                    self.confirm();
+                if kind != ListKind::Failed && !self.recalled.is_empty() {
+                    self.confirm(kind != ListKind::Disk);
                 }
                 Some(told)
             }
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -157,11 +157,15 @@
         events
     }
 
-    /// A list of this process's own has come: what was stored of members may be used as far as it says.
-    pub(super) fn confirm(&mut self) {
+    /// A list has come: what was stored of members may be used as far as it says; of one that is no older than this
+    /// process more than of one that may be.
+    pub(super) fn confirm(&mut self, own: bool) {
         let Actor { recalled, overlay, .. } = self;
         let life = |name: &str| overlay.again(name).map_or(Life::Absent, |e| Life::Named(e.member.up_since));
-        let Usable { bounds, primaries } = recalled.confirm(life);
+        let Usable { bounds, primaries } = match own {
+            true => recalled.confirm(life),
+            false => Usable { primaries: recalled.hints(life), ..Usable::default() },
+        };
         let bounds =
             bounds.into_iter().filter_map(|(name, at)| Some((self.overlay.again(&name)?.member.id, at)));
         let events: Vec<Event> = bounds.map(|(id, at)| heard(id, at, None)).collect();
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -45,6 +45,8 @@
 const ASK_PATIENCE: Time = 40_000;
 /// Least time between two probes of a member for its role, in us: elections take seconds.
 const SEEK_GAP: Time = 400_000;
+/// Probes out at once for a primary that was never known.
+const SEEK_FEW: usize = 2;
 /// A probe without a result after this long is taken as lost, in us.
 const PROBE_PATIENCE: Time = 1_000_000;
 /// Time between two tries of a held write at members whose role is unknown, in us.
@@ -77,25 +79,17 @@
 /// An answer slower than this share of its class's aim tells of a jam at the member, whoever caused it;
 /// sound members give few, as work varies.
 const SLOW_SHARE: f64 = 0.45;
-/// A slow answer lowers the member's bounds by this factor, once for all that was out at the time ...
-const EASE_DOWN: f64 = 0.75;
-/// ... each quick one raises them by this share of the full bound, and so does this time, in us.
-const EASE_UP: f64 = 0.03;
+/// A slow answer lowers the member's bounds once for all that was out at the time, each quick one raises them
+/// by a share of the full bound, and so does this time, in us. The common ease of all members falls with
+/// answers past `limit` of the aim: at a fifth of them slow it stands still. It comes back with time, too.
 const EASE_TIME: Time = 15_000_000;
-/// Where a member's even share is a single read, answers from it are few: each tells more, and one that did
-/// not come at all tells most.
-const EASE_UP_ONE: f64 = 0.15;
-const EASE_NONE_ONE: f64 = 0.3;
-/// The common ease of all members: answers slower than this share of the aim lower it by this factor, others
-/// raise it: at a fifth of them slow it stands still. It comes back with time as well, in us.
-const POOL_SLOW: f64 = 0.65;
-const POOL_DOWN: f64 = 0.9;
 const POOL_UP: f64 = 0.025;
 const POOL_TIME: Time = 30_000_000;
-/// Where a member's even share is a single read, the common ease shortens no queue but turns reads away, on
-/// the word of the few answers seen here: only those past the aim lower it then, and half of them must be.
-const POOL_SLOW_ONE: f64 = 1.0;
-const POOL_DOWN_ONE: f64 = 0.97;
+const EASING: Easing = Easing { limit: 0.65, down: 0.9, worse: 0.75, none: 0.75, better: 0.03 };
+/// Where a member's even share is a single read, answers from it are few: each tells more, and one that did
+/// not come at all tells most. The common ease shortens no queue there but turns reads away, on the word of
+/// the few answers seen here: only those past the aim lower it then, and half of them must be.
+const EASING_ONE: Easing = Easing { limit: 1.0, down: 0.97, worse: 0.75, none: 0.3, better: 0.15 };
 /// What a cold member may have of its group's first reads, in even shares of a member as warm as it is:
 /// enough to warm it, under the rule's multiple when every router prefers it and load stands high.
 const COLD_READS: f64 = 2.0;
@@ -115,6 +109,10 @@
 /// Idle connections are closed before use, and used ones preferred, once the share of attempts lost on idle
 /// ones exceeds that on others by this much.
 const LINK_LIMIT: f64 = 0.45;
+/// A member that was never connected to has its turn within so much a router, in us ...
+const TURN_EACH: Time = 30_000;
+/// ... but no later than this.
+const TURN_MOST: Time = 3_000_000;
 /// A member that turned something away as full gets nothing for this long, in us.
 const FULL_REST: Time = 30_000;
 /// Unreachable for at least this long and back: taken as restarted, in us.
@@ -251,7 +249,7 @@
                 self.open.entry(*id).and_modify(|open| open.streaming = true);
             }
             Event::Ended { id, attempt, outcome, complete, spent, note, report } => {
-                self.ended(*id, *attempt as usize, *outcome, (*note, *report), *spent, out);
+                self.ended((*id, *attempt as usize), *outcome, (*note, *report), *spent, out);
                 if *complete {
                     self.close(*id, out);
                 }
@@ -287,8 +285,8 @@
     }
 
     /// Replicas with room for this read that it has not tried, each with its rank: the fewest own reads out
-    /// first; of equals those with fewer slow answers, with a working connection, and near. What is left, the
-    /// rule with hundreds of drivers, is decided by each one's own lot.
+    /// first; of equals those connected to before others, which have their turn by lot, those with fewer slow
+    /// answers, with a working connection, and near. What is left is decided by each one's own lot.
     fn replicas<'a>(&'a self, open: &'a Open) -> impl Iterator<Item = (Rank, MemberId, &'a Seen)> {
         let (primary, faulty) = (self.primary(open.group), self.idle_fault());
         let fits = move |id, m: &Seen| self.usable(m) && self.room((id, m), open, (m.reads, MEMBER_READS));
@@ -296,10 +294,18 @@
         self.of_group(open.group).filter(move |(id, m)| sound(*id, m)).map(move |(id, m)| {
             let dead = faulty && m.idle(self.now, IDLE_LEAST);
             let lot = lot(self.set.seed, open.seq, u64::from(id.0));
-            (((m.reads, self.slow(m), dead, m.zone != self.set.zone), lot), id, m)
+            (((m.reads, self.early(id, m), self.slow(m), dead, m.zone != self.set.zone), lot), id, m)
         })
     }
 
+    /// Never connected to, and before its turn: all routers may have come to know it at one moment, and what
+    /// they would open at once adds up. Only reads that find no room elsewhere open a connection until then.
+    fn early(&self, id: MemberId, m: &Seen) -> bool {
+        let span = (Time::from(self.set.instances) * TURN_EACH).min(TURN_MOST) as f64;
+        let turn = (span * lot(self.set.seed, u64::from(id.0), TURN_EACH)) as Time;
+        m.last_sent == 0 && self.now < m.quiet_since + turn
+    }
+
     /// Rank by slow answers lately. A cold member, new to it, ranks no better than all do together, or it
     /// would be everyone's first choice when the others are slow.
     fn slow(&self, m: &Seen) -> u8 {
@@ -369,7 +375,8 @@
         for (_, _, id) in round.drain(..) {
             let Some(open) = self.open.get(&id) else { continue };
             let class = &self.set.classes[open.class];
-            let hopeless = class.need == Need::Write && !open.written && self.now >= self.half_time(open);
+            let half = (open.arrived + open.deadline.max(open.arrived)) / 2;
+            let hopeless = class.need == Need::Write && !open.written && self.now + HALF_LEAD >= half;
             if hopeless || self.now + ANSWER_LEAD >= open.deadline || !self.allows(open, None).0 {
                 self.give_up(id, out);
                 continue;
@@ -402,11 +409,6 @@
         self.now >= open.arrived + limit as Time && self.of_group(open.group).any(would_do)
     }
 
-    /// When a write is given up that has reached no member, as there is no primary.
-    fn half_time(&self, open: &Open) -> Time {
-        (open.arrived + open.deadline.saturating_sub(open.arrived) / 2).saturating_sub(HALF_LEAD)
-    }
-
     /// When a held read must go out if it is still to make its aim; past its aim, its deadline counts where
     /// late answers are worth something.
     fn last_call(&self, open: &Open) -> Time {
@@ -514,8 +516,12 @@
         let mut ids = self.chosen(group, |m| m.replica_at == 0 || self.now >= m.replica_at + SCOUT_GAP);
         ids.retain(|m| self.takes_writes(*m, open));
         let spare = need == Need::Write && open.attempts.len() + 2 <= self.set.max_attempts as usize;
-        self.seek_primary(group, out);
-        let next = ids.into_iter().min_by_key(|m| (!self.members[m].head, self.members[m].replica_at));
+        // One that is named and has not denied it is tried first, and before others are asked.
+        let named = |m: &MemberId| self.members[m].head && self.members[m].replica_at == 0;
+        let next = ids.into_iter().min_by_key(|m| (!named(m), self.members[m].replica_at));
+        if !next.is_some_and(|m| named(&m)) {
+            self.seek_primary(group, out);
+        }
         let g = self.groups.entry(group).or_default();
         if let Some(m) = next.filter(|_| spare && self.now >= g.next_scout) {
             g.next_scout = self.now + SCOUT_GAP;
@@ -523,11 +529,16 @@
         }
     }
 
-    /// Asks a group's members for their role while writes wait for a primary.
+    /// Asks a group's members for their role while writes wait for a primary; few at a time where none was
+    /// ever known here, as all routers may have started at once, and a probe is a connection, too.
     fn seek_primary(&mut self, group: GroupId, out: &mut Vec<Action>) {
-        for id in self.chosen(group, |_| true) {
-            self.probe(id, SEEK_GAP, out);
-        }
+        let known = self.groups.get(&group).is_none_or(|g| g.last.is_some());
+        let asked = self.chosen(group, |m| m.probe_out).len();
+        let few = if known { usize::MAX } else { SEEK_FEW.saturating_sub(asked) };
+        let mut ids = self.chosen(group, |m| !m.probe_out);
+        let seed = self.set.seed;
+        ids.sort_by_key(|id| (lot(seed, u64::from(id.0), SEEK_GAP) * 1e9) as u64);
+        ids.into_iter().filter(|id| self.probe(*id, SEEK_GAP, out)).take(few).for_each(drop);
     }
 
     fn of_group(&self, group: GroupId) -> impl Iterator<Item = (MemberId, &Seen)> {
@@ -698,8 +709,7 @@
     fn trust_zone(&mut self, zone: u32) {
         let (now, warm) = (self.now, self.set.rules.warm_after);
         let inferred = |m: &Seen| m.zone == zone && m.doubt.as_ref().is_some_and(|d| d.inferred);
-        let members = self.members.values_mut().filter(|m| inferred(m));
-        members.for_each(|m| m.reopen(now, RESTART_AFTER, warm));
+        self.members.values_mut().filter(|m| inferred(m)).for_each(|m| m.reopen(now, RESTART_AFTER, warm));
     }
 
     fn probed(&mut self, id: MemberId, ok: bool, report: Option<Report>, out: &mut Vec<Action>) {
@@ -728,15 +738,7 @@
 
     // ---- Attempts and final answers ------------------------------------------------------------------
 
-    fn ended(
-        &mut self,
-        id: RequestId,
-        n: usize,
-        outcome: Outcome,
-        (note, report): (Option<Note>, Option<Report>),
-        spent: Time,
-        out: &mut Vec<Action>,
-    ) {
+    fn ended(&mut self, (id, n): Which, outcome: Outcome, (note, report): Word, spent: Time, out: Out) {
         let now = self.now;
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(a) = open.attempts.get_mut(n).filter(|a| a.fate == Fate::Out) else { return };
@@ -767,12 +769,7 @@
         }
         let late = matches!(outcome, Completed | Overdue | Recalled) && now >= sent + slow;
         let one = self.set.instances.min(SHARERS_MOST) >= MEMBER_READS;
-        let (limit, down) = if one { (POOL_SLOW_ONE, POOL_DOWN_ONE) } else { (POOL_SLOW, POOL_DOWN) };
-        let (worse, better) = match (one, outcome) {
-            (true, Overdue | Recalled) => (EASE_NONE_ONE, EASE_UP_ONE),
-            (true, _) => (EASE_DOWN, EASE_UP_ONE),
-            _ => (EASE_DOWN, EASE_UP),
-        };
+        let Easing { limit, down, worse, none, better } = if one { EASING_ONE } else { EASING };
         let later = late && (now - sent) as f64 >= self.set.classes[class].aim as f64 * limit;
         if later || outcome == Saturated {
             self.signs.pool.down(now, POOL_TIME, down, EASE_LEAST);
@@ -784,6 +781,7 @@
                 m.rest_until = now + FULL_REST;
             }
             if (late || outcome == Saturated) && sent >= m.eased {
+                let worse = if matches!(outcome, Overdue | Recalled) { none } else { worse };
                 m.ease.down(now, EASE_TIME, worse, EASE_LEAST);
                 m.eased = now;
             } else if !late && outcome == Completed {
@@ -925,14 +923,12 @@
         self.members.retain(|_, m| m.listed || !m.gone || m.out > 0);
         for g in self.groups.values_mut() {
             g.members.retain(|id| self.members.contains_key(id));
-            let gone = |id: &MemberId| self.members.get(id).is_none_or(|m| !m.listed);
-            g.primary = g.primary.filter(|id| !gone(id));
+            g.primary = g.primary.filter(|id| self.members.get(id).is_some_and(|m| m.listed));
         }
     }
 
     fn entry(&mut self, e: &Member, disk: bool) {
-        let now = self.now;
-        let warm = self.set.rules.warm_after;
+        let (now, warm) = (self.now, self.set.rules.warm_after);
         if e.condition == Condition::Out && !self.members.contains_key(&e.id) {
             return;
         }
@@ -973,8 +969,7 @@
 
     /// One pending wake-up, for whatever only the clock can bring about.
     fn arm(&mut self, out: &mut Vec<Action>) {
-        let limit = self.limit;
-        let mut next = self.list_next;
+        let (limit, mut next) = (self.limit, self.list_next);
         let mut at = |t: Time| next = Some(next.map_or(t, |n| n.min(t)));
         if !self.held.is_empty() {
             at(self.now + HELD_TICK);
--- a/src/knowledge/evidence.rs
+++ b/src/knowledge/evidence.rs
@@ -106,16 +106,22 @@
         self.0.members.is_empty()
     }
 
+    /// A list that may be as old as what was stored names members: whom of them a write may try first.
+    pub fn hints(&self, listed: impl Fn(&str) -> Listed) -> Vec<Arc<str>> {
+        let hint = |facts: &MemberFacts, life| {
+            facts.primary == Some(true) && role(facts, Source::Stored, life) >= Use::Hint
+        };
+        let members = self.0.members.iter().filter(|(name, facts)| hint(facts, listed(name)));
+        members.map(|(name, _)| name.clone()).collect()
+    }
+
     /// A list was heard: what may be acted on. All else is forgotten, as no later list can make it truer.
     pub fn confirm(&mut self, listed: impl Fn(&str) -> Listed) -> Usable {
-        let mut usable = Usable::default();
+        let mut usable = Usable { primaries: self.hints(&listed), ..Usable::default() };
         for (name, facts) in std::mem::take(&mut self.0.members) {
             let life = listed(&name);
             if position(&facts, Source::Stored, life) >= Use::Bound {
-                usable.bounds.push((name.clone(), facts.position));
-            }
-            if facts.primary == Some(true) && role(&facts, Source::Stored, life) >= Use::Hint {
-                usable.primaries.push(name);
+                usable.bounds.push((name, facts.position));
             }
         }
         usable
--- a/src/state.rs
+++ b/src/state.rs
@@ -135,6 +135,26 @@
     }
 }
 
+/// How answers move the ease of a member and of all together.
+pub(crate) struct Easing {
+    /// Later than this share of the aim, an answer lowers the common ease, by `down`.
+    pub limit: f64,
+    pub down: f64,
+    /// What a slow answer and one that did not come lower a member's ease by, and what a quick one raises it by.
+    pub worse: f64,
+    pub none: f64,
+    pub better: f64,
+}
+
+/// What an answer says of its member, and what that reports of itself.
+pub(crate) type Word = (Option<Note>, Option<Report>);
+
+/// An attempt: its request and its number.
+pub(crate) type Which = (RequestId, usize);
+
+/// Where the actions go.
+pub(crate) type Out<'a> = &'a mut Vec<Action>;
+
 /// What a router sees at all its members together.
 #[derive(Default)]
 pub(crate) struct Signs {
@@ -297,7 +317,7 @@
 }
 
 /// How a replica compares with the others for a read: the least is chosen.
-pub(crate) type Rank = ((u32, u8, bool, bool), f64);
+pub(crate) type Rank = ((u32, bool, u8, bool, bool), f64);
 
 pub(crate) fn by_rank(a: &Rank, b: &Rank) -> Ordering {
     a.0.cmp(&b.0).then(a.1.total_cmp(&b.1))
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -57,12 +57,17 @@
 impl Driver {
     /// A primary (1) and two replicas (2, 3), all heard of from the list alone.
     pub fn new(settings: Settings) -> Self {
-        let router = Router::new(settings).expect("settings");
-        let mut driver = Driver { router, now: 100_000 * MS, next: 0 };
+        let mut driver = Driver::blank(settings);
         driver.list(ListKind::Disk, vec![member(1, true), member(2, false), member(3, false)]);
         driver
     }
 
+    /// One that has heard of nobody.
+    pub fn blank(settings: Settings) -> Self {
+        let router = Router::new(settings).expect("settings");
+        Driver { router, now: 100_000 * MS, next: 0 }
+    }
+
     pub fn step(&mut self, events: &[Event]) -> Vec<Action> {
         let mut out = Vec::new();
         self.router.step(self.now, events, &mut out);
