Keep what the module has learned of a member in one type

The fields of a member's facts stood in src/known.rs and in src/knowledge; one type serves both.

No change of behaviour; unit tests as before.

--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -6,7 +6,7 @@
 use crate::decide::REPORT_ROUNDING;
 use crate::interface::*;
 use crate::knowledge::evidence::{Listed as Life, Recalled, Usable};
-use crate::knowledge::{merge_hands, Knowledge, Known, MemberFacts};
+use crate::knowledge::{merge_hands, Knowledge, Known};
 use crate::known::Learned;
 use rustc_hash::FxHashMap;
 use std::sync::Arc;
@@ -101,18 +101,7 @@
     fn export(&self, now: Time) -> Known {
         let named: FxHashMap<MemberId, &Arc<str>> =
             self.overlay.listed().map(|e| (e.member.id, &e.name)).collect();
-        let members = self.router.learned().filter_map(|m| {
-            let name = (*named.get(&m.id)?).clone();
-            let facts = MemberFacts {
-                start: m.start,
-                position: m.position,
-                heard: m.heard,
-                primary: m.primary,
-                role_at: m.role_at,
-                cold_from: m.cold_from,
-            };
-            Some((name, facts))
-        });
+        let members = self.router.learned().filter_map(|m| Some(((*named.get(&m.id)?).clone(), m.facts)));
         let (sessions, floor) = self.sessions.since(now.saturating_sub(RECENT));
         Known { members: members.collect(), sessions: sessions.into_iter().collect(), floor }
     }
@@ -127,7 +116,7 @@
         for (name, m) in &known.members {
             let Some(entry) = self.overlay.again(name) else { continue };
             let known = here.get(&entry.member.id);
-            if m.position > known.map_or(0, |h| h.position) {
+            if m.position > known.map_or(0, |h| h.facts.position) {
                 events.push(heard(entry.member.id, m.position, m.primary));
             }
         }
--- a/src/knowledge/mod.rs
+++ b/src/knowledge/mod.rs
@@ -2,7 +2,7 @@
 //! of the proxy and later starts of it take in. It does no I/O and holds no clock.
 //!
 //! Merging is associative, commutative and idempotent: whatever comes twice, late or in another order leaves the same.
-//! What a fact may be used for is [`evidence`]'s to say; how facts are written down, [`format`]'s.
+//! What a fact may be used for is [`evidence`]'s to say; how facts are written down, [`mod@format`]'s.
 
 pub mod evidence;
 pub mod format;
--- a/src/known.rs
+++ b/src/known.rs
@@ -2,25 +2,16 @@
 //! nothing here decides anything: what it hands on is taken in as events like any other.
 
 use crate::decide::Router;
-use crate::interface::{MemberId, Position, Time};
+use crate::interface::{MemberId, Position};
+use crate::knowledge::MemberFacts;
 
 /// What a router knows of a member, by its number.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Learned {
     /// The member.
     pub id: MemberId,
-    /// Its start, as the list has it.
-    pub start: Option<Time>,
-    /// Highest position heard; 0: none.
-    pub position: Position,
-    /// When it was last heard.
-    pub heard: Time,
-    /// Whether it is the primary, where it has shown its role.
-    pub primary: Option<bool>,
-    /// As of when.
-    pub role_at: Time,
-    /// Start of its warm-up, while that lasts.
-    pub cold_from: Option<Time>,
+    /// What it has shown.
+    pub facts: MemberFacts,
 }
 
 impl Router {
@@ -39,15 +30,15 @@
         self.members.iter().map(|(id, m)| {
             let head = self.groups.get(&m.group).filter(|g| g.primary == Some(*id));
             let replica = m.replica_at > 0;
-            Learned {
-                id: *id,
+            let facts = MemberFacts {
                 start: m.up_since,
                 position: m.position,
                 heard: m.heard,
                 primary: (head.is_some() || replica).then_some(head.is_some()),
                 role_at: head.map_or(m.replica_at, |g| g.as_of),
                 cold_from: m.cold_from,
-            }
+            };
+            Learned { id: *id, facts }
         })
     }
 }
