--- a/src/main.rs
+++ b/src/main.rs
@@ -68,8 +68,10 @@
 }
 
 async fn run() -> Result<(), String> {
-    // Heard from the start: unheard, this signal would end the process.
-    let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
+    // Heard from the start: unheard, each of them would end the process, and whoever reads that it serves may send one.
+    let hear = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
+    let (hangup, mut usr1) = (hear(SignalKind::hangup())?, hear(SignalKind::user_defined1())?);
+    let (mut term, mut int) = (hear(SignalKind::terminate())?, hear(SignalKind::interrupt())?);
     let file = operators::load()?;
     let Start { told, sound, text, stored, store } = recovery::start(&file.store)?;
     let Sound { names, settings, times } = sound;
@@ -179,9 +181,6 @@
     }
 
     let _ = phase.send(Phase::Serving);
-    let mut term = signal(SignalKind::terminate()).map_err(failed)?;
-    let mut int = signal(SignalKind::interrupt()).map_err(failed)?;
-    let mut usr1 = signal(SignalKind::user_defined1()).map_err(failed)?;
     loop {
         tokio::select! {
             _ = usr1.recv() => println!("counters: {}{}", counters::line(), meter::line()),
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -134,3 +134,29 @@
     assert!(attempts >= 1);
     assert_eq!(story, expected);
 }
+
+#[test]
+fn signals_are_heard_from_the_first_line_of_the_log_on() {
+    let dir = folder("signals");
+    let config = config("127.0.0.1:9", &[], settings(), 1024, 192);
+    std::fs::write(dir.join("config.json"), config.to_string()).expect("written");
+    let mut child = Command::new(env!("CARGO_BIN_EXE_linentrail"))
+        .env("BALANCER_CONFIG", dir.join("config.json"))
+        .env("BALANCER_DISCOVERY", "127.0.0.1:9")
+        .env_remove("RUST_LOG")
+        .stdout(Stdio::null())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let mut log = BufReader::new(child.stderr.take().expect("a pipe")).lines();
+    log.next().expect("a line").expect("text");
+    let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).expect("it runs");
+    let caught = status.lines().find_map(|l| l.strip_prefix("SigCgt:")).expect("a mask");
+    let caught = u64::from_str_radix(caught.trim(), 16).expect("hex");
+    let unheard: Vec<u32> = [1, 2, 10, 15].into_iter().filter(|n| caught >> (n - 1) & 1 == 0).collect();
+    child.kill().expect("it runs");
+    child.wait().expect("it ends");
+    std::fs::remove_dir_all(dir).expect("it was there");
+    // Whoever reads that it serves may send one at once; unheard it ends the process.
+    assert!(unheard.is_empty(), "{unheard:?}");
+}
