Let the rig's clients go on while a process starts or ends

Its log has no client's event between 2.65 and 5.30 s: clients ask where to connect under the lock of the proxy's seat (rig/world.rs, front), which is held while a process starts or ends, and so stood still with the runtime's threads. The machine, suspected first, was ruled out: no Stall in the log.

Change: the addresses stand beside the seats.

--- a/crates/standins/src/rig/world.rs
+++ b/crates/standins/src/rig/world.rs
@@ -31,8 +31,6 @@
 struct Seat {
     setup: Setup,
     running: Option<Proxy>,
-    /// Where clients come to.
-    front: SocketAddr,
     /// How often it was started.
     starts: u32,
 }
@@ -51,6 +49,8 @@
     list_links: HashMap<u32, Relay>,
     client_links: HashMap<u32, Relay>,
     seats: Vec<Mutex<Seat>>,
+    /// Where clients come to each proxy: known without its seat, which is held while a process starts or ends.
+    fronts: Vec<SocketAddr>,
     folder: PathBuf,
 }
 
@@ -149,7 +149,8 @@
             Step::ClientLink(who, _) => Some(who),
             _ => None,
         });
-        let (mut list_links, mut client_links, mut seats) = (HashMap::new(), HashMap::new(), Vec::new());
+        let (mut list_links, mut client_links) = (HashMap::new(), HashMap::new());
+        let (mut seats, mut fronts) = (Vec::new(), Vec::new());
         for n in 1..=script.proxies {
             let seen = |m: &u32| {
                 let real = members[*m as usize - 1].address().to_string();
@@ -190,12 +191,24 @@
                 setup.operators = store(&folder, every);
             }
             more(&mut setup, n, &folder);
-            seats.push(Mutex::new(Seat { setup, running: None, front, starts: 0 }));
+            fronts.push(front);
+            seats.push(Mutex::new(Seat { setup, running: None, starts: 0 }));
         }
         members.iter().for_each(Member::starts);
         let script = script.clone();
-        let inner =
-            Inner { script, log, members, groups, registry, links, list_links, client_links, seats, folder };
+        let inner = Inner {
+            script,
+            log,
+            members,
+            groups,
+            registry,
+            links,
+            list_links,
+            client_links,
+            seats,
+            fronts,
+            folder,
+        };
         let world = World(Arc::new(inner));
         world.start_all(&(1..=world.0.script.proxies).collect::<Vec<_>>(), Duration::ZERO)?;
         Ok(world)
@@ -207,7 +220,7 @@
 
     /// Where clients come to a proxy.
     pub fn front(&self, n: u32) -> SocketAddr {
-        self.seat(n).front
+        self.0.fronts[n as usize - 1]
     }
 
     /// A group's log, by its number from 1.
