Keep no text and copy no list at a start without a store

Found on a second reading. A start copied the whole configured list to begin with it, and kept the configuration's bytes until its end, also where nothing is stored (recovery.rs, main.rs): both are borrowed or dropped there now. What another process has learned was compared with a map of all members built anew each 100 ms (core::orders, learn); the router tells a member's position directly. Store::boot had no caller.

No change of behaviour: unit tests and tests/store.rs as before.

--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -7,7 +7,6 @@
 use crate::interface::*;
 use crate::knowledge::evidence::{Listed as Life, Recalled, Usable};
 use crate::knowledge::{merge_hands, Knowledge, Known};
-use crate::known::Learned;
 use rustc_hash::FxHashMap;
 use std::sync::Arc;
 
@@ -111,12 +110,10 @@
     /// in doubt here.
     pub(super) fn learn(&mut self, known: &Known) -> Vec<Event> {
         self.sessions.merge(known.sessions.iter(), known.floor);
-        let here: FxHashMap<MemberId, Learned> = self.router.learned().map(|m| (m.id, m)).collect();
         let mut events = Vec::new();
         for (name, m) in &known.members {
             let Some(entry) = self.overlay.again(name) else { continue };
-            let known = here.get(&entry.member.id);
-            if m.position > known.map_or(0, |h| h.facts.position) {
+            if m.position > self.router.position(entry.member.id) {
                 events.push(heard(entry.member.id, m.position, m.primary));
             }
         }
--- a/src/main.rs
+++ b/src/main.rs
@@ -73,7 +73,7 @@
     let (hangup, mut usr1) = (hear(SignalKind::hangup())?, hear(SignalKind::user_defined1())?);
     let (mut term, mut int) = (hear(SignalKind::terminate())?, hear(SignalKind::interrupt())?);
     let file = operators::load()?;
-    let Start { told, sound, text, stored, store } = recovery::start(&file.store)?;
+    let Start { told, sound, stored, store } = recovery::start(&file.store)?;
     let Sound { names, settings, times } = sound;
     let zones = names.zones.clone();
     let mut slots = Slots::default();
@@ -112,12 +112,11 @@
         tokio::spawn(discovery.run(asked));
     }
 
-    let scribe = store.as_ref().map(|(scribe, _)| scribe.clone());
+    let scribe = store.as_ref().map(|(scribe, ..)| scribe.clone());
     let desk = Desk::new(orders, folder.clone()).writing(scribe);
     let (stored, mut held, mut last) = (Arc::new(AtomicBool::new(stored)), None, None);
-    if let Some((scribe, found)) = store {
+    if let Some((scribe, found, text)) = store {
         recovery::recall(&file.store, found, &desk, clock.now()).await;
-        let text = String::from_utf8_lossy(&text).as_ref().into();
         let (holds, settings) = watch::channel(Some(Held { at: clock.now(), text }));
         held = Some(holds);
         let gatherer = Gatherer { scribe, desk: desk.clone(), clock, settings, version, zones };
--- a/src/recovery.rs
+++ b/src/recovery.rs
@@ -15,6 +15,7 @@
 use crate::store::state::{Recovered, Store};
 use crate::store::tell;
 use serde_json::Value;
+use std::borrow::Cow;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,16 +23,14 @@
 
 /// What a start has.
 pub struct Start {
-    /// The configuration that holds, and its text.
+    /// The configuration that holds.
     pub told: Config,
     /// The same, checked.
     pub sound: Sound,
-    /// Its text.
-    pub text: Vec<u8>,
     /// It is the stored one, as the file cannot be used.
     pub stored: bool,
-    /// The store, and what it had.
-    pub store: Option<(Scribe, Recovered)>,
+    /// Where there is a store: that, what it had, and the configuration's text for it to keep.
+    pub store: Option<(Scribe, Recovered, Arc<str>)>,
 }
 
 /// The name of the proxy, by which it finds its folder: it must be known even where the configuration cannot be read.
@@ -57,6 +56,11 @@
     Ok((Scribe::start(store).map_err(bad)?, found))
 }
 
+/// The store with the text that it is to keep; without one nobody keeps it.
+fn keeping(store: Option<(Scribe, Recovered)>, text: &[u8]) -> Option<(Scribe, Recovered, Arc<str>)> {
+    store.map(|(scribe, found)| (scribe, found, String::from_utf8_lossy(text).as_ref().into()))
+}
+
 /// Reads the configuration, or where it cannot be used and the operators' file says so, takes the last that held.
 ///
 /// # Errors
@@ -64,7 +68,9 @@
 pub fn start(file: &operators::Store) -> Result<Start, String> {
     let store = if file.enabled { Some(open(file)?) } else { None };
     let fault = match config::load() {
-        Ok((told, sound, text)) => return Ok(Start { told, sound, text, stored: false, store }),
+        Ok((told, sound, text)) => {
+            return Ok(Start { told, sound, stored: false, store: keeping(store, &text) })
+        }
         Err(fault) => fault,
     };
     let last = match &store {
@@ -77,19 +83,19 @@
     let (told, sound) = config::sound_text(&text).map_err(|e| format!("{fault}; the last that held: {e}"))?;
     log::error!("the configuration cannot be used, and the last that held is taken: {fault}");
     count(Count::store_settings_taken);
-    Ok(Start { told, sound, text, stored: true, store })
+    Ok(Start { told, sound, stored: true, store: keeping(store, &text) })
 }
 
 /// The list to begin with: of the configuration's and the stored one the later. Either only says whom to ask.
-pub fn list(configured: &Value, found: Option<&Recovered>) -> Value {
+pub fn list<'a>(configured: &'a Value, found: Option<&Recovered>) -> Cow<'a, Value> {
     let version = |list: &Value| list.get("generation").and_then(Value::as_u64);
     let stored = found.and_then(|f| serde_json::from_str::<Value>(&f.all.list.as_ref()?.text).ok());
     match stored {
         Some(stored) if version(&stored) > version(configured) => {
             count(Count::store_list_taken);
-            stored
+            Cow::Owned(stored)
         }
-        _ => configured.clone(),
+        _ => Cow::Borrowed(configured),
     }
 }
 
--- a/src/store/state.rs
+++ b/src/store/state.rs
@@ -126,11 +126,6 @@
         Ok((store, Recovered { all, finding, boot, at }))
     }
 
-    /// The number of this start.
-    pub fn boot(&self) -> u64 {
-        self.boot
-    }
-
     /// Writes down what the operators said. Only after this it may have its yes.
     ///
     /// # Errors
