Spread first connections and first writes after a mass restart; 12 at a member at most

Need: all of 24 proxies killed and started at once opened 17 to 29 connections at one member within 250 ms; 12 are wanted. Cause, by the rig's log of connections against statements: (a) the primary was taken for a replica while its role was only named, and got reads of all proxies; (b) each proxy's first writes went out together, each on a connection of its own; (c) reads that found no room opened any member at once, turn or not (replicas, pick_read in decide.rs). Change: one that is named for primary gets no reads as a replica; what needs the primary waits for the router's turn within 70% of its aim and goes one by one until all have had theirs; before its turn a member is connected to only where no other replica serves, or for reads that have waited 40 ms, 80 ms apart; meanwhile reads may wait for 80% of the tightest aim.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -110,9 +110,14 @@
 /// ones exceeds that on others by this much.
 const LINK_LIMIT: f64 = 0.45;
 /// A member that was never connected to has its turn within so much a router, in us ...
-const TURN_EACH: Time = 30_000;
-/// ... but no later than this.
+const TURN_EACH: Time = 60_000;
+/// ... but no later than this; and a group's primary before so much of a write's aim is over.
 const TURN_MOST: Time = 3_000_000;
+const TURN_SHARE: f64 = 0.7;
+/// Before its turn a member is connected to this long after another of its group, in us, and for reads that
+/// have waited for room; for as much of the tightest aim they may wait while turns are to come.
+const TURN_GAP: Time = 80_000;
+const TURN_HOLD: f64 = 0.8;
 /// A member that turned something away as full gets nothing for this long, in us.
 const FULL_REST: Time = 30_000;
 /// Unreachable for at least this long and back: taken as restarted, in us.
@@ -123,8 +128,7 @@
 const LIST_PAUSE: Time = 1_000_000;
 const LIST_PAUSE_MOST: Time = 8_000_000;
 const LIST_PATIENCE: Time = 6_000_000;
-/// Routers that may ask at once; with more, each adds so much to the span over which all spread their calls
-/// ...
+/// Routers that may ask at once; each more adds so much to the span over which all spread their calls ...
 const LIST_FEW: u32 = 18;
 const LIST_EACH: Time = 60_000;
 /// ... which is no longer than this, as drains count as told some seconds later, whether heard of or not.
@@ -139,6 +143,7 @@
 // ---- The router ---------------------------------------------------------------------------------------
 
 /// Decides for one driver. It holds no clock and does no I/O: hand it what happened, carry out what it says.
+#[derive(Default)]
 pub struct Router {
     set: Settings,
     now: Time,
@@ -170,19 +175,9 @@
         Ok(Router {
             service: set.classes.iter().map(|c| c.aim as f64 / 4.0).collect(),
             limit: SILENCE_MOST,
-            signs: Signs::default(),
-            set,
-            now: 0,
-            seq: 0,
-            members: BTreeMap::new(),
-            groups: BTreeMap::new(),
-            open: FxHashMap::default(),
-            held: Vec::new(),
-            round: Vec::new(),
-            sessions: Sessions::default(),
-            wake: None,
-            list_next: None,
             list_pause: LIST_PAUSE,
+            set,
+            ..Router::default()
         })
     }
 
@@ -211,8 +206,7 @@
             Event::List { kind, members } => self.list(*kind, members),
             Event::Request { id, class, group, deadline, session, token_age, proven, repeat } => {
                 let Some(kind) = self.set.classes.get(*class) else {
-                    out.push(Action::Fail { id: *id });
-                    return;
+                    return out.push(Action::Fail { id: *id });
                 };
                 if self.open.contains_key(id) {
                     return;
@@ -245,9 +239,7 @@
             Event::Settings(set) => self.retune(set),
             Event::Wake { .. } => self.wake = None,
             Event::Probed { member, ok, report } => self.probed(*member, *ok, *report, out),
-            Event::Started { id, .. } => {
-                self.open.entry(*id).and_modify(|open| open.streaming = true);
-            }
+            Event::Started { id, .. } => drop(self.open.entry(*id).and_modify(|open| open.streaming = true)),
             Event::Ended { id, attempt, outcome, complete, spent, note, report } => {
                 self.ended((*id, *attempt as usize), *outcome, (*note, *report), *spent, out);
                 if *complete {
@@ -290,7 +282,9 @@
     fn replicas<'a>(&'a self, open: &'a Open) -> impl Iterator<Item = (Rank, MemberId, &'a Seen)> {
         let (primary, faulty) = (self.primary(open.group), self.idle_fault());
         let fits = move |id, m: &Seen| self.usable(m) && self.room((id, m), open, (m.reads, MEMBER_READS));
-        let sound = move |id, m| Some(id) != primary && !open.tried(id) && fits(id, m);
+        let sound = move |id, m| {
+            Some(id) != primary && !open.tried(id) && fits(id, m) && self.may_open((id, m), open, primary)
+        };
         self.of_group(open.group).filter(move |(id, m)| sound(*id, m)).map(move |(id, m)| {
             let dead = faulty && m.idle(self.now, IDLE_LEAST);
             let lot = lot(self.set.seed, open.seq, u64::from(id.0));
@@ -298,12 +292,25 @@
         })
     }
 
+    /// The span over which all routers spread what they might do at one moment.
+    fn turns(&self, most: Time) -> Time {
+        (Time::from(self.set.instances) * TURN_EACH).min(most)
+    }
+
     /// Never connected to, and before its turn: all routers may have come to know it at one moment, and what
-    /// they would open at once adds up. Only reads that find no room elsewhere open a connection until then.
+    /// they would open at once adds up.
     fn early(&self, id: MemberId, m: &Seen) -> bool {
-        let span = (Time::from(self.set.instances) * TURN_EACH).min(TURN_MOST) as f64;
-        let turn = (span * lot(self.set.seed, u64::from(id.0), TURN_EACH)) as Time;
-        m.last_sent == 0 && self.now < m.quiet_since + turn
+        let turn = || self.turns(TURN_MOST) as f64 * lot(self.set.seed, u64::from(id.0), TURN_EACH);
+        m.last_sent == 0 && self.now < m.quiet_since + turn() as Time
+    }
+
+    /// Before a member's turn it is connected to where no other replica that could serve has been, and for reads
+    /// that find no room elsewhere for a while, one after the other, which costs them a part of their aim.
+    fn may_open(&self, (id, m): (MemberId, &Seen), open: &Open, primary: Option<MemberId>) -> bool {
+        let waited = self.now >= open.arrived + ASK_PATIENCE;
+        let serves = |(other, m): (_, &Seen)| Some(other) != primary && m.last_sent > 0 && self.usable(m);
+        let gap = || self.groups.get(&open.group).is_some_and(|g| self.now >= g.opened + TURN_GAP);
+        !self.early(id, m) || !self.of_group(open.group).any(serves) || waited && gap()
     }
 
     /// Rank by slow answers lately. A cold member, new to it, ranks no better than all do together, or it
@@ -319,28 +326,24 @@
         let open = &self.open[&id];
         let (group, since) = (open.group, open.arrived);
         // Nearly always one qualifies, and none of the others is put in order.
-        let (mut best, mut any) = (None::<(Rank, MemberId)>, false);
-        for (rank, id, m) in self.replicas(open) {
-            any = true;
-            if best.as_ref().is_none_or(|b| by_rank(&rank, &b.0).is_lt()) && self.qualifies(m, open) {
-                best = Some((rank, id));
-            }
-        }
-        if let Some((_, id)) = best {
+        let mut any = false;
+        let fits = self.replicas(open).inspect(|_| any = true).filter(|(_, _, m)| self.qualifies(m, open));
+        if let Some((_, id, _)) = fits.min_by(|a, b| by_rank(&a.0, &b.0)) {
             return Some(id);
         }
-        let mut replicas: Vec<(Rank, MemberId)> = Vec::new();
-        if any {
-            replicas.extend(self.replicas(open).map(|(rank, id, _)| (rank, id)));
-            replicas.sort_by(|a, b| by_rank(&a.0, &b.0));
-        }
+        let ranked = any.then(|| self.replicas(open).map(|(rank, id, _)| (rank, id)));
+        let mut replicas: Vec<(Rank, MemberId)> = ranked.into_iter().flatten().collect();
+        replicas.sort_by(|a, b| by_rank(&a.0, &b.0));
         let gap = match self.set.classes[open.class].need {
             Need::Bounded(age) => age.max(PROBE_GAP),
             _ => PROBE_GAP,
         };
+        let late = self.now >= since + (self.set.classes[open.class].aim as f64 * TURN_SHARE) as Time;
         let id = self.primary(group).filter(|id| {
             let m = &self.members[id];
-            self.usable(m) && self.room((*id, m), open, (m.out, PRIMARY_READS)) && !open.tried(*id)
+            let turn = m.last_sent > 0 || self.now >= m.quiet_since + self.turns(TURN_MOST);
+            let fits = (late || turn) && self.usable(m) && !open.tried(*id);
+            fits && self.room((*id, m), open, (m.out, PRIMARY_READS))
         });
         let asked = |m: &Seen| m.probe_out && m.probed.is_some_and(|t| self.now < t + ASK_PATIENCE);
         let mut waits = replicas.iter().any(|(_, id)| asked(&self.members[id]));
@@ -367,10 +370,8 @@
     fn dispatch(&mut self, out: &mut Vec<Action>) {
         // Oldest first; a write past its aim, worth little now, lets those pass that can still make theirs.
         let mut round = std::mem::take(&mut self.round);
-        for (seq, id) in &self.held {
-            let late = |o: &Open| self.now > o.arrived + self.set.classes[o.class].aim;
-            round.push((self.open.get(id).is_some_and(late), *seq, *id));
-        }
+        let late = |o: &Open| self.now > o.arrived + self.set.classes[o.class].aim;
+        round.extend(self.held.iter().map(|(seq, id)| (self.open.get(id).is_some_and(late), *seq, *id)));
         round.sort_unstable();
         for (_, _, id) in round.drain(..) {
             let Some(open) = self.open.get(&id) else { continue };
@@ -404,9 +405,11 @@
     fn crowded_out(&self, open: &Open) -> bool {
         let reads = self.set.classes.iter().filter(|c| !matches!(c.need, Need::Write | Need::Fresh));
         let tightest = reads.map(|c| c.aim).min().unwrap_or(0);
-        let limit = if open.repeat { 0.0 } else { tightest as f64 * HOLD_SHARE };
+        let turns = self.of_group(open.group).any(|(id, m)| self.early(id, m));
+        let share = if turns { TURN_HOLD } else { [HOLD_SHARE, 0.0][usize::from(open.repeat)] };
         let would_do = |(_, m): (MemberId, &Seen)| self.usable(m) && self.qualifies(m, open);
-        self.now >= open.arrived + limit as Time && self.of_group(open.group).any(would_do)
+        self.now >= open.arrived + (tightest as f64 * share) as Time
+            && self.of_group(open.group).any(would_do)
     }
 
     /// When a held read must go out if it is still to make its aim; past its aim, its deadline counts where
@@ -438,6 +441,8 @@
         open.attempts.push(Attempt { member, sent: self.now, link, fate: Fate::Out });
         m.quiet_since = if m.out == 0 { self.now } else { m.quiet_since };
         m.out += 1;
+        let first = self.groups.get_mut(&open.group).filter(|_| m.last_sent == 0);
+        first.into_iter().for_each(|g| g.opened = self.now);
         let class = &self.set.classes[open.class];
         m.reads += u32::from(class.need != Need::Write);
         m.last_sent = self.now;
@@ -452,8 +457,10 @@
 
     // ---- Positions and primary -----------------------------------------------------------------------
 
+    /// The primary; while none is known, one that is named so and can be reached.
     fn primary(&self, group: GroupId) -> Option<MemberId> {
-        self.groups.get(&group).and_then(|g| g.primary)
+        let named = || self.of_group(group).find(|(_, m)| m.named() && self.reachable(m)).map(|(id, _)| id);
+        self.groups.get(&group).and_then(|g| g.primary).or_else(named)
     }
 
     /// Takes in what a member says of itself. Positions are times, so the newest evidence of a role is the
@@ -491,6 +498,14 @@
         }
     }
 
+    /// What needs the primary waits for this router's turn, and one after the other until all have had theirs.
+    fn before_turn(&self, open: &Open) -> bool {
+        let span = self.turns((self.set.classes[open.class].aim as f64 * TURN_SHARE) as Time);
+        let turn = (span as f64 * lot(self.set.seed, open.group, TURN_EACH)) as Time;
+        let out = self.primary(open.group).is_some_and(|id| self.members[&id].out > 0);
+        self.groups.get(&open.group).is_some_and(|g| self.now < g.since + if out { span } else { turn })
+    }
+
     fn takes_writes(&self, id: MemberId, open: &Open) -> bool {
         let m = &self.members[&id];
         self.reachable(m) && self.room((id, m), open, (m.out, MEMBER_WRITES))
@@ -501,6 +516,9 @@
     fn dispatch_current(&mut self, id: RequestId, need: Need, out: &mut Vec<Action>) {
         let open = &self.open[&id];
         let group = open.group;
+        if self.before_turn(open) {
+            return;
+        }
         if let Some(m) = self.primary(group) {
             if self.takes_writes(m, open) && self.allows(open, Some(m)).0 {
                 self.send(id, m, out);
@@ -516,12 +534,8 @@
         let mut ids = self.chosen(group, |m| m.replica_at == 0 || self.now >= m.replica_at + SCOUT_GAP);
         ids.retain(|m| self.takes_writes(*m, open));
         let spare = need == Need::Write && open.attempts.len() + 2 <= self.set.max_attempts as usize;
-        // One that is named and has not denied it is tried first, and before others are asked.
-        let named = |m: &MemberId| self.members[m].head && self.members[m].replica_at == 0;
-        let next = ids.into_iter().min_by_key(|m| (!named(m), self.members[m].replica_at));
-        if !next.is_some_and(|m| named(&m)) {
-            self.seek_primary(group, out);
-        }
+        let next = ids.into_iter().min_by_key(|m| self.members[m].replica_at);
+        self.seek_primary(group, out);
         let g = self.groups.entry(group).or_default();
         if let Some(m) = next.filter(|_| spare && self.now >= g.next_scout) {
             g.next_scout = self.now + SCOUT_GAP;
@@ -536,8 +550,7 @@
         let asked = self.chosen(group, |m| m.probe_out).len();
         let few = if known { usize::MAX } else { SEEK_FEW.saturating_sub(asked) };
         let mut ids = self.chosen(group, |m| !m.probe_out);
-        let seed = self.set.seed;
-        ids.sort_by_key(|id| (lot(seed, u64::from(id.0), SEEK_GAP) * 1e9) as u64);
+        ids.sort_by_key(|id| (lot(self.set.seed, u64::from(id.0), SEEK_GAP) * 1e9) as u64);
         ids.into_iter().filter(|id| self.probe(*id, SEEK_GAP, out)).take(few).for_each(drop);
     }
 
@@ -859,14 +872,11 @@
         unhold(&mut self.held, (open.seq, id));
         open.done = true;
         let write = self.set.classes[open.class].need == Need::Write;
-        let mut left = false;
-        for (n, _) in open.attempts.iter().enumerate().filter(|(_, a)| a.fate == Fate::Out) {
-            left = true;
-            if self.set.cancelling && !write && !open.streaming {
-                out.push(Action::Cancel { id, attempt: n as u32 });
-            }
+        let left = open.attempts.iter().enumerate().filter(|(_, a)| a.fate == Fate::Out);
+        if self.set.cancelling && !write && !open.streaming {
+            out.extend(left.clone().map(|(n, _)| Action::Cancel { id, attempt: n as u32 }));
         }
-        if !left {
+        if left.count() == 0 {
             self.open.remove(&id);
         }
     }
@@ -908,10 +918,8 @@
         }
         if matches!(kind, ListKind::Disk | ListKind::Full) && !self.set.rules.removal_not_binding {
             let named: BTreeSet<MemberId> = entries.iter().map(|e| e.id).collect();
-            for (id, m) in &mut self.members {
-                if !named.contains(id) {
-                    (m.listed, m.gone) = (false, true);
-                }
+            for (_, m) in self.members.iter_mut().filter(|(id, _)| !named.contains(id)) {
+                (m.listed, m.gone) = (false, true);
             }
         }
         for e in entries {
@@ -945,7 +953,7 @@
             m.errors = Share::default();
             m.doubt = None;
         }
-        let g = self.groups.entry(e.group).or_default();
+        let g = self.groups.entry(e.group).or_insert_with(|| Group { since: now, ..Group::default() });
         if !g.members.contains(&e.id) {
             g.members.push(e.id);
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -79,9 +79,10 @@
 }
 
 /// What a member does with a read for which it lags too far.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum WhenBehind {
     /// It answers from the data it has.
+    #[default]
     Answers,
     /// It turns the read away untouched.
     Refuses,
@@ -90,20 +91,22 @@
 }
 
 /// How well the member list knows the primary.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum ListRole {
     /// It follows, some seconds late.
     Late,
     /// It says what was true when the day began.
     Start,
     /// It does not say.
+    #[default]
     Never,
 }
 
 /// What tells the driver of a session's writes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum SessionMarks {
     /// Each session read carries the age of its session's last write.
+    #[default]
     Carried,
     /// The router must remember the writes that it has seen through.
     Remembered,
@@ -111,7 +114,7 @@
 
 /// The figures of the rules that bind a driver; the settings of the operators fill them in. A draining member
 /// gets nothing from the moment the router is told, so that no grace is asked for.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Rules {
     /// A cold member starts with at least this share of its capacity.
     pub cold_share: f64,
@@ -124,7 +127,7 @@
 }
 
 /// What a router is told at its start.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct Settings {
     /// Seed of all randomness.
     pub seed: u64,
--- a/src/state.rs
+++ b/src/state.rs
@@ -260,6 +260,11 @@
         self.out > 0 && now >= self.quiet_since + limit
     }
 
+    /// The list calls it the primary, and it has not denied that.
+    pub fn named(&self) -> bool {
+        self.head && self.replica_at == 0
+    }
+
     /// Connections to it have been without use for `least`.
     pub fn idle(&self, now: Time, least: Time) -> bool {
         self.last_used.is_some_and(|t| now >= t + least)
@@ -284,6 +289,10 @@
     pub as_of: Position,
     /// When a held write may next try a member of unknown role.
     pub next_scout: Time,
+    /// When its first member was listed.
+    pub since: Time,
+    /// When last a member was sent something that never had been; 0: never.
+    pub opened: Time,
 }
 
 /// Writes of sessions seen through by this router. Old ones are folded into a floor that every session must
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -55,10 +55,12 @@
 }
 
 impl Driver {
-    /// A primary (1) and two replicas (2, 3), all heard of from the list alone.
+    /// A primary (1) and two replicas (2, 3), all heard of from the list alone, some while ago: first connections wait
+    /// for nobody's turn.
     pub fn new(settings: Settings) -> Self {
         let mut driver = Driver::blank(settings);
         driver.list(ListKind::Disk, vec![member(1, true), member(2, false), member(3, false)]);
+        driver.now += 4_000 * MS;
         driver
     }
 
