--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -2,6 +2,7 @@
 //! one program or two in turn, over several seeds.
 
 pub mod hunt;
+mod plot;
 mod report;
 
 use crate::drive::Stop;
@@ -28,12 +29,18 @@
     /// Runs with so many seeds, from the scenario's on
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=1_000))]
     seeds: u64,
-    /// So many proxies instead of the scenario's
-    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=200))]
-    proxies: Option<u32>,
+    /// So many proxies instead of the scenario's; several numbers are run in turn: 8,16,32
+    #[arg(long, value_delimiter = ',', value_parser = clap::value_parser!(u32).range(1..=200))]
+    proxies: Vec<u32>,
+    /// So many proxies are told to each, whatever there are: a wrong guess
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..))]
+    told: Option<u32>,
     /// Writes the last run's events here, a JSON object a line
     #[arg(long)]
     log: Option<PathBuf>,
+    /// Draws the figures over the numbers of proxies here (SVG)
+    #[arg(long)]
+    plot: Option<PathBuf>,
     /// Writes all figures here as JSON
     #[arg(long)]
     json: Option<PathBuf>,
@@ -74,32 +81,30 @@
 /// Runs the command.
 pub async fn run(options: &Options, stop: &Stop) -> Result<(), Failure> {
     let mut script = read(&options.scenario)?;
-    if let Some(proxies) = options.proxies {
-        if script.told == script.proxies {
-            script.told = proxies;
-        }
-        script.proxies = proxies;
-    }
+    let sizes = if options.proxies.is_empty() { vec![script.proxies] } else { options.proxies.clone() };
+    let as_many = script.told == script.proxies;
     let mut programs = vec![("new", program(options.program.as_ref())?)];
     if let Some(old) = &options.against {
         programs.insert(0, ("old", program(Some(old))?));
     }
     let first = script.seed;
     let mut table = report::Report::default();
-    for seed in first..first + options.seeds {
+    let runs = sizes.iter().flat_map(|size| (first..first + options.seeds).map(move |seed| (*size, seed)));
+    for (proxies, seed) in runs {
         for (name, program) in &programs {
             if stop.is_set() {
                 break;
             }
-            script.seed = seed;
-            eprintln!("seed {seed}, {name}");
-            let outcome = play(&script, program, stop, options.seeds == 1).await?;
+            (script.seed, script.proxies) = (seed, proxies);
+            script.told = options.told.unwrap_or(if as_many { proxies } else { script.told });
+            eprintln!("{proxies} proxies, seed {seed}, {name}");
+            let outcome = play(&script, program, stop, options.seeds == 1 && sizes.len() == 1).await?;
             if let Some(path) = &options.log {
                 let bad = |e: std::io::Error| Failure::Unusable(format!("{}: {e}", path.display()));
                 let file = std::fs::File::create(path).map_err(bad)?;
                 events::write(&outcome.events, std::io::BufWriter::new(file)).map_err(bad)?;
             }
-            table.add(name, seed, &outcome);
+            table.add(name, (proxies, seed), &outcome);
         }
     }
     table.print();
@@ -107,6 +112,10 @@
         let text = table.json().to_string();
         std::fs::write(path, text).map_err(|e| Failure::Unusable(format!("{}: {e}", path.display())))?;
     }
+    if let Some(path) = &options.plot {
+        let bad = |e: Box<dyn std::error::Error>| Failure::Unusable(format!("{}: {e}", path.display()));
+        plot::write(table.runs(), path).map_err(bad)?;
+    }
     match (table.broken("new"), stop.is_set()) {
         (0, false) => Ok(()),
         (0, true) => Err(Failure::Broken("interrupted".to_string())),
--- a/crates/lab/src/fleet/report.rs
+++ b/crates/lab/src/fleet/report.rs
@@ -17,7 +17,8 @@
     format!("{:8.3} s  {:?}: {}", breach.at as f64 / 1e6, breach.rule, breach.what)
 }
 
-const HEADS: [&str; 13] = [
+const HEADS: [&str; 14] = [
+    "proxies",
     "seed",
     "program",
     "asked",
@@ -35,7 +36,7 @@
 
 impl Report {
     /// Takes in a run.
-    pub fn add(&mut self, program: &str, seed: u64, outcome: &Outcome) {
+    pub fn add(&mut self, program: &str, (proxies, seed): (u32, u64), outcome: &Outcome) {
         let Outcome { verdict, back, counters, .. } = outcome;
         let back = back.clone().unwrap_or_default();
         let [before, after] = verdict.peaks;
@@ -46,7 +47,7 @@
         let each: Vec<Value> =
             outcome.each.iter().map(|(p, (seen, told))| json!([p, seen / 1000, told / 1000])).collect();
         self.rows.push(json!({
-            "seed": seed, "program": program, "asked": verdict.asked, "good_before": back.before,
+            "proxies": proxies, "seed": seed, "program": program, "asked": verdict.asked, "good_before": back.before,
             "first_half_second": back.half_second, "full_ms": back.full.map(|t| t as f64 / 1e3),
             "told_ms": told.map(|t| t / 1000), "apart_ms": apart.map(|t| t / 1000), "each_ms": each,
             "opened": [before.opened, after.opened], "probed": [before.probed, after.probed],
@@ -57,6 +58,11 @@
         self.breaches.extend(told);
     }
 
+    /// The figures, a run each.
+    pub fn runs(&self) -> &[Value] {
+        &self.rows
+    }
+
     /// How many breaches a program has shown that were told.
     pub fn broken(&self, program: &str) -> usize {
         self.breaches.iter().filter(|b| b.0 == program).count()
@@ -73,11 +79,12 @@
     pub fn print(&self) {
         let mut table = Table::new();
         table.load_preset(presets::ASCII_MARKDOWN).set_header(HEADS);
-        table.column_iter_mut().skip(2).for_each(|c| c.set_cell_alignment(CellAlignment::Right));
+        table.column_iter_mut().skip(3).for_each(|c| c.set_cell_alignment(CellAlignment::Right));
         for row in &self.rows {
             let share = |name: &str| format!("{:.3}", row[name].as_f64().unwrap_or(0.0));
             let pair = |name: &str, n: usize| row[name][n].to_string();
             table.add_row([
+                row["proxies"].to_string(),
                 row["seed"].to_string(),
                 row["program"].as_str().unwrap_or_default().to_string(),
                 row["asked"].to_string(),
