--- a/src/decide.rs
+++ b/src/decide.rs
@@ -302,8 +302,8 @@
         m.last_sent == 0 && self.now < m.quiet_since + turn() as Time
     }
 
-    /// Before a member's turn it is connected to where no other replica that could serve has been, and, one by
-    /// one, for reads that find no room elsewhere for a while, which costs them a part of their aim.
+    /// Before a member's turn it is connected to where no other replica that could serve has been, and one by
+    /// one for reads that find no room elsewhere for a while, which costs them a part of their aim.
     fn may_open(&self, (id, m): (MemberId, &Seen), open: &Open, primary: Option<MemberId>) -> bool {
         let waited = self.now >= open.arrived + ASK_PATIENCE;
         let serves = |(other, m): (_, &Seen)| Some(other) != primary && m.last_sent > 0 && self.usable(m);
