--- a/src/store/actor.rs
+++ b/src/store/actor.rs
@@ -30,15 +30,19 @@
     pub fn start(mut store: Store<Folder>) -> std::io::Result<Self> {
         let (jobs, mut mailbox) = mpsc::channel(JOBS);
         std::thread::Builder::new().name("store".into()).spawn(move || {
+            let told = |done: &std::io::Result<()>| {
+                if let Err(e) = done {
+                    count(Count::store_failures);
+                    log::warn!("store: it cannot be written: {e}");
+                }
+            };
+            told(&store.begin());
             while let Some(job) = mailbox.blocking_recv() {
                 let (done, reply) = match job {
                     Job::Word(name, hand, reply) => (store.word(&name, &hand), reply),
                     Job::Snapshot(all, at, reply) => (store.snapshot(&all, at), reply),
                 };
-                if let Err(e) = &done {
-                    count(Count::store_failures);
-                    log::warn!("store: it cannot be written: {e}");
-                }
+                told(&done);
                 let _ = reply.send(done.map_err(|e| e.to_string()));
             }
         })?;
--- a/src/store/state.rs
+++ b/src/store/state.rs
@@ -66,6 +66,8 @@
 pub struct Store<D> {
     disk: D,
     boot: u64,
+    /// The start's number is on the disk.
+    begun: bool,
     /// Number of the log.
     log: u64,
     /// Something could not be written, so that nothing may be added to this log any more.
@@ -79,12 +81,12 @@
 }
 
 impl<D: Disk> Store<D> {
-    /// Opens it, and begins a new start: its number is on the disk before anything is believed. `most` bytes are
-    /// written at most.
+    /// Opens it for a new start, which only reads: where all proxies start at one moment, none waits for the disk before
+    /// it serves. `most` bytes are written at most.
     ///
     /// # Errors
-    /// When the disk cannot be read, or the start's number cannot be written.
-    pub fn open(mut disk: D, most: u64) -> io::Result<(Self, Recovered)> {
+    /// When the disk cannot be read.
+    pub fn open(disk: D, most: u64) -> io::Result<(Self, Recovered)> {
         let number =
             |bytes: Option<Vec<u8>>| bytes.and_then(|b| std::str::from_utf8(&b).ok()?.trim().parse().ok());
         let (counted, seen): (Option<u64>, Option<u64>) = (number(disk.read(BOOT)?), disk.witness()?);
@@ -119,18 +121,32 @@
         let boot = known.max(seen.unwrap_or(0)) + 1;
         // Behind all others, so that no word of this start is added to what another has left unfinished.
         let log = logs.last().copied().unwrap_or(0) + 1;
-        disk.write(BOOT, format!("{boot}\n").as_bytes())?;
-        disk.force(BOOT)?;
-        disk.note(boot)?;
-        let store = Store { disk, boot, log, broken: false, most, logged: 0 };
+        let store = Store { disk, boot, begun: false, log, broken: false, most, logged: 0 };
         Ok((store, Recovered { all, finding, boot, at }))
     }
 
+    /// Puts the start's number on the disk, before anything else of this start: of two starts that have written anything
+    /// no two have the same.
+    ///
+    /// # Errors
+    /// When it cannot be written; it is tried again with whatever is written next.
+    pub fn begin(&mut self) -> io::Result<()> {
+        if self.begun {
+            return Ok(());
+        }
+        self.disk.write(BOOT, format!("{}\n", self.boot).as_bytes())?;
+        self.disk.force(BOOT)?;
+        self.disk.note(self.boot)?;
+        self.begun = true;
+        Ok(())
+    }
+
     /// Writes down what the operators said. Only after this it may have its yes.
     ///
     /// # Errors
     /// When it cannot be proved to be on the disk; nothing more is taken until a snapshot has been.
     pub fn word(&mut self, name: &str, hand: &Hand) -> io::Result<()> {
+        self.begin()?;
         if self.broken {
             return Err(io::Error::other("the log broke, and no snapshot could be written since"));
         }
@@ -150,6 +166,7 @@
     /// # Errors
     /// When it cannot be written; the former one stays.
     pub fn snapshot(&mut self, all: &Knowledge, at: Time) -> io::Result<()> {
+        self.begin()?;
         let bytes = format::write_snapshot(all, at, self.boot);
         if bytes.len() as u64 > self.most {
             return Err(io::Error::other(format!(
