Keep the way back to full service in one place: no guards, no state that can be derived

The core asked three times whether the way back was over, read the clock anew for each answer, and kept beside the overlay whether a member is listed; said by hand while all were out, RESTORE left that behind until the next list. Returning now takes nothing in once it is over, the core hands it the step's own time, and asks the overlay when it is in listing. count calls add.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -152,7 +152,7 @@
             for (reply, answer) in self.taken.drain(..) {
                 let _ = reply.send(answer);
             }
-            self.look_back();
+            self.look_back(now);
         }
     }
 
@@ -168,21 +168,21 @@
             Input::HangUp(id) => {
                 let live = self.live.get_mut(&id)?;
                 live.reply.take()?;
-                let came = live.came;
+                self.returning.ended(live.came, false);
                 count(Count::left);
-                self.returned(came, false);
                 self.settle(id);
                 Some(Event::HangUp { id })
             }
-            Input::Ended(id, attempt, ending) => self.ended(id, attempt, ending),
+            Input::Ended(id, attempt, ending) => self.ended(id, attempt, ending, now),
             Input::Probed(member, report) => {
                 count(if report.is_some() { Count::probes } else { Count::probes_failed });
-                self.heard(report.is_some());
+                if report.is_some() {
+                    self.returning.heard(now);
+                }
                 Some(Event::Probed { member, ok: report.is_some(), report })
             }
             Input::List(kind, entries) => {
                 let entries = self.overlay.list(kind, entries, now);
-                self.returning.named(self.overlay.serves());
                 let told = self.told(kind, entries);
                 if kind != ListKind::Failed && !self.recalled.is_empty() {
                     self.confirm(kind != ListKind::Disk);
@@ -240,13 +240,11 @@
         );
         let (reply, attempts) = (Some(reply), SmallVec::new());
         self.live.insert(id, Live { request, came: now, reply, unseen, attempts, out: 0 });
-        if !self.returning.over() {
-            self.returning.asked(now);
-        }
+        self.returning.asked(now);
         Some(event)
     }
 
-    fn ended(&mut self, id: RequestId, attempt: u32, ending: Ending) -> Option<Event> {
+    fn ended(&mut self, id: RequestId, attempt: u32, ending: Ending, now: Time) -> Option<Event> {
         use Outcome::*;
         count(match ending.outcome {
             Completed => Count::completed,
@@ -290,18 +288,17 @@
                 }
             }
             let aim = live.request.terms.classes[live.request.class].aim;
-            let came = live.came;
             if let (Some(value), Some(reply)) = (value, live.reply.take()) {
                 count(Count::served);
                 log::debug!(target: REQUEST, id = id.0, attempt, member; "served");
                 let _ = reply.send(Answer::Served(value, position));
-                if !self.returning.over() {
-                    self.returned(came, self.clock.now() <= came + aim);
-                }
+                self.returning.ended(live.came, now <= live.came + aim);
             }
         }
-        self.heard(matches!(outcome, Completed | Errored | Saturated | Miss));
-        let complete = self.live.get(&id).is_none_or(|live| live.reply.is_none());
+        if matches!(outcome, Completed | Errored | Saturated | Miss) {
+            self.returning.heard(now);
+        }
+        let complete = live.reply.is_none();
         self.settle(id);
         Some(Event::Ended { id, attempt, outcome, complete, spent, note, report })
     }
@@ -316,7 +313,7 @@
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(live) = self.live.get_mut(&id) else { return };
-        let (Some(reply), came) = (live.reply.take(), live.came) else { return };
+        let Some(reply) = live.reply.take() else { return };
         log::debug!(target: REQUEST, id = id.0, answer:? = answer; "answered without a value");
         count(match answer {
             Answer::Refused(_) => Count::refused,
@@ -324,7 +321,7 @@
             _ => Count::failed,
         });
         let _ = reply.send(answer);
-        self.returned(came, false);
+        self.returning.ended(live.came, false);
         self.settle(id);
     }
 
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -88,7 +88,7 @@
 
 /// Counts one more.
 pub fn count(what: Count) {
-    COUNTS[what as usize].fetch_add(1, Ordering::Relaxed);
+    add(what, 1);
 }
 
 /// Counts so many more.
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -8,7 +8,7 @@
 use crate::interface::*;
 use crate::knowledge::evidence::{Listed as Life, Recalled, Usable};
 use crate::knowledge::{merge_hands, Knowledge, Known};
-use crate::phases::{News, Returning};
+use crate::phases::News;
 use rustc_hash::FxHashMap;
 use std::sync::Arc;
 
@@ -40,15 +40,13 @@
                 return Vec::new();
             }
             Order::Serves(began, reply) => {
-                self.returning = Returning::new(began);
-                self.returning.named(self.overlay.serves());
-                let news = self.returning.serves(now);
+                let news = self.returning.serves(began, now);
                 self.told_of_return(news);
                 let _ = reply.send(());
                 return Vec::new();
             }
             Order::Progress(reply) => {
-                self.look_back();
+                self.look_back(now);
                 let _ = reply.send(self.returning.progress(now));
                 return Vec::new();
             }
@@ -100,26 +98,10 @@
         }
     }
 
-    /// A member has answered.
-    pub(super) fn heard(&mut self, heard: bool) {
-        if heard && !self.returning.over() {
-            self.returning.heard(self.clock.now());
-        }
-    }
-
-    /// A request that came at `came` has ended.
-    pub(super) fn returned(&mut self, came: Time, good: bool) {
-        if !self.returning.over() {
-            self.returning.ended(came, good);
-        }
-    }
-
     /// What has come of the way back to full service.
-    pub(super) fn look_back(&mut self) {
-        if !self.returning.over() {
-            let news = self.returning.at(self.clock.now());
-            self.told_of_return(news);
-        }
+    pub(super) fn look_back(&mut self, now: Time) {
+        let news = self.returning.at(now, || self.overlay.serves());
+        self.told_of_return(news);
     }
 
     fn told_of_return(&self, news: Vec<News>) {
--- a/src/phases.rs
+++ b/src/phases.rs
@@ -137,7 +137,6 @@
     /// When the phase began.
     entered: Time,
     lasted: Vec<(Phase, Time)>,
-    named: bool,
     heard: Option<Time>,
     /// Told that this phase lasts too long.
     overstayed: bool,
@@ -149,14 +148,13 @@
 }
 
 impl Returning {
-    /// A process that began at this time.
+    /// A process that began at this time, or is thought to until it says when it serves.
     pub fn new(began: Time) -> Self {
         Returning {
             began,
             phase: Phase::Loading,
             entered: began,
             lasted: Vec::new(),
-            named: false,
             heard: None,
             overstayed: false,
             from: 0,
@@ -171,28 +169,23 @@
         self.phase == Phase::Full
     }
 
-    /// Clients are taken from now on.
-    pub fn serves(&mut self, now: Time) -> Vec<News> {
+    /// Clients are taken from now on, by a process that began then.
+    pub fn serves(&mut self, began: Time, now: Time) -> Vec<News> {
         let mut news = Vec::new();
-        if self.phase == Phase::Loading {
-            self.from = now;
-            self.next(now, &mut news);
-        }
-        news.extend(self.at(now));
+        (self.began, self.entered, self.from) = (began, began, now);
+        self.next(now, &mut news);
         news
     }
 
-    /// Whether a member is listed that requests could go to.
-    pub fn named(&mut self, named: bool) {
-        self.named = named;
-    }
-
     /// A member has answered.
     pub fn heard(&mut self, now: Time) {
         self.heard.get_or_insert(now);
     }
 
     fn step(&mut self, asked: Time) -> Option<&mut Step> {
+        if self.over() {
+            return None;
+        }
         let n = asked.checked_sub(self.from)? / STEP;
         let most = (RAMPING_MOST + LISTING_MOST + CONFIRMING_MOST) / STEP;
         if n >= most {
@@ -250,10 +243,10 @@
         None
     }
 
-    /// Looks at what has come of it by now.
-    pub fn at(&mut self, now: Time) -> Vec<News> {
+    /// Looks at what has come of it by now; `named` says whether a member is listed that requests could go to.
+    pub fn at(&mut self, now: Time, named: impl FnOnce() -> bool) -> Vec<News> {
         let mut news = Vec::new();
-        if self.phase == Phase::Listing && self.named {
+        if self.phase == Phase::Listing && named() {
             self.next(now, &mut news);
         }
         if let (Phase::Confirming, Some(heard)) = (self.phase, self.heard) {
@@ -315,17 +308,16 @@
     #[test]
     fn each_phase_ends_with_what_it_waits_for_and_full_service_with_a_good_second() {
         let mut way = Returning::new(BEGAN);
-        assert_eq!(phases(&way.serves(BEGAN + 20 * MS)), [Phase::Loading]);
+        assert_eq!(phases(&way.serves(BEGAN, BEGAN + 20 * MS)), [Phase::Loading]);
         assert_eq!(way.progress(BEGAN + 30 * MS).phase, Phase::Listing);
-        assert!(way.at(BEGAN + 40 * MS).is_empty());
-        way.named(true);
-        assert_eq!(phases(&way.at(BEGAN + 50 * MS)), [Phase::Listing]);
+        assert!(way.at(BEGAN + 40 * MS, || false).is_empty());
+        assert_eq!(phases(&way.at(BEGAN + 50 * MS, || true)), [Phase::Listing]);
         way.heard(BEGAN + 80 * MS);
-        assert_eq!(phases(&way.at(BEGAN + 90 * MS)), [Phase::Confirming]);
+        assert_eq!(phases(&way.at(BEGAN + 90 * MS, || true)), [Phase::Confirming]);
         // Half of the answers are bad for 200 ms, then all are good.
         asks(&mut way, BEGAN + 20 * MS, 20, 10);
         asks(&mut way, BEGAN + 220 * MS, 150, 0);
-        let news = way.at(BEGAN + 1_800 * MS);
+        let news = way.at(BEGAN + 1_800 * MS, || true);
         assert_eq!(phases(&news), [Phase::Ramping]);
         let Some(News::Full(told)) = news.last() else { panic!("{news:?}") };
         // 40 of 2,000 in a second may be bad: the last 4 steps of the bad ones.
@@ -334,32 +326,32 @@
         assert_eq!(lengths, [20, 30, 30, 100]);
         assert_eq!(lengths.iter().sum::<Time>(), told.since / MS);
         assert!(told.to_string().starts_with("full service after 180 ms: loading 20 ms, listing 30 ms"));
-        assert!(way.over() && way.at(BEGAN + 9_000 * MS).is_empty());
+        assert!(way.over() && way.at(BEGAN + 9_000 * MS, || true).is_empty());
     }
 
     #[test]
     fn a_second_counts_only_once_all_that_was_asked_in_it_has_ended() {
         let mut way = Returning::new(BEGAN);
-        way.named(true);
         way.heard(BEGAN);
-        way.serves(BEGAN);
+        way.serves(BEGAN, BEGAN);
+        way.at(BEGAN, || true);
         asks(&mut way, BEGAN, 110, 0);
         (0..50).for_each(|_| way.asked(BEGAN + 500 * MS));
-        assert!(way.at(BEGAN + 1_050 * MS).is_empty(), "50 of 2,050 are open");
+        assert!(way.at(BEGAN + 1_050 * MS, || true).is_empty(), "50 of 2,050 are open");
         (0..45).for_each(|_| way.ended(BEGAN + 500 * MS, true));
-        let news = way.at(BEGAN + 1_060 * MS);
+        let news = way.at(BEGAN + 1_060 * MS, || true);
         assert_eq!(phases(&news), [Phase::Ramping]);
         // Had they ended badly, no second with them would be good.
         let mut way = Returning::new(BEGAN);
-        way.named(true);
         way.heard(BEGAN);
-        way.serves(BEGAN);
+        way.serves(BEGAN, BEGAN);
+        way.at(BEGAN, || true);
         asks(&mut way, BEGAN, 200, 0);
         (0..50).for_each(|_| {
             way.asked(BEGAN + 500 * MS);
             way.ended(BEGAN + 500 * MS, false);
         });
-        let news = way.at(BEGAN + 2_000 * MS);
+        let news = way.at(BEGAN + 2_000 * MS, || true);
         let Some(News::Full(told)) = news.last() else { panic!("{news:?}") };
         assert_eq!(told.since, 510 * MS);
     }
@@ -367,30 +359,30 @@
     #[test]
     fn a_process_that_nobody_asks_or_that_never_serves_well_says_so_after_its_longest_stay() {
         let mut idle = Returning::new(BEGAN);
-        idle.named(true);
-        idle.serves(BEGAN);
-        let news = idle.at(BEGAN + CONFIRMING_MOST);
+        idle.serves(BEGAN, BEGAN);
+        idle.at(BEGAN, || true);
+        let news = idle.at(BEGAN + CONFIRMING_MOST, || true);
         assert!(news.contains(&News::Overstayed(Phase::Confirming)), "{news:?}");
-        let news = idle.at(BEGAN + CONFIRMING_MOST + RAMPING_MOST);
+        let news = idle.at(BEGAN + CONFIRMING_MOST + RAMPING_MOST, || true);
         let Some(News::Full(told)) = news.last() else { panic!("{news:?}") };
         assert!(!told.seen && told.to_string().starts_with("full service was not seen within 35000 ms"));
 
         let mut bad = Returning::new(BEGAN);
-        bad.named(true);
         bad.heard(BEGAN);
-        bad.serves(BEGAN);
+        bad.serves(BEGAN, BEGAN);
+        bad.at(BEGAN, || true);
         asks(&mut bad, BEGAN, 2_900, 1);
-        assert!(bad.at(BEGAN + 29_000 * MS).is_empty(), "one of 20 is bad");
+        assert!(bad.at(BEGAN + 29_000 * MS, || true).is_empty(), "one of 20 is bad");
         assert!(bad.steps.len() <= 100, "what is over is forgotten: {}", bad.steps.len());
-        assert!(matches!(bad.at(BEGAN + RAMPING_MOST).last(), Some(News::Full(p)) if !p.seen));
+        assert!(matches!(bad.at(BEGAN + RAMPING_MOST, || true).last(), Some(News::Full(p)) if !p.seen));
     }
 
     #[test]
     fn without_a_list_it_stays_and_says_so_once() {
         let mut way = Returning::new(BEGAN);
-        way.serves(BEGAN);
-        assert_eq!(way.at(BEGAN + LISTING_MOST), [News::Overstayed(Phase::Listing)]);
-        assert!(way.at(BEGAN + 9 * LISTING_MOST).is_empty());
+        way.serves(BEGAN, BEGAN);
+        assert_eq!(way.at(BEGAN + LISTING_MOST, || false), [News::Overstayed(Phase::Listing)]);
+        assert!(way.at(BEGAN + 9 * LISTING_MOST, || false).is_empty());
         let told = way.progress(BEGAN + 9 * LISTING_MOST);
         assert_eq!((told.phase, told.since), (Phase::Listing, 9 * LISTING_MOST));
         assert!(told.to_string().contains("waits for a list that names a member: loading 0 ms"));
