Look up name and console in one way; let the fleet's size stand with discovery's address

linentrail status read the configuration by itself and knew nothing of BALANCER_CONSOLE, beside recovery, which did the same for the name and its variable: both call config::lookup now (test: status_finds_the_console_as_a_start_would). Listing kept a copy of the fleet's size and two of the module's constants.

--- a/src/ask.rs
+++ b/src/ask.rs
@@ -1,7 +1,6 @@
 //! The command that asks a running process how it is, through its console.
 
 use crate::config;
-use serde_json::Value;
 use std::io::{Read, Write};
 use std::net::{TcpStream, ToSocketAddrs};
 use std::time::Duration;
@@ -18,12 +17,9 @@
     pub lines: Vec<String>,
 }
 
-/// The console's address in the configuration.
+/// The console's address, as a start would have it.
 fn configured() -> Result<String, String> {
-    let (path, text) = config::text()?;
-    let json: Value = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
-    let console = json.get("console").and_then(Value::as_str).map(str::to_string);
-    console.ok_or_else(|| format!("{path}: it names no console; say --console HOST:PORT"))
+    config::lookup("BALANCER_CONSOLE", "console").map_err(|e| format!("{e}; say --console HOST:PORT"))
 }
 
 fn call(console: &str, line: &str) -> Result<String, String> {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -30,7 +30,7 @@
     },
     /// Asks a running process whether it serves, and how far it is on its way to full service; 1 where it does not
     Status {
-        /// Its console; else the one that the configuration of BALANCER_CONFIG names
+        /// Its console; else that of BALANCER_CONSOLE or of the configuration
         #[arg(long, value_name = "HOST:PORT")]
         console: Option<String>,
     },
--- a/src/config.rs
+++ b/src/config.rs
@@ -140,6 +140,21 @@
     Ok((path, text))
 }
 
+/// What this variable says, or else this field of the file that `BALANCER_CONFIG` names: also where the file cannot be
+/// used as a configuration.
+///
+/// # Errors
+/// When neither says anything, with one plain message.
+pub fn lookup(variable: &str, field: &str) -> Result<String, String> {
+    if let Some(told) = std::env::var(variable).ok().filter(|told| !told.is_empty()) {
+        return Ok(told);
+    }
+    let (path, text) = text()?;
+    let json: Option<Value> = serde_json::from_slice(&text).ok();
+    let told = json.as_ref().and_then(|j| j.get(field)?.as_str()).filter(|told| !told.is_empty());
+    told.map(str::to_string).ok_or_else(|| format!("{path}: it tells no {field}, nor does {variable}"))
+}
+
 /// Reads the file that `BALANCER_CONFIG` names, and checks it whole.
 ///
 /// # Errors
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -129,8 +129,8 @@
 const LIST_PAUSE_MOST: Time = 8_000_000;
 const LIST_PATIENCE: Time = 6_000_000;
 /// Routers that may ask at once; each more adds so much to the span over which all spread their calls ...
-const LIST_FEW: u32 = 18;
-const LIST_EACH: Time = 60_000;
+pub(crate) const LIST_FEW: u32 = 18;
+pub(crate) const LIST_EACH: Time = 60_000;
 /// ... which is no longer than this, as drains count as told some seconds later, whether heard of or not.
 const LIST_TURN_MOST: Time = 6_000_000;
 /// A list that is not newer than the last answer about a role by this much, in us, does not change it.
@@ -205,13 +205,15 @@
         match event {
             Event::List { kind, members } => self.list(*kind, members),
             Event::Request { id, class, group, deadline, session, token_age, proven, repeat } => {
-                let Some(k) = self.set.classes.get(*class) else { return out.push(Action::Fail { id: *id }) };
+                let Some(kind) = self.set.classes.get(*class) else {
+                    return out.push(Action::Fail { id: *id });
+                };
                 if self.open.contains_key(id) {
                     return;
                 }
                 // Where writes are remembered, an age on the request means nothing, 0 included.
                 let (name, age) = (session.as_deref().unwrap_or_default(), token_age.unwrap_or(0));
-                let token = match (k.need, self.set.session_marks) {
+                let token = match (kind.need, self.set.session_marks) {
                     (Need::Session, SessionMarks::Remembered) => self.sessions.written(name),
                     (Need::Session, SessionMarks::Carried) if age > 0 => self.now.saturating_sub(age),
                     _ => 0,
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -7,13 +7,10 @@
 //! no list yet. What a proxy sees is how long its own call took: in a jam that is more than a call costs, and the watch
 //! then waits longer than it need; where discovery answers in a few ms it waits for nothing that could be noticed.
 
+use crate::decide::{LIST_EACH, LIST_FEW};
 use crate::interface::Time;
 use crate::state::lot;
 
-/// Proxies that may call at one moment, and how much each more adds to the span of all, in us: as the module has it for
-/// first calls.
-const FEW: u32 = 18;
-const EACH: Time = 60_000;
 /// Longest span of the calls after a move, in us: a proxy must know by itself within 6 s what discovery had to tell, and a
 /// call that fails is made again in the last of them.
 const MOVE_MOST: Time = 2_000_000;
@@ -25,36 +22,31 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Listing {
     seed: u64,
-    proxies: u32,
-    calls: u64,
+    /// Lots drawn so far.
+    drawn: u64,
 }
 
 impl Listing {
-    /// For a proxy of a fleet of so many, as the settings say.
-    pub fn new(seed: u64, proxies: u32) -> Self {
-        Listing { seed, proxies, calls: 0 }
-    }
-
-    /// New settings say how many there are.
-    pub fn tell(&mut self, proxies: u32) {
-        self.proxies = proxies;
+    /// For the proxy with this seed.
+    pub fn new(seed: u64) -> Self {
+        Listing { seed, drawn: 0 }
     }
 
     fn lot(&mut self) -> f64 {
-        self.calls += 1;
-        lot(!self.seed, self.calls, EACH)
+        self.drawn += 1;
+        lot(!self.seed, self.drawn, LIST_EACH)
     }
 
-    /// Discovery has moved, for all proxies alike: how long until this one calls there, in us.
-    pub fn moved(&mut self) -> Time {
-        let span = (Time::from(self.proxies.saturating_sub(FEW)) * EACH).min(MOVE_MOST);
+    /// Discovery has moved, for so many proxies alike: how long until this one calls there, in us.
+    pub fn moved(&mut self, proxies: u32) -> Time {
+        let span = (Time::from(proxies.saturating_sub(LIST_FEW)) * LIST_EACH).min(MOVE_MOST);
         (span as f64 * self.lot()) as Time
     }
 
     /// A whole list has come, by a call that took so long, in us: how long until the watch behind it begins. By then all
-    /// others should have their lists.
-    pub fn listed(&mut self, took: Time) -> Time {
-        let round = took.saturating_mul(Time::from(self.proxies.saturating_sub(1))).min(ROUND_MOST);
+    /// others of so many proxies should have their lists.
+    pub fn listed(&mut self, proxies: u32, took: Time) -> Time {
+        let round = took.saturating_mul(Time::from(proxies.saturating_sub(1))).min(ROUND_MOST);
         (round as f64 * (1.0 + self.lot() / 2.0)) as Time
     }
 }
@@ -69,7 +61,7 @@
     /// by their order: when the last has its list, and the longest time in which a proxy heard nothing.
     fn play(told: u32, arrivals: &[Time], each: Time, spread: bool) -> (Time, Time) {
         let mut listings: Vec<Listing> =
-            (0..arrivals.len()).map(|n| Listing::new(n as u64 * 77 + 5, told)).collect();
+            (0..arrivals.len()).map(|n| Listing::new(n as u64 * 77 + 5)).collect();
         let mut calls: Vec<(Time, usize, bool)> =
             arrivals.iter().enumerate().map(|(n, at)| (*at, n, true)).collect();
         let (mut free, mut last, mut deaf) = (0, 0, 0);
@@ -79,7 +71,7 @@
             free = free.max(at) + each;
             if whole {
                 (last, heard[n]) = (last.max(free), free);
-                let pause = listings[n].listed(free - at);
+                let pause = listings[n].listed(told, free - at);
                 calls.push((free + if spread { pause } else { 0 }, n, false));
             } else {
                 deaf = deaf.max(free - heard[n]);
@@ -113,24 +105,23 @@
     fn a_discovery_that_answers_at_once_is_watched_at_once() {
         // A watch goes on as long as the next call comes within 200 ms.
         for seed in 0..100 {
-            assert!(Listing::new(seed, 100).listed(MS) < 150 * MS);
-            assert_eq!(Listing::new(seed, 1).listed(5_000 * MS), 0, "one alone has nobody to wait for");
+            assert!(Listing::new(seed).listed(100, MS) < 150 * MS);
+            assert_eq!(Listing::new(seed).listed(1, 5_000 * MS), 0, "one alone has nobody to wait for");
         }
     }
 
     #[test]
     fn calls_after_a_move_are_spread_in_a_large_fleet_only() {
-        let pauses: Vec<Time> = (0..100).map(|seed| Listing::new(seed, 100).moved()).collect();
+        let pauses: Vec<Time> = (0..100).map(|seed| Listing::new(seed).moved(100)).collect();
         assert!(pauses.iter().all(|p| *p < 2_000 * MS));
         for from in [0, 500, 1_000, 1_500] {
             let within = pauses.iter().filter(|p| (from * MS..(from + 500) * MS).contains(*p)).count();
             assert!((12..=40).contains(&within), "{within} from {from} ms");
         }
-        assert_eq!(Listing::new(3, 18).moved(), 0);
+        assert_eq!(Listing::new(3).moved(18), 0);
         // Two moves are two lots.
-        let mut one = Listing::new(3, 100);
-        assert_ne!(one.moved(), one.moved());
-        one.tell(2);
-        assert_eq!(one.moved(), 0);
+        let mut one = Listing::new(3);
+        assert_ne!(one.moved(100), one.moved(100));
+        assert_eq!(one.moved(2), 0);
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -94,7 +94,7 @@
     let (follow, asked) = mpsc::channel(1);
     let wire = pg::member::Pg::new(budget.bytes.clone(), clock);
     let fleet = Fleet::new(mailbox.clone(), follow, budget.clone(), clock, times, wire);
-    let (proxies, listing) = (settings.instances, Listing::new(settings.seed, settings.instances));
+    let (proxies, listing) = (settings.instances, Listing::new(settings.seed));
     let actor = Actor::new(settings, fleet, clock, (inbox, ordered)).map_err(|e| e.to_string())?;
 
     let mut lists = Lists::new(zones.clone());
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -271,7 +271,8 @@
                 // A watch, which may be answered with a whole list, too, takes as long as nothing happens.
                 if first && kind == ListKind::Full {
                     let took = began.elapsed().as_micros() as Time;
-                    self.pause = Duration::from_micros(self.listing.listed(took));
+                    self.pause =
+                        Duration::from_micros(self.listing.listed(self.service.borrow().proxies, took));
                 }
                 // A service that does not wait would be asked as fast as it answers; a watch goes on after this pause.
                 if kind == ListKind::Changes && entries.is_empty() && began.elapsed() < EMPTY_PAUSE {
@@ -292,8 +293,7 @@
     /// The old address has nothing more to say: its connection goes, and with it the watch.
     fn moved(&mut self) {
         (self.link, self.after) = (None, None);
-        self.listing.tell(self.service.borrow().proxies);
-        self.pause = Duration::from_micros(self.listing.moved());
+        self.pause = Duration::from_micros(self.listing.moved(self.service.borrow().proxies));
         self.moving = Some(Instant::now() + self.pause);
         count(Count::list_moves);
     }
--- a/src/recovery.rs
+++ b/src/recovery.rs
@@ -35,15 +35,7 @@
 
 /// The name of the proxy, by which it finds its folder: it must be known even where the configuration cannot be read.
 fn name() -> Result<String, String> {
-    if let Some(name) = std::env::var("BALANCER_NAME").ok().filter(|n| !n.is_empty()) {
-        return Ok(name);
-    }
-    let (path, text) = config::text()?;
-    let json: Option<Value> = serde_json::from_slice(&text).ok();
-    let name = json.as_ref().and_then(|j| j.get("name")?.as_str()).filter(|n| !n.is_empty());
-    name.map(str::to_string).ok_or_else(|| {
-        format!("{path}: it tells no name, nor does BALANCER_NAME: the store's folder cannot be found")
-    })
+    config::lookup("BALANCER_NAME", "name").map_err(|e| format!("{e}: the store's folder cannot be found"))
 }
 
 fn open(file: &operators::Store) -> Result<(Scribe, Recovered), String> {
--- a/tests/status.rs
+++ b/tests/status.rs
@@ -75,6 +75,26 @@
     assert_eq!((code, said), (Some(0), format!("200 serving\n{phase}")));
 }
 
+#[test]
+fn status_finds_the_console_as_a_start_would() {
+    let proxy = start(&[]);
+    let console = proxy.console.expect("it has one").to_string();
+    let ask = |variable: Option<&str>, file: &str| {
+        let path = proxy.dir().join("asked.json");
+        std::fs::write(&path, file).expect("a file");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_linentrail"));
+        command.env_remove("BALANCER_CONSOLE").env("BALANCER_CONFIG", &path).arg("status");
+        let out = command.envs(variable.map(|v| ("BALANCER_CONSOLE", v))).output().expect("it runs");
+        (out.status.code(), String::from_utf8_lossy(&out.stderr).to_string())
+    };
+    let told = format!("{{\"console\": \"{console}\"}}");
+    assert_eq!(ask(None, &told).0, Some(1), "it answers, and serves nobody");
+    assert_eq!(ask(Some(&console), "{}").0, Some(1), "the variable");
+    assert_eq!(ask(Some(&console), "{\"console\": \"127.0.0.1:1\"}").0, Some(1), "the variable first");
+    let (code, said) = ask(None, "{}");
+    assert!(code == Some(2) && said.contains("--console") && said.lines().count() == 1, "{said}");
+}
+
 #[test]
 fn status_says_in_one_line_that_nobody_or_something_else_answers() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
