Share what the rig, lab and tests wrote twice: classes, shown addresses, curves, asserts

The users' classes with their aims stood in the rig and in the lab, a caller's addresses were put into entries in two places, discovery worded its 503 twice, each proxy's curve went through the whole log, Seat.starts and Log::instant had no reader, and three tests of the store and two of the command line repeated their setting up. One piece each; assertions are as they were.

--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -4,7 +4,7 @@
 use crate::Failure;
 use linentrail_standins::group::Group;
 use linentrail_standins::member::{Capacity, Member};
-use linentrail_standins::proxy::{self, class, Proxy, Setup};
+use linentrail_standins::proxy::{self, Proxy, Setup};
 use linentrail_standins::registry::{entry, Registry};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -47,15 +47,7 @@
         let discovery = Registry::default().start(list.clone().into()).to_string();
         let mut settings = proxy::settings();
         settings["discovery"] = "subscribe".into();
-        let class = |name, repeat, aim: u64, deadline: u64| {
-            class(name, repeat, (aim * 1000 * plan.patience, deadline * 1000 * plan.patience))
-        };
-        settings["services"] = serde_json::json!([
-            class("yard-board", "read_like", 200, 500),
-            class("my-booking", "read_like", 300, 1_200),
-            class("monthly-report", "read_like", 250, 750),
-            class("place-order", "non_idempotent", 1_000, 3_000),
-        ]);
+        settings["services"] = proxy::classes(plan.patience);
         let setup = Setup {
             program: plan.program.to_path_buf(),
             config: proxy::config(&discovery, &list, settings, 1024, 192),
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -53,6 +53,23 @@
         "group": "all", "window_us": 5_000_000, "stream": false, "importance": 1.0})
 }
 
+/// The users' four classes, by name: aim and deadline in ms. That of writes comes last.
+pub const CLASSES: [(&str, u64, u64); 4] = [
+    ("yard-board", 200, 500),
+    ("my-booking", 300, 1_200),
+    ("monthly-report", 250, 750),
+    ("place-order", 1_000, 3_000),
+];
+
+/// The settings of those, at aims and deadlines so many times longer.
+pub fn classes(times: u64) -> Value {
+    let one = |(name, aim, deadline): (&str, u64, u64)| {
+        let repeat = if name == "place-order" { "non_idempotent" } else { "read_like" };
+        class(name, repeat, (aim * 1000 * times, deadline * 1000 * times))
+    };
+    CLASSES.map(one).to_vec().into()
+}
+
 /// Settings of one instance with the users' four classes and one tenant. Aims are long, so that no verdict depends on
 /// the machine's speed.
 pub fn settings() -> Value {
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -12,6 +12,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
+/// The answer to a call that it cannot take.
+const BUSY: &str = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
+
 /// Version, whole list, latest change.
 type List = (u64, Value, Value);
 
@@ -87,12 +90,7 @@
     }
 
     fn shown(&self, mut entries: Value) -> Value {
-        for entry in entries.as_array_mut().into_iter().flatten() {
-            let shown = entry["hostPort"].as_str().and_then(|a| self.seen.get(a)).cloned();
-            if let Some(shown) = shown {
-                entry["hostPort"] = shown.into();
-            }
-        }
+        entries.as_array_mut().into_iter().flatten().for_each(|entry| show(entry, &self.seen));
         entries
     }
 }
@@ -128,6 +126,13 @@
         "lifecycle": "active", "weight": 1.0, "startedAtMs": 0})
 }
 
+/// Puts the address that a caller is to see into an entry.
+pub fn show(entry: &mut Value, seen: &HashMap<String, String>) {
+    if let Some(shown) = entry["hostPort"].as_str().and_then(|a| seen.get(a)) {
+        entry["hostPort"] = shown.as_str().into();
+    }
+}
+
 impl Registry {
     /// One that answers so many calls a second, one after the other, and lets so many wait; 0: any number at once.
     pub fn bounded(rate: f64, queue: usize) -> Self {
@@ -232,8 +237,7 @@
         // A caller that leaves while it waits has had its turn all the same.
         if !self.turn().await {
             unanswered();
-            let busy = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n";
-            return stream.write_all(busy.as_bytes()).await.ok();
+            return stream.write_all(BUSY.as_bytes()).await.ok();
         }
         // Whoever has given up while it waited for its turn does not hear the answer, even if it can be written.
         let mut look = [0];
@@ -259,7 +263,7 @@
         let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         let text = match ill() {
             Ill::Well | Ill::Hasty => answer(&body),
-            Ill::Overbooked => "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".to_string(),
+            Ill::Overbooked => BUSY.to_string(),
             Ill::Reset => {
                 unanswered();
                 return None;
--- a/crates/standins/src/rig/clients.rs
+++ b/crates/standins/src/rig/clients.rs
@@ -2,8 +2,9 @@
 //! users' mix, comes back when it is told to, and goes to another proxy where its own does not answer.
 
 use super::events::{End, Shows, Us, What};
-use super::world::{World, CLASSES};
+use super::world::World;
 use crate::client::{request_id, Ask, Pg, Told};
+use crate::proxy::CLASSES;
 use crate::wire;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
--- a/crates/standins/src/rig/events.rs
+++ b/crates/standins/src/rig/events.rs
@@ -221,11 +221,6 @@
         self.began.elapsed().as_micros() as Us
     }
 
-    /// The moment so long after it began.
-    pub fn instant(&self, at: Us) -> Instant {
-        self.began + Duration::from_micros(at)
-    }
-
     /// Writes down what happens now; when that was.
     pub fn note(&self, what: What) -> Us {
         let mut inner = self.inner.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/standins/src/rig/measure.rs
+++ b/crates/standins/src/rig/measure.rs
@@ -53,28 +53,32 @@
     pub full: Option<Us>,
 }
 
-/// Good answers over time, of one proxy or all. A request counts as good that was served within its aim.
-fn curve(events: &[Event], only: Option<u32>, step: Us) -> Curve {
-    let mut asked: HashMap<u64, (Us, Us)> = HashMap::new();
-    let mut curve = Curve { step, counts: Vec::new() };
+/// Good answers over time, a curve for each key that a request's proxy has. A request counts as good that was served within
+/// its aim.
+fn curves(events: &[Event], step: Us, key: impl Fn(u32) -> u32) -> BTreeMap<u32, Curve> {
+    let mut asked: HashMap<u64, (Us, Us, u32)> = HashMap::new();
+    let mut curves: BTreeMap<u32, Curve> = BTreeMap::new();
     for event in events {
         match &event.what {
-            What::Asked { id, proxy, aim, .. } if only.is_none_or(|only| only == *proxy) => {
-                asked.insert(*id, (event.at, *aim));
+            What::Asked { id, proxy, aim, .. } => {
+                let key = key(*proxy);
+                asked.insert(*id, (event.at, *aim, key));
+                let curve = curves.entry(key).or_insert_with(|| Curve { step, counts: Vec::new() });
                 let n = (event.at / step) as usize;
                 curve.counts.resize(curve.counts.len().max(n + 1), (0, 0));
                 curve.counts[n].0 += 1;
             }
             What::Ended { id, how: End::Served, .. } => {
-                let good = asked.remove(id).filter(|(at, aim)| event.at <= at + aim);
-                if let Some((at, _)) = good {
+                let good = asked.remove(id).filter(|(at, aim, _)| event.at <= at + aim);
+                let curve = good.and_then(|(at, _, key)| Some((at, curves.get_mut(&key)?)));
+                if let Some((at, curve)) = curve {
                     curve.counts[(at / step) as usize].1 += 1;
                 }
             }
             _ => {}
         }
     }
-    curve
+    curves
 }
 
 /// How service came back after the first fault; `from`: when the run had settled.
@@ -83,7 +87,7 @@
     let fault = events.iter().find(fault)?.at;
     let exec = |e: &&Event| e.at >= fault && matches!(e.what, What::Exec { .. });
     let began = events.iter().find(exec).map_or(fault, |e| e.at);
-    let curve = curve(events, None, STEP);
+    let curve = curves(events, STEP, |_| 0).remove(&0)?;
     let before = curve.share(from, fault)?;
     let half_second = curve.share(began, began + 500_000).unwrap_or(0.0);
     let full = curve.full(began, before);
@@ -101,8 +105,9 @@
             _ => {}
         }
     }
+    let curves = curves(events, FINE, |proxy| proxy);
     let full = |(p, (exec, serves)): (u32, (Us, Us))| {
-        let full = curve(events, Some(p), FINE).full(serves, 1.0)?;
+        let full = curves.get(&p)?.full(serves, 1.0)?;
         Some((p, serves - exec + full))
     };
     last.into_iter().filter_map(full).collect()
--- a/crates/standins/src/rig/world.rs
+++ b/crates/standins/src/rig/world.rs
@@ -6,8 +6,8 @@
 use super::script::{Harm, Script, Step, Who};
 use crate::group::Group;
 use crate::member::{Capacity, Member};
-use crate::proxy::{self, class, signal_all, Proxy, Setup};
-use crate::registry::{entry, Registry};
+use crate::proxy::{self, signal_all, Proxy, Setup};
+use crate::registry::{entry, show, Registry};
 use serde_json::Value;
 use std::collections::{BTreeMap, HashMap};
 use std::io::{Error, Result};
@@ -19,20 +19,11 @@
 
 /// Requests that may wait at a member for a slot.
 const QUEUE: usize = 4096;
-/// The class of writes comes last.
-pub const CLASSES: [(&str, u64, u64); 4] = [
-    ("yard-board", 200, 500),
-    ("my-booking", 300, 1_200),
-    ("monthly-report", 250, 750),
-    ("place-order", 1_000, 3_000),
-];
 
 /// One proxy, whether it runs or not.
 struct Seat {
     setup: Setup,
     running: Option<Proxy>,
-    /// How often it was started.
-    starts: u32,
 }
 
 /// The world. Copies are the same one.
@@ -84,11 +75,7 @@
     let mut settings = proxy::settings();
     settings["discovery"] = "subscribe".into();
     settings["instances"] = script.told.into();
-    let kinds = CLASSES.map(|(name, aim, deadline)| {
-        let repeat = if name == "place-order" { "non_idempotent" } else { "read_like" };
-        class(name, repeat, (aim * 1000, deadline * 1000))
-    });
-    settings["services"] = kinds.to_vec().into();
+    settings["services"] = proxy::classes(1);
     if let Some((share, warm)) = script.make.cold {
         settings["rules"]["cold_share"] = share.into();
         settings["rules"]["warm_after_us"] = (warm.as_micros() as u64).into();
@@ -160,8 +147,7 @@
                 (1..=make.members).collect::<Vec<_>>().iter().filter_map(seen).collect();
             let mut known = list.clone();
             for entry in &mut known {
-                let shown = entry["hostPort"].as_str().and_then(|a| seen.get(a)).cloned();
-                shown.into_iter().for_each(|a| entry["hostPort"] = a.into());
+                show(entry, &seen);
             }
             let mut door = registry.door(n, log.clone(), seen);
             if listing.contains(&n) {
@@ -192,7 +178,7 @@
             }
             more(&mut setup, n, &folder);
             fronts.push(front);
-            seats.push(Mutex::new(Seat { setup, running: None, starts: 0 }));
+            seats.push(Mutex::new(Seat { setup, running: None }));
         }
         members.iter().for_each(Member::starts);
         let script = script.clone();
@@ -244,7 +230,6 @@
             std::thread::sleep(self.moment(n, span));
             let mut seat = self.seat(n);
             if seat.running.is_none() {
-                seat.starts += 1;
                 let spawned = || {
                     let _ = self.0.log.note(What::Exec { proxy: n });
                 };
--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -9,7 +9,7 @@
 use linentrail_standins::runtime;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
 
 fn linentrail(arguments: &[&str]) -> Output {
@@ -23,6 +23,14 @@
     dir
 }
 
+/// The program as it serves by this file, with its log to be read.
+fn serving(file: &Path) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_linentrail"));
+    command.env("BALANCER_CONFIG", file).env_remove("BALANCER_LISTEN").env_remove("RUST_LOG");
+    command.stderr(Stdio::piped()).stdout(Stdio::null());
+    command
+}
+
 #[test]
 fn a_check_tells_sound_from_faulty_from_unreadable_by_its_status() {
     let dir = folder("check");
@@ -77,14 +85,10 @@
     let known: Vec<_> = members.iter().enumerate().map(|(n, m)| entry(n, m.address())).collect();
     let file = dir.join("config.json");
     std::fs::write(&file, config("127.0.0.1:9", &known, settings(), 1024, 192).to_string()).expect("a file");
-    let mut child = Command::new(env!("CARGO_BIN_EXE_linentrail"))
+    let mut child = serving(&file)
         .args(["serve", "--log-format", "json"])
-        .env("BALANCER_CONFIG", &file)
         .env("RUST_LOG", "info,request=debug")
-        .env_remove("BALANCER_LISTEN")
         .env_remove("BALANCER_DISCOVERY")
-        .stderr(Stdio::piped())
-        .stdout(Stdio::null())
         .spawn()
         .expect("it starts");
     let mut lines = BufReader::new(child.stderr.take().expect("a pipe")).lines();
@@ -140,12 +144,8 @@
     let dir = folder("signals");
     let config = config("127.0.0.1:9", &[], settings(), 1024, 192);
     std::fs::write(dir.join("config.json"), config.to_string()).expect("written");
-    let mut child = Command::new(env!("CARGO_BIN_EXE_linentrail"))
-        .env("BALANCER_CONFIG", dir.join("config.json"))
+    let mut child = serving(&dir.join("config.json"))
         .env("BALANCER_DISCOVERY", "127.0.0.1:9")
-        .env_remove("RUST_LOG")
-        .stdout(Stdio::null())
-        .stderr(Stdio::piped())
         .spawn()
         .expect("it starts");
     let mut log = BufReader::new(child.stderr.take().expect("a pipe")).lines();
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -36,6 +36,14 @@
     run(&script, Path::new(PROGRAM), more, |_| {}, &AtomicBool::new(false)).expect("it runs to its end")
 }
 
+/// The same, of a run that keeps all rules and serves again at its end.
+fn sound(text: &str, store: Option<&str>) -> Outcome {
+    let outcome = play(text, store);
+    assert!(outcome.verdict.kept(), "{:#?}", outcome.verdict.breaches);
+    assert!(served_after(&outcome) > 10);
+    outcome
+}
+
 /// What the operators were told, of calls that change nothing.
 fn answers(outcome: &Outcome) -> Vec<String> {
     let said = |what: &What| match what {
@@ -63,9 +71,7 @@
          at 1500 proxies does kill
          at 1700 proxies does start"
     );
-    let kept = play(&script, Some(""));
-    assert!(kept.verdict.kept(), "{:#?}", kept.verdict.breaches);
-    assert!(served_after(&kept) > 10);
+    sound(&script, Some(""));
     // What the check is good for: today's start without a store forgets the word.
     let lost = play(&script, None);
     assert!(lost.verdict.counts.contains_key(&Rule::Hand), "{:?}", lost.verdict.counts);
@@ -112,9 +118,7 @@
          at 2300 p3 store back
          at 2400 proxies does start"
     );
-    let outcome = play(&script, Some(""));
-    assert!(outcome.verdict.kept(), "{:#?}", outcome.verdict.breaches);
-    assert!(served_after(&outcome) > 10);
+    let outcome = sound(&script, Some(""));
     let count = |name: &str| outcome.counters.get(name).copied().unwrap_or(0);
     assert_eq!(
         (count("store_torn"), count("store_rolled_back"), count("store_lost")),
@@ -132,9 +136,7 @@
          at 1300 proxies does kill
          at 1500 proxies does start"
     );
-    let outcome = play(&script, Some(""));
-    assert!(outcome.verdict.kept(), "{:#?}", outcome.verdict.breaches);
-    assert!(served_after(&outcome) > 10);
+    let outcome = sound(&script, Some(""));
     assert_eq!(outcome.counters.get("store_list_taken"), Some(&4), "{:?}", outcome.counters);
     assert_eq!(served_after(&play(&script, None)), 0, "nobody else knows a member");
 }
