--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -131,6 +131,25 @@
     assert!(last + 1 - lists <= 4, "{calls:?}");
 }
 
+#[test]
+fn processes_that_can_serve_nobody_never_tell_full_service() {
+    // All are killed and come back without a list, from a discovery that says nothing: whatever comes, no answer is good.
+    let outcome = play(
+        "proxies 4
+         members 4 slots 8 work 4 12
+         known lost
+         load 60 clients 24
+         end 4500
+         at 900 list does silent
+         at 1000 proxies does kill within 50
+         at 1200 proxies does start",
+    );
+    let count = |name: &str| outcome.counters.get(name).copied();
+    assert!(count("pg_requests") > Some(20), "{:?}", outcome.counters);
+    assert_eq!((count("served"), count("full_service")), (None, None), "{:?}", outcome.counters);
+    assert!(outcome.each.is_empty(), "{:?}", outcome.each);
+}
+
 #[test]
 fn discovery_that_fails_while_all_start_leaves_the_rules_whole() {
     play(
