--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -3,7 +3,7 @@
 use crate::rig::events::{Log, What};
 use crate::{listener, runtime};
 use serde_json::{json, Value};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -76,9 +76,36 @@
     log: Log,
     /// Addresses as this caller is to see them.
     seen: Arc<HashMap<String, String>>,
+    /// Where a relay stands before it, that may hold back what was written: answers that the caller has not yet shown to
+    /// have, each with its version. None: what is written has arrived.
+    unproved: Option<Arc<Mutex<Unproved>>>,
 }
 
+/// Entries of answers by their version, of which the oldest go where a caller never shows that it has any.
+type Unproved = BTreeMap<u64, Value>;
+const UNPROVED_MOST: usize = 64;
+
 impl Door {
+    /// An answer has been written: it has told the caller of its entries, unless a relay may still hold it.
+    fn written(&self, version: u64, entries: Value) {
+        let Some(unproved) = &self.unproved else { return self.told(&entries) };
+        let mut unproved = unproved.lock().unwrap_or_else(PoisonError::into_inner);
+        unproved.insert(version, entries);
+        while unproved.len() > UNPROVED_MOST {
+            unproved.pop_first();
+        }
+    }
+
+    /// The caller asks for what comes after a version: it has the answers up to that one.
+    fn shows(&self, version: u64) {
+        let Some(unproved) = &self.unproved else { return };
+        let mut unproved = unproved.lock().unwrap_or_else(PoisonError::into_inner);
+        let later = unproved.split_off(&(version + 1));
+        for entries in std::mem::replace(&mut *unproved, later).values() {
+            self.told(entries);
+        }
+    }
+
     /// Notes what an answer that went out has told of members: their numbers are their ids'.
     fn told(&self, entries: &Value) {
         for entry in entries.as_array().into_iter().flatten() {
@@ -126,6 +153,13 @@
         "lifecycle": "active", "weight": 1.0, "startedAtMs": 0})
 }
 
+/// Whether the caller has closed its connection, or its process has ended.
+async fn left(stream: &mut BufReader<TcpStream>) -> bool {
+    let mut look = [0];
+    let look = stream.get_mut().peek(&mut look);
+    matches!(tokio::time::timeout(Duration::ZERO, look).await, Ok(Ok(0) | Err(_)))
+}
+
 /// Puts the address that a caller is to see into an entry.
 pub fn show(entry: &mut Value, seen: &HashMap<String, String>) {
     if let Some(shown) = entry["hostPort"].as_str().and_then(|a| seen.get(a)) {
@@ -152,9 +186,11 @@
         self.open(None)
     }
 
-    /// A listener of its own for one caller, that sees members under other addresses.
-    pub fn door(&self, proxy: u32, log: Log, seen: HashMap<String, String>) -> SocketAddr {
-        self.open(Some(Door { proxy, log, seen: Arc::new(seen) }))
+    /// A listener of its own for one caller, that sees members under other addresses. Behind a relay an answer counts as
+    /// told only when the caller's next call shows that it has come.
+    pub fn door(&self, proxy: u32, log: Log, seen: HashMap<String, String>, relayed: bool) -> SocketAddr {
+        let unproved = relayed.then(Arc::default);
+        self.open(Some(Door { proxy, log, seen: Arc::new(seen), unproved }))
     }
 
     /// The whole list is another one, without a word to those that watch.
@@ -232,6 +268,9 @@
         if let Some(Door { proxy, log, .. }) = door {
             log.note(What::Called { proxy: *proxy, whole: after.is_none() });
         }
+        if let (Some(door), Some(after)) = (door, after) {
+            door.shows(after);
+        }
         let unanswered = || door.map(|d| d.log.note(What::Unanswered { proxy: d.proxy }));
         let ill = || self.state().0;
         // A caller that leaves while it waits has had its turn all the same.
@@ -240,9 +279,7 @@
             return stream.write_all(BUSY.as_bytes()).await.ok();
         }
         // Whoever has given up while it waited for its turn does not hear the answer, even if it can be written.
-        let mut look = [0];
-        let left = stream.get_mut().peek(&mut look);
-        if let Ok(Ok(0)) = tokio::time::timeout(Duration::ZERO, left).await {
+        if left(stream).await {
             unanswered();
             return None;
         }
@@ -250,6 +287,10 @@
             let mut changes = self.changed.subscribe();
             let newer = changes.wait_for(|version| *version > after);
             let _ = tokio::time::timeout(Duration::from_millis(wait), newer).await;
+            // Nor does the watch of a process that was killed meanwhile tell the next one anything.
+            if left(stream).await {
+                return None;
+            }
         }
         let (version, whole, change) = self.with(|list| list.clone());
         // Of changes only the latest is kept: who missed more gets the whole list.
@@ -287,7 +328,7 @@
         let sound = matches!(ill(), Ill::Well | Ill::Hasty);
         let written = stream.write_all(text.as_bytes()).await.ok();
         match (written.is_some() && sound, door) {
-            (true, Some(door)) => door.told(&entries),
+            (true, Some(door)) => door.written(version, entries),
             (false, Some(_)) if written.is_some() => drop(unanswered()),
             _ => {}
         }
--- a/crates/standins/src/rig/world.rs
+++ b/crates/standins/src/rig/world.rs
@@ -149,7 +149,7 @@
             for entry in &mut known {
                 show(entry, &seen);
             }
-            let mut door = registry.door(n, log.clone(), seen);
+            let mut door = registry.door(n, log.clone(), seen, listing.contains(&n));
             if listing.contains(&n) {
                 let relay = Relay::tcp(door, script.seed ^ u64::from(n));
                 door = relay.address();
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -18,6 +18,43 @@
 /// after the list still tells within those 6 s of what has changed behind the list.
 const ROUND_MOST: Time = 3_000_000;
 
+/// How long a watch may wait at discovery, in us: short enough to notice a dead service soon, long enough to cost it
+/// little.
+pub const WATCH_WAIT: Time = 8_000_000;
+/// An answer is waited for by so much longer than it may wait there, in us. What a watch has missed that fell silent counts
+/// as told 2 s after its wait is over: by then the next watch must have been answered.
+const WATCH_LEAD: Time = 1_000_000;
+/// The same for a whole list, which waits for nothing but its turn.
+const LIST_PATIENCE: Time = 4_000_000;
+
+/// How long a call is waited for, in us, from when it is made.
+pub fn patience(watch: bool) -> Time {
+    if watch {
+        WATCH_WAIT + WATCH_LEAD
+    } else {
+        LIST_PATIENCE
+    }
+}
+
+/// What becomes of a call that has brought no list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Next {
+    /// It is made again at once: a silent watch is broken, discovery need not be, and the pauses of a failed call would
+    /// outlast what is left before all counts as told. All that fell silent together waited since different moments.
+    Again,
+    /// The module hears that it failed, and says when the next is due.
+    Told,
+}
+
+/// A call failed: a watch or not, without a word or with a refusal, a reset or what is no list.
+pub fn failed(watch: bool, silent: bool) -> Next {
+    if watch && silent {
+        Next::Again
+    } else {
+        Next::Told
+    }
+}
+
 /// When this proxy calls.
 #[derive(Debug, Clone, Copy)]
 pub struct Listing {
@@ -110,6 +147,18 @@
         }
     }
 
+    #[test]
+    fn a_silent_watch_is_open_anew_before_what_it_missed_counts_as_told() {
+        // Told: 2 s after the wait is over, and half a second more until nothing new may go out.
+        let told = WATCH_WAIT + 2_000 * MS;
+        assert!(patience(true) + 500 * MS < told, "there is time for an answer");
+        assert!(patience(true) > WATCH_WAIT + 500 * MS, "an answer at the end of the wait is no silence");
+        assert_eq!(failed(true, true), Next::Again);
+        for (watch, silent) in [(true, false), (false, true), (false, false)] {
+            assert_eq!(failed(watch, silent), Next::Told);
+        }
+    }
+
     #[test]
     fn calls_after_a_move_are_spread_in_a_large_fleet_only() {
         let pauses: Vec<Time> = (0..100).map(|seed| Listing::new(seed).moved(100)).collect();
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,7 +1,8 @@
 //! The actor of the member list: when the module asks, watches from the version held, each renewed at once; the whole
 //! list only where none is held.
 //!
-//! A failed call is told to the module, which decides when to ask again; what is held stays, and so does its version,
+//! A failed call is told to the module, which decides when to ask again; a watch that fell silent is opened anew at once
+//! (`src/listing.rs`). What is held stays, and so does its version,
 //! as a whole list costs discovery many times a watch and a large fleet asks all at once. A watch must be renewed
 //! within 200 ms of its last answer to go on; this actor hands an answer to the core and calls again with nothing in
 //! between but a short pause where an answer came at once and told nothing.
@@ -14,7 +15,7 @@
 use crate::core::{Input, Listed};
 use crate::http::{Headers, HttpClient, HttpRequest};
 use crate::interface::*;
-use crate::listing::Listing;
+use crate::listing::{failed, patience, Listing, Next, WATCH_WAIT};
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use serde_json::{json, Value as Json};
@@ -29,16 +30,12 @@
 
 /// The log's target for what becomes of each call.
 const LOG: &str = "list";
-/// How long one watch may wait. Short enough to notice a dead service soon, long enough to cost it little.
-const WAIT_MS: u64 = 8_000;
-/// Patience with a call beyond what it may wait.
-const PATIENCE: Duration = Duration::from_millis(4_000);
 const CONNECT_PATIENCE: Duration = Duration::from_millis(1_000);
 /// For so long after discovery has moved, a failed call is made again at once rather than told to the module, whose
 /// pauses would outlast what is left before all counts as told.
 const MOVING: Duration = Duration::from_millis(4_000);
 const MOVING_PAUSE: Duration = Duration::from_millis(150);
-/// Least time between two answers that tell nothing. A watch must be renewed within 200 ms.
+/// Least time between two answers to a watch that tell nothing, or the whole list. It must be renewed within 200 ms.
 const EMPTY_PAUSE: Duration = Duration::from_millis(150);
 /// Longest list taken in: thousands of members. Read, it takes several times as much.
 const LONGEST: usize = 1024 * 1024;
@@ -241,17 +238,16 @@
                 // Asked again while it watches: that is one more answer that comes by itself.
                 while asked.try_recv().is_ok() {}
                 let (began, first) = (Instant::now() + self.pause, self.after.is_none());
-                let (kind, entries) = tokio::select! {
+                let told = tokio::select! {
                     biased;
                     Ok(()) = service.changed() => {
                         self.moved();
                         continue;
                     }
-                    told = self.call() => match told {
-                        Some(told) => told,
-                        None => (ListKind::Failed, Vec::new()),
-                    },
+                    told = self.call() => told,
                 };
+                let silent = told.is_none();
+                let (kind, entries) = told.flatten().unwrap_or((ListKind::Failed, Vec::new()));
                 log::debug!(
                     target: LOG,
                     "{kind:?} entries={} generation={} us={}",
@@ -262,6 +258,9 @@
                 if kind == ListKind::Failed {
                     count(Count::list_failures);
                     self.link = None;
+                    if failed(!first, silent) == Next::Again {
+                        continue;
+                    }
                     if self.moving.is_some_and(|since| since.elapsed() < MOVING) {
                         tokio::time::sleep(MOVING_PAUSE).await;
                         continue;
@@ -275,7 +274,8 @@
                         Duration::from_micros(self.listing.listed(self.service.borrow().proxies, took));
                 }
                 // A service that does not wait would be asked as fast as it answers; a watch goes on after this pause.
-                if kind == ListKind::Changes && entries.is_empty() && began.elapsed() < EMPTY_PAUSE {
+                let nothing = entries.is_empty() || kind == ListKind::Full;
+                if !first && nothing && began.elapsed() < EMPTY_PAUSE {
                     tokio::time::sleep(EMPTY_PAUSE).await;
                 }
                 if self.core.send(Input::List(kind, entries)).await.is_err() {
@@ -298,20 +298,25 @@
         count(Count::list_moves);
     }
 
-    /// One call: the whole list, or a watch on what comes after the last.
-    async fn call(&mut self) -> Option<(ListKind, Vec<Listed>)> {
+    /// One call: the whole list, or a watch on what comes after the last. None where nothing came in its time, nothing
+    /// within that where what came is no use.
+    async fn call(&mut self) -> Option<Option<(ListKind, Vec<Listed>)>> {
         // A sleep of no length takes up to a millisecond.
         if !self.pause.is_zero() {
             tokio::time::sleep(self.pause).await;
             self.pause = Duration::ZERO;
         }
-        let (target, wait) = match self.after {
-            None => ("/api/targets".to_string(), 0),
-            Some(v) => (format!("/api/targets?after={v}&wait_ms={WAIT_MS}"), WAIT_MS),
+        let target = match self.after {
+            None => "/api/targets".to_string(),
+            Some(v) => format!("/api/targets?after={v}&wait_ms={}", WATCH_WAIT / 1000),
         };
-        let patience = PATIENCE + Duration::from_millis(wait);
-        let body = tokio::time::timeout(patience, self.get(target)).await.ok()??;
-        let read = serde_json::from_slice(&body).ok().and_then(|json| self.lists.read(&json, self.after));
+        let most = Duration::from_micros(patience(self.after.is_some()));
+        let got = tokio::time::timeout(most, self.get(target)).await.ok()?;
+        Some(got.and_then(|body| self.take(&body)))
+    }
+
+    fn take(&mut self, body: &[u8]) -> Option<(ListKind, Vec<Listed>)> {
+        let read = serde_json::from_slice(body).ok().and_then(|json| self.lists.read(&json, self.after));
         if read.is_none() {
             count(Count::list_dropped);
             log::warn!(target: LOG, "a list of {} bytes is cut off, unreadable, too long or old; dropped", body.len());
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -165,3 +165,109 @@
          at 2600 proxies does hup",
     );
 }
+
+#[test]
+fn half_of_the_members_silent_while_all_start_leave_the_rules_whole_and_the_others_serve() {
+    let outcome = play(
+        "proxies 6
+         members 6 slots 8 work 4 12 handshake 5
+         load 100 clients 40
+         end 4500
+         at 900 proxies does kill within 50
+         at 950 proxies link m4,m5,m6 silent
+         at 1100 proxies does start
+         at 3200 proxies link m4,m5,m6 well",
+    );
+    assert!(serves_again(&outcome));
+}
+
+#[test]
+fn discovery_that_tells_an_older_version_to_all_that_start_takes_no_member_away() {
+    // The older list names nobody: whoever believed it could serve nobody.
+    let outcome = play(
+        "proxies 5
+         members 4 slots 8 work 4 12
+         load 100 clients 40
+         end 4000
+         at 800 list does older
+         at 900 proxies does kill
+         at 1000 proxies does start
+         at 2500 list does well
+         at 2600 list does leaving m3",
+    );
+    assert!(serves_again(&outcome));
+}
+
+#[test]
+fn members_replaced_under_their_addresses_while_all_proxies_are_down_are_not_pushed_over() {
+    // Discovery does not tell of their new start, and the stored facts are of their former lives.
+    play(
+        "proxies 6
+         members 4 slots 8 work 4 12 cold 0.2 2500 lag 10
+         store every 200
+         load 100 clients 40
+         end 4500
+         at 1000 proxies does kill
+         at 1050 m3,m4 does down
+         at 1150 m3,m4 does up
+         at 1300 proxies does start",
+    );
+}
+
+#[test]
+fn proxies_that_stood_still_act_on_nothing_that_ran_out_meanwhile() {
+    // Two drains, the operators' word and a new primary come while they are stopped.
+    play(
+        "proxies 5
+         members 5 slots 8 work 4 12 lag 10
+         load 100 clients 40
+         end 5000
+         at 800 p1,p2 does stop 2200
+         at 1100 list does leaving m4
+         at 1200 p3,p4,p5 console SUSPEND m3
+         at 1300 m2 does primary
+         at 3600 p3,p4,p5 console RESTORE m3",
+    );
+}
+
+#[test]
+fn killed_twice_with_state_wiped_torn_flipped_and_rolled_back_between_they_keep_the_rules() {
+    let outcome = play(
+        "proxies 12
+         members 6 slots 8 work 4 12 handshake 5 lag 10
+         list rate 20 queue 100
+         store every 200
+         load 120 clients 48
+         end 5000
+         at 900 p1,p2,p3 store kept
+         at 1300 p1,p2,p3,p4,p5,p6,p7,p8,p9 does kill within 50
+         at 1500 proxies does start within 200
+         at 2100 proxies does kill within 50
+         at 2250 p1,p2,p3 store back
+         at 2250 p4,p5 store wiped
+         at 2250 p6,p7 store torn 500
+         at 2250 p8 store flipped
+         at 2400 proxies does start within 100",
+    );
+    assert!(serves_again(&outcome));
+    let count = |name: &str| outcome.counters.get(name).copied().unwrap_or(0);
+    assert_eq!(count("store_lost"), 2, "{:?}", outcome.counters);
+    assert!(count("store_torn") >= 3 && count("store_rolled_back") == 3, "{:?}", outcome.counters);
+}
+
+#[test]
+fn a_watch_that_fell_silent_is_open_anew_before_what_it_missed_counts_as_told() {
+    // The change goes into watches that say nothing of it; a moment later discovery is well again. What it had to tell
+    // counts as told 2 s after the watch's wait of 8 s, whether it came or not.
+    let outcome = play(
+        "proxies 3
+         members 4 slots 8 work 4 12
+         load 30 clients 12
+         end 10300
+         at 600 list does silent
+         at 700 list does leaving m3
+         at 800 list does well",
+    );
+    let told = |e: &&Event| matches!(e.what, What::Drains { member: 3, on: true, .. });
+    assert_eq!(outcome.events.iter().filter(told).count(), 3);
+}
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -236,6 +236,38 @@
     std::fs::remove_file(&place).expect("it is there");
 }
 
+#[test]
+fn a_disk_that_is_full_in_the_middle_of_a_snapshot_takes_neither_the_word_nor_the_former_snapshot() {
+    use std::os::unix::fs::PermissionsExt;
+    let mut alone = Alone::storing("");
+    let first = Proxy::start(&alone.setup).expect("it starts");
+    assert!(first.call("SUSPEND s-00000000\n").expect("an answer").0.starts_with("200"));
+    until("it writes", || counted(&first, "store_snapshots") > 1);
+    drop(first);
+    // From 512 bytes on no file can be written: each snapshot breaks off in its middle.
+    let limited = alone.folder.join("limited");
+    let text = format!("#!/bin/sh\ntrap '' XFSZ\nulimit -f 1\nexec {PROGRAM} \"$@\"\n");
+    std::fs::write(&limited, text).expect("written");
+    std::fs::set_permissions(&limited, std::fs::Permissions::from_mode(0o755)).expect("a mode");
+    let snapshot = alone.folder.join("linentrail-t").join("snapshot");
+    let before = std::fs::read(&snapshot).expect("a snapshot");
+    assert!(before.len() > 512, "{}", before.len());
+    alone.setup.program = limited;
+    let next = Proxy::start(&alone.setup).expect("it starts");
+    until("it cannot write", || counted(&next, "store_failures") > 2);
+    let told = next.call("STATUS\n").expect("an answer").0;
+    assert!(told.starts_with("400 no member"), "its only member is out still: {told}");
+    assert_eq!(counted(&next, "store_snapshots"), 0);
+    assert_eq!(std::fs::read(&snapshot).expect("a snapshot"), before, "the former one stays whole");
+    // Words are short and find room; what they say outlasts this process, too.
+    assert!(next.call("RESTORE s-00000000\n").expect("an answer").0.starts_with("200"));
+    drop(next);
+    alone.setup.program = PROGRAM.into();
+    let last = Proxy::start(&alone.setup).expect("it starts");
+    assert!(last.call("STATUS\n").expect("an answer").0.starts_with("200"));
+    assert_eq!(counted(&last, "store_torn"), 0);
+}
+
 #[test]
 fn two_processes_cannot_have_one_folder() {
     let alone = Alone::storing("");
