--- a/benches/append.rs
+++ b/benches/append.rs
@@ -36,7 +36,7 @@
     let mut each = Vec::new();
     for (n, name) in names(words).iter().enumerate() {
         let began = Instant::now();
-        store.word(name, &Hand { out: n as u64 + 1, back: 0 })?;
+        store.word(name, &Hand { out: n as u64 + 1, back: None })?;
         each.push(began.elapsed());
     }
     told("log of this program", each, folder);
