Agree on versions of settings and the operators' word by leases and ballots, sans I/O

Need: two proxies may act on contradicting rules for ever (a missed SIGHUP, a broken file, a silent watch). Added src/agreement: what contradicts what and the meet of two versions (each field a lattice; decisions worded a second time in the tests, 3 properties); documents by number, parent and hash, with codes by keys that can be changed; sealed datagrams, dropped when replayed; voters that say nothing before it is on the disk, and wait where it was lost; leases by a majority's answer to one question; ballots; one instance of all that. A change goes through the meet of both versions, and takes effect only when every lease on the old one has run out. Nothing uses it yet. Found by a test on the way: a proposer that begins anew used a ballot twice; ballots now carry the start.

--- a/crates/standins/src/rig/checker_tests.rs
+++ b/crates/standins/src/rig/checker_tests.rs
@@ -154,6 +154,12 @@
         assert_eq!(give(told.clone(), 510), []);
         assert_eq!(give(told.clone(), 511), [rule]);
         assert_eq!(give(told.clone().at(20, back), 600), []);
+        // What a link holds back may have been sent before; what was asked for after it healed was not.
+        let link = |well| What::Link { proxy: 1, member: 3, well };
+        let cut = told.clone().at(20, link(false));
+        assert_eq!(give(cut.clone(), 600), []);
+        assert_eq!(give(cut.clone().at(599, link(true)), 600), [rule]);
+        assert_eq!(give(told.clone().at(599, link(true)), 600), [rule], "it was well all the time");
         // Another proxy was not told.
         let other = told.clone().at(20, What::Exec { proxy: 2 }).at(21, What::Serves { proxy: 2 });
         let (key, shows) = ("k".to_string(), Shows::Any);
--- a/crates/standins/src/rig/events.rs
+++ b/crates/standins/src/rig/events.rs
@@ -160,6 +160,15 @@
         /// How long.
         us: Us,
     },
+    /// From now on the link between a proxy and a member may hold back what is sent on it, or no longer does.
+    Link {
+        /// The proxy.
+        proxy: u32,
+        /// The member.
+        member: u32,
+        /// It passes all on at once.
+        well: bool,
+    },
     /// What it kept is lost.
     Wiped {
         /// The proxy.
--- a/crates/standins/src/rig/world.rs
+++ b/crates/standins/src/rig/world.rs
@@ -365,8 +365,10 @@
     fn link(&self, who: &Who, members: &Who, fault: Fault) {
         let members = self.members(members);
         for p in self.proxies(who) {
-            let relays = members.iter().filter_map(|m| self.0.links.get(&(p, *m)));
-            relays.for_each(|relay| relay.does(fault));
+            for (member, relay) in members.iter().filter_map(|m| Some((*m, self.0.links.get(&(p, *m))?))) {
+                self.0.log.note(What::Link { proxy: p, member, well: fault == Fault::default() });
+                relay.does(fault);
+            }
         }
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,5 +1,6 @@
 #![doc = include_str!("../README.md")]
 
+pub mod agreement;
 pub mod ask;
 pub mod check;
 pub mod cli;
