--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -17,7 +17,12 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::runtime::{Builder, Handle, Runtime};
 
-/// Milliseconds since the Unix epoch.
+/// Unix time in microseconds.
+pub fn now_us() -> u64 {
+    std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap_or_default().as_micros() as u64
+}
+
+/// Unix time in milliseconds.
 pub fn now_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
 }
--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -1,5 +1,6 @@
 //! The real proxy as a child process, with the files that it is told by.
 
+use crate::rig::events::Log;
 use crate::{dns, now_ms};
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -43,6 +44,8 @@
     pub environment: Vec<(String, String)>,
     /// It is started as the deploy file says, from the repository's root: without an operators' file of its own.
     pub shipped: bool,
+    /// Where it is told by which rules it acts, and as whom: the log must have the target `rules`.
+    pub rules: Option<(u32, Log)>,
     /// How long after SIGTERM it still takes clients; none: longer than any test takes to bring one.
     pub still_coming: Option<Duration>,
 }
@@ -224,10 +227,18 @@
             let _ = std::fs::remove_dir_all(&dir);
             return Err(Error::other(format!("the proxy does not start: {}", said.join("; "))));
         };
-        let loud = setup.loud;
-        thread::spawn(move || {
-            lines.map_while(Result::ok).filter(|_| loud).for_each(|l| eprintln!("proxy: {l}"));
-        });
+        let (loud, rules) = (setup.loud, setup.rules.clone());
+        let tell = move |line: String| {
+            if let Some((proxy, log)) = &rules {
+                log.rules(*proxy, &line);
+            }
+            if loud {
+                eprintln!("proxy: {line}");
+            }
+        };
+        // What was said before it served counts, too.
+        said.into_iter().for_each(&tell);
+        thread::spawn(move || lines.map_while(Result::ok).for_each(tell));
         let printed = Printed::default();
         let known = printed.clone();
         thread::spawn(move || {
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -89,6 +89,9 @@
     /// An answer has been written: it has told the caller of its entries, unless a relay may still hold it.
     fn written(&self, version: u64, entries: Value) {
         let Some(unproved) = &self.unproved else { return self.told(&entries) };
+        // That a member serves again may have arrived at once.
+        let serves = entries.as_array().into_iter().flatten().filter(|e| e["lifecycle"] == "active");
+        self.told(&serves.cloned().collect());
         let mut unproved = unproved.lock().unwrap_or_else(PoisonError::into_inner);
         unproved.insert(version, entries);
         while unproved.len() > UNPROVED_MOST {
--- a/crates/standins/src/rig/checker.rs
+++ b/crates/standins/src/rig/checker.rs
@@ -14,6 +14,9 @@
 const COLD_FEW: f64 = 4.0;
 /// When the machine stands still for so long, time limits run out that no party has let run out.
 const STANDSTILL: Us = 1_000_000;
+/// What clocks of one machine may be apart, and how long a statement may be on its way to a member.
+const CLOCKS: Us = 10_000;
+const ON_THE_WAY: Us = 150_000;
 /// Breaches told of each rule; the others are counted.
 const TOLD: usize = 5;
 
@@ -81,6 +84,10 @@
     Crash,
     /// Full service comes too late.
     Full,
+    /// Two act by versions that contradict each other.
+    Agree,
+    /// A statement comes from one whose lease has run out.
+    Lease,
     /// The log itself cannot be true, or is not whole.
     Log,
 }
@@ -164,6 +171,9 @@
     whole: u64,
     /// Members whose link holds back what is sent, and those whose link has done so up to a moment.
     held: HashMap<u32, Option<Us>>,
+    /// By which versions it acts, by kind and since when; until when it may.
+    acts: BTreeMap<String, (Vec<String>, Us)>,
+    leased: Option<(Us, Us)>,
     draining: HashMap<u32, Us>,
     out: HashMap<u32, Us>,
 }
@@ -213,6 +223,8 @@
     /// Over one bound a stretch of events is one breach, not one for each of them.
     over: HashSet<(Rule, u32)>,
     faulted: bool,
+    /// Spans in which a proxy acted by versions: kind, proxy, versions, from, to.
+    acted: Vec<(String, u32, Vec<String>, Us, Us)>,
     /// When the machine stood still, from and to.
     stalls: Vec<(Us, Us)>,
 }
@@ -236,6 +248,7 @@
     if lost > 0 {
         judge.verdict.breach(Rule::Log, last, format!("{lost} events found no room"));
     }
+    judge.agree();
     judge.end(last, bounds);
     judge.verdict
 }
@@ -321,8 +334,10 @@
                 }
             }
             What::Exec { proxy } => {
+                self.close(*proxy, None, at);
                 let of = self.proxies.entry(*proxy).or_default();
                 of.whole = 0;
+                (of.acts, of.leased) = (BTreeMap::new(), None);
                 // What discovery told the last process, this one has to hear anew.
                 of.draining.clear();
                 if !bounds.hands_kept {
@@ -340,6 +355,21 @@
                     held.insert(*member, well.then_some(at));
                 }
             }
+            What::Acts { proxy, kind, versions, since } => {
+                self.close(*proxy, Some(kind), *since);
+                let of = self.proxies.entry(*proxy).or_default();
+                of.acts.insert(kind.clone(), (versions.clone(), *since));
+            }
+            What::Leased { proxy, from, until } => {
+                let lapsed =
+                    self.proxies.entry(*proxy).or_default().leased.is_some_and(|(_, end)| *from > end);
+                if lapsed {
+                    self.close(*proxy, None, *from);
+                }
+                let of = self.proxies.entry(*proxy).or_default();
+                let begun = of.leased.map_or(*from, |(begun, _)| begun);
+                of.leased = Some((if lapsed { *from } else { begun }, *until));
+            }
             What::Resumed { proxy } => {
                 let gaps = &mut self.proxies.entry(*proxy).or_default().gaps;
                 gaps.iter_mut().filter(|g| g.to == Us::MAX && g.stopped).for_each(|g| g.to = at);
@@ -439,6 +469,41 @@
         }
     }
 
+    /// What a proxy has acted by up to now, of one kind or of all, is over. By a lease that ran out it acted up to that.
+    fn close(&mut self, proxy: u32, kind: Option<&str>, at: Us) {
+        let of = self.proxies.entry(proxy).or_default();
+        let Some((begun, until)) = of.leased else { return };
+        for (name, (versions, since)) in
+            of.acts.iter_mut().filter(|(name, _)| kind.is_none_or(|k| k == **name))
+        {
+            let (from, to) = ((*since).max(begun), at.min(until));
+            if from < to {
+                self.acted.push((name.clone(), proxy, versions.clone(), from, to));
+            }
+            *since = at;
+        }
+    }
+
+    /// No two may have acted at one moment by versions that have none in common.
+    fn agree(&mut self) {
+        let proxies: Vec<u32> = self.proxies.keys().copied().collect();
+        proxies.into_iter().for_each(|proxy| self.close(proxy, None, Us::MAX));
+        let mut acted = std::mem::take(&mut self.acted);
+        acted.sort_by_key(|(_, _, _, from, _)| *from);
+        for (n, (kind, proxy, versions, from, to)) in acted.iter().enumerate() {
+            let then = acted[n + 1..].iter().take_while(|other| other.3 + CLOCKS < *to);
+            for (_, other, theirs, since, _) in then.filter(|other| other.0 == *kind && other.1 != *proxy) {
+                if !versions.iter().any(|v| theirs.contains(v)) {
+                    let span = (*to - since.max(from)) / 1000;
+                    let what = format!(
+                        "{kind}: proxies {proxy} and {other} act by {versions:?} and {theirs:?}, {span} ms"
+                    );
+                    self.verdict.breach(Rule::Agree, *since, what);
+                }
+            }
+        }
+    }
+
     fn given(&mut self, at: Us, member: u32, id: u64, bounds: &Bounds) {
         let Some((proxy, asked)) = self.asked.get(&id).map(|a| (a.proxy, a.at)) else {
             self.verdict.breach(Rule::Log, at, format!("member {member} got {id}, and nobody asked it"));
@@ -457,6 +522,13 @@
                 self.verdict.breach(rule, at, what);
             }
         }
+        if let Some((_, until)) = of.leased.filter(|(_, until)| !held && at > *until + ON_THE_WAY + stood) {
+            let what = format!(
+                "proxy {proxy} sends {id} to member {member} {} ms after its lease",
+                (at - until) / 1000
+            );
+            self.verdict.breach(Rule::Lease, at, what);
+        }
         let Some(cold) = self.cold.get_mut(&member) else { return };
         let age = at - cold.since;
         if age >= cold.warm {
--- a/crates/standins/src/rig/events.rs
+++ b/crates/standins/src/rig/events.rs
@@ -169,6 +169,26 @@
         /// It passes all on at once.
         well: bool,
     },
+    /// A process says by which versions it acts from a moment on; none: by nothing that is agreed on.
+    Acts {
+        /// The proxy.
+        proxy: u32,
+        /// Of what.
+        kind: String,
+        /// The versions: by a decision all of them are kept.
+        versions: Vec<String>,
+        /// From when on.
+        since: Us,
+    },
+    /// A process says until when it may act by them.
+    Leased {
+        /// The proxy.
+        proxy: u32,
+        /// Said then.
+        from: Us,
+        /// Until then.
+        until: Us,
+    },
     /// What it kept is lost.
     Wiped {
         /// The proxy.
@@ -215,12 +235,20 @@
 #[derive(Clone)]
 pub struct Log {
     began: Instant,
+    /// The same moment in Unix time, in us: processes tell times by that.
+    unix: u64,
     inner: Arc<Mutex<Inner>>,
 }
 
+impl std::fmt::Debug for Log {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "a log since {}", self.unix)
+    }
+}
+
 impl Default for Log {
     fn default() -> Self {
-        Log { began: Instant::now(), inner: Arc::default() }
+        Log { began: Instant::now(), unix: crate::now_us(), inner: Arc::default() }
     }
 }
 
@@ -243,6 +271,32 @@
         at
     }
 
+    /// A moment that a process tells, in us of Unix time, on this log's clock.
+    pub fn at(&self, unix: u64) -> Us {
+        unix.saturating_sub(self.unix)
+    }
+
+    /// Takes in a line of a process's log, where it tells by which rules it acts.
+    pub fn rules(&self, proxy: u32, line: &str) {
+        let Some((_, told)) = line.split_once(" rules] ") else { return };
+        let number = |name: &str| {
+            told.split(' ').find_map(|word| word.strip_prefix(name)).and_then(|n| n.parse::<u64>().ok())
+        };
+        let Some(us) = number("us=") else { return };
+        if let Some(until) = number("until=") {
+            self.note(What::Leased { proxy, from: self.at(us), until: self.at(until) });
+            return;
+        }
+        let Some(kind) =
+            told.split(' ').next().filter(|_| told.contains("version") || told.contains("nothing"))
+        else {
+            return;
+        };
+        // `version 3 (hash)` or `between version 3 (hash) and 4 (hash)`: hashes tell versions apart.
+        let versions = told.split(['(', ')']).skip(1).step_by(2).map(str::to_string).collect();
+        self.note(What::Acts { proxy, kind: kind.to_string(), versions, since: self.at(us) });
+    }
+
     /// Watches from now on how the machine keeps up, until it is dropped.
     pub fn watch(&self) -> Watch {
         let (log, stop) = (self.clone(), Arc::new(AtomicBool::new(false)));
--- a/crates/standins/src/rig/relay.rs
+++ b/crates/standins/src/rig/relay.rs
@@ -108,6 +108,27 @@
         Relay { address, fault }
     }
 
+    /// Starts one for TCP and UDP on one free port.
+    ///
+    /// # Panics
+    /// When there is no free port.
+    pub fn both(to: SocketAddr, seed: u64) -> Self {
+        let _entered = runtime().enter();
+        let (listener, address, socket) = loop {
+            let (listener, address) = listener();
+            if let Ok(socket) = std::net::UdpSocket::bind(address) {
+                break (listener, address, socket);
+            }
+        };
+        socket.set_nonblocking(true).expect("a socket that does not block");
+        let socket = UdpSocket::from_std(socket).expect("a socket");
+        let fault = Arc::new(watch::channel(Fault::default()).0);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        runtime().spawn(relay_tcp(listener, to, fault.subscribe(), rng.fork()));
+        runtime().spawn(relay_udp(Arc::new(socket), to, fault.subscribe(), rng));
+        Relay { address, fault }
+    }
+
     /// Where whoever is to come through it connects.
     pub fn address(&self) -> SocketAddr {
         self.address
--- a/crates/standins/src/rig/script.rs
+++ b/crates/standins/src/rig/script.rs
@@ -82,6 +82,10 @@
     ListLink(Who, Fault),
     /// Links between clients and proxies.
     ClientLink(Who, Fault),
+    /// What proxies say to proxies, one way.
+    Speak(Who, Who, Fault),
+    /// A proxy is told to propose the settings with another value at this place.
+    Propose(u32, String, String),
     /// Members do something with statements.
     Does(Who, Behaviour),
     /// A member is the primary of its group from now on, the former one a replica.
@@ -134,6 +138,8 @@
     pub known: bool,
     /// Least time between two snapshots of the proxies' stores; none: nothing is stored.
     pub store: Option<Duration>,
+    /// The proxies agree on their rules, and so many of them vote; 0: they do not.
+    pub voters: u32,
     /// Requests a second, and clients that ask them.
     pub load: (f64, u32),
     /// How long it runs.
@@ -166,6 +172,7 @@
             list: (0.0, 64),
             known: true,
             store: None,
+            voters: 0,
             load: (60.0, 24),
             end: ms(5_000),
             bounds: Bounds::default(),
@@ -282,6 +289,7 @@
             ["known", "old"] => self.known = true,
             ["known", "lost"] => self.known = false,
             ["store", "every", span] => self.store = Some(ms(span)?),
+            ["agree", "voters", n] => self.voters = number(n)?,
             ["load", rate, "clients", n] => self.load = (number(rate)?, number(n)?),
             ["end", at] => self.end = ms(at)?,
             ["bound", "full", span] => self.full = Some(ms(span)?),
@@ -314,6 +322,11 @@
             ((1..=MEMBERS_MOST).contains(&members), format!("1 to {MEMBERS_MOST} members can run")),
             (groups >= 1 && groups <= members, "each group needs a member".to_string()),
             (slots > 0 && work.0 <= work.1, "members need slots, and work from less to more".to_string()),
+            (
+                self.voters == 0
+                    || self.voters % 2 == 1 && self.voters <= self.proxies && self.store.is_some(),
+                "an odd number of the proxies votes, and they need a store".to_string(),
+            ),
             (self.load.0 > 0.0 && self.load.1 > 0, "there must be load, and clients for it".to_string()),
             (
                 self.steps.iter().all(|(at, _)| *at <= self.end),
@@ -333,6 +346,8 @@
                 all(w, self.proxies)
             }
             Step::Link(p, m, _) => all(p, self.proxies) && all(m, members),
+            Step::Speak(p, q, _) => all(p, self.proxies) && all(q, self.proxies) && self.voters > 0,
+            Step::Propose(p, ..) => (1..=self.proxies).contains(p) && self.voters > 0,
             Step::Does(m, _) | Step::MemberDown(m) | Step::MemberUp(m) => all(m, members),
             Step::Primary(m) | Step::Lists(m, _) => *m <= members,
             Step::Ill(_) => true,
@@ -393,6 +408,15 @@
         ["list", "does", ..] => Step::Ill(rest(2).parse()?),
         ["clients", "link", to, ..] if words.len() > 3 => Step::ClientLink(proxies(to)?, rest(3).parse()?),
         [of, "link", "list", ..] if words.len() > 3 => Step::ListLink(proxies(of)?, rest(3).parse()?),
+        [of, "speaks", to, ..] if words.len() > 3 => {
+            Step::Speak(proxies(of)?, proxies(to)?, rest(3).parse()?)
+        }
+        [of, "proposes", place, value] => match proxies(of)? {
+            Who::These(these) if these.len() == 1 => {
+                Step::Propose(these[0], place.to_string(), value.to_string())
+            }
+            _ => return Err("one proxy proposes at a time".to_string()),
+        },
         [of, "link", to, ..] if words.len() > 3 => Step::Link(proxies(of)?, members(to)?, rest(3).parse()?),
         [of, "console", ..] if words.len() > 2 => Step::Console(proxies(of)?, rest(2)),
         [of, "does", "down"] => Step::MemberDown(members(of)?),
--- a/crates/standins/src/rig/world.rs
+++ b/crates/standins/src/rig/world.rs
@@ -39,6 +39,10 @@
     links: HashMap<(u32, u32), Relay>,
     list_links: HashMap<u32, Relay>,
     client_links: HashMap<u32, Relay>,
+    /// What one proxy says to another.
+    speech: HashMap<(u32, u32), Relay>,
+    /// The settings that were proposed last.
+    proposed: Mutex<Value>,
     seats: Vec<Mutex<Seat>>,
     /// Where clients come to each proxy: known without its seat, which is held while a process starts or ends.
     fronts: Vec<SocketAddr>,
@@ -138,6 +142,7 @@
         });
         let (mut list_links, mut client_links) = (HashMap::new(), HashMap::new());
         let (mut seats, mut fronts) = (Vec::new(), Vec::new());
+        let speech = speech(script, world)?;
         for n in 1..=script.proxies {
             let seen = |m: &u32| {
                 let real = members[*m as usize - 1].address().to_string();
@@ -176,11 +181,18 @@
             if let Some(every) = script.store {
                 setup.operators = store(&folder, every);
             }
+            if script.voters > 0 {
+                std::fs::write(folder.join("key"), "a key that all of the fleet have")?;
+                setup.operators += &agreement(script, n, &folder, &speech);
+                setup.rules = Some((n, log.clone()));
+                setup.log = Some("info,rules=debug".into());
+            }
             more(&mut setup, n, &folder);
             fronts.push(front);
             seats.push(Mutex::new(Seat { setup, running: None }));
         }
         members.iter().for_each(Member::starts);
+        let proposed = Mutex::new(settings(script));
         let script = script.clone();
         let inner = Inner {
             script,
@@ -191,6 +203,8 @@
             links,
             list_links,
             client_links,
+            speech: speech.relays,
+            proposed,
             seats,
             fronts,
             folder,
@@ -303,17 +317,23 @@
                 let ids = self.ids(who);
                 self.down(&ids, false);
                 self.signal(&ids, "KILL", *span);
-                // Dropped, they are waited for.
-                ids.iter().for_each(|(n, _)| drop(self.seat(*n).running.take()));
+                // Dropped, they are waited for; one that was started anew meanwhile is none of them.
+                for (n, id) in &ids {
+                    let mut seat = self.seat(*n);
+                    drop(seat.running.take_if(|proxy| proxy.id() == *id));
+                }
             }
             Step::Term(who, span) => {
                 let ids = self.ids(who);
                 self.down(&ids, false);
                 self.signal(&ids, "TERM", *span);
                 // Nobody starts the next one before this one has ended.
-                for (n, _) in &ids {
+                for (n, id) in &ids {
                     let mut seat = self.seat(*n);
-                    seat.running.take().map(|mut proxy| proxy.wait()).transpose()?;
+                    seat.running
+                        .take_if(|proxy| proxy.id() == *id)
+                        .map(|mut proxy| proxy.wait())
+                        .transpose()?;
                 }
             }
             Step::Start(who, span) => self.start_all(&self.proxies(who), *span)?,
@@ -346,6 +366,22 @@
                 let relays = self.proxies(who).into_iter().filter_map(|n| self.0.client_links.get(&n));
                 relays.for_each(|relay| relay.does(*fault));
             }
+            Step::Speak(who, to, fault) => {
+                let to = self.proxies(to);
+                for pair in self.proxies(who).into_iter().flat_map(|p| to.iter().map(move |q| (p, *q))) {
+                    self.0.speech.get(&pair).iter().for_each(|relay| relay.does(*fault));
+                }
+            }
+            Step::Propose(who, place, value) => {
+                let mut proposed = self.0.proposed.lock().unwrap_or_else(PoisonError::into_inner);
+                let bad = |e: serde_json::Error| Error::other(format!("{value}: {e}"));
+                let missing = || Error::other(format!("the settings have no '{place}'"));
+                *proposed.pointer_mut(place).ok_or_else(missing)? =
+                    serde_json::from_str(value).map_err(bad)?;
+                let path = self.0.folder.join(format!("proposed-{who}.json"));
+                std::fs::write(&path, proposed.to_string())?;
+                self.console(&Who::These(vec![*who]), &format!("FLEET PROPOSE {} rig", path.display()));
+            }
             Step::Does(who, behaviour) => {
                 self.members(who).into_iter().for_each(|m| self.0.members[m as usize - 1].does(*behaviour));
             }
@@ -421,6 +457,49 @@
     format!("store {{\n enabled = true\n folder = \"{folder}\"\n every_ms = {every}\n}}\n")
 }
 
+/// Where proxies speak to each other.
+struct Speech {
+    /// Where each listens.
+    at: Vec<SocketAddr>,
+    /// What stands between two of them, where the scenario puts faults there.
+    relays: HashMap<(u32, u32), Relay>,
+}
+
+fn speech(script: &Script, world: u8) -> Result<Speech> {
+    let mut speech = Speech { at: Vec::new(), relays: HashMap::new() };
+    if script.voters == 0 {
+        return Ok(speech);
+    }
+    for n in 1..=script.proxies {
+        speech.at.push(address(world, n)?);
+    }
+    let faulty = script.steps.iter().any(|(_, step)| matches!(step, Step::Speak(..)));
+    for (from, to) in (1..=script.proxies).flat_map(|p| (1..=script.proxies).map(move |q| (p, q))) {
+        if faulty && from != to {
+            let seed = script.seed ^ u64::from(from) << 40 ^ u64::from(to) << 20;
+            speech.relays.insert((from, to), Relay::both(speech.at[to as usize - 1], seed));
+        }
+    }
+    Ok(speech)
+}
+
+/// The block of the operators' file by which a proxy agrees with the others.
+fn agreement(script: &Script, me: u32, folder: &Path, speech: &Speech) -> String {
+    let at = |n: u32| match speech.relays.get(&(me, n)) {
+        Some(relay) => relay.address(),
+        None => speech.at[n as usize - 1],
+    };
+    let proxies: Vec<String> = (1..=script.proxies).map(|n| format!("\"{n} {}\"", at(n))).collect();
+    let voters: Vec<String> = (1..=script.voters).map(|n| n.to_string()).collect();
+    format!(
+        "agreement {{\n enabled = true\n me = {me}\n proxies = [{}]\n voters = [{}]\n keys = [\"1 {}\"]\n \
+         lists = true\n}}\n",
+        proxies.join(", "),
+        voters.join(", "),
+        folder.join("key").display()
+    )
+}
+
 /// A member's entry in the list.
 fn listed(n: usize, member: &Member, groups: u32) -> Value {
     let mut entry = entry(n, member.address());
--- a/src/ask.rs
+++ b/src/ask.rs
@@ -8,6 +8,9 @@
 /// How long the console may take over an answer: it owes one within a second.
 const PATIENCE: Duration = Duration::from_secs(3);
 
+/// Longest answer, in bytes: that of a fleet of hundreds.
+const LONGEST: u64 = 256 * 1024;
+
 /// What a running process says of itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Told {
@@ -18,11 +21,15 @@
 }
 
 /// The console's address, as a start would have it.
-fn configured() -> Result<String, String> {
+pub(crate) fn configured() -> Result<String, String> {
     config::lookup("BALANCER_CONSOLE", "console").map_err(|e| format!("{e}; say --console HOST:PORT"))
 }
 
-fn call(console: &str, line: &str) -> Result<String, String> {
+/// Says one line to a console, and its answer.
+///
+/// # Errors
+/// When nobody answers there, or no console does.
+pub fn call(console: &str, line: &str) -> Result<String, String> {
     let bad = |e: std::io::Error| format!("console {console}: {e}");
     let nobody = || format!("console {console}: no such address");
     let address = console.to_socket_addrs().map_err(bad)?.next().ok_or_else(nobody)?;
@@ -31,7 +38,7 @@
     stream.write_all(format!("{line}\n").as_bytes()).map_err(bad)?;
     let mut answer = String::new();
     // A process that is no console's may say anything, for ever.
-    stream.take(4096).read_to_string(&mut answer).map_err(bad)?;
+    stream.take(LONGEST).read_to_string(&mut answer).map_err(bad)?;
     match answer.split_once('\n') {
         Some((answer, "")) if answer.starts_with("200 ") || answer.starts_with("400 ") => {
             Ok(answer.to_string())
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -34,10 +34,56 @@
         #[arg(long, value_name = "HOST:PORT")]
         console: Option<String>,
     },
+    /// What the proxies of a fleet agree on: how it stands, changes, members out by hand for all
+    Fleet {
+        /// What is asked
+        #[command(subcommand)]
+        call: Fleet,
+        /// The console of any proxy of the fleet; else that of BALANCER_CONSOLE or of the configuration
+        #[arg(long, global = true, value_name = "HOST:PORT")]
+        console: Option<String>,
+        /// Answers as JSON
+        #[arg(long, global = true)]
+        json: bool,
+    },
     /// Prints the DNS-SD records under which the OData front can be found, as a zone file has them
     Records,
 }
 
+/// What can be asked of a fleet that agrees.
+#[derive(Debug, Subcommand, PartialEq, Eq)]
+pub enum Fleet {
+    /// Proxies, versions held and in force, leases, and whom a change waits for; 1 where no lease holds
+    Status,
+    /// The versions that were in force at this proxy
+    History,
+    /// Proposes the settings of a configuration, and waits until they are in force; 1 where they are not
+    Propose {
+        /// The configuration (.json), or its settings alone
+        file: PathBuf,
+        /// Who proposes it, for the history
+        #[arg(long, default_value = "operators")]
+        author: String,
+    },
+    /// Takes back the change that is under way
+    Abort,
+    /// Takes a member out for the whole fleet, and waits until all keep to that
+    Suspend {
+        /// Its id
+        member: String,
+    },
+    /// Puts a member back for the whole fleet
+    Restore {
+        /// Its id
+        member: String,
+    },
+    /// Begins a new epoch at this voter, where most voters have lost what they promised (docs/agreement.md)
+    Epoch {
+        /// Higher than any before
+        number: u32,
+    },
+}
+
 /// What clap says of arguments that cannot be used, on one line and without its advice.
 pub fn one_line(fault: &clap::Error) -> String {
     let text = fault.to_string();
--- a/src/console/line.rs
+++ b/src/console/line.rs
@@ -25,6 +25,25 @@
     Phase,
     /// All that was said by hand and may have been lost has been said again.
     Confirm,
+    /// What the proxies of the fleet agree on.
+    Fleet(Fleet),
+}
+
+/// What is asked of the fleet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fleet {
+    /// How it stands.
+    Status,
+    /// What was in force.
+    History,
+    /// Take the settings of the file at this path, by this author.
+    Propose(String, String),
+    /// A member out, or back, for all.
+    Hand(String, bool),
+    /// Take back the change that is under way.
+    Abort,
+    /// Begin this epoch.
+    Epoch(u32),
 }
 
 /// The one answer to a call.
@@ -112,6 +131,22 @@
         ["CONFIRM"] => Line::Call(Call::Confirm),
         ["SUSPEND", id] => Line::Call(Call::Suspend(id.to_string())),
         ["RESTORE", id] => Line::Call(Call::Restore(id.to_string())),
+        ["FLEET"] => Line::Call(Call::Fleet(Fleet::Status)),
+        ["FLEET", "HISTORY"] => Line::Call(Call::Fleet(Fleet::History)),
+        ["FLEET", "PROPOSE", path, ref author @ ..] => {
+            Line::Call(Call::Fleet(Fleet::Propose(path.to_string(), author.join(" "))))
+        }
+        ["FLEET", "SUSPEND", id] => Line::Call(Call::Fleet(Fleet::Hand(id.to_string(), true))),
+        ["FLEET", "RESTORE", id] => Line::Call(Call::Fleet(Fleet::Hand(id.to_string(), false))),
+        ["FLEET", "ABORT"] => Line::Call(Call::Fleet(Fleet::Abort)),
+        ["FLEET", "EPOCH", number] => match number.parse() {
+            Ok(number) => Line::Call(Call::Fleet(Fleet::Epoch(number))),
+            Err(_) => Line::Wrong("an epoch is a number".to_string()),
+        },
+        ["FLEET", ..] => {
+            let all = "HISTORY, PROPOSE PATH AUTHOR, SUSPEND ID, RESTORE ID, ABORT, EPOCH NUMBER";
+            Line::Wrong(format!("FLEET takes nothing more, or one of {all}"))
+        }
         [] => Line::Wrong("the line is empty".to_string()),
         ["STATUS" | "PHASE" | "CONFIRM", ..] => Line::Wrong(format!("{} takes no more words", words[0])),
         ["SUSPEND" | "RESTORE"] => Line::Wrong(format!("{} needs a member's id", words[0])),
--- a/src/console/mod.rs
+++ b/src/console/mod.rs
@@ -11,14 +11,15 @@
 use crate::core::{Order, Readiness};
 use crate::handover::Desk;
 use crate::net::listen::{Closing, Phase};
-use crate::phases;
+use crate::{parley, phases};
 use futures_util::{SinkExt, StreamExt};
-use line::{Call, Line, Lines, Reply};
+use line::{Call, Fleet, Line, Lines, Reply};
 use std::collections::VecDeque;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
 use tokio::task::AbortHandle;
 use tokio_util::codec::Framed;
 
@@ -39,6 +40,8 @@
     phase: Closing,
     /// The configuration was not to be read, and a stored one holds.
     stored: Arc<AtomicBool>,
+    /// Where the proxies of a fleet agree.
+    fleet: Option<mpsc::Sender<parley::Call>>,
 }
 
 struct Caller {
@@ -49,8 +52,13 @@
 
 impl Console {
     /// One that hands its calls to the desk.
-    pub fn new(desk: Desk, phase: Closing, stored: Arc<AtomicBool>) -> Self {
-        Console { desk, phase, stored }
+    pub fn new(
+        desk: Desk,
+        phase: Closing,
+        stored: Arc<AtomicBool>,
+        fleet: Option<mpsc::Sender<parley::Call>>,
+    ) -> Self {
+        Console { desk, phase, stored, fleet }
     }
 
     /// Takes callers until the process ends.
@@ -100,7 +108,7 @@
                     Ok(reply) => reply,
                     Err(_) => Reply::No("not done in time; ask again".to_string()),
                 };
-                if !matches!(call, Call::Status | Call::Phase) {
+                if !matches!(call, Call::Status | Call::Phase | Call::Fleet(Fleet::Status | Fleet::History)) {
                     log::info!("the operators ask {call:?}: {reply}");
                 }
                 reply
@@ -134,6 +142,9 @@
                     None => Reply::No("ending".to_string()),
                 }
             }
+            Call::Fleet(call) => {
+                return self.fleet(call).await.map_or_else(Reply::No, |yes| Reply::Yes(yes.into()))
+            }
             Call::Suspend(id) => {
                 (self.desk.change(id, |reply| Order::Suspend(id.as_str().into(), reply)).await, "out")
             }
@@ -144,6 +155,31 @@
         told.map_or_else(Reply::No, |()| Reply::Yes(done.into()))
     }
 
+    async fn fleet(&self, call: &Fleet) -> Result<String, String> {
+        use parley::Call as To;
+        let (reply, answer) = oneshot::channel();
+        let (told, shown) = oneshot::channel();
+        let to = match call {
+            Fleet::Status => To::Status(told),
+            Fleet::History => To::History(told),
+            Fleet::Propose(path, author) => {
+                To::Propose(author.clone(), parley::settings_of(path).await?, reply)
+            }
+            Fleet::Hand(member, out) => To::Hand(member.clone(), *out, reply),
+            Fleet::Abort => To::Abort(reply),
+            Fleet::Epoch(number) => To::Epoch(*number, reply),
+        };
+        let shows = matches!(call, Fleet::Status | Fleet::History);
+        let fleet = self.fleet.as_ref().ok_or("the operators' file has no agreement that is enabled")?;
+        let ending = || "the process ends".to_string();
+        fleet.send(to).await.map_err(|_| ending())?;
+        if shows {
+            shown.await.map_err(|_| ending())
+        } else {
+            answer.await.map_err(|_| ending())?
+        }
+    }
+
     /// Yes only where a client would really be served.
     async fn status(&self) -> Reply {
         let phase = *self.phase.borrow();
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -2,6 +2,7 @@
 //! out the actions. It never waits for anyone but its mailbox and its wake-up, so that all may wait for it.
 
 use super::counters::{count, Count};
+use super::lease::Lease;
 use super::ledger::SessionLedger;
 use super::{Answer, Attempt, Beside, Ending, Input, Listed, Members, Order, Request, Taken, Work, REQUEST};
 use crate::clock::Clock;
@@ -61,6 +62,8 @@
     pub(super) unconfirmed: Time,
     /// The way back to full service, while that is not reached.
     pub(super) returning: Returning,
+    /// Until when the rules hold, where they hold by a lease.
+    pub(super) lease: Option<Lease>,
     /// What followed from actions at once, for the next step.
     pub(super) local: VecDeque<Event>,
     wake: Option<Time>,
@@ -97,6 +100,7 @@
             blind: 0,
             unconfirmed: 0,
             returning: Returning::new(clock.now()),
+            lease: None,
             local: VecDeque::new(),
             wake: None,
             actions: Vec::new(),
@@ -327,6 +331,10 @@
 
     fn step(&mut self, now: Time, events: &[Event]) {
         let mut actions = std::mem::take(&mut self.actions);
+        // Looked at before each step: a process that has stood still decides nothing by rules that ran out meanwhile.
+        if let Some(settings) = self.lease.as_mut().and_then(|lease| lease.turns(now)) {
+            self.router.step(now, &[Event::Settings(settings)], &mut actions);
+        }
         self.router.step(now, events, &mut actions);
         actions.drain(..).for_each(|action| self.act(now, action));
         self.actions = actions;
@@ -370,7 +378,8 @@
         live.attempts.push(member);
         let stop_at = stop_at.unwrap_or(Time::MAX).min(live.request.deadline);
         let safe = live.request.terms.classes[live.request.class].repeat == Repeat::Safe;
-        let attempt = Attempt { id, number, work: live.request.work.clone(), stop_at, safe };
+        let by = self.lease.as_ref().map_or(Time::MAX, Lease::until);
+        let attempt = Attempt { id, number, work: live.request.work.clone(), stop_at, safe, by };
         let may = live.reply.is_some() && now < stop_at && live.attempts.len() <= self.max_attempts;
         if may && self.members.attempt(member, attempt) {
             live.out += 1;
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -84,6 +84,13 @@
     phase_overstays,
     full_service,
     full_service_ms,
+    agreement_datagrams,
+    agreement_dropped,
+    agreement_lapses,
+    agreement_turns,
+    agreement_fetches,
+    agreement_failures,
+    agreement_lists,
 );
 
 /// Counts one more.
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -7,6 +7,7 @@
 pub mod bookings;
 pub mod counters;
 pub mod flow;
+pub mod lease;
 pub mod ledger;
 mod orders;
 
@@ -18,6 +19,7 @@
 use crate::settings::SocketTimes;
 use crate::terms::Terms;
 use bytes::Bytes;
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::ops::Range;
 use std::pin::Pin;
@@ -141,6 +143,8 @@
     pub stop_at: Time,
     /// What may have run may be sent again.
     pub safe: bool,
+    /// Nothing may be written to a member from then on: the rules that it was decided by no longer hold here.
+    pub by: Time,
 }
 
 /// How an attempt ended, with all that the member told.
@@ -228,6 +232,10 @@
     Beside(Option<Box<dyn Beside>>, oneshot::Sender<()>),
     /// What another process of this proxy has learned.
     Learn(Known, oneshot::Sender<()>),
+    /// The rules in force hold until then; nothing is sent after that unless told so again.
+    Lease(Time),
+    /// These members are out for the whole fleet.
+    Fleet(BTreeSet<Arc<str>>, oneshot::Sender<()>),
 }
 
 /// The members, as the core sees them. No call may wait: the core must always get back to its mailbox, which the
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -62,8 +62,21 @@
                 let _ = reply.send(());
                 self.max_attempts = settings.max_attempts as usize;
                 self.members.times(times);
+                let settings = match &mut self.lease {
+                    Some(lease) => lease.settings(settings, now),
+                    None => settings,
+                };
                 return vec![Event::Settings(settings)];
             }
+            Order::Lease(until) => {
+                self.lease.get_or_insert_default().holds(until);
+                return Vec::new();
+            }
+            Order::Fleet(out, reply) => {
+                let told = self.overlay.fleet(out, now);
+                let _ = reply.send(());
+                return self.operator(told);
+            }
             Order::Adopt(hands, reply) => {
                 let told = self.overlay.adopt(hands);
                 let _ = reply.send(());
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -94,6 +94,11 @@
         answer.await.ok()
     }
 
+    /// Tells the core something that needs no answer; none once it has ended.
+    pub async fn tell(&self, order: Order) -> Option<()> {
+        self.orders.send(order).await.ok()
+    }
+
     /// Has an order on a member carried out. Yes only once the module has taken it in and it is recorded.
     ///
     /// # Errors
--- a/src/main.rs
+++ b/src/main.rs
@@ -20,11 +20,13 @@
 use linentrail::net::discovery::{Discovery, Lists, Service};
 use linentrail::net::fleet::Fleet;
 use linentrail::net::listen::{self, Phase};
+use linentrail::operators::agreement::OnLapse;
 use linentrail::operators::{self, DnsSd, Odata};
+use linentrail::parley::{Parley, Wiring};
 use linentrail::recovery::{self, Gatherer, Start};
 use linentrail::reload::{tell_classes, Reload};
 use linentrail::terms::Slots;
-use linentrail::{ask, logs, meter, odata, pg};
+use linentrail::{ask, fleet, logs, meter, odata, pg};
 use linentrail::{ListKind, Time};
 use std::path::Path;
 use std::process::ExitCode;
@@ -74,7 +76,7 @@
     let (hangup, mut usr1) = (hear(SignalKind::hangup())?, hear(SignalKind::user_defined1())?);
     let (mut term, mut int) = (hear(SignalKind::terminate())?, hear(SignalKind::interrupt())?);
     let file = operators::load()?;
-    let Start { told, sound, stored, store } = recovery::start(&file.store)?;
+    let Start { told, sound, stored, store, memory: votes, own } = recovery::start(&file.store)?;
     let Sound { names, settings, times } = sound;
     let zones = names.zones.clone();
     let mut slots = Slots::default();
@@ -95,6 +97,7 @@
     let wire = pg::member::Pg::new(budget.bytes.clone(), clock);
     let fleet = Fleet::new(mailbox.clone(), follow, budget.clone(), clock, times, wire);
     let (proxies, listing) = (settings.instances, Listing::new(settings.seed));
+    let (seed, zone, first) = (settings.seed, settings.zone, settings.clone());
     let actor = Actor::new(settings, fleet, clock, (inbox, ordered)).map_err(|e| e.to_string())?;
 
     let mut lists = Lists::new(zones.clone());
@@ -115,20 +118,51 @@
     }
 
     let scribe = store.as_ref().map(|(scribe, ..)| scribe.clone());
-    let desk = Desk::new(orders, folder.clone()).writing(scribe);
+    let desk = Desk::new(orders, folder.clone()).writing(scribe.clone());
     let (stored, mut held, mut last) = (Arc::new(AtomicBool::new(stored)), None, None);
     if let Some((scribe, found, text)) = store {
         recovery::recall(&file.store, found, &desk, clock.now()).await;
         let (holds, settings) = watch::channel(Some(Held { at: clock.now(), text }));
         held = Some(holds);
+        let (version, zones) = (version.clone(), zones.clone());
         let gatherer = Gatherer { scribe, desk: desk.clone(), clock, settings, version, zones };
         let gatherer = Arc::new(gatherer);
         last = Some(gatherer.clone());
         let every = file.store.every;
         tokio::spawn(async move { gatherer.run(every).await });
     }
+    let (mut agreed, mut fleet) = (None, None);
+    if file.agreement.enabled {
+        if file.agreement.on_lapse == OnLapse::Refuse {
+            // Before the first client comes: without a word of the voters nothing is sent.
+            desk.tell(Order::Lease(0)).await;
+            desk.ask(|reply| Order::Settings(Box::new(first), times, reply)).await;
+        }
+        let keys = file.agreement.read_keys()?;
+        let (rules, ruled) = mpsc::channel(1);
+        let (own, proposed) = watch::channel(own);
+        let wiring = Wiring {
+            file: file.agreement.clone(),
+            keys,
+            desk: desk.clone(),
+            core: mailbox.clone(),
+            rules,
+            scribe,
+            version: version.clone(),
+            zones: zones.clone(),
+            own: proposed,
+            clock,
+            seed,
+        };
+        let (parley, asked) = Parley::start(wiring, votes).await?;
+        let (calls, called) = mpsc::channel(ORDERS);
+        tokio::spawn(parley.run(called, asked));
+        (agreed, fleet) = (Some((ruled, own)), Some(calls));
+    }
     let reload = Reload {
         running: told.clone(),
+        zone,
+        agreed,
         slots,
         terms,
         discovery,
@@ -142,7 +176,7 @@
     if let Some(console) = &told.console {
         let listener = TcpListener::bind(console).await.map_err(|e| format!("console {console}: {e}"))?;
         log::info!("operators call at {}", listener.local_addr().map_err(|e| e.to_string())?);
-        tokio::spawn(Console::new(desk.clone(), closing.clone(), stored).run(listener));
+        tokio::spawn(Console::new(desk.clone(), closing.clone(), stored, fleet).run(listener));
     }
     let listener = match &handed {
         Some(descriptor) => listen::inherited(descriptor).map_err(|e| format!("{ACCEPT}: {e}"))?,
@@ -279,6 +313,7 @@
         Some(Command::Check { file }) => return check(&file),
         Some(Command::Records) => print_records(),
         Some(Command::Status { console }) => return status(console.as_deref()),
+        Some(Command::Fleet { call, console, json }) => return fleet::run(&call, console.as_deref(), json),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -196,6 +196,13 @@
                         Ok(link) => link,
                         Err(outcome) => return (None, Exchange { outcome, ..Exchange::default() }),
                     };
+                    // However long it took to come by the connection, and whatever stood still meanwhile.
+                    if clock.now() >= attempt.by {
+                        return (
+                            Some(link),
+                            Exchange { outcome: Outcome::Superseded, ..Exchange::default() },
+                        );
+                    }
                     // Members are told how long this proxy waits; rounded up, as 0 would say that it is over.
                     let wait = attempt.stop_at.saturating_sub(clock.now()).div_ceil(1000).max(1);
                     let exchange = link.run(&attempt.work, wait, guard, &mut written).await;
--- a/src/operators/mod.rs
+++ b/src/operators/mod.rs
@@ -1,9 +1,11 @@
 //! The operators' file, `deploy/linentrail.hcl`: all that linentrail does beside the platform's protocol. What it leaves
 //! out has its default, and by default all of it is off. Nothing of it can be turned on by the environment alone.
 
+pub mod agreement;
 pub mod hcl;
 
 use crate::interface::Time;
+use agreement::Agreement;
 use hcl::{Fault, Reader};
 use hcl_edit::expr::Expression;
 use std::net::SocketAddr;
@@ -97,6 +99,8 @@
     pub dnssd: DnsSd,
     /// What outlasts the process.
     pub store: Store,
+    /// What the proxies of a fleet agree on.
+    pub agreement: Agreement,
 }
 
 /// An address on this machine alone.
@@ -154,9 +158,10 @@
         );
     }
     block.end();
+    let agreement = agreement::read(&mut file, store.enabled);
     let faults = file.end();
     if faults.is_empty() {
-        Ok(Operators { still_coming, odata, dnssd, store })
+        Ok(Operators { still_coming, odata, dnssd, store, agreement })
     } else {
         Err(faults)
     }
@@ -205,6 +210,7 @@
         let shipped = read(include_str!("../../deploy/linentrail.hcl")).expect("it is sound");
         let none = read("").expect("nothing is sound");
         assert!(!none.odata.enabled && !none.dnssd.browse && !none.store.enabled);
+        assert!(!none.agreement.enabled);
         assert_eq!(shipped, none);
     }
 
--- a/src/overlay.rs
+++ b/src/overlay.rs
@@ -68,6 +68,8 @@
     left: BTreeMap<Arc<str>, Time>,
     /// Starts that others have seen and discovery may not know of.
     begun: BTreeMap<Arc<str>, Time>,
+    /// Those that are out by hand for the whole fleet.
+    fleet: BTreeSet<Arc<str>>,
 }
 
 impl Overlay {
@@ -110,6 +112,9 @@
     /// An entry of discovery's as the module is to see it.
     fn told(&self, mut entry: Listed) -> Listed {
         let member = &mut entry.member;
+        if member.condition == Condition::In && self.fleet.contains(&entry.name) {
+            member.condition = Condition::Draining;
+        }
         match self.hands.get(&entry.name) {
             Some(Hand { back: None, .. }) if member.condition == Condition::In => {
                 member.condition = Condition::Draining;
@@ -189,6 +194,17 @@
         Ok(self.again(name))
     }
 
+    /// These are out for the whole fleet, in place of all that were; what the module is to be told. One that comes back
+    /// counts as started now, like one that is put back here.
+    pub fn fleet(&mut self, out: BTreeSet<Arc<str>>, now: Time) -> Vec<Listed> {
+        let former = std::mem::replace(&mut self.fleet, out);
+        let back: Vec<Arc<str>> = former.difference(&self.fleet).cloned().collect();
+        back.into_iter().filter(|name| self.listed.contains_key(name)).for_each(|name| {
+            self.begun.insert(name, now);
+        });
+        former.symmetric_difference(&self.fleet).filter_map(|name| self.again(name)).collect()
+    }
+
     /// All that the operators said.
     pub fn hands(&self) -> &Hands {
         &self.hands
--- /dev/null
+++ b/src/parley/mod.rs
@@ -0,0 +1,664 @@
+//! Carries what the proxies of a fleet agree on: an actor that owns the [`Instance`], its socket, its documents and the
+//! way to the disk, and tells the core and the fronts what holds. It decides nothing; with no block `agreement` in the
+//! operators' file none of it is there.
+
+pub mod pull;
+pub mod told;
+
+use crate::agreement::document::{self, Content, Document};
+use crate::agreement::instance::{Fleet, Instance, Out};
+use crate::agreement::message::Message;
+use crate::agreement::proposer::{End, Goal};
+use crate::agreement::rules::Shared;
+use crate::agreement::seal::{Keys, Receiver, Sender};
+use crate::agreement::voter::{self, Voter, Votes};
+use crate::agreement::{Hash, Holds, Kind, Number, Standing, Version, KINDS};
+use crate::clock::Clock;
+use crate::core::counters::{count, Count};
+use crate::core::{Input, Order};
+use crate::handover::Desk;
+use crate::interface::{ListKind, Time};
+use crate::net::discovery::{self, Lists};
+use crate::operators::agreement::{Agreement, OnLapse};
+use crate::store::actor::Scribe;
+use crate::store::state::Finding;
+use bytes::Bytes;
+use pull::{Question, Want};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Calls of the operators that may wait, and results of tasks.
+const MAILBOX: usize = 64;
+/// Documents that are kept, beyond those that anything rests on.
+const DOCUMENTS: usize = 16;
+/// Versions that `history` tells.
+const HISTORY: usize = 64;
+/// Fetches at a time.
+const FETCHES: usize = 4;
+/// Names in the store.
+const VOTES: &str = "votes";
+const DOCUMENT: &str = "document-";
+/// How often the list's version is looked at, and the lease is told to the core.
+const LOOK: std::time::Duration = std::time::Duration::from_millis(50);
+
+/// What the operators ask.
+pub enum Call {
+    /// How the fleet stands, as JSON.
+    Status(oneshot::Sender<String>),
+    /// The versions that were in force here, as JSON.
+    History(oneshot::Sender<String>),
+    /// Settings, as their JSON, by an author.
+    Propose(String, String, oneshot::Sender<Result<String, String>>),
+    /// A member out, or back, for the whole fleet.
+    Hand(String, bool, oneshot::Sender<Result<String, String>>),
+    /// Take back the change that is under way.
+    Abort(oneshot::Sender<Result<String, String>>),
+    /// Begin a new epoch, as most voters' disks are lost.
+    Epoch(u32, oneshot::Sender<Result<String, String>>),
+}
+
+/// Settings to be taken up: what each shares, and the word once that is done.
+pub type Rules = (Box<Shared>, oneshot::Sender<()>);
+
+/// Something that a task has done.
+enum Done {
+    Written(u64),
+    Relearned,
+    Unwritten(String),
+    Fetched(Hash, Option<Vec<u8>>),
+    Kept(Hash),
+    Dropped,
+    Listed(u64, Option<Vec<u8>>),
+}
+
+/// What the actor is wired to.
+pub struct Wiring {
+    /// The block of the operators' file.
+    pub file: Agreement,
+    /// Its keys.
+    pub keys: Keys,
+    /// The way to the core.
+    pub desk: Desk,
+    /// Lists go there.
+    pub core: mpsc::Sender<Input>,
+    /// Settings go there.
+    pub rules: mpsc::Sender<Rules>,
+    /// The way to the disk; none where this proxy does not vote.
+    pub scribe: Option<Scribe>,
+    /// Version of the list that is held.
+    pub version: Arc<AtomicU64>,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// The settings of this proxy's own file, as JSON: the first to be agreed on.
+    pub own: watch::Receiver<Arc<str>>,
+    /// The clock.
+    pub clock: Clock,
+    /// Of its lots.
+    pub seed: u64,
+}
+
+/// What a start has found of earlier votes.
+pub struct Memory {
+    /// How the store was found.
+    pub finding: Finding,
+    /// What was kept of votes and documents, by name.
+    pub kept: Vec<(String, Vec<u8>)>,
+}
+
+impl Memory {
+    /// Names begin so.
+    pub const PREFIXES: [&'static str; 2] = [VOTES, DOCUMENT];
+
+    /// The voter that goes on from it.
+    fn voter(&self, now: Time) -> Voter {
+        let kept = self.kept.iter().find(|(name, _)| name == VOTES);
+        let votes = kept.map(|(_, bytes)| read_votes(bytes));
+        match (votes, self.finding) {
+            (None, Finding::Sound | Finding::Fresh) => Voter::new(Votes::default()),
+            (Some(Some(votes)), Finding::Sound) => Voter::new(votes),
+            (votes, finding) => {
+                log::warn!(
+                    "votes: {finding:?}; this voter may have forgotten what it promised, and learns first"
+                );
+                Voter::forgetful(votes.flatten().unwrap_or_default(), now)
+            }
+        }
+    }
+}
+
+/// Votes with their checksum.
+fn write_votes(votes: &Votes) -> Vec<u8> {
+    let bytes = voter::write(votes);
+    [&crc32fast::hash(&bytes).to_le_bytes()[..], &bytes].concat()
+}
+
+fn read_votes(bytes: &[u8]) -> Option<Votes> {
+    let (sum, bytes) = bytes.split_first_chunk::<4>()?;
+    (crc32fast::hash(bytes) == u32::from_le_bytes(*sum)).then(|| voter::read(bytes))?
+}
+
+/// What is acted on.
+#[derive(Clone, PartialEq)]
+struct Acts {
+    turns: [u64; 2],
+    holds: [Holds; 2],
+}
+
+/// A version that was in force here.
+#[derive(Debug, Clone)]
+struct Past {
+    kind: Kind,
+    version: Version,
+    author: String,
+    proposed: Time,
+    since: Time,
+}
+
+/// The actor.
+pub struct Parley {
+    with: Wiring,
+    instance: Instance,
+    socket: Arc<UdpSocket>,
+    sender: Sender,
+    receiver: Receiver,
+    documents: BTreeMap<Hash, (Document, Bytes)>,
+    fetching: BTreeSet<Hash>,
+    /// What was last told the core: what it acts on and until when.
+    acts: Option<Acts>,
+    until: Time,
+    /// Since when no lease has held, and whether that was told.
+    lapsed: Option<Time>,
+    list: (u64, bool),
+    history: VecDeque<Past>,
+    /// What came of the last change that was proposed here.
+    last: String,
+    done: mpsc::Sender<Done>,
+    ends: mpsc::Receiver<Done>,
+    nonce: u64,
+}
+
+impl Parley {
+    /// One that speaks at the address that the file names for it; it serves other proxies from then on.
+    ///
+    /// # Errors
+    /// When the address cannot be had.
+    pub async fn start(
+        with: Wiring,
+        memory: Option<Memory>,
+    ) -> Result<(Self, mpsc::Receiver<Question>), String> {
+        let file = &with.file;
+        let at = file.proxies.get(&file.me).copied().ok_or("agreement.me is none of agreement.proxies")?;
+        let bad = |e: std::io::Error| format!("agreement: {at}: {e}");
+        let socket = Arc::new(UdpSocket::bind(at).await.map_err(bad)?);
+        let listener = TcpListener::bind(at).await.map_err(bad)?;
+        let now = with.clock.now();
+        let fleet = Fleet {
+            me: file.me,
+            start: now,
+            all: file.proxies.keys().copied().collect(),
+            voters: file.voters.clone(),
+            times: file.times,
+            seed: with.seed ^ u64::from(file.me),
+        };
+        let votes = file.voters.contains(&file.me);
+        let voter = memory.as_ref().filter(|_| votes).map(|memory| memory.voter(now));
+        let mut instance = Instance::new(fleet, voter, now);
+        let mut documents = BTreeMap::new();
+        for (name, bytes) in memory.into_iter().flat_map(|m| m.kept) {
+            if let (true, Ok(document)) = (name.starts_with(DOCUMENT), Document::open(&bytes, &with.keys)) {
+                let hash = document.version().hash;
+                instance.document(hash);
+                documents.insert(hash, (document, Bytes::from(bytes)));
+            }
+        }
+        let (questions, asked) = mpsc::channel(MAILBOX);
+        tokio::spawn(pull::serve(listener, with.keys.clone(), questions));
+        let (done, ends) = mpsc::channel(MAILBOX);
+        let (sender, receiver) =
+            (Sender::new(with.keys.clone(), file.me, now), Receiver::new(with.keys.clone(), file.me));
+        log::info!("proxy {} of {} agrees with the others at {at}", file.me, file.proxies.len());
+        let parley = Parley {
+            instance,
+            socket,
+            sender,
+            receiver,
+            documents,
+            fetching: BTreeSet::new(),
+            acts: None,
+            until: 0,
+            lapsed: Some(now),
+            list: (0, false),
+            history: VecDeque::new(),
+            last: "nothing was proposed here".into(),
+            done,
+            ends,
+            nonce: now,
+            with,
+        };
+        Ok((parley, asked))
+    }
+
+    /// Runs until the core has ended.
+    pub async fn run(mut self, mut calls: mpsc::Receiver<Call>, mut questions: mpsc::Receiver<Question>) {
+        let mut buffer = [0; 2048];
+        loop {
+            let now = self.with.clock.now();
+            let wakes = self.instance.wakes().min(now + LOOK.as_micros() as Time);
+            let socket = self.socket.clone();
+            let out = tokio::select! {
+                biased;
+                () = tokio::time::sleep_until(self.with.clock.instant(wakes)) => self.instance.tick(self.with.clock.now()),
+                Some(done) = self.ends.recv() => self.done(done),
+                came = socket.recv_from(&mut buffer) => match came {
+                    Ok((length, _)) => self.heard(&buffer[..length]),
+                    Err(_) => continue,
+                },
+                Some((want, reply)) = questions.recv() => {
+                    let _ = reply.send(self.wanted(want).await);
+                    Vec::new()
+                }
+                call = calls.recv() => match call {
+                    Some(call) => self.call(call),
+                    None => return,
+                },
+            };
+            self.carry(out).await;
+            if self.look().await.is_none() {
+                return;
+            }
+        }
+    }
+
+    fn heard(&mut self, datagram: &[u8]) -> Vec<Out> {
+        let proxies = &self.with.file.proxies;
+        let opened = self.receiver.open(datagram, |from| proxies.contains_key(&from));
+        let read = opened.and_then(|(from, start, bytes)| Ok((from, start, Message::read(bytes)?)));
+        match read {
+            Ok((from, start, message)) => self.instance.hear(from, start, message, self.with.clock.now()),
+            Err(why) => {
+                count(Count::agreement_dropped);
+                log::debug!("a datagram is dropped: {why:?}");
+                Vec::new()
+            }
+        }
+    }
+
+    fn done(&mut self, done: Done) -> Vec<Out> {
+        let now = self.with.clock.now();
+        match done {
+            Done::Written(number) => return self.instance.written(number, now),
+            Done::Relearned => {
+                log::info!("this voter votes again");
+                self.instance.learned();
+            }
+            Done::Unwritten(why) => {
+                count(Count::agreement_failures);
+                log::warn!("a vote cannot be written down and is not given: {why}");
+            }
+            Done::Fetched(hash, bytes) => {
+                self.fetching.remove(&hash);
+                let opened = bytes.and_then(|b| Some((Document::open(&b, &self.with.keys).ok()?, b)));
+                if let Some((document, bytes)) = opened.filter(|(d, _)| d.version().hash == hash) {
+                    self.keep(document, bytes.into());
+                }
+            }
+            Done::Kept(hash) => self.instance.document(hash),
+            Done::Dropped => {}
+            Done::Listed(version, bytes) => {
+                self.list.1 = false;
+                let json = bytes.and_then(|b| serde_json::from_slice(&b).ok());
+                let held = self.with.version.load(Ordering::Relaxed);
+                let mut lists = Lists::new(self.with.zones.clone());
+                if let Some((told, _, entries)) =
+                    json.and_then(|j| lists.read(&j, Some(held))).filter(|l| l.0 > held)
+                {
+                    count(Count::agreement_lists);
+                    log::info!(
+                        "member list {told} was taken from another proxy; discovery has told {held} here"
+                    );
+                    self.list.0 = self.list.0.max(version);
+                    let core = self.with.core.clone();
+                    tokio::spawn(async move { core.send(Input::List(ListKind::Full, entries)).await });
+                }
+            }
+        }
+        Vec::new()
+    }
+
+    /// A document is here: it is written down before anything rests on it, where this proxy votes.
+    fn keep(&mut self, document: Document, bytes: Bytes) {
+        let hash = document.version().hash;
+        if let Err(why) = document.content() {
+            log::warn!("{} {} cannot be acted on: {why}", document.kind.name(), document.version());
+            return;
+        }
+        self.documents.insert(hash, (document, bytes.clone()));
+        let needs = self.instance.needs();
+        while self.documents.len() > DOCUMENTS {
+            let old = self.documents.iter().filter(|(h, _)| !needs.contains(h) && **h != hash);
+            let Some(old) = old.min_by_key(|(_, (d, _))| (d.number, d.at)).map(|(h, _)| *h) else { break };
+            self.documents.remove(&old);
+            self.instance.forget(&old);
+            self.write(format!("{DOCUMENT}{}", hex(&old)), Vec::new(), Done::Dropped);
+        }
+        if self.with.scribe.is_some() {
+            self.write(format!("{DOCUMENT}{}", hex(&hash)), bytes.to_vec(), Done::Kept(hash));
+        } else {
+            self.instance.document(hash);
+        }
+    }
+
+    fn write(&self, name: String, bytes: Vec<u8>, then: Done) {
+        let Some(scribe) = self.with.scribe.clone() else { return };
+        let done = self.done.clone();
+        tokio::spawn(async move {
+            let told = match scribe.keep(name, bytes).await {
+                Ok(()) => then,
+                Err(why) => Done::Unwritten(why),
+            };
+            let _ = done.send(told).await;
+        });
+    }
+
+    async fn wanted(&self, want: Want) -> Option<Bytes> {
+        match want {
+            Want::Document(hash) => self.documents.get(&hash).map(|(_, bytes)| bytes.clone()),
+            Want::List => {
+                let listed = self.with.desk.ask(Order::Listed).await?;
+                let version = self.with.version.load(Ordering::Relaxed);
+                Some(discovery::write(&listed, version, &self.with.zones).to_string().into())
+            }
+        }
+    }
+
+    async fn carry(&mut self, out: Vec<Out>) {
+        for out in out {
+            match out {
+                Out::Send(to, message) => {
+                    let Some(at) = self.with.file.proxies.get(&to).copied() else { continue };
+                    let datagram = self.sender.seal(to, &message.write());
+                    count(Count::agreement_datagrams);
+                    // A network loses datagrams, too.
+                    let _ = self.socket.try_send_to(&datagram, at);
+                }
+                Out::Write(number, votes) => {
+                    self.write(VOTES.into(), write_votes(&votes), Done::Written(number));
+                }
+                Out::Relearn(votes) => self.write(VOTES.into(), write_votes(&votes), Done::Relearned),
+                Out::Fetch(from, hash) => {
+                    if !self.documents.contains_key(&hash) && self.fetching.len() < FETCHES {
+                        if let (true, Some(at)) = (self.fetching.insert(hash), self.address(from)) {
+                            self.nonce += 1;
+                            let (keys, done, nonce) = (self.with.keys.clone(), self.done.clone(), self.nonce);
+                            tokio::spawn(async move {
+                                let got = pull::get(at, &keys, Want::Document(hash), nonce).await;
+                                let _ = done.send(Done::Fetched(hash, got)).await;
+                            });
+                        }
+                    }
+                }
+                Out::Ended(kind, goal, end) => self.ended(kind, goal, end),
+            }
+        }
+    }
+
+    fn address(&self, of: Number) -> Option<std::net::SocketAddr> {
+        self.with.file.proxies.get(&of).copied()
+    }
+
+    fn ended(&mut self, kind: Kind, goal: Goal, end: End) {
+        let told = match end {
+            End::Chosen(accepted) => format!("{}: turn {} is chosen", kind.name(), accepted.standing.turn),
+            End::Moot(moot) => format!("{}: nothing was changed: {}", kind.name(), told::moot(&moot)),
+        };
+        log::info!("{told}");
+        if matches!(goal, Goal::Change { .. } | Goal::Abort(_)) {
+            self.last = told;
+        }
+    }
+
+    /// Tells the core what holds, and takes up what is new; none once the core has ended.
+    async fn look(&mut self) -> Option<()> {
+        let now = self.with.clock.now();
+        let version = self.with.version.load(Ordering::Relaxed).max(self.list.0);
+        self.instance.listed(version);
+        if let (true, false, Some((newer, by))) =
+            (self.with.file.lists, self.list.1, self.instance.newer_list())
+        {
+            if let Some(at) = self.address(by) {
+                self.list.1 = true;
+                self.nonce += 1;
+                let (keys, done, nonce) = (self.with.keys.clone(), self.done.clone(), self.nonce);
+                tokio::spawn(async move {
+                    let got = pull::get(at, &keys, Want::List, nonce).await;
+                    let _ = done.send(Done::Listed(newer, got)).await;
+                });
+            }
+        }
+        let Some((standings, until)) = self.instance.holds(now) else {
+            if self.lapsed.is_none() {
+                self.lapsed = Some(now);
+                if self.with.file.on_lapse == OnLapse::GoOn {
+                    count(Count::agreement_lapses);
+                    log::warn!("what is agreed on no longer holds here, and is gone by all the same: the bound is not kept");
+                }
+            }
+            return Some(());
+        };
+        let next = Acts { turns: standings.map(|s| s.turn), holds: standings.map(|s| s.holds) };
+        if self.acts.as_ref() != Some(&next) {
+            if !self.take_up(&standings).await? {
+                return Some(());
+            }
+            count(Count::agreement_turns);
+            self.note(&next, now);
+            self.acts = Some(next);
+        }
+        self.lapsed = None;
+        if until > self.until {
+            log::debug!(target: "rules", us = now, until = until; "leased");
+        }
+        if until > self.until && self.with.file.on_lapse == OnLapse::Refuse {
+            self.with.desk.tell(Order::Lease(until)).await?;
+        }
+        self.until = until;
+        Some(())
+    }
+
+    /// Has it acted by these standings; false where that cannot be, as a document is still to come.
+    async fn take_up(&mut self, standings: &[Standing; 2]) -> Option<bool> {
+        let [settings, hands] = standings.map(|s| s.holds);
+        if settings == Holds::Nothing || hands == Holds::Nothing {
+            self.first(settings, hands);
+            return Some(false);
+        }
+        let mut shared: Option<Box<Shared>> = None;
+        for version in settings.versions() {
+            let Some(Ok(Content::Settings(one))) =
+                self.documents.get(&version.hash).map(|(d, _)| d.content())
+            else {
+                return Some(false);
+            };
+            shared = Some(match shared {
+                None => one,
+                // A voter accepts no change that has no meet; whoever sees one all the same acts on nothing.
+                Some(other) => Box::new(other.meet(&one).ok()?),
+            });
+        }
+        let mut out = BTreeSet::new();
+        for version in hands.versions() {
+            let Some(Ok(Content::Hands(these))) = self.documents.get(&version.hash).map(|(d, _)| d.content())
+            else {
+                return Some(false);
+            };
+            out.extend(these);
+        }
+        if self.acts.as_ref().is_none_or(|acts| acts.holds[1] != hands) {
+            self.with.desk.ask(|reply| Order::Fleet(out, reply)).await?;
+        }
+        if self.acts.as_ref().is_none_or(|acts| acts.holds[0] != settings) {
+            let (reply, done) = oneshot::channel();
+            self.with.rules.send((shared?, reply)).await.ok()?;
+            done.await.ok()?;
+        }
+        Some(true)
+    }
+
+    /// Nothing has ever been agreed on: the lowest voter that is there proposes what its own file says.
+    fn first(&mut self, settings: Holds, hands: Holds) {
+        let now = self.with.clock.now();
+        let lowest = self.with.file.voters.iter().min().copied();
+        let waited = self.lapsed.is_some_and(|since| now > since + 4 * self.with.file.times.lease);
+        if !self.with.file.voters.contains(&self.with.file.me)
+            || !(waited || lowest == Some(self.with.file.me))
+        {
+            return;
+        }
+        let own = self.with.own.borrow().to_string();
+        for (kind, holds, body) in [(Kind::Settings, settings, own), (Kind::Hands, hands, String::new())] {
+            if holds == Holds::Nothing && self.instance.awaits(kind).is_empty() {
+                let author = format!("the file of proxy {}", self.with.file.me);
+                let _ = self.propose(kind, author, body, (0, Hash::default()));
+            }
+        }
+    }
+
+    fn note(&mut self, next: &Acts, now: Time) {
+        for kind in KINDS {
+            let (was, is) = (self.acts.as_ref().map(|acts| acts.holds[kind.at()]), next.holds[kind.at()]);
+            if was == Some(is) {
+                continue;
+            }
+            let shown = told::holds(&is);
+            log::info!(target: "rules", turn = next.turns[kind.at()], us = now; "{} {shown}", kind.name());
+            let Holds::One(version) = is else { continue };
+            if let Some((document, _)) = self.documents.get(&version.hash) {
+                let (author, proposed) = (document.author.clone(), document.at);
+                self.history.push_back(Past { kind, version, author, proposed, since: now });
+                if self.history.len() > HISTORY {
+                    self.history.pop_front();
+                }
+            }
+        }
+    }
+
+    fn propose(
+        &mut self,
+        kind: Kind,
+        author: String,
+        body: String,
+        (number, parent): (u64, Hash),
+    ) -> Result<String, String> {
+        let at = self.with.clock.now();
+        let document = Document { kind, number: number + 1, parent, author, at, body };
+        document.content()?;
+        let (to, sealed) = (document.version(), document.seal(&self.with.keys));
+        if sealed.len() > document::LONGEST {
+            return Err(format!("it has {} bytes, {} are allowed", sealed.len(), document::LONGEST));
+        }
+        if !self.instance.propose(kind, Goal::Change { to, parent }, at) {
+            return Err("another ballot of this proxy is under way; ask again".into());
+        }
+        self.keep(document, sealed.into());
+        self.last = format!("{}: version {to} is proposed", kind.name());
+        Ok(self.last.clone())
+    }
+
+    /// The version alone in force, and its document.
+    fn base(&self, kind: Kind) -> Result<(Version, &Document), String> {
+        let now = self.with.clock.now();
+        let (standings, _) =
+            self.instance.holds(now).ok_or("no majority of the voters can be reached from here")?;
+        match standings[kind.at()].holds {
+            Holds::One(version) => {
+                let known =
+                    self.documents.get(&version.hash).ok_or("its document is still to come; ask again")?;
+                Ok((version, &known.0))
+            }
+            Holds::Nothing => Err("nothing is agreed on yet".into()),
+            Holds::Between { to, .. } => Err(format!("a change to version {to} is under way; wait or ABORT")),
+        }
+    }
+
+    fn settings(&mut self, author: String, body: String) -> Result<String, String> {
+        let (version, old) = self.base(Kind::Settings)?;
+        let old = old.content()?;
+        let json = serde_json::from_str(&body).map_err(|e| e.to_string())?;
+        let new = Shared::read(&json)?;
+        if let Content::Settings(old) = old {
+            // Refused here, with place and reason, before anybody takes it.
+            old.meet(&new)
+                .map_err(|all| all.iter().map(ToString::to_string).collect::<Vec<_>>().join("; "))?;
+            old.differences(&new).iter().for_each(|d| log::info!("proposed: {d}"));
+        }
+        self.propose(Kind::Settings, author, body, (version.number, version.hash))
+    }
+
+    fn hand(&mut self, member: &str, out: bool) -> Result<String, String> {
+        let (version, old) = self.base(Kind::Hands)?;
+        let Content::Hands(mut all) = old.content()? else { return Err("no hands".into()) };
+        let changed = if out { all.insert(member.into()) } else { all.remove(member) };
+        if !changed {
+            return Ok(format!("{member} is so already, by version {version}"));
+        }
+        self.propose(Kind::Hands, "the console".into(), document::hands(&all), (version.number, version.hash))
+    }
+
+    fn abort(&mut self) -> Result<String, String> {
+        let now = self.with.clock.now();
+        let (standings, _) =
+            self.instance.holds(now).ok_or("no majority of the voters can be reached from here")?;
+        for kind in KINDS {
+            let Standing { turn, holds } = standings[kind.at()];
+            if matches!(holds, Holds::Between { .. }) {
+                return match self.instance.propose(kind, Goal::Abort(turn), now) {
+                    true => Ok(format!("{}: turn {turn} is being taken back", kind.name())),
+                    false => Err("a ballot of this proxy is under way; ask again".into()),
+                };
+            }
+        }
+        Err("no change is under way".into())
+    }
+
+    fn call(&mut self, call: Call) -> Vec<Out> {
+        match call {
+            Call::Status(reply) => drop(reply.send(self.status())),
+            Call::History(reply) => drop(reply.send(told::history(&self.history))),
+            Call::Propose(author, body, reply) => drop(reply.send(self.settings(author, body))),
+            Call::Hand(member, out, reply) => drop(reply.send(self.hand(&member, out))),
+            Call::Abort(reply) => drop(reply.send(self.abort())),
+            Call::Epoch(epoch, reply) => {
+                let out = self.instance.start_over(epoch);
+                let no = || "this proxy does not vote, or knows of that epoch or a later one".to_string();
+                let _ = reply.send(out.as_ref().map(|_| format!("epoch {epoch} begins here")).ok_or_else(no));
+                return out.into_iter().collect();
+            }
+        }
+        Vec::new()
+    }
+}
+
+/// The settings of a configuration's file, or of one that has nothing else, as their JSON.
+///
+/// # Errors
+/// When there are none.
+pub async fn settings_of(path: &str) -> Result<String, String> {
+    let bad = |e: &dyn std::fmt::Display| format!("{path}: {e}");
+    let (at, most) = (path.to_string(), document::LONGEST as u64);
+    let read = move || {
+        use std::io::Read;
+        let mut text = String::new();
+        std::fs::File::open(at)?.take(most).read_to_string(&mut text).map(|_| text)
+    };
+    let text = tokio::task::spawn_blocking(read).await.map_err(|e| bad(&e))?.map_err(|e| bad(&e))?;
+    let mut json: serde_json::Value = serde_json::from_str(&text).map_err(|e| bad(&e))?;
+    let settings = json.get_mut("settings").map(serde_json::Value::take).unwrap_or(json);
+    Ok(settings.to_string())
+}
+
+fn hex(hash: &Hash) -> String {
+    hash.0.iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- a/src/recovery.rs
+++ b/src/recovery.rs
@@ -10,6 +10,8 @@
 use crate::knowledge::{Held, Knowledge};
 use crate::net::discovery;
 use crate::operators::{self, Broken, Fsync};
+use crate::parley::Memory;
+use crate::reload::own_settings;
 use crate::store::actor::Scribe;
 use crate::store::disk::Folder;
 use crate::store::state::{Recovered, Store};
@@ -31,6 +33,10 @@
     pub stored: bool,
     /// Where there is a store: that, what it had, and the configuration's text for it to keep.
     pub store: Option<(Scribe, Recovered, Arc<str>)>,
+    /// What the store had kept of what proxies agree on.
+    pub memory: Option<Memory>,
+    /// The settings, as their JSON.
+    pub own: Arc<str>,
 }
 
 /// The name of the proxy, by which it finds its folder: it must be known even where the configuration cannot be read.
@@ -38,14 +44,19 @@
     config::lookup("BALANCER_NAME", "name").map_err(|e| format!("{e}: the store's folder cannot be found"))
 }
 
-fn open(file: &operators::Store) -> Result<(Scribe, Recovered), String> {
+fn open(file: &operators::Store) -> Result<(Scribe, Recovered, Memory), String> {
     let place = crate::handover::place(&file.folder.to_string_lossy(), &name()?);
     let bad = |e: std::io::Error| format!("store {}: {e}", place.display());
     let folder = Folder::take(&place, file.fsync == Fsync::Word).map_err(bad)?;
     let folder = folder.ok_or_else(|| format!("store {}: another process has it", place.display()))?;
     let (store, found) = Store::open(folder, file.most).map_err(bad)?;
     tell(&found);
-    Ok((Scribe::start(store).map_err(bad)?, found))
+    let mut kept = Vec::new();
+    for prefix in Memory::PREFIXES {
+        kept.extend(store.kept(prefix).map_err(bad)?);
+    }
+    let memory = Memory { finding: found.finding, kept };
+    Ok((Scribe::start(store).map_err(bad)?, found, memory))
 }
 
 /// The store with the text that it is to keep; without one nobody keeps it.
@@ -59,9 +70,11 @@
 /// With one plain message.
 pub fn start(file: &operators::Store) -> Result<Start, String> {
     let store = if file.enabled { Some(open(file)?) } else { None };
+    let (store, memory) = store.map(|(scribe, found, memory)| ((scribe, found), memory)).unzip();
     let fault = match config::load() {
         Ok((told, sound, text)) => {
-            return Ok(Start { told, sound, stored: false, store: keeping(store, &text) })
+            let own = own_settings(&text);
+            return Ok(Start { told, sound, stored: false, store: keeping(store, &text), memory, own });
         }
         Err(fault) => fault,
     };
@@ -75,7 +88,8 @@
     let (told, sound) = config::sound_text(&text).map_err(|e| format!("{fault}; the last that held: {e}"))?;
     log::error!("the configuration cannot be used, and the last that held is taken: {fault}");
     count(Count::store_settings_taken);
-    Ok(Start { told, sound, stored: true, store: keeping(store, &text) })
+    let own = own_settings(&text);
+    Ok(Start { told, sound, stored: true, store: keeping(store, &text), memory, own })
 }
 
 /// The list to begin with: of the configuration's and the stored one the later. Either only says whom to ask.
--- a/src/reload.rs
+++ b/src/reload.rs
@@ -1,18 +1,22 @@
 //! Settings at SIGHUP: the file is read and checked whole, then taken up whole or not at all.
 
+use crate::agreement::rules::Shared;
 use crate::clock::Clock;
 use crate::config::{self, Config, Sound};
 use crate::core::counters::{count, Count};
 use crate::core::Order;
 use crate::handover::Desk;
+use crate::interface::Settings;
 use crate::knowledge::Held;
 use crate::net::discovery::Service;
+use crate::parley::Rules;
+use crate::settings::{Names, SocketTimes};
 use crate::terms::{Slots, Terms};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::signal::unix::Signal;
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
 /// First pause before a file that could not be used is read again, as it may be half written, and for how long it is.
@@ -23,6 +27,8 @@
 pub struct Reload {
     /// The configuration that holds.
     pub running: Config,
+    /// The zone of this proxy.
+    pub zone: u32,
     /// Its classes.
     pub slots: Slots,
     /// Where the fronts learn the terms of new requests.
@@ -37,18 +43,37 @@
     pub stored: Arc<AtomicBool>,
     /// The clock.
     pub clock: Clock,
+    /// Where the settings are agreed on with other proxies: those in force, and where what this proxy's own file says is
+    /// told. Its settings are then a proposal and no more.
+    pub agreed: Option<(mpsc::Receiver<Rules>, watch::Sender<Arc<str>>)>,
 }
 
 impl Reload {
     /// Reads the file again at each SIGHUP. A file that cannot be used may be half written: it is read again for a
     /// while, and then left until the next SIGHUP.
     pub async fn run(mut self, mut hangup: Signal) {
-        while hangup.recv().await.is_some() {
+        loop {
+            let rules = async {
+                match &mut self.agreed {
+                    Some((rules, _)) => rules.recv().await,
+                    None => std::future::pending().await,
+                }
+            };
+            tokio::select! {
+                heard = hangup.recv() => if heard.is_none() {
+                    return;
+                },
+                Some((shared, done)) = rules => {
+                    self.rules(*shared).await;
+                    let _ = done.send(());
+                    continue;
+                }
+            }
             let (mut pause, mut until) = (READ_AGAIN, Instant::now() + READ_AGAIN_MOST);
             let fault = loop {
                 match config::load_again(&self.running) {
                     Ok((told, sound, text)) => {
-                        self.take(told, sound).await;
+                        self.take(told, sound, &text).await;
                         self.stored.store(false, Ordering::Relaxed);
                         if let Some(held) = &self.held {
                             let text = String::from_utf8_lossy(&text).as_ref().into();
@@ -74,14 +99,36 @@
         }
     }
 
-    async fn take(&mut self, told: Config, sound: Sound) {
-        let Sound { names, mut settings, times } = sound;
-        let proxies = settings.instances;
+    /// The settings that hold from now on.
+    async fn hold(&mut self, names: Names, mut settings: Settings, times: SocketTimes) {
         let terms = self.slots.change(names, std::mem::take(&mut settings.classes));
         settings.classes = terms.classes.clone();
         // The module first: no request may come under terms that it does not know.
         self.desk.ask(|reply| Order::Settings(Box::new(settings), times, reply)).await;
         let _ = self.terms.send(terms);
+    }
+
+    /// What all proxies act on: with this one's own zone and random numbers.
+    async fn rules(&mut self, shared: Shared) {
+        let Shared { names, settings, times } = shared;
+        let (seed, zone) = (self.running.seed, self.zone);
+        self.hold(names, Settings { seed, zone, ..settings }, times).await;
+        log::info!("settings that are agreed on hold from now on");
+        tell_classes(&self.slots.now());
+    }
+
+    async fn take(&mut self, told: Config, sound: Sound, text: &[u8]) {
+        let Sound { names, settings, times } = sound;
+        let proxies = settings.instances;
+        match &self.agreed {
+            Some((_, own)) => {
+                own.send_replace(own_settings(text));
+                log::info!(
+                    "settings are agreed on with the other proxies: this file's count once they are proposed"
+                );
+            }
+            None => self.hold(names, settings, times).await,
+        }
         // Also where it is the same: the list is then asked for anew.
         let _ = self.discovery.send(Service { address: told.discovery.clone(), proxies });
         count(Count::reloads);
@@ -90,11 +137,19 @@
             log::warn!("taken up only by a new start: {}", fixed.join(", "));
         }
         log::info!("the configuration was read again; discovery is asked at {} from now on", told.discovery);
-        tell_classes(&self.slots.now());
+        if self.agreed.is_none() {
+            tell_classes(&self.slots.now());
+        }
         self.running = told;
     }
 }
 
+/// The settings of a configuration, as their JSON.
+pub fn own_settings(text: &[u8]) -> Arc<str> {
+    let json: serde_json::Value = serde_json::from_slice(text).unwrap_or_default();
+    json.get("settings").map(ToString::to_string).unwrap_or_default().into()
+}
+
 /// Tells the log what holds for new requests.
 pub fn tell_classes(terms: &Terms) {
     for (slot, class) in terms.classes.iter().enumerate() {
--- a/src/store/actor.rs
+++ b/src/store/actor.rs
@@ -16,6 +16,7 @@
 enum Job {
     Word(Arc<str>, Hand, oneshot::Sender<Result<(), String>>),
     Snapshot(Box<Knowledge>, Time, oneshot::Sender<Result<(), String>>),
+    Keep(String, Vec<u8>, oneshot::Sender<Result<(), String>>),
 }
 
 /// The way to the store. Copies lead to the same one.
@@ -41,6 +42,7 @@
                 let (done, reply) = match job {
                     Job::Word(name, hand, reply) => (store.word(&name, &hand), reply),
                     Job::Snapshot(all, at, reply) => (store.snapshot(&all, at), reply),
+                    Job::Keep(name, bytes, reply) => (store.keep(&name, &bytes), reply),
                 };
                 told(&done);
                 let _ = reply.send(done.map_err(|e| e.to_string()));
@@ -63,6 +65,14 @@
         self.ask(|reply| Job::Snapshot(all, at, reply)).await
     }
 
+    /// Writes down something else by its name; an empty one takes it away.
+    ///
+    /// # Errors
+    /// Why it cannot be proved to be written.
+    pub async fn keep(&self, name: String, bytes: Vec<u8>) -> Result<(), String> {
+        self.ask(|reply| Job::Keep(name, bytes, reply)).await
+    }
+
     /// Writes down what the operators said of a member; only then it may have its yes.
     ///
     /// # Errors
--- a/src/store/state.rs
+++ b/src/store/state.rs
@@ -184,6 +184,43 @@
         old.iter().try_for_each(|name| self.disk.remove(name))
     }
 
+    /// Writes down something else by its name, whole or not at all; an empty one takes it away.
+    ///
+    /// # Errors
+    /// When it cannot be proved to be on the disk.
+    pub fn keep(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.begin()?;
+        if bytes.is_empty() {
+            return self.disk.remove(name);
+        }
+        if bytes.len() as u64 > self.most {
+            return Err(io::Error::other(format!(
+                "it takes {} bytes, {} are allowed",
+                bytes.len(),
+                self.most
+            )));
+        }
+        let aside = format!("{name}.new");
+        self.disk.write(&aside, bytes)?;
+        self.disk.force(&aside)?;
+        self.disk.replace(&aside, name)
+    }
+
+    /// What was kept so, by name, of names that begin with this.
+    ///
+    /// # Errors
+    /// When it cannot be read.
+    pub fn kept(&self, prefix: &str) -> io::Result<Vec<(String, Vec<u8>)>> {
+        let mut all = Vec::new();
+        for name in self.disk.names()? {
+            if name.starts_with(prefix) && !name.ends_with(".new") {
+                all.extend(self.disk.read(&name)?.map(|bytes| (name, bytes)));
+            }
+        }
+        all.sort();
+        Ok(all)
+    }
+
     /// The disk, for tests.
     #[cfg(test)]
     pub fn disk(&mut self) -> &mut D {
--- /dev/null
+++ b/tests/agreement.rs
@@ -0,0 +1,288 @@
+//! One set of rules: several processes of the program that agree, with faults between them and what they say to each other
+//! cut, lost, doubled and late. The rig's checker knows no ballots and no leases' arithmetic: it sees by which versions
+//! each process says that it acts, what reaches members, and what clients are told.
+#![allow(missing_docs)]
+
+use linentrail_standins::proxy::Setup;
+use linentrail_standins::rig::events::{End, Event, What};
+use linentrail_standins::rig::run::{run, Outcome};
+use linentrail_standins::rig::script::Script;
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::atomic::AtomicBool;
+use std::sync::{Mutex, PoisonError};
+
+/// One world at a time: each of them needs the machine.
+static TURN: Mutex<()> = Mutex::new(());
+
+fn play_with(text: &str, more: impl Fn(&mut Setup, u32, &Path)) -> Outcome {
+    let _turn = TURN.lock().unwrap_or_else(PoisonError::into_inner);
+    let script = Script::read(&format!("bound late 20000\n{text}")).expect("a sound scenario");
+    let program = Path::new(env!("CARGO_BIN_EXE_linentrail"));
+    let outcome = run(&script, program, more, |_| {}, &AtomicBool::new(false)).expect("it runs to its end");
+    assert!(outcome.verdict.kept(), "{:#?}", outcome.verdict.breaches);
+    assert!(outcome.verdict.asked > 50, "{} requests", outcome.verdict.asked);
+    outcome
+}
+
+fn play(text: &str) -> Outcome {
+    play_with(text, |_, _, _| {})
+}
+
+/// By which versions each acts at the end, of a kind.
+fn last(outcome: &Outcome, of: &str) -> BTreeMap<u32, Vec<String>> {
+    let mut last = BTreeMap::new();
+    for Event { what, .. } in &outcome.events {
+        match what {
+            What::Acts { proxy, kind, versions, .. } if kind == of => {
+                drop(last.insert(*proxy, versions.clone()))
+            }
+            What::Exec { proxy } => drop(last.remove(proxy)),
+            _ => {}
+        }
+    }
+    last
+}
+
+/// All act by one version alone, and it is the same; all that were ever in force, in their order at the first proxy.
+fn all_agree(outcome: &Outcome, proxies: usize, kind: &str) -> usize {
+    let last = last(outcome, kind);
+    assert_eq!(last.len(), proxies, "{last:?}");
+    let one = last.values().next().expect("one");
+    assert!(one.len() == 1 && last.values().all(|v| v == one), "{last:?}");
+    let alone = |what: &What| match what {
+        What::Acts { kind: k, versions, .. } if k == kind && versions.len() == 1 => Some(versions[0].clone()),
+        _ => None,
+    };
+    let all: std::collections::BTreeSet<String> =
+        outcome.events.iter().filter_map(|e| alone(&e.what)).collect();
+    all.len()
+}
+
+fn answers(outcome: &Outcome) -> Vec<String> {
+    let said = |what: &What| match what {
+        What::Fault(text) => text.split_once(" answers ").map(|(_, answer)| answer.to_string()),
+        _ => None,
+    };
+    outcome.events.iter().filter_map(|e| said(&e.what)).collect()
+}
+
+fn served_since(outcome: &Outcome, from: u64) -> usize {
+    let served = |e: &&Event| e.at > from && matches!(e.what, What::Ended { how: End::Served, .. });
+    outcome.events.iter().filter(served).count()
+}
+
+const WORLD: &str = "proxies 5\nmembers 4 slots 8 work 4 12 lag 5\nstore every 300\nagree voters 3\n\
+    load 100 clients 40\n";
+
+#[test]
+fn a_change_goes_through_the_middle_and_is_in_force_at_all() {
+    let outcome = play(&format!(
+        "{WORLD}end 5000
+         at 1500 p4 proposes /limits/max_attempts 3"
+    ));
+    assert_eq!(all_agree(&outcome, 5, "settings"), 2);
+    let middle = |e: &&Event| matches!(&e.what, What::Acts { versions, .. } if versions.len() == 2);
+    assert_eq!(outcome.events.iter().filter(middle).count(), 5, "each acts by both for a while");
+    assert!(answers(&outcome)[0].starts_with("200 settings: version 2"));
+}
+
+#[test]
+fn cut_in_two_the_larger_part_goes_on_and_the_smaller_sends_nothing_by_old_rules() {
+    let outcome = play(&format!(
+        "{WORLD}end 8000
+         at 1500 p1,p4 speaks p2,p3,p5 silent
+         at 1500 p2,p3,p5 speaks p1,p4 silent
+         at 2800 p2 proposes /limits/max_attempts 3
+         at 2900 p1 proposes /limits/max_attempts 5
+         at 6000 p1,p4 speaks p2,p3,p5 well
+         at 6000 p2,p3,p5 speaks p1,p4 well"
+    ));
+    assert_eq!(all_agree(&outcome, 5, "settings"), 2);
+    let answers = answers(&outcome);
+    assert!(answers[1].starts_with("400 no majority"), "{answers:?}");
+    // What was taken by the smaller part meanwhile was refused, not lost.
+    assert!(outcome.counters.get("agreement_lapses") >= Some(&2), "{:?}", outcome.counters);
+    let refused = |e: &Event| matches!(e.what, What::Ended { how: End::Refused, .. });
+    assert!(outcome.events.iter().any(refused));
+}
+
+#[test]
+fn loss_doubles_and_disorder_delay_a_change_and_do_no_more() {
+    let outcome = play(&format!(
+        "{WORLD}end 9000
+         at 1000 proxies speaks proxies lossy 300 200 200
+         at 1500 p3 proposes /rules/cold_share 0.1
+         at 5000 proxies speaks proxies well"
+    ));
+    assert_eq!(all_agree(&outcome, 5, "settings"), 2);
+}
+
+#[test]
+fn one_way_cuts_and_stopped_processes_leave_nobody_on_old_rules() {
+    let outcome = play(&format!(
+        "{WORLD}end 9500
+         at 1200 p1 speaks p2 silent
+         at 1200 p5 speaks p3 silent
+         at 1500 p4 does stop 2500
+         at 1700 p2 proposes /services/3/idempotency \"read_like\"
+         at 4500 p2 does stop 1500
+         at 4700 p3 proposes /services/3/idempotency \"non_idempotent\"
+         at 7500 proxies speaks proxies well"
+    ));
+    assert_eq!(all_agree(&outcome, 5, "settings"), 3);
+}
+
+#[test]
+fn a_class_that_turns_from_safe_to_once_with_requests_open_runs_none_twice() {
+    // Members lose answers, so that writes whose effect is open come back all the time.
+    let outcome = play(
+        "proxies 5
+         members 3 slots 8 work 20 60 lag 5
+         store every 300
+         agree voters 3
+         load 150 clients 80
+         end 9000
+         at 1500 p1 proposes /services/1/idempotency \"non_idempotent\"
+         at 1600 m1 does reset
+         at 1800 m1 does answer
+         at 2000 m2 does reset
+         at 2600 m2 does answer
+         at 4500 p2 proposes /services/1/idempotency \"read_like\"
+         at 4700 m1 does reset
+         at 4900 m1 does answer",
+    );
+    assert_eq!(all_agree(&outcome, 5, "settings"), 3);
+    assert!(served_since(&outcome, 6_500_000) > 50);
+}
+
+#[test]
+fn the_proposer_and_others_killed_in_the_middle_of_a_change_leave_it_to_the_rest() {
+    for after in [30, 120, 500, 900] {
+        let at = 1_500 + after;
+        let outcome = play(&format!(
+            "{WORLD}end 7000
+             at 1500 p1 proposes /limits/max_attempts 3
+             at {at} p1,p5 does kill
+             at 4000 p1,p5 does start"
+        ));
+        all_agree(&outcome, 5, "settings");
+    }
+}
+
+#[test]
+fn a_change_and_the_restart_of_all_together_end_with_all_on_one_version() {
+    let outcome = play(&format!(
+        "{WORLD}end 8500
+         at 1500 p2 proposes /limits/max_attempts 3
+         at 1650 proxies does kill within 50
+         at 1900 proxies does start within 200"
+    ));
+    all_agree(&outcome, 5, "settings");
+    assert!(served_since(&outcome, 5_000_000) > 50);
+}
+
+#[test]
+fn a_voter_whose_store_is_lost_or_rolled_back_learns_before_it_votes() {
+    let outcome = play(&format!(
+        "{WORLD}end 11000
+         at 1200 p1,p2 store kept
+         at 1500 p4 proposes /limits/max_attempts 3
+         at 3500 p1 does kill
+         at 3600 p1 store back
+         at 3700 p1 does start
+         at 5500 p2 does kill
+         at 5600 p2 store wiped
+         at 5700 p2 does start
+         at 7500 p5 proposes /limits/max_attempts 4"
+    ));
+    assert_eq!(all_agree(&outcome, 5, "settings"), 3);
+}
+
+#[test]
+fn where_all_stores_are_lost_the_operators_begin_a_new_epoch() {
+    let outcome = play(&format!(
+        "{WORLD}end 9500
+         at 1500 proxies does kill
+         at 1600 proxies store wiped
+         at 1700 proxies does start
+         at 4000 p1 console FLEET EPOCH 1
+         at 4100 p2 console FLEET EPOCH 1
+         at 4200 p4 console FLEET EPOCH 1"
+    ));
+    all_agree(&outcome, 5, "settings");
+    let told = answers(&outcome);
+    assert!(
+        told[0].starts_with("200 epoch 1") && told[2].starts_with("400 this proxy does not vote"),
+        "{told:?}"
+    );
+    // Until then nothing was sent.
+    let epoch = outcome.events.iter().find(|e| matches!(&e.what, What::Fault(t) if t.contains("EPOCH")));
+    let epoch = epoch.expect("it was said").at;
+    let given = |e: &Event| matches!(e.what, What::Given { .. }) && e.at > 1_900_000 && e.at < epoch;
+    assert!(!outcome.events.iter().any(given));
+    assert!(served_since(&outcome, epoch + 2_000_000) > 50);
+}
+
+#[test]
+fn a_member_out_by_hand_for_the_fleet_gets_nothing_from_any_and_comes_back() {
+    let outcome = play(&format!(
+        "{WORLD}end 9000
+         at 1500 p4 console FLEET SUSPEND m3
+         at 3600 p1 does kill
+         at 3700 p1 does start
+         at 5500 p5 console FLEET RESTORE m3"
+    ));
+    assert_eq!(all_agree(&outcome, 5, "hands"), 3);
+    let given = |from: u64, to: u64| {
+        let to_it =
+            |e: &&Event| matches!(e.what, What::Given { member: 3, .. }) && (from..to).contains(&e.at);
+        outcome.events.iter().filter(to_it).count()
+    };
+    assert!(given(0, 1_500_000) > 0 && given(7_500_000, 9_000_000) > 0);
+    assert_eq!(given(3_600_000, 5_500_000), 0, "out at all of them");
+}
+
+#[test]
+fn two_operators_who_propose_at_once_get_one_change_and_one_no() {
+    let outcome = play(&format!(
+        "{WORLD}end 6000
+         at 1500 p1 proposes /limits/max_attempts 3
+         at 1505 p5 proposes /limits/max_attempts 4"
+    ));
+    assert_eq!(all_agree(&outcome, 5, "settings"), 2);
+}
+
+#[test]
+fn a_proposal_without_a_middle_or_that_is_broken_is_refused_with_its_place_before_anybody_takes_it() {
+    let outcome = play(&format!(
+        "{WORLD}end 4000
+         at 1500 p1 proposes /family_info/session_marks \"remembered\"
+         at 2000 p1 proposes /limits/max_attempts 0"
+    ));
+    assert_eq!(all_agree(&outcome, 5, "settings"), 1);
+    let told = answers(&outcome);
+    assert!(told[0].starts_with("400 family_info.session_marks"), "{told:?}");
+    assert!(told[1].starts_with("400 ") && told[1].contains("attempts"), "{told:?}");
+}
+
+#[test]
+fn a_peer_with_a_wrong_key_is_heard_by_nobody_and_sends_nothing() {
+    let outcome = play_with(
+        &format!(
+            "{WORLD}end 4000
+             at 1500 p1 proposes /limits/max_attempts 3"
+        ),
+        |setup, n, folder| {
+            if n == 5 {
+                std::fs::write(folder.join("other"), "a key that nobody else has").expect("written");
+                let (key, other) = (folder.join("key"), folder.join("other"));
+                setup.operators =
+                    setup.operators.replace(&key.display().to_string(), &other.display().to_string());
+            }
+        },
+    );
+    let last = last(&outcome, "settings");
+    assert_eq!(last.keys().copied().collect::<Vec<_>>(), [1, 2, 3, 4]);
+    assert!(outcome.counters.get("agreement_dropped") > Some(&10), "{:?}", outcome.counters);
+}
