--- a/crates/lab/src/fleet/hunt.rs
+++ b/crates/lab/src/fleet/hunt.rs
@@ -7,7 +7,7 @@
 use crate::Failure;
 use clap::Args;
 use linentrail_standins::rig::checker::Rule;
-use linentrail_standins::rig::draw::{draw, shrink, Drawn};
+use linentrail_standins::rig::draw::{draw, draw_agreeing, shrink, Drawn};
 use linentrail_standins::rig::script::Script;
 use std::collections::{BTreeMap, BTreeSet};
 use std::path::{Path, PathBuf};
@@ -29,6 +29,9 @@
     /// Scenarios at a time
     #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u64).range(1..=64))]
     jobs: u64,
+    /// Draws proxies that agree on their rules
+    #[arg(long)]
+    agree: bool,
     /// Each breach is written here, as a scenario that shows it
     #[arg(long)]
     keep: Option<PathBuf>,
@@ -72,13 +75,13 @@
     let last = options.count.map_or(u64::MAX, |n| options.seed.saturating_add(n));
     let (mut next, mut done, mut found) = (options.seed, 0u64, 0u64);
     let mut kinds: BTreeMap<&str, u64> = BTreeMap::new();
-    let mut tasks = JoinSet::new();
+    let (mut tasks, agree) = (JoinSet::new(), options.agree);
     loop {
         while tasks.len() < options.jobs as usize && next < last && !stop.is_set() {
             let (seed, program, stop) = (next, program.clone(), stop.clone());
             next += 1;
             tasks.spawn(async move {
-                let drawn = draw(seed);
+                let drawn = if agree { draw_agreeing(seed) } else { draw(seed) };
                 (seed, broken(&drawn, &program, &stop).await, drawn)
             });
         }
--- a/crates/standins/src/rig/checker_tests.rs
+++ b/crates/standins/src/rig/checker_tests.rs
@@ -229,3 +229,52 @@
     assert_eq!(sound().write(30, 100, 1).broken().first(), Some(&Rule::Once));
     assert!(!judge(&sound().0, 3, &Bounds::default()).kept());
 }
+
+fn acts(plot: Plot, proxy: u32, ms: u64, versions: &[&str]) -> Plot {
+    let versions = versions.iter().map(|v| v.to_string()).collect();
+    plot.at(ms, What::Acts { proxy, kind: "settings".into(), versions, since: ms * MS })
+}
+
+fn leased(plot: Plot, proxy: u32, ms: u64, until: u64) -> Plot {
+    plot.at(ms, What::Leased { proxy, from: ms * MS, until: until * MS })
+}
+
+#[test]
+fn two_that_act_at_one_moment_by_versions_with_none_in_common_are_a_breach() {
+    // One goes on by version a under its lease up to 1,000 ms.
+    let one = leased(acts(sound(), 1, 10, &["a"]), 1, 10, 1_000);
+    let then = |at: u64, versions: &[&str]| leased(acts(one.clone(), 2, at, versions), 2, at, at + 800);
+    assert_eq!(then(500, &["b"]).broken(), [Rule::Agree]);
+    assert_eq!(then(985, &["b"]).broken(), [Rule::Agree]);
+    assert_eq!(then(500, &["a", "b"]).broken(), [], "it keeps to both");
+    assert_eq!(then(1_001, &["b"]).broken(), [], "the lease of the first has run out");
+    // A lease that is prolonged meanwhile counts to its new end.
+    let longer = leased(one.clone(), 1, 900, 1_900);
+    assert_eq!(leased(acts(longer, 2, 1_200, &["b"]), 2, 1_200, 2_000).broken(), [Rule::Agree]);
+    // The first has gone through the middle, and the second acts by the new one alone.
+    let middle = leased(acts(one.clone(), 1, 600, &["a", "b"]), 1, 600, 1_400);
+    assert_eq!(leased(acts(middle.clone(), 2, 1_000, &["b"]), 2, 1_000, 1_800).broken(), []);
+    assert_eq!(leased(acts(middle, 2, 1_000, &["c"]), 2, 1_000, 1_800).broken(), [Rule::Agree]);
+    // Of another kind, or by the same process, nothing contradicts.
+    let hands = What::Acts { proxy: 2, kind: "hands".into(), versions: vec!["b".into()], since: 500 * MS };
+    assert_eq!(leased(one.clone().at(500, hands), 2, 500, 1_300).broken(), []);
+    assert_eq!(acts(one, 1, 500, &["b"]).broken(), []);
+}
+
+#[test]
+fn a_statement_from_one_whose_lease_has_run_out_is_a_breach() {
+    let told = leased(acts(sound(), 1, 10, &["a"]), 1, 10, 800);
+    let give = |plot: Plot, ms: u64| {
+        let asked = plot.ask(ms, ms, None, Shows::Any).at(ms, What::Given { member: 3, id: ms });
+        asked.told(ms + 1, ms, End::Served, 1).broken()
+    };
+    assert_eq!(give(told.clone(), 799), []);
+    assert_eq!(give(told.clone(), 940), [], "it may have been on its way");
+    assert_eq!(give(told.clone(), 960), [Rule::Lease]);
+    assert_eq!(give(leased(told.clone(), 1, 955, 1_700), 960), []);
+    // One that has nothing to do with leases is not held to any.
+    assert_eq!(give(sound(), 960), []);
+    // A new process has not been told of the old one's lease.
+    let again = told.at(900, What::Down { proxy: 1, stopped: false }).at(905, What::Exec { proxy: 1 });
+    assert_eq!(give(again.at(910, What::Serves { proxy: 1 }), 990), []);
+}
--- a/crates/standins/src/rig/draw.rs
+++ b/crates/standins/src/rig/draw.rs
@@ -65,6 +65,81 @@
     Drawn { world, faults }
 }
 
+/// The same with 5 to 9 proxies that agree on their rules, and changes, cuts between them and lost stores among the faults.
+pub fn draw_agreeing(seed: u64) -> Drawn {
+    let mut rng = Rng::with_seed(seed);
+    let places = Places { proxies: rng.u32(5..=9), members: 3, groups: 1 };
+    let voters = if rng.bool() { 3 } else { 5 };
+    let world = vec![
+        format!("seed {seed}"),
+        format!("proxies {}", places.proxies),
+        "members 3 slots 8 work 4 12 lag 5".to_string(),
+        "store every 500".to_string(),
+        format!("agree voters {voters}"),
+        format!("load {} clients {}", places.proxies * 12, places.proxies * 5),
+        format!("end {}", END + 2_400),
+    ];
+    let mut faults = Vec::new();
+    for _ in 0..rng.u32(1..=2) {
+        let (at, value) = (rng.u32(FIRST + 400..LAST), rng.u32(2..9));
+        let (who, place) = (rng.u32(1..=places.proxies), rng.usize(0..3));
+        let change = [
+            format!("/limits/max_attempts {value}"),
+            format!(
+                "/services/1/idempotency {}",
+                ["\"read_like\"", "\"non_idempotent\""][value as usize % 2]
+            ),
+            format!("/services/0/deadline_us {}", 500_000 + value * 10_000),
+        ];
+        faults.push(("change", vec![format!("at {at} p{who} proposes {}", change[place])]));
+    }
+    if rng.u32(0..3) == 0 {
+        let (at, who, member) = (rng.u32(FIRST + 400..LAST), rng.u32(1..=places.proxies), rng.u32(1..=3));
+        let call = |word: &str| format!("p{who} console FLEET {word} m{member}");
+        let back = format!("at {} {}", at + 1_800, call("RESTORE"));
+        faults.push(("hand of all", vec![format!("at {at} {}", call("SUSPEND")), back]));
+    }
+    for _ in 0..rng.u32(1..=3) {
+        faults.push(match rng.u32(0..5) {
+            0 | 1 => {
+                let part = rng.u32(1..places.proxies);
+                let side =
+                    |from: u32, to: u32| (from..=to).map(|n| format!("p{n}")).collect::<Vec<_>>().join(",");
+                let (one, other) = (side(1, part), side(part + 1, places.proxies));
+                let from = rng.u32(FIRST..LAST - 600);
+                let to = rng.u32(from + 100..LAST);
+                let mut steps = Vec::new();
+                let ways = rng.u32(1..4);
+                for (way, (a, b)) in [(1, (&one, &other)), (2, (&other, &one))] {
+                    if ways & way != 0 {
+                        steps.push(format!("at {from} {a} speaks {b} silent"));
+                        steps.push(format!("at {to} {a} speaks {b} well"));
+                    }
+                }
+                ("speech cut", steps)
+            }
+            2 => {
+                let (from, lost, twice) = (rng.u32(FIRST..LAST - 600), rng.u32(50..500), rng.u32(0..300));
+                let faulty =
+                    format!("at {from} proxies speaks proxies lossy {lost} {twice} {}", rng.u32(0..300));
+                ("speech loss", vec![faulty, format!("at {LAST} proxies speaks proxies well")])
+            }
+            3 => {
+                let (who, from) = (rng.u32(1..=voters), rng.u32(FIRST..LAST - 600));
+                let harm = ["wiped", "torn 500", "flipped"][rng.usize(0..3)];
+                let steps = [
+                    format!("at {from} p{who} does kill"),
+                    format!("at {} p{who} store {harm}", from + 60),
+                    format!("at {} p{who} does start", from + 120),
+                ];
+                ("store", steps.to_vec())
+            }
+            _ => fault(&mut rng, &places),
+        });
+    }
+    Drawn { world, faults }
+}
+
 fn fault(rng: &mut Rng, places: &Places) -> (&'static str, Vec<String>) {
     let from = rng.u32(FIRST..LAST - 600);
     let to = rng.u32(from + 100..LAST);
@@ -186,6 +261,22 @@
         assert_eq!(draw(7), draw(7));
     }
 
+    #[test]
+    fn all_that_is_drawn_for_proxies_that_agree_can_be_read_too() {
+        let mut kinds = BTreeMap::new();
+        for seed in 0..1_000 {
+            let drawn = draw_agreeing(seed);
+            let text = drawn.text();
+            if let Err(wrong) = Script::read(&text) {
+                panic!("seed {seed}: {wrong:?}\n{text}");
+            }
+            drawn.kinds().into_iter().for_each(|(kind, n)| *kinds.entry(kind).or_insert(0) += n);
+        }
+        for kind in ["change", "hand of all", "speech cut", "speech loss", "store"] {
+            assert!(kinds[kind] > 100, "{kinds:?}");
+        }
+    }
+
     #[test]
     fn a_scenario_shrinks_to_what_shows_the_breach() {
         let long = (0..).map(draw).find(|d| d.faults.len() == 5).expect("one is drawn");
--- a/src/agreement/message.rs
+++ b/src/agreement/message.rs
@@ -12,7 +12,7 @@
 const FORMAT: u8 = 1;
 
 /// One message.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Message {
     /// What holds? Anyone to a voter.
     Ask {
--- a/src/agreement/mod.rs
+++ b/src/agreement/mod.rs
@@ -105,7 +105,7 @@
 }
 
 /// What is in force.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub enum Holds {
     /// No version yet.
     #[default]
@@ -140,7 +140,7 @@
 }
 
 /// What is in force, and how often that has changed: two changes to the same are told apart.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct Standing {
     /// Changes so far.
     pub turn: u64,
@@ -156,7 +156,7 @@
 }
 
 /// What a voter has accepted last.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
 pub struct Accepted {
     /// In which ballot.
     pub ballot: Ballot,
--- a/src/agreement/rules.rs
+++ b/src/agreement/rules.rs
@@ -288,6 +288,7 @@
         // An aim is a wish and no rule; the shorter one fits the shorter deadline.
         aim: a.aim.min(b.aim).min(deadline),
         deadline,
+        worth: a.worth.min(b.worth),
         late_value: a.late_value.min(b.late_value),
     })
 }
--- a/src/agreement/rules_tests.rs
+++ b/src/agreement/rules_tests.rs
@@ -87,6 +87,7 @@
         repeat,
         aim: aim * 100,
         deadline: (aim + more) * 100,
+        worth: f64::from(late + 1),
         late_value: f64::from(late) / 4.0,
     })
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -154,7 +154,7 @@
     /// In the order of their arrival.
     pub(crate) held: Vec<(u64, RequestId)>,
     /// Kept for its room: what one round goes through.
-    round: Vec<(bool, u64, RequestId)>,
+    round: Vec<((bool, u32), u64, RequestId)>,
     service: Vec<f64>,
     /// The silence limit of this step.
     limit: Time,
@@ -368,10 +368,11 @@
     }
 
     fn dispatch(&mut self, out: &mut Vec<Action>) {
-        // Oldest first; a write past its aim, worth little now, lets those pass that can still make theirs.
+        // Those worth most first, of equals the oldest; what is past its aim, worth little now, comes last.
         let mut round = std::mem::take(&mut self.round);
-        let late = |o: &Open| self.now > o.arrived + self.set.classes[o.class].aim;
-        round.extend(self.held.iter().map(|(seq, id)| (self.open.get(id).is_some_and(late), *seq, *id)));
+        let class = |o: &Open| &self.set.classes[o.class];
+        let rank = |o: &Open| (self.now > o.arrived + class(o).aim, (1e6 / class(o).worth) as u32);
+        round.extend(self.held.iter().filter_map(|(seq, id)| Some((rank(self.open.get(id)?), *seq, *id))));
         round.sort_unstable();
         for (_, _, id) in round.drain(..) {
             let Some(open) = self.open.get(&id) else { continue };
@@ -783,8 +784,7 @@
         let late = matches!(outcome, Completed | Overdue | Recalled) && now >= sent + slow;
         let one = self.set.instances.min(SHARERS_MOST) >= MEMBER_READS;
         let Easing { limit, down, worse, none, better } = if one { EASING_ONE } else { EASING };
-        let later = late && (now - sent) as f64 >= self.set.classes[class].aim as f64 * limit;
-        if later || outcome == Saturated {
+        if late && (now - sent) as f64 >= self.set.classes[class].aim as f64 * limit || outcome == Saturated {
             self.signs.pool.down(now, POOL_TIME, down, EASE_LEAST);
         } else if outcome == Completed {
             self.signs.pool.up(now, POOL_TIME, POOL_UP);
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -74,6 +74,8 @@
     pub aim: Time,
     /// How long a client waits over all of its tries.
     pub deadline: Time,
+    /// What an answer within the aim is worth, against other classes.
+    pub worth: f64,
     /// Share of the worth that an answer after the aim still has.
     pub late_value: f64,
 }
@@ -168,7 +170,7 @@
     /// What is wrong with them.
     pub fn check(&self) -> Result<(), SettingsError> {
         let share = self.rules.cold_share;
-        let fits = |c: &Class| c.aim > 0 && c.deadline >= c.aim;
+        let fits = |c: &Class| c.aim > 0 && c.deadline >= c.aim && c.worth > 0.0;
         for (fine, what) in [
             (!self.classes.is_empty(), "there must be at least one class"),
             (self.classes.iter().all(fits), "an aim must be above 0 and within its deadline"),
--- a/src/operators/agreement.rs
+++ b/src/operators/agreement.rs
@@ -111,7 +111,11 @@
         let what = format!(
             "must name 1 to {VOTERS_MOST} of agreement.proxies, each once, and an odd number of them"
         );
-        wrong("voters", twice || unknown || voters.len() > VOTERS_MOST || voters.len().is_multiple_of(2), what);
+        wrong(
+            "voters",
+            twice || unknown || voters.len() > VOTERS_MOST || voters.len().is_multiple_of(2),
+            what,
+        );
         wrong("keys", keys.is_empty(), "must name a key".into());
         let what = format!("must be eight times round_ms, {}, or longer", times.round / 1000);
         wrong("lease_ms", times.lease < 8 * times.round, what);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -192,6 +192,7 @@
             repeat,
             aim: self.must(&f("aim_us"))?,
             deadline: self.must(&f("deadline_us"))?,
+            worth: self.may::<f64>(&f("importance"))?.filter(|w| w.is_finite() && *w > 0.0).unwrap_or(1.0),
             late_value: self.number(&f("late_value"))?,
         })
     }
--- a/src/terms.rs
+++ b/src/terms.rs
@@ -99,7 +99,7 @@
     use crate::interface::{Need, Repeat};
 
     fn class(repeat: Repeat) -> Class {
-        Class { need: Need::Any, repeat, aim: 5, deadline: 9, late_value: 0.0 }
+        Class { need: Need::Any, repeat, aim: 5, deadline: 9, worth: 1.0, late_value: 0.0 }
     }
 
     fn change(slots: &mut Slots, named: &[(&str, Repeat)]) -> Arc<Terms> {
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -11,8 +11,14 @@
 pub const UNSAFE: usize = 4;
 
 pub fn settings() -> Settings {
-    let read =
-        |need| Class { need, repeat: Repeat::Safe, aim: 200 * MS, deadline: 800 * MS, late_value: 0.0 };
+    let read = |need| Class {
+        need,
+        repeat: Repeat::Safe,
+        aim: 200 * MS,
+        deadline: 800 * MS,
+        worth: 1.0,
+        late_value: 0.0,
+    };
     let write = |repeat| Class { repeat, deadline: 4_000 * MS, late_value: 0.3, ..read(Need::Write) };
     Settings {
         seed: 11,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -943,3 +943,33 @@
     d.request(UNSAFE, None);
     assert_eq!(asked(&mut d, 1_500 * MS), 0);
 }
+
+#[test]
+fn what_is_worth_more_goes_first_where_room_is_short() {
+    // One router of 96 has one read out at a member at a time.
+    let order = |worth: f64| {
+        let mut set = Settings { instances: 96, ..settings() };
+        set.classes[BOUNDED] = Class { worth, ..set.classes[ANY].clone() };
+        let mut driver = Driver::new(set);
+        let mut out = Vec::new();
+        // Until none has room any more.
+        let cheap = loop {
+            let (id, actions) = driver.request(ANY, None);
+            if sent(&actions).is_empty() {
+                break id;
+            }
+            out.push(id);
+        };
+        let (dear, actions) = driver.request(BOUNDED, None);
+        assert!(!out.is_empty() && sent(&actions).is_empty(), "both wait");
+        let position = driver.now - MS;
+        let actions = driver.ended(out[0], 0, Outcome::Completed, note(position, Role::Replica));
+        let went: Vec<RequestId> = sent(&actions).into_iter().map(|(id, _)| id).collect();
+        assert_eq!(went.len(), 1, "there is room for one");
+        (went[0], cheap, dear)
+    };
+    let (went, _, dear) = order(2.0);
+    assert_eq!(went, dear);
+    let (went, cheap, _) = order(1.0);
+    assert_eq!(went, cheap, "of equals the oldest");
+}
