Describe agreement for operators; voters refuse a change without a middle

A voter no longer takes its proposer's word that a change has a middle. Tests: a drain reaches a proxy that is cut off from discovery by the others' list; 20 changes leave a few files, 1,000 in virtual time no growth.

--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -104,6 +104,24 @@
                 let file = std::fs::File::create(path).map_err(bad)?;
                 events::write(&outcome.events, std::io::BufWriter::new(file)).map_err(bad)?;
             }
+            for took in linentrail_standins::rig::measure::agreed(&outcome.events) {
+                match took {
+                    Some(took) => println!(
+                        "{proxies} proxies, seed {seed}: a change in force at all after {} ms",
+                        took / 1000
+                    ),
+                    None => println!("{proxies} proxies, seed {seed}: a change that is not in force at all"),
+                }
+            }
+            let count = |name: &str| outcome.counters.get(name).copied().unwrap_or(0);
+            if count("agreement_datagrams") > 0 {
+                let each =
+                    count("agreement_datagrams") as f64 / f64::from(proxies) / script.end.as_secs_f64();
+                println!(
+                    "{proxies} proxies: {each:.0} datagrams a second sent by each, {} documents got",
+                    count("agreement_fetches")
+                );
+            }
             table.add(name, (proxies, seed), &outcome);
         }
     }
--- a/crates/standins/src/rig/measure.rs
+++ b/crates/standins/src/rig/measure.rs
@@ -113,6 +113,30 @@
     last.into_iter().filter_map(full).collect()
 }
 
+/// Changes that were proposed, and how long after that the last proxy acted by the new version alone; none: not all did.
+pub fn agreed(events: &[Event]) -> Vec<Option<Us>> {
+    let proposed: Vec<usize> = (0..events.len())
+        .filter(|n| matches!(&events[*n].what, What::Fault(text) if text.starts_with("Propose(")))
+        .collect();
+    let ends = proposed.iter().skip(1).copied().chain([events.len()]);
+    let one = |(begin, end): (&usize, usize)| {
+        let mut alone: std::collections::BTreeMap<u32, (String, Us)> = Default::default();
+        for event in &events[..end] {
+            if let What::Acts { proxy, kind, versions, since } = &event.what {
+                if let ("settings", [version]) = (kind.as_str(), &versions[..]) {
+                    alone.insert(*proxy, (version.clone(), *since));
+                }
+            }
+        }
+        let mut versions = alone.values().map(|(version, _)| version);
+        let first = versions.next()?;
+        let last = alone.values().map(|(_, since)| *since).max()?;
+        let began = events[*begin].at;
+        (versions.all(|v| v == first) && last > began).then(|| last - began)
+    };
+    proposed.iter().zip(ends).map(one).collect()
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/deploy/linentrail.hcl
+++ b/deploy/linentrail.hcl
@@ -42,3 +42,19 @@
   # Where the operators' word may have been lost, STATUS is no for so long, or until they say CONFIRM; 0: not at all.
   confirm_s = 0
 }
+
+# What the proxies of a fleet agree on (docs/agreement.md). The platform lets them share nothing.
+agreement {
+  enabled = false
+  # me      = 1
+  # proxies = ["1 127.0.0.1:7001", "2 127.0.0.1:7002", "3 127.0.0.1:7003"]
+  # voters  = [1, 2, 3]
+  # keys    = ["1 /etc/linentrail/fleet.key"]
+  lease_ms  = 800
+  drift_ppm = 10000
+  round_ms  = 50
+  # Without a lease: "refuse" sends nothing, "go_on" goes on by what was known.
+  on_lapse = "refuse"
+  # A later member list may be taken from another proxy.
+  lists = false
+}
--- a/src/agreement/instance.rs
+++ b/src/agreement/instance.rs
@@ -84,6 +84,8 @@
     /// A change that was seen chosen: its turn, since when, and whether this proxy brought it about.
     changes: [Option<(u64, Time, bool)>; 2],
     documents: BTreeSet<Hash>,
+    /// Versions between which there is no middle.
+    clashes: BTreeSet<(Hash, Hash)>,
     heard: BTreeMap<Number, Heard>,
     list: u64,
     newest: (u64, Number),
@@ -103,6 +105,7 @@
             highest: [Ballot::default(); 2],
             changes: [None; 2],
             documents: BTreeSet::new(),
+            clashes: BTreeSet::new(),
             heard: BTreeMap::new(),
             list: 0,
             newest: (0, fleet.me),
@@ -148,6 +151,12 @@
     /// A document is gone.
     pub fn forget(&mut self, hash: &Hash) {
         self.documents.remove(hash);
+        self.clashes.retain(|(one, other)| one != hash && other != hash);
+    }
+
+    /// Between these two documents there is no middle: this voter accepts no change from one to the other.
+    pub fn clash(&mut self, one: Hash, other: Hash) {
+        self.clashes.extend([(one, other), (other, one)]);
     }
 
     /// The hashes that anything still rests on, as far as is known here.
@@ -237,6 +246,11 @@
             }
             Message::Accept { kind, ballot, standing } => {
                 // What a voter helps to bring about it must be able to act on, and to hand on.
+                if let Holds::Between { from: old, to: new } = standing.holds {
+                    if self.clashes.contains(&(old.hash, new.hash)) {
+                        return;
+                    }
+                }
                 let lacks = standing.holds.versions().find(|v| !self.documents.contains(&v.hash));
                 let said = match lacks {
                     Some(version) if self.voter.is_some() => {
--- a/src/agreement/instance_tests.rs
+++ b/src/agreement/instance_tests.rs
@@ -41,6 +41,13 @@
     Version { number, hash: Hash([number as u8; 32]) }
 }
 
+/// One of more versions than a byte tells apart.
+fn many(number: u32) -> Version {
+    let mut hash = Hash([9; 32]);
+    hash.0[..4].copy_from_slice(&number.to_le_bytes());
+    Version { number: u64::from(number), hash }
+}
+
 fn change(number: u64) -> Goal {
     Goal::Change { to: version(number), parent: Hash([number as u8 - 1; 32]) }
 }
@@ -359,6 +366,63 @@
     assert_eq!(drifts(&world, 2), [1, 3], "from there it looks the other way round");
 }
 
+#[test]
+fn no_voter_accepts_a_change_without_a_middle() {
+    let mut world = World::new(17, 3, 3);
+    world.propose(1, S, change(1));
+    world.propose(1, Kind::Hands, change(1));
+    world.run(2_000_000);
+    for place in &mut world.places {
+        place.instance.as_mut().expect("it runs").clash(version(1).hash, version(2).hash);
+    }
+    world.propose(2, S, change(2));
+    world.run(6_000_000);
+    assert!(world.all_on(S, 1), "{:?}", world.acts(S));
+    assert!(world.ended.iter().any(|(.., end)| *end == End::Moot(Moot::Unreached)), "{:?}", world.ended);
+}
+
+#[test]
+fn a_thousand_changes_leave_no_more_than_one() {
+    let mut world = World::new(19, 3, 3);
+    world.documents.extend((0..1_010u32).map(|n| many(n).hash));
+    for place in &mut world.places {
+        let instance = place.instance.as_mut().expect("it runs");
+        world.documents.iter().for_each(|hash| instance.document(*hash));
+    }
+    let mut sizes = Vec::new();
+    for n in 1..=1_000u32 {
+        let parent = if n == 1 { Hash::default() } else { many(n - 1).hash };
+        // The one before may still wait for the last answers to a ballot of its own.
+        while !world.propose((n % 3 + 1) as Number, S, Goal::Change { to: many(n), parent }) {
+            world.run(10_000);
+        }
+        if n == 1 {
+            world.propose(1, Kind::Hands, change(1));
+        }
+        let until = world.now + 4_000_000;
+        let settled = |world: &World| {
+            let acts = world.acts(S);
+            acts.len() == 3 && acts.values().all(|h| *h == Holds::One(many(n)))
+        };
+        while world.now < until && !settled(&world) {
+            world.run(20_000);
+        }
+        assert!(settled(&world), "change {n}: {:?}", world.acts(S));
+        world.ended.clear();
+        let of = |p: &Place| {
+            let i = p.instance.as_ref().expect("it runs");
+            i.asked.len()
+                + i.heard.len()
+                + i.changes.iter().flatten().count()
+                + i.clashes.len()
+                + i.needs().len()
+        };
+        sizes.push(world.places.iter().map(of).max().expect("three"));
+    }
+    assert!(sizes[999] <= sizes[10] + 4, "{} and {}", sizes[10], sizes[999]);
+    assert!(world.under_way.len() < 200, "{}", world.under_way.len());
+}
+
 #[test]
 fn under_drawn_faults_no_two_contradict_each_other_and_afterwards_all_agree() {
     let (mut changes, mut faults) = (0, Map::<&str, u32>::new());
--- a/src/check.rs
+++ b/src/check.rs
@@ -78,8 +78,16 @@
                 true => format!("on in {}", file.store.folder.display()),
                 false => "off".to_string(),
             };
+            let agreement = match file.agreement.enabled {
+                true => {
+                    let (times, voters) = (file.agreement.times, file.agreement.voters.len());
+                    let (bound, lapse) = (times.bound() / 1000, times.lapse() / 1000);
+                    format!("on, {voters} voters; a change takes at most {bound} ms, a cut-off proxy sends {lapse} ms more")
+                }
+                false => "off".to_string(),
+            };
             Finding::Sound(format!(
-                "OData {odata} at {}, browsing {browse}, store {store}",
+                "OData {odata} at {}, browsing {browse}, store {store}, agreement {agreement}",
                 file.odata.listen
             ))
         }
--- a/src/operators/agreement.rs
+++ b/src/operators/agreement.rs
@@ -88,9 +88,10 @@
         let number = |e: &Expression| Number::try_from(e.as_number()?.as_u64()?).ok();
         e.as_array()?.iter().map(number).collect()
     });
-    let what = "a list of \"ID /PATH/OF/THE/KEY\"";
-    let keys = block.read("keys", Vec::new(), what, |e| {
+    let what = "a list of \"ID /PATH/OF/THE/KEY\", with one at least";
+    let keys: Vec<(u8, PathBuf)> = block.read("keys", Vec::new(), what, |e| {
         numbered(e, |path| Some(PathBuf::from(path)).filter(|p| p.is_absolute()))
+            .filter(|keys| !keys.is_empty())
     });
     let times = Times {
         lease: block.number("lease_ms", 800, 100..=60_000) * 1000,
@@ -100,12 +101,21 @@
     let on_lapse = block.word("on_lapse", &[("refuse", OnLapse::Refuse), ("go_on", OnLapse::GoOn)]);
     let lists = block.flag("lists");
     if enabled {
+        // What follows from proxies that cannot be read is not told beside that.
+        let unread = |name: &str, empty: bool| empty && block.says(name);
+        let known = !unread("proxies", proxies.is_empty());
+        let keyless = keys.is_empty() && !block.says("keys");
+        let voting = known && !unread("voters", voters.is_empty());
         let mut wrong = |name: &str, bad: bool, what: String| {
             if bad {
                 block.wrong(name, format!("agreement.{name} {what}"));
             }
         };
-        wrong("me", !proxies.contains_key(&me), format!("is {me}, which is none of agreement.proxies"));
+        wrong(
+            "me",
+            known && !proxies.contains_key(&me),
+            format!("is {me}, which is none of agreement.proxies"),
+        );
         let twice = voters.iter().enumerate().any(|(n, v)| voters[..n].contains(v));
         let unknown = voters.iter().any(|v| !proxies.contains_key(v));
         let what = format!(
@@ -113,10 +123,10 @@
         );
         wrong(
             "voters",
-            twice || unknown || voters.len() > VOTERS_MOST || voters.len().is_multiple_of(2),
+            voting && (twice || unknown || voters.len() > VOTERS_MOST || voters.len().is_multiple_of(2)),
             what,
         );
-        wrong("keys", keys.is_empty(), "must name a key".into());
+        wrong("keys", keyless, "must name a key".into());
         let what = format!("must be eight times round_ms, {}, or longer", times.round / 1000);
         wrong("lease_ms", times.lease < 8 * times.round, what);
         // What a voter promises must outlast it.
@@ -157,7 +167,8 @@
             ("\"3 127", "\"2 127", "agreement.proxies"),
             ("127.0.0.1:7003", "192.0.2.1:7003", "agreement.proxies"),
             ("\"1 /k\"", "\"1 k\"", "agreement.keys"),
-            ("[\"1 /k\"]", "[]", "agreement.keys must name a key"),
+            ("[\"1 /k\"]", "[]", "agreement.keys must be a list"),
+            ("keys = [\"1 /k\"]", "", "agreement.keys must name a key"),
             ("me = 2", "me = 2\n lease_ms = 300", "agreement.lease_ms"),
             ("store {\n enabled = true", "store {\n enabled = false", "needs a store"),
         ] {
--- a/src/operators/hcl.rs
+++ b/src/operators/hcl.rs
@@ -122,6 +122,11 @@
         }
     }
 
+    /// Whether the file says anything of this.
+    pub fn says(&self, name: &str) -> bool {
+        self.body.as_ref().is_some_and(|b| b.get_attribute(name).is_some())
+    }
+
     /// Whether something is on.
     pub fn flag(&mut self, name: &'static str) -> bool {
         self.read(name, false, "true or false", Expression::as_bool)
--- a/src/parley/mod.rs
+++ b/src/parley/mod.rs
@@ -335,6 +335,14 @@
             log::warn!("{} {} cannot be acted on: {why}", document.kind.name(), document.version());
             return;
         }
+        if let Ok(Content::Settings(new)) = document.content() {
+            // Whoever proposes has looked at this, too; a voter that does not trust in that keeps the others from it.
+            for (other, (old, _)) in &self.documents {
+                if matches!(old.content(), Ok(Content::Settings(old)) if old.meet(&new).is_err()) {
+                    self.instance.clash(*other, hash);
+                }
+            }
+        }
         self.documents.insert(hash, (document, bytes.clone()));
         let needs = self.instance.needs();
         while self.documents.len() > DOCUMENTS {
@@ -484,8 +492,14 @@
             };
             shared = Some(match shared {
                 None => one,
-                // A voter accepts no change that has no meet; whoever sees one all the same acts on nothing.
-                Some(other) => Box::new(other.meet(&one).ok()?),
+                // Who proposes refuses a change without a meet; whoever sees one all the same goes on by no new rules.
+                Some(other) => match other.meet(&one) {
+                    Ok(meet) => Box::new(meet),
+                    Err(clashes) => {
+                        log::error!("a change without a middle cannot be acted on: {clashes:?}");
+                        return Some(false);
+                    }
+                },
             });
         }
         let mut out = BTreeSet::new();
--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -243,6 +243,57 @@
     assert_eq!(given(3_600_000, 5_500_000), 0, "out at all of them");
 }
 
+#[test]
+fn a_drain_that_discovery_tells_the_others_reaches_one_that_is_cut_off_from_it() {
+    let outcome = play(&format!(
+        "{WORLD}end 5500
+         at 1200 p5 link list silent
+         at 2000 list does leaving m3"
+    ));
+    let asked = |what: &What| match what {
+        What::Asked { id, proxy: 5, .. } => Some(*id),
+        _ => None,
+    };
+    let by_it: std::collections::HashSet<u64> =
+        outcome.events.iter().filter_map(|e| asked(&e.what)).collect();
+    let given = |from: u64, to: u64| {
+        let sent = |e: &&Event| matches!(&e.what, What::Given { member: 3, id } if by_it.contains(id));
+        outcome.events.iter().filter(|e| (from..to).contains(&e.at)).filter(sent).count()
+    };
+    assert!(given(0, 2_000_000) > 0);
+    assert_eq!(given(4_000_000, 5_500_000), 0, "it knows by the others' list");
+    assert!(outcome.counters.get("agreement_lists") >= Some(&1), "{:?}", outcome.counters);
+}
+
+#[test]
+fn many_changes_in_a_row_leave_no_more_files_than_a_few() {
+    let changes: String = (0..20)
+        .map(|n| {
+            format!("at {} p{} proposes /limits/max_attempts {}\n", 1_200 + n * 450, n % 5 + 1, n % 7 + 2)
+        })
+        .collect();
+    // How many files the first voter's folder has, from time to time.
+    let counted = std::sync::Arc::new(Mutex::new(Vec::new()));
+    let outcome = play_with(&format!("{WORLD}end 11500\n{changes}"), |setup, n, folder| {
+        // Times of a tenth: a change takes some 200 ms.
+        setup.operators =
+            setup.operators.replace("agreement {", "agreement {\n lease_ms = 160\n round_ms = 20\n");
+        if n == 1 {
+            let (folder, counted) = (folder.join("linentrail-p1"), counted.clone());
+            std::thread::spawn(move || {
+                for _ in 0..110 {
+                    std::thread::sleep(std::time::Duration::from_millis(100));
+                    let files = std::fs::read_dir(&folder).map_or(0, |all| all.count());
+                    counted.lock().expect("sound").push(files);
+                }
+            });
+        }
+    });
+    assert!(all_agree(&outcome, 5, "settings") > 15);
+    let files = counted.lock().expect("sound").iter().copied().max().expect("it looked");
+    assert!((3..=30).contains(&files), "{files}");
+}
+
 #[test]
 fn two_operators_who_propose_at_once_get_one_change_and_one_no() {
     let outcome = play(&format!(
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -307,7 +307,7 @@
     setup.config.as_object_mut().expect("fields").remove("console");
     // A folder that looks like a store's, and what might be taken for its settings.
     setup.shared = Some(alone.folder.clone());
-    setup.environment = ["STORE", "LINENTRAIL_STORE", "LINENTRAIL_KEY"]
+    setup.environment = ["STORE", "LINENTRAIL_STORE", "LINENTRAIL_KEY", "LINENTRAIL_AGREEMENT", "AGREEMENT"]
         .map(|n| (n.to_string(), alone.folder.display().to_string()))
         .into();
     let proxy = Proxy::start(&setup).expect("it starts");
