--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -86,12 +86,15 @@
 const UNPROVED_MOST: usize = 64;
 
 impl Door {
+    /// An answer is about to be written: that a member serves again may arrive, and be acted on, at once.
+    fn writes(&self, entries: &Value) {
+        let serves = entries.as_array().into_iter().flatten().filter(|e| e["lifecycle"] == "active");
+        self.told(&serves.cloned().collect());
+    }
+
     /// An answer has been written: it has told the caller of its entries, unless a relay may still hold it.
     fn written(&self, version: u64, entries: Value) {
         let Some(unproved) = &self.unproved else { return self.told(&entries) };
-        // That a member serves again may have arrived at once.
-        let serves = entries.as_array().into_iter().flatten().filter(|e| e["lifecycle"] == "active");
-        self.told(&serves.cloned().collect());
         let mut unproved = unproved.lock().unwrap_or_else(PoisonError::into_inner);
         unproved.insert(version, entries);
         while unproved.len() > UNPROVED_MOST {
@@ -329,6 +332,9 @@
             }
         };
         let sound = matches!(ill(), Ill::Well | Ill::Hasty);
+        if let Some(door) = door.filter(|_| sound) {
+            door.writes(&entries);
+        }
         let written = stream.write_all(text.as_bytes()).await.ok();
         match (written.is_some() && sound, door) {
             (true, Some(door)) => door.written(version, entries),
--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -116,6 +116,8 @@
          at 5000 proxies speaks proxies well"
     ));
     assert_eq!(all_agree(&outcome, 5, "settings"), 2);
+    // What comes twice is dropped once.
+    assert!(outcome.counters.get("agreement_dropped") > Some(&50), "{:?}", outcome.counters);
 }
 
 #[test]
@@ -317,6 +319,38 @@
     assert!(told[1].starts_with("400 ") && told[1].contains("attempts"), "{told:?}");
 }
 
+#[test]
+fn a_flood_of_datagrams_that_nobody_signed_holds_up_neither_changes_nor_requests() {
+    let outcome = play_with(
+        &format!(
+            "{WORLD}end 4500
+             at 1800 p1 proposes /limits/max_attempts 3"
+        ),
+        |setup, n, _| {
+            // Where the first voter listens stands in its own file.
+            let at = setup.operators.split("\"1 ").nth(1).and_then(|rest| rest.split('"').next());
+            let Some(at) = at.filter(|_| n == 1).and_then(|at| at.parse::<std::net::SocketAddr>().ok())
+            else {
+                return;
+            };
+            std::thread::spawn(move || {
+                let socket = std::net::UdpSocket::bind("127.0.0.1:0").expect("a port");
+                let mut bytes = [0u8; 400];
+                for n in 0..6_000u32 {
+                    // Of all lengths, some with a head that looks like a voter's.
+                    bytes[..4].copy_from_slice(&[2, 0, (n % 251) as u8, (n % 7) as u8]);
+                    let _ = socket.send_to(&bytes[..(n as usize * 13) % 400], at);
+                    if n % 2 == 0 {
+                        std::thread::sleep(std::time::Duration::from_millis(1));
+                    }
+                }
+            });
+        },
+    );
+    assert_eq!(all_agree(&outcome, 5, "settings"), 2);
+    assert!(outcome.counters.get("agreement_dropped") > Some(&1_000), "{:?}", outcome.counters);
+}
+
 #[test]
 fn a_peer_with_a_wrong_key_is_heard_by_nobody_and_sends_nothing() {
     let outcome = play_with(
