--- a/tests/agreement_model.rs
+++ b/tests/agreement_model.rs
@@ -301,9 +301,9 @@
     found.map(|path| path.into_actions())
 }
 
-#[test]
-fn in_all_orders_of_messages_no_two_contradict_each_other() {
-    let world = World {
+/// Two who propose, two who ask, answers that are lost, and no other fault.
+fn world() -> World {
+    World {
         proxies: [4, 5],
         crashes: 0,
         lost: 0,
@@ -313,56 +313,32 @@
         asks: 2,
         loses: true,
         proposers: &[1, 2],
-    };
-    assert_eq!(explore("no faults", world, depth(9)), None);
+    }
+}
+
+/// One change by one proposer, as one proxy sees it.
+fn one_change() -> World {
+    World { asks: 1, loses: false, proposers: &[1], ..world() }
+}
+
+#[test]
+fn in_all_orders_of_messages_no_two_contradict_each_other() {
+    assert_eq!(explore("no faults", world(), depth(9)), None);
 }
 
 #[test]
 fn voters_that_crash_with_and_without_their_disks_break_nothing() {
-    let world = World {
-        proxies: [4, 5],
-        crashes: 1,
-        lost: 1,
-        ticks: 2,
-        ballots: 2,
-        waits: LASTS,
-        asks: 2,
-        loses: true,
-        proposers: &[1, 2],
-    };
-    assert_eq!(explore("crashes", world, depth(8)), None);
+    assert_eq!(explore("crashes", World { crashes: 1, lost: 1, ..world() }, depth(8)), None);
 }
 
 #[test]
-fn one_change_from_its_beginning_to_its_end_is_explored_whole() {
-    // As far as the planted fault below needs to be found, and further.
-    let world = World {
-        proxies: [4, 5],
-        crashes: 0,
-        lost: 0,
-        ticks: 2,
-        ballots: 2,
-        waits: LASTS,
-        asks: 1,
-        loses: false,
-        proposers: &[1],
-    };
-    assert_eq!(explore("one change", world, depth(12)), None);
+fn one_change_from_its_beginning_on_is_explored_whole() {
+    assert_eq!(explore("one change", one_change(), depth(12)), None);
 }
 
 #[test]
 fn one_that_does_not_wait_for_the_leases_is_found_out() {
-    let world = World {
-        proxies: [4, 5],
-        crashes: 0,
-        lost: 0,
-        ticks: 0,
-        ballots: 2,
-        waits: 0,
-        asks: 1,
-        loses: false,
-        proposers: &[1],
-    };
+    let world = World { ticks: 0, waits: 0, ..one_change() };
     assert!(
         explore("planted", world, 15).is_some(),
         "it acts on a new version beside one that acts on the old"
