Read a document once, and keep no state of agreement that can be derived

What is acted on is the standings themselves, no copy of them; two fetches, two looks for a majority and two kinds of answer to the console are one each. The instance no longer keeps the questions that the holder has, nor a goal that the proposer has, nor proxies that nobody read. One slip mended with it: a list taken from a peer counts as the version that it has, not as the one that was heard of. The rig: kill and term are one step but for the signal; the checker derives when a proxy acted from its leases, known whole.

--- a/crates/standins/src/rig/checker.rs
+++ b/crates/standins/src/rig/checker.rs
@@ -171,9 +171,8 @@
     whole: u64,
     /// Members whose link holds back what is sent, and those whose link has done so up to a moment.
     held: HashMap<u32, Option<Us>>,
-    /// By which versions it acts, by kind and since when; until when it may.
+    /// By which versions it acts, by kind and since when.
     acts: BTreeMap<String, (Vec<String>, Us)>,
-    leased: Option<(Us, Us)>,
     draining: HashMap<u32, Us>,
     out: HashMap<u32, Us>,
 }
@@ -223,9 +222,9 @@
     /// Over one bound a stretch of events is one breach, not one for each of them.
     over: HashSet<(Rule, u32)>,
     faulted: bool,
-    /// Spans in which a proxy acted by versions: kind, proxy, versions, from, to.
+    /// Spans in which a proxy went by versions, with a lease or without: kind, proxy, versions, from, to.
     acted: Vec<(String, u32, Vec<String>, Us, Us)>,
-    /// When each proxy that acts by leases could, by its own word.
+    /// When each proxy that acts by leases could, by its own word: spans that do not touch.
     leases: HashMap<u32, Vec<(Us, Us)>>,
     /// When the machine stood still, from and to.
     stalls: Vec<(Us, Us)>,
@@ -242,7 +241,11 @@
     // These too: what a process says is read by another thread than what members see.
     for event in events {
         if let What::Leased { proxy, from, until } = event.what {
-            judge.leases.entry(proxy).or_default().push((from, until));
+            let spans = judge.leases.entry(proxy).or_default();
+            match spans.last_mut().filter(|(_, end)| from <= *end) {
+                Some(last) => last.1 = last.1.max(until),
+                None => spans.push((from, until)),
+            }
         }
     }
     let mut last = 0;
@@ -345,7 +348,7 @@
                 self.close(*proxy, None, at);
                 let of = self.proxies.entry(*proxy).or_default();
                 of.whole = 0;
-                (of.acts, of.leased) = (BTreeMap::new(), None);
+                of.acts = BTreeMap::new();
                 // What discovery told the last process, this one has to hear anew.
                 of.draining.clear();
                 if !bounds.hands_kept {
@@ -368,16 +371,6 @@
                 let of = self.proxies.entry(*proxy).or_default();
                 of.acts.insert(kind.clone(), (versions.clone(), *since));
             }
-            What::Leased { proxy, from, until } => {
-                let lapsed =
-                    self.proxies.entry(*proxy).or_default().leased.is_some_and(|(_, end)| *from > end);
-                if lapsed {
-                    self.close(*proxy, None, *from);
-                }
-                let of = self.proxies.entry(*proxy).or_default();
-                let begun = of.leased.map_or(*from, |(begun, _)| begun);
-                of.leased = Some((if lapsed { *from } else { begun }, *until));
-            }
             What::Resumed { proxy } => {
                 let gaps = &mut self.proxies.entry(*proxy).or_default().gaps;
                 gaps.iter_mut().filter(|g| g.to == Us::MAX && g.stopped).for_each(|g| g.to = at);
@@ -388,7 +381,7 @@
                 self.proxies.entry(*proxy).or_default().gaps.push(gap);
             }
             // Taken in before all else.
-            What::Stall { .. } => {}
+            What::Stall { .. } | What::Leased { .. } => {}
             // Nobody can keep to a word that is lost.
             What::Wiped { proxy } => self.proxies.entry(*proxy).or_default().out.clear(),
             What::Fault(_) => self.faulted = true,
@@ -477,17 +470,13 @@
         }
     }
 
-    /// What a proxy has acted by up to now, of one kind or of all, is over. By a lease that ran out it acted up to that.
+    /// What a proxy has acted by up to now, of one kind or of all, is over.
     fn close(&mut self, proxy: u32, kind: Option<&str>, at: Us) {
         let of = self.proxies.entry(proxy).or_default();
-        let Some((begun, until)) = of.leased else { return };
         for (name, (versions, since)) in
             of.acts.iter_mut().filter(|(name, _)| kind.is_none_or(|k| k == **name))
         {
-            let (from, to) = ((*since).max(begun), at.min(until));
-            if from < to {
-                self.acted.push((name.clone(), proxy, versions.clone(), from, to));
-            }
+            self.acted.push((name.clone(), proxy, versions.clone(), *since, at));
             *since = at;
         }
     }
@@ -496,7 +485,16 @@
     fn agree(&mut self) {
         let proxies: Vec<u32> = self.proxies.keys().copied().collect();
         proxies.into_iter().for_each(|proxy| self.close(proxy, None, Us::MAX));
-        let mut acted = std::mem::take(&mut self.acted);
+        // Without a lease it acted by nothing.
+        let mut acted = Vec::new();
+        for (kind, proxy, versions, from, to) in std::mem::take(&mut self.acted) {
+            for (begun, until) in self.leases.get(&proxy).into_iter().flatten() {
+                let (from, to) = (from.max(*begun), to.min(*until));
+                if from < to {
+                    acted.push((kind.clone(), proxy, versions.clone(), from, to));
+                }
+            }
+        }
         acted.sort_by_key(|(_, _, _, from, _)| *from);
         for (n, (kind, proxy, versions, from, to)) in acted.iter().enumerate() {
             let then = acted[n + 1..].iter().take_while(|other| other.3 + CLOCKS < *to);
--- a/crates/standins/src/rig/script.rs
+++ b/crates/standins/src/rig/script.rs
@@ -361,40 +361,41 @@
 
 impl Make {
     fn describe(&mut self, words: &[&str]) -> Result<(), String> {
-        match words {
-            [] => Ok(()),
+        let rest = match words {
+            [] => return Ok(()),
             ["groups", n, rest @ ..] => {
                 self.groups = number(n)?;
-                self.describe(rest)
+                rest
             }
             ["slots", n, rest @ ..] => {
                 self.slots = number(n)?;
-                self.describe(rest)
+                rest
             }
             ["work", least, most, rest @ ..] => {
                 self.work = (ms(least)?, ms(most)?);
-                self.describe(rest)
+                rest
             }
             ["handshake", span, rest @ ..] => {
                 self.handshake = ms(span)?;
-                self.describe(rest)
+                rest
             }
             ["most", n, rest @ ..] => {
                 self.most = number(n)?;
-                self.describe(rest)
+                rest
             }
             ["cold", share, warm, rest @ ..] => {
                 let share: f64 = number(share)?;
                 let share = Some(share).filter(|s| *s > 0.0 && *s <= 1.0).ok_or("a share lies in (0, 1]")?;
                 self.cold = Some((share, ms(warm)?));
-                self.describe(rest)
+                rest
             }
             ["lag", span, rest @ ..] => {
                 self.lag = ms(span)?;
-                self.describe(rest)
+                rest
             }
-            _ => Err(format!("members have no '{}'", words.join(" "))),
-        }
+            _ => return Err(format!("members have no '{}'", words.join(" "))),
+        };
+        self.describe(rest)
     }
 }
 
--- a/crates/standins/src/rig/world.rs
+++ b/crates/standins/src/rig/world.rs
@@ -315,21 +315,11 @@
     pub fn step(&self, step: &Step) -> Result<()> {
         self.0.log.note(What::Fault(format!("{step:?}")));
         match step {
-            Step::Kill(who, span) => {
+            Step::Kill(who, span) | Step::Term(who, span) => {
                 let ids = self.ids(who);
                 self.down(&ids, false);
-                self.signal(&ids, "KILL", *span);
-                // Dropped, they are waited for; one that was started anew meanwhile is none of them.
-                for (n, id) in &ids {
-                    let mut seat = self.seat(*n);
-                    drop(seat.running.take_if(|proxy| proxy.id() == *id));
-                }
-            }
-            Step::Term(who, span) => {
-                let ids = self.ids(who);
-                self.down(&ids, false);
-                self.signal(&ids, "TERM", *span);
-                // Nobody starts the next one before this one has ended.
+                self.signal(&ids, if matches!(step, Step::Kill(..)) { "KILL" } else { "TERM" }, *span);
+                // Nobody starts the next one before this one has ended; one that was started meanwhile is none of them.
                 for (n, id) in &ids {
                     let mut seat = self.seat(*n);
                     seat.running
--- a/src/agreement/holder.rs
+++ b/src/agreement/holder.rs
@@ -73,6 +73,11 @@
         self.nonce
     }
 
+    /// When a question was asked, while its answers still count.
+    pub fn asked(&self, nonce: u64) -> Option<Time> {
+        self.questions.iter().find(|q| q.nonce == nonce).map(|q| q.at)
+    }
+
     /// A voter answers. What that shows of each kind, where it is an answer to a question of this proxy.
     pub fn told(
         &mut self,
--- a/src/agreement/instance.rs
+++ b/src/agreement/instance.rs
@@ -22,8 +22,6 @@
     pub me: Number,
     /// The number of its start: higher than that of any start before.
     pub start: u64,
-    /// All proxies.
-    pub all: Vec<Number>,
     /// Those that vote.
     pub voters: Vec<Number>,
     /// The times that all have alike.
@@ -66,20 +64,14 @@
     pub drifts: bool,
 }
 
-struct Task {
-    proposer: Proposer,
-    goal: Goal,
-}
-
 /// The proxy.
 pub struct Instance {
     fleet: Fleet,
     voter: Option<Voter>,
     holder: Holder,
-    /// When the voters are asked next, and the questions out: nonce and time.
+    /// When the voters are asked next.
     asks: Time,
-    asked: Vec<(u64, Time)>,
-    tasks: [Option<Task>; 2],
+    tasks: [Option<Proposer>; 2],
     highest: [Ballot; 2],
     /// A change that was seen chosen: its turn, since when, and whether this proxy brought it about.
     changes: [Option<(u64, Time, bool)>; 2],
@@ -100,7 +92,6 @@
             voter,
             holder,
             asks: now,
-            asked: Vec::new(),
             tasks: [None, None],
             highest: [Ballot::default(); 2],
             changes: [None; 2],
@@ -113,11 +104,6 @@
         }
     }
 
-    /// Who takes part.
-    pub fn fleet(&self) -> &Fleet {
-        &self.fleet
-    }
-
     /// What may be acted on now, and until when.
     pub fn holds(&self, now: Time) -> Option<([Standing; 2], Time)> {
         self.holder.holds(now)
@@ -140,7 +126,7 @@
 
     /// Whom a ballot of this proxy waits for.
     pub fn awaits(&self, kind: Kind) -> Vec<Number> {
-        self.tasks[kind.at()].as_ref().map_or_else(Vec::new, |task| task.proposer.awaits())
+        self.tasks[kind.at()].as_ref().map_or_else(Vec::new, Proposer::awaits)
     }
 
     /// A document is here, whole and sound.
@@ -190,7 +176,7 @@
         let until = now + GIVES_UP * self.fleet.times.lease;
         let Fleet { me, start, voters, .. } = &self.fleet;
         let proposer = Proposer::new((kind, *me, *start), voters.clone(), goal, highest, (now, until));
-        self.tasks[kind.at()] = Some(Task { proposer, goal });
+        self.tasks[kind.at()] = Some(proposer);
         true
     }
 
@@ -266,8 +252,8 @@
                 self.say(from, said, now, out);
             }
             Message::Promised { kind, .. } | Message::Accepts { kind, .. } | Message::Denied { kind, .. } => {
-                let Some(task) = self.tasks[kind.at()].as_mut() else { return };
-                let done = task.proposer.hear(from, &message, now, &self.fleet.times);
+                let Some(proposer) = self.tasks[kind.at()].as_mut() else { return };
+                let done = proposer.hear(from, &message, now, &self.fleet.times);
                 self.went(kind, done, now, out);
             }
             // It has asked for the document, and is asked again in its turn.
@@ -293,7 +279,7 @@
         if list.0 > self.newest.0 {
             self.newest = list;
         }
-        if let Some((_, at)) = self.asked.iter().find(|(asked, _)| *asked == nonce) {
+        if let Some(at) = self.holder.asked(nonce) {
             let took = now - at;
             if let Some(heard) = self.heard.get_mut(&from) {
                 heard.forgot = false;
@@ -335,7 +321,8 @@
         match done {
             Ok(say) => say.into_iter().for_each(|(to, message)| self.send(to, message, now, out)),
             Err(end) => {
-                let Some(Task { proposer, goal }) = self.tasks[kind.at()].take() else { return };
+                let Some(proposer) = self.tasks[kind.at()].take() else { return };
+                let goal = proposer.goal();
                 self.highest[kind.at()] = self.highest[kind.at()].max(proposer.highest());
                 if let End::Chosen(accepted) = end {
                     let own = matches!(goal, Goal::Change { .. });
@@ -379,8 +366,8 @@
             self.ask(now, &mut out);
         }
         for kind in KINDS {
-            if let Some(task) = self.tasks[kind.at()].as_mut() {
-                let done = task.proposer.tick(now, &self.fleet.times);
+            if let Some(proposer) = self.tasks[kind.at()].as_mut() {
+                let done = proposer.tick(now, &self.fleet.times);
                 self.went(kind, done, now, &mut out);
             } else if self.voter.is_some() {
                 self.bring_on(kind, now);
@@ -392,10 +379,6 @@
     fn ask(&mut self, now: Time, out: &mut Vec<Out>) {
         let times = self.fleet.times;
         let nonce = self.holder.ask(now);
-        self.asked.push((nonce, now));
-        if self.asked.len() > 8 {
-            self.asked.remove(0);
-        }
         // All of a fleet may have begun at one moment; they are not to ask at one for ever.
         let part = 0.75 + lot(self.fleet.seed, now, 7) / 4.0;
         self.asks = now + (times.asks() as f64 * part) as Time;
@@ -427,7 +410,7 @@
     /// When it wants to look at the clock next.
     pub fn wakes(&self) -> Time {
         let times = &self.fleet.times;
-        let tasks = self.tasks.iter().flatten().map(|task| task.proposer.wakes(times));
+        let tasks = self.tasks.iter().flatten().map(|proposer| proposer.wakes(times));
         let own = self
             .changes
             .iter()
--- a/src/agreement/instance_tests.rs
+++ b/src/agreement/instance_tests.rs
@@ -91,7 +91,7 @@
     }
 
     fn start(&mut self, n: Number, remembers: bool) {
-        let (all, voters, now) = (self.places.len() as Number, self.voters as Number, self.clock(n));
+        let (voters, now) = (self.voters as Number, self.clock(n));
         let documents = self.documents.clone();
         let place = self.place(n);
         place.starts += 1;
@@ -99,7 +99,6 @@
         let fleet = Fleet {
             me: n,
             start: place.starts,
-            all: (1..=all).collect(),
             voters: (1..=voters).collect(),
             times: TIMES,
             seed: u64::from(n) * 77 + place.starts,
@@ -411,11 +410,7 @@
         world.ended.clear();
         let of = |p: &Place| {
             let i = p.instance.as_ref().expect("it runs");
-            i.asked.len()
-                + i.heard.len()
-                + i.changes.iter().flatten().count()
-                + i.clashes.len()
-                + i.needs().len()
+            i.heard.len() + i.changes.iter().flatten().count() + i.clashes.len() + i.needs().len()
         };
         sizes.push(world.places.iter().map(of).max().expect("three"));
     }
--- a/src/agreement/proposer.rs
+++ b/src/agreement/proposer.rs
@@ -139,9 +139,9 @@
         self.highest
     }
 
-    /// What it is about, and what for.
-    pub fn goal(&self) -> (Kind, Goal) {
-        (self.kind, self.goal)
+    /// What for.
+    pub fn goal(&self) -> Goal {
+        self.goal
     }
 
     /// Voters that have not answered in this phase: whom it waits for.
--- a/src/console/mod.rs
+++ b/src/console/mod.rs
@@ -11,7 +11,8 @@
 use crate::core::{Order, Readiness};
 use crate::handover::Desk;
 use crate::net::listen::{Closing, Phase};
-use crate::{parley, phases};
+use crate::parley::{self, Ask};
+use crate::phases;
 use futures_util::{SinkExt, StreamExt};
 use line::{Call, Fleet, Line, Lines, Reply};
 use std::collections::VecDeque;
@@ -156,28 +157,19 @@
     }
 
     async fn fleet(&self, call: &Fleet) -> Result<String, String> {
-        use parley::Call as To;
-        let (reply, answer) = oneshot::channel();
-        let (told, shown) = oneshot::channel();
-        let to = match call {
-            Fleet::Status => To::Status(told),
-            Fleet::History => To::History(told),
-            Fleet::Propose(path, author) => {
-                To::Propose(author.clone(), parley::settings_of(path).await?, reply)
-            }
-            Fleet::Hand(member, out) => To::Hand(member.clone(), *out, reply),
-            Fleet::Abort => To::Abort(reply),
-            Fleet::Epoch(number) => To::Epoch(*number, reply),
+        let ask = match call {
+            Fleet::Status => Ask::Status,
+            Fleet::History => Ask::History,
+            Fleet::Propose(path, author) => Ask::Propose(author.clone(), parley::settings_of(path).await?),
+            Fleet::Hand(member, out) => Ask::Hand(member.clone(), *out),
+            Fleet::Abort => Ask::Abort,
+            Fleet::Epoch(number) => Ask::Epoch(*number),
         };
-        let shows = matches!(call, Fleet::Status | Fleet::History);
         let fleet = self.fleet.as_ref().ok_or("the operators' file has no agreement that is enabled")?;
         let ending = || "the process ends".to_string();
-        fleet.send(to).await.map_err(|_| ending())?;
-        if shows {
-            shown.await.map_err(|_| ending())
-        } else {
-            answer.await.map_err(|_| ending())?
-        }
+        let (reply, answer) = oneshot::channel();
+        fleet.send((ask, reply)).await.map_err(|_| ending())?;
+        answer.await.map_err(|_| ending())?
     }
 
     /// Yes only where a client would really be served.
--- a/src/parley/mod.rs
+++ b/src/parley/mod.rs
@@ -45,21 +45,25 @@
 const LOOK: std::time::Duration = std::time::Duration::from_millis(50);
 
 /// What the operators ask.
-pub enum Call {
+#[derive(Debug)]
+pub enum Ask {
     /// How the fleet stands, as JSON.
-    Status(oneshot::Sender<String>),
+    Status,
     /// The versions that were in force here, as JSON.
-    History(oneshot::Sender<String>),
+    History,
     /// Settings, as their JSON, by an author.
-    Propose(String, String, oneshot::Sender<Result<String, String>>),
+    Propose(String, String),
     /// A member out, or back, for the whole fleet.
-    Hand(String, bool, oneshot::Sender<Result<String, String>>),
+    Hand(String, bool),
     /// Take back the change that is under way.
-    Abort(oneshot::Sender<Result<String, String>>),
+    Abort,
     /// Begin a new epoch, as most voters' disks are lost.
-    Epoch(u32, oneshot::Sender<Result<String, String>>),
+    Epoch(u32),
 }
 
+/// That, and where the answer goes: what is so or was done, or why not.
+pub type Call = (Ask, oneshot::Sender<Result<String, String>>);
+
 /// Settings to be taken up: what each shares, and the word once that is done.
 pub type Rules = (Box<Shared>, oneshot::Sender<()>);
 
@@ -71,7 +75,14 @@
     Fetched(Hash, Option<Vec<u8>>),
     Kept(Hash),
     Dropped,
-    Listed(u64, Option<Vec<u8>>),
+    Listed(Option<Vec<u8>>),
+}
+
+/// A document, read once.
+struct Kept {
+    document: Document,
+    content: Content,
+    bytes: Bytes,
 }
 
 /// What the actor is wired to.
@@ -140,13 +151,6 @@
     (crc32fast::hash(bytes) == u32::from_le_bytes(*sum)).then(|| voter::read(bytes))?
 }
 
-/// What is acted on.
-#[derive(Clone, PartialEq)]
-struct Acts {
-    turns: [u64; 2],
-    holds: [Holds; 2],
-}
-
 /// A version that was in force here.
 #[derive(Debug, Clone)]
 struct Past {
@@ -164,10 +168,10 @@
     socket: Arc<UdpSocket>,
     sender: Sender,
     receiver: Receiver,
-    documents: BTreeMap<Hash, (Document, Bytes)>,
+    documents: BTreeMap<Hash, Kept>,
     fetching: BTreeSet<Hash>,
     /// What was last told the core: what it acts on and until when.
-    acts: Option<Acts>,
+    acts: Option<[Standing; 2]>,
     until: Time,
     /// Since when no lease has held, and whether that was told.
     lapsed: Option<Time>,
@@ -198,7 +202,6 @@
         let fleet = Fleet {
             me: file.me,
             start: now,
-            all: file.proxies.keys().copied().collect(),
             voters: file.voters.clone(),
             times: file.times,
             seed: with.seed ^ u64::from(file.me),
@@ -208,10 +211,13 @@
         let mut instance = Instance::new(fleet, voter, now);
         let mut documents = BTreeMap::new();
         for (name, bytes) in memory.into_iter().flat_map(|m| m.kept) {
-            if let (true, Ok(document)) = (name.starts_with(DOCUMENT), Document::open(&bytes, &with.keys)) {
+            let opened = Document::open(&bytes, &with.keys).ok().filter(|_| name.starts_with(DOCUMENT));
+            // One that was kept was sound then.
+            let read = opened.and_then(|document| Some((document.content().ok()?, document)));
+            if let Some((content, document)) = read {
                 let hash = document.version().hash;
                 instance.document(hash);
-                documents.insert(hash, (document, Bytes::from(bytes)));
+                documents.insert(hash, Kept { document, content, bytes: bytes.into() });
             }
         }
         let (questions, asked) = mpsc::channel(MAILBOX);
@@ -302,12 +308,18 @@
                 self.fetching.remove(&hash);
                 let opened = bytes.and_then(|b| Some((Document::open(&b, &self.with.keys).ok()?, b)));
                 if let Some((document, bytes)) = opened.filter(|(d, _)| d.version().hash == hash) {
-                    self.keep(document, bytes.into());
+                    match document.content() {
+                        Ok(content) => self.keep(document, content, bytes.into()),
+                        Err(why) => {
+                            let (kind, version) = (document.kind.name(), document.version());
+                            log::warn!("{kind} {version} cannot be acted on: {why}");
+                        }
+                    }
                 }
             }
             Done::Kept(hash) => self.instance.document(hash),
             Done::Dropped => {}
-            Done::Listed(version, bytes) => {
+            Done::Listed(bytes) => {
                 self.list.1 = false;
                 let json = bytes.and_then(|b| serde_json::from_slice(&b).ok());
                 let held = self.with.version.load(Ordering::Relaxed);
@@ -319,7 +331,7 @@
                     log::info!(
                         "member list {told} was taken from another proxy; discovery has told {held} here"
                     );
-                    self.list.0 = self.list.0.max(version);
+                    self.list.0 = told;
                     let core = self.with.core.clone();
                     tokio::spawn(async move { core.send(Input::List(ListKind::Full, entries)).await });
                 }
@@ -329,25 +341,22 @@
     }
 
     /// A document is here: it is written down before anything rests on it, where this proxy votes.
-    fn keep(&mut self, document: Document, bytes: Bytes) {
+    fn keep(&mut self, document: Document, content: Content, bytes: Bytes) {
         let hash = document.version().hash;
-        if let Err(why) = document.content() {
-            log::warn!("{} {} cannot be acted on: {why}", document.kind.name(), document.version());
-            return;
-        }
-        if let Ok(Content::Settings(new)) = document.content() {
+        if let Content::Settings(new) = &content {
             // Whoever proposes has looked at this, too; a voter that does not trust in that keeps the others from it.
-            for (other, (old, _)) in &self.documents {
-                if matches!(old.content(), Ok(Content::Settings(old)) if old.meet(&new).is_err()) {
+            for (other, kept) in &self.documents {
+                if matches!(&kept.content, Content::Settings(old) if old.meet(new).is_err()) {
                     self.instance.clash(*other, hash);
                 }
             }
         }
-        self.documents.insert(hash, (document, bytes.clone()));
+        self.documents.insert(hash, Kept { document, content, bytes: bytes.clone() });
         let needs = self.instance.needs();
         while self.documents.len() > DOCUMENTS {
             let old = self.documents.iter().filter(|(h, _)| !needs.contains(h) && **h != hash);
-            let Some(old) = old.min_by_key(|(_, (d, _))| (d.number, d.at)).map(|(h, _)| *h) else { break };
+            let age = |kept: &Kept| (kept.document.number, kept.document.at);
+            let Some(old) = old.min_by_key(|(_, kept)| age(kept)).map(|(h, _)| *h) else { break };
             self.documents.remove(&old);
             self.instance.forget(&old);
             self.write(format!("{DOCUMENT}{}", hex(&old)), Vec::new(), Done::Dropped);
@@ -373,7 +382,7 @@
 
     async fn wanted(&self, want: Want) -> Option<Bytes> {
         match want {
-            Want::Document(hash) => self.documents.get(&hash).map(|(_, bytes)| bytes.clone()),
+            Want::Document(hash) => self.documents.get(&hash).map(|kept| kept.bytes.clone()),
             Want::List => {
                 let listed = self.with.desk.ask(Order::Listed).await?;
                 let version = self.with.version.load(Ordering::Relaxed);
@@ -386,7 +395,7 @@
         for out in out {
             match out {
                 Out::Send(to, message) => {
-                    let Some(at) = self.with.file.proxies.get(&to).copied() else { continue };
+                    let Some(at) = self.address(to) else { continue };
                     let datagram = self.sender.seal(to, &message.write());
                     count(Count::agreement_datagrams);
                     // A network loses datagrams, too.
@@ -397,15 +406,9 @@
                 }
                 Out::Relearn(votes) => self.write(VOTES.into(), write_votes(&votes), Done::Relearned),
                 Out::Fetch(from, hash) => {
-                    if !self.documents.contains_key(&hash) && self.fetching.len() < FETCHES {
-                        if let (true, Some(at)) = (self.fetching.insert(hash), self.address(from)) {
-                            self.nonce += 1;
-                            let (keys, done, nonce) = (self.with.keys.clone(), self.done.clone(), self.nonce);
-                            tokio::spawn(async move {
-                                let got = pull::get(at, &keys, Want::Document(hash), nonce).await;
-                                let _ = done.send(Done::Fetched(hash, got)).await;
-                            });
-                        }
+                    let here = self.documents.contains_key(&hash) || self.fetching.len() >= FETCHES;
+                    if !here && self.fetching.insert(hash) {
+                        self.pull(from, Want::Document(hash), move |got| Done::Fetched(hash, got));
                     }
                 }
                 Out::Ended(kind, goal, end) => self.ended(kind, goal, end),
@@ -417,6 +420,25 @@
         self.with.file.proxies.get(&of).copied()
     }
 
+    /// Gets something from another proxy, in a task of its own.
+    fn pull(
+        &mut self,
+        from: Number,
+        want: Want,
+        then: impl FnOnce(Option<Vec<u8>>) -> Done + Send + 'static,
+    ) {
+        self.nonce += 1;
+        let (keys, done, nonce, at) =
+            (self.with.keys.clone(), self.done.clone(), self.nonce, self.address(from));
+        tokio::spawn(async move {
+            let got = match at {
+                Some(at) => pull::get(at, &keys, want, nonce).await,
+                None => None,
+            };
+            let _ = done.send(then(got)).await;
+        });
+    }
+
     fn ended(&mut self, kind: Kind, goal: Goal, end: End) {
         let told = match end {
             End::Chosen(accepted) => format!("{}: turn {} is chosen", kind.name(), accepted.standing.turn),
@@ -433,18 +455,10 @@
         let now = self.with.clock.now();
         let version = self.with.version.load(Ordering::Relaxed).max(self.list.0);
         self.instance.listed(version);
-        if let (true, false, Some((newer, by))) =
-            (self.with.file.lists, self.list.1, self.instance.newer_list())
-        {
-            if let Some(at) = self.address(by) {
-                self.list.1 = true;
-                self.nonce += 1;
-                let (keys, done, nonce) = (self.with.keys.clone(), self.done.clone(), self.nonce);
-                tokio::spawn(async move {
-                    let got = pull::get(at, &keys, Want::List, nonce).await;
-                    let _ = done.send(Done::Listed(newer, got)).await;
-                });
-            }
+        let wanted = self.with.file.lists && !self.list.1;
+        if let Some((_, by)) = self.instance.newer_list().filter(|_| wanted) {
+            self.list.1 = true;
+            self.pull(by, Want::List, Done::Listed);
         }
         let Some((standings, until)) = self.instance.holds(now) else {
             if self.lapsed.is_none() {
@@ -456,14 +470,13 @@
             }
             return Some(());
         };
-        let next = Acts { turns: standings.map(|s| s.turn), holds: standings.map(|s| s.holds) };
-        if self.acts.as_ref() != Some(&next) {
+        if self.acts != Some(standings) {
             if !self.take_up(&standings).await? {
                 return Some(());
             }
             count(Count::agreement_turns);
-            self.note(&next, now);
-            self.acts = Some(next);
+            self.note(&standings, now);
+            self.acts = Some(standings);
         }
         self.lapsed = None;
         if until > self.until {
@@ -485,15 +498,11 @@
         }
         let mut shared: Option<Box<Shared>> = None;
         for version in settings.versions() {
-            let Some(Ok(Content::Settings(one))) =
-                self.documents.get(&version.hash).map(|(d, _)| d.content())
-            else {
-                return Some(false);
-            };
+            let Some(Content::Settings(one)) = self.content(version) else { return Some(false) };
             shared = Some(match shared {
-                None => one,
+                None => one.clone(),
                 // Who proposes refuses a change without a meet; whoever sees one all the same goes on by no new rules.
-                Some(other) => match other.meet(&one) {
+                Some(other) => match other.meet(one) {
                     Ok(meet) => Box::new(meet),
                     Err(clashes) => {
                         log::error!("a change without a middle cannot be acted on: {clashes:?}");
@@ -504,16 +513,14 @@
         }
         let mut out = BTreeSet::new();
         for version in hands.versions() {
-            let Some(Ok(Content::Hands(these))) = self.documents.get(&version.hash).map(|(d, _)| d.content())
-            else {
-                return Some(false);
-            };
-            out.extend(these);
+            let Some(Content::Hands(these)) = self.content(version) else { return Some(false) };
+            out.extend(these.iter().cloned());
         }
-        if self.acts.as_ref().is_none_or(|acts| acts.holds[1] != hands) {
+        let [own, all] = KINDS.map(|kind| self.acts.map(|acts| acts[kind.at()].holds));
+        if all != Some(hands) {
             self.with.desk.ask(|reply| Order::Fleet(out, reply)).await?;
         }
-        if self.acts.as_ref().is_none_or(|acts| acts.holds[0] != settings) {
+        if own != Some(settings) {
             let (reply, done) = oneshot::channel();
             self.with.rules.send((shared?, reply)).await.ok()?;
             done.await.ok()?;
@@ -521,6 +528,11 @@
         Some(true)
     }
 
+    /// What a version says, where its document is here.
+    fn content(&self, version: Version) -> Option<&Content> {
+        self.documents.get(&version.hash).map(|kept| &kept.content)
+    }
+
     /// Nothing has ever been agreed on: the lowest voter that is there proposes what its own file says.
     fn first(&mut self, settings: Holds, hands: Holds) {
         let now = self.with.clock.now();
@@ -540,16 +552,16 @@
         }
     }
 
-    fn note(&mut self, next: &Acts, now: Time) {
+    fn note(&mut self, next: &[Standing; 2], now: Time) {
         for kind in KINDS {
-            let (was, is) = (self.acts.as_ref().map(|acts| acts.holds[kind.at()]), next.holds[kind.at()]);
-            if was == Some(is) {
+            let Standing { turn, holds } = next[kind.at()];
+            if self.acts.is_some_and(|acts| acts[kind.at()].holds == holds) {
                 continue;
             }
-            let shown = told::holds(&is);
-            log::info!(target: "rules", turn = next.turns[kind.at()], us = now; "{} {shown}", kind.name());
-            let Holds::One(version) = is else { continue };
-            if let Some((document, _)) = self.documents.get(&version.hash) {
+            let shown = told::holds(&holds);
+            log::info!(target: "rules", turn = turn, us = now; "{} {shown}", kind.name());
+            let Holds::One(version) = holds else { continue };
+            if let Some(Kept { document, .. }) = self.documents.get(&version.hash) {
                 let (author, proposed) = (document.author.clone(), document.at);
                 self.history.push_back(Past { kind, version, author, proposed, since: now });
                 if self.history.len() > HISTORY {
@@ -568,7 +580,7 @@
     ) -> Result<String, String> {
         let at = self.with.clock.now();
         let document = Document { kind, number: number + 1, parent, author, at, body };
-        document.content()?;
+        let content = document.content()?;
         let (to, sealed) = (document.version(), document.seal(&self.with.keys));
         if sealed.len() > document::LONGEST {
             return Err(format!("it has {} bytes, {} are allowed", sealed.len(), document::LONGEST));
@@ -576,21 +588,23 @@
         if !self.instance.propose(kind, Goal::Change { to, parent }, at) {
             return Err("another ballot of this proxy is under way; ask again".into());
         }
-        self.keep(document, sealed.into());
+        self.keep(document, content, sealed.into());
         self.last = format!("{}: version {to} is proposed", kind.name());
         Ok(self.last.clone())
     }
 
-    /// The version alone in force, and its document.
-    fn base(&self, kind: Kind) -> Result<(Version, &Document), String> {
-        let now = self.with.clock.now();
-        let (standings, _) =
-            self.instance.holds(now).ok_or("no majority of the voters can be reached from here")?;
-        match standings[kind.at()].holds {
+    fn standings(&self) -> Result<[Standing; 2], String> {
+        let held = self.instance.holds(self.with.clock.now());
+        held.map(|(standings, _)| standings)
+            .ok_or_else(|| "no majority of the voters can be reached from here".into())
+    }
+
+    /// The version alone in force, and what it says.
+    fn base(&self, kind: Kind) -> Result<(Version, &Content), String> {
+        match self.standings()?[kind.at()].holds {
             Holds::One(version) => {
-                let known =
-                    self.documents.get(&version.hash).ok_or("its document is still to come; ask again")?;
-                Ok((version, &known.0))
+                let content = self.content(version).ok_or("its document is still to come; ask again")?;
+                Ok((version, content))
             }
             Holds::Nothing => Err("nothing is agreed on yet".into()),
             Holds::Between { to, .. } => Err(format!("a change to version {to} is under way; wait or ABORT")),
@@ -599,7 +613,6 @@
 
     fn settings(&mut self, author: String, body: String) -> Result<String, String> {
         let (version, old) = self.base(Kind::Settings)?;
-        let old = old.content()?;
         let json = serde_json::from_str(&body).map_err(|e| e.to_string())?;
         let new = Shared::read(&json)?;
         if let Content::Settings(old) = old {
@@ -613,7 +626,8 @@
 
     fn hand(&mut self, member: &str, out: bool) -> Result<String, String> {
         let (version, old) = self.base(Kind::Hands)?;
-        let Content::Hands(mut all) = old.content()? else { return Err("no hands".into()) };
+        let Content::Hands(all) = old else { return Err("no hands".into()) };
+        let mut all = all.clone();
         let changed = if out { all.insert(member.into()) } else { all.remove(member) };
         if !changed {
             return Ok(format!("{member} is so already, by version {version}"));
@@ -622,13 +636,11 @@
     }
 
     fn abort(&mut self) -> Result<String, String> {
-        let now = self.with.clock.now();
-        let (standings, _) =
-            self.instance.holds(now).ok_or("no majority of the voters can be reached from here")?;
+        let standings = self.standings()?;
         for kind in KINDS {
             let Standing { turn, holds } = standings[kind.at()];
             if matches!(holds, Holds::Between { .. }) {
-                return match self.instance.propose(kind, Goal::Abort(turn), now) {
+                return match self.instance.propose(kind, Goal::Abort(turn), self.with.clock.now()) {
                     true => Ok(format!("{}: turn {turn} is being taken back", kind.name())),
                     false => Err("a ballot of this proxy is under way; ask again".into()),
                 };
@@ -637,21 +649,22 @@
         Err("no change is under way".into())
     }
 
-    fn call(&mut self, call: Call) -> Vec<Out> {
-        match call {
-            Call::Status(reply) => drop(reply.send(self.status())),
-            Call::History(reply) => drop(reply.send(told::history(&self.history))),
-            Call::Propose(author, body, reply) => drop(reply.send(self.settings(author, body))),
-            Call::Hand(member, out, reply) => drop(reply.send(self.hand(&member, out))),
-            Call::Abort(reply) => drop(reply.send(self.abort())),
-            Call::Epoch(epoch, reply) => {
-                let out = self.instance.start_over(epoch);
+    fn call(&mut self, (ask, reply): Call) -> Vec<Out> {
+        let mut out = None;
+        let told = match ask {
+            Ask::Status => Ok(self.status()),
+            Ask::History => Ok(told::history(&self.history)),
+            Ask::Propose(author, body) => self.settings(author, body),
+            Ask::Hand(member, out) => self.hand(&member, out),
+            Ask::Abort => self.abort(),
+            Ask::Epoch(epoch) => {
+                out = self.instance.start_over(epoch);
                 let no = || "this proxy does not vote, or knows of that epoch or a later one".to_string();
-                let _ = reply.send(out.as_ref().map(|_| format!("epoch {epoch} begins here")).ok_or_else(no));
-                return out.into_iter().collect();
+                out.as_ref().map(|_| format!("epoch {epoch} begins here")).ok_or_else(no)
             }
-        }
-        Vec::new()
+        };
+        let _ = reply.send(told);
+        out.into_iter().collect()
     }
 }
 
--- a/src/parley/told.rs
+++ b/src/parley/told.rs
@@ -51,7 +51,7 @@
     pub(super) fn status(&self) -> String {
         let (now, times) = (self.with.clock.now(), self.with.file.times);
         let lease = self.instance.holds(now).map(|(_, until)| (until - now) / 1000);
-        let turns = self.acts.as_ref().map_or([0; 2], |acts| acts.turns);
+        let turns = self.acts.map_or([0; 2], |acts| acts.map(|s| s.turn));
         let of = |kind: Kind| {
             let last = self.instance.last(kind);
             let told = last.map_or(Holds::Nothing, |l| l.accepted.standing.holds);
--- a/tests/agreement_model.rs
+++ b/tests/agreement_model.rs
@@ -30,12 +30,6 @@
     Accepted { ballot, standing: Standing { turn: 1, holds: Holds::One(version(1)) } }
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Proposing {
-    proposer: Proposer,
-    goal: Goal,
-}
-
 /// What one proxy has read of voters in answer to one question.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Question {
@@ -46,7 +40,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct State {
     voters: BTreeMap<Number, Voter>,
-    proposing: BTreeMap<Number, Proposing>,
+    proposing: BTreeMap<Number, Proposer>,
     /// What was said to voters. Never taken away: any of it may come again. That it does not come is its loss.
     letters: BTreeSet<(Number, Number, Message)>,
     /// What the proxies hold, by whom: the standing, and the tick in which its question was asked.
@@ -121,8 +115,8 @@
             Said::Nothing => None,
         };
         let (Some(answer), true) = (answer, heard) else { return };
-        let Some(proposing) = state.proposing.get_mut(&from) else { return };
-        let said = proposing.proposer.hear(to, &answer, 0, &TIMES);
+        let Some(proposer) = state.proposing.get_mut(&from) else { return };
+        let said = proposer.hear(to, &answer, 0, &TIMES);
         self.carry(state, from, said);
     }
 }
@@ -211,7 +205,7 @@
                 );
                 state.starts += 1;
                 let said = proposer.tick(0, &TIMES);
-                state.proposing.insert(who, Proposing { proposer, goal });
+                state.proposing.insert(who, proposer);
                 self.carry(&mut state, who, said);
             }
             Step::Deliver(from, to, message, heard) => {
