Count attempts cut off as lost in the mean that says when one is lost

Ruled out: deadlines (400 ms and more), the list (36 members drain at 6.7 s, all heard of it), cold members (51 attempts there).

At fault: src/decide.rs, ended(): the mean service time learns from answers alone. Where members jam, only what comes quickly is answered before four means have passed; the mean sinks to 5 ms, and each attempt is given up and sent again at ever shorter times, while members, which drop nothing, work on all of them.

Change: an attempt cut off adds its time without an answer of its own, as it does in the mean of a censored sample.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -124,15 +124,15 @@
 const RESTART_AFTER: Time = 2_000_000;
 /// Weight of the newest answer in mean service times.
 const LATENCY_WEIGHT: f64 = 0.05;
-/// Least pause behind a failed call for the list, in us, the span of few routers' next ones, and a call's timeout.
+/// Least pause behind a failed call for the list, in us, the span of few routers' next ones, and its timeout.
 const LIST_PAUSE: Time = 300_000;
 const LIST_SPAN: Time = 1_000_000;
 const LIST_TIMEOUT: Time = 6_000_000;
 /// Routers that may ask at once; each more adds so much to the span over which all spread their calls ...
 pub(crate) const LIST_FEW: u32 = 18;
 pub(crate) const LIST_EACH: Time = 60_000;
-/// ... which is no longer than this: a drain counts as told 6 s after discovery could be asked, whether heard of
-/// or not, and the pause before the call and up to 2 s in which it waits for its turn are part of those.
+/// ... which is no longer than this: a drain counts as told 6 s after discovery could be asked, heard of or not,
+/// and the pause before the call and up to 2 s in which it waits for its turn are part of those.
 const LIST_SPAN_MOST: Time = 3_700_000;
 /// A list that is not newer than the last answer about a role by this much, in us, does not change it.
 const LIST_ROLE_AGE: Time = 6_000_000;
@@ -571,8 +571,7 @@
         let due = m.probed.is_none_or(|t| now >= t + gap);
         let ask = self.set.probing && m.listed && due && (lost || !m.probe_out);
         if ask {
-            m.probed = Some(now);
-            m.probe_out = true;
+            (m.probed, m.probe_out) = (Some(now), true);
             out.push(Action::Probe { member: id });
         }
         ask
@@ -814,11 +813,16 @@
             }
             _ => {}
         }
-        if outcome == Completed {
-            self.service[class] += LATENCY_WEIGHT * (spent as f64 - self.service[class]);
-            if let (true, Some(s), Some(p)) = (write, session, note.and_then(|n| n.position)) {
-                self.sessions.remember(s, p, self.now, SESSION_SPAN);
-            }
+        // What was cut off counts, too: by answers alone the mean would sink with each cut, and cut off more.
+        let mean = &mut self.service[class];
+        *mean += match outcome {
+            Completed => LATENCY_WEIGHT * (spent as f64 - *mean),
+            Overdue => LATENCY_WEIGHT * (spent as f64).min(*mean * LOST_FACTOR),
+            _ => 0.0,
+        };
+        let word = (outcome, write, session, note.and_then(|n| n.position));
+        if let (Completed, true, Some(s), Some(p)) = word {
+            self.sessions.remember(s, p, self.now, SESSION_SPAN);
         }
         if let Some(note) = note {
             // The commit of a write is rounded up and may lie a little ahead of the member's proven position.
@@ -905,13 +909,10 @@
 
     fn list(&mut self, kind: ListKind, entries: &[Member]) {
         match kind {
-            ListKind::Failed => {
-                self.list_next = Some(self.list_turn(self.now + LIST_PAUSE, LIST_SPAN));
-                return;
-            }
-            ListKind::Disk => self.list_next = self.set.subscribe.then(|| self.list_turn(self.now, 0)),
+            ListKind::Failed => return self.ask_in_turn(self.now + LIST_PAUSE, LIST_SPAN),
+            ListKind::Disk if self.set.subscribe => self.ask_in_turn(self.now, 0),
+            ListKind::Disk | ListKind::Operator => {}
             ListKind::Full | ListKind::Changes => self.list_next = None,
-            ListKind::Operator => {}
         }
         if matches!(kind, ListKind::Disk | ListKind::Full) && !self.set.rules.removal_not_binding {
             let named: BTreeSet<MemberId> = entries.iter().map(|e| e.id).collect();
@@ -947,8 +948,7 @@
         if e.up_since != m.up_since {
             m.up_since = e.up_since;
             m.cold_from = e.up_since.filter(|t| now < t + warm);
-            m.errors = Share::default();
-            m.doubt = None;
+            (m.errors, m.doubt) = (Share::default(), None);
         }
         let g = self.groups.entry(e.group).or_insert_with(|| Group { since: now, ..Group::default() });
         if !g.members.contains(&e.id) {
@@ -963,14 +963,14 @@
         }
     }
 
-    /// This router's next turn to ask for the list. All may have started, or lost the list, at once, and calls that
-    /// wait too long fail and still cost discovery their time: each has a moment of its own, the same in every span,
-    /// so that the calls stay apart however often they fail.
-    fn list_turn(&self, from: Time, few: Time) -> Time {
+    /// This router's next turn to ask for the list. All may have started, or lost the list, at once, and calls
+    /// that wait too long fail and still cost discovery their time: each has a moment of its own, the same in
+    /// every span, so that the calls stay apart however often they fail.
+    fn ask_in_turn(&mut self, from: Time, few: Time) {
         let more = u64::from(self.set.instances.saturating_sub(LIST_FEW)) * LIST_EACH;
         let span = (few + more).clamp(1, LIST_SPAN_MOST);
         let own = (span as f64 * lot(!self.set.seed, LIST_EACH, 0)) as Time;
-        from + (own + span - from % span) % span
+        self.list_next = Some(from + (own + span - from % span) % span);
     }
 
     // ---- Timers --------------------------------------------------------------------------------------
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -764,6 +764,39 @@
     assert!(stop(UNSAFE, 0).is_none());
 }
 
+#[test]
+fn attempts_cut_off_as_lost_do_not_make_the_next_ones_be_cut_off_sooner() {
+    // Work takes 20 ms, and then members jam: what does not find them idle takes 150 ms, still within the aim. Of answers
+    // alone the mean would be that of the few quick ones, and all others would end within 16 ms, run all the same.
+    let mut d = Driver::new(settings());
+    let mut early = 0;
+    for n in 0..600u64 {
+        let takes = match n {
+            0..200 => 20 * MS,
+            _ if n % 5 == 0 => 4 * MS,
+            _ => 150 * MS,
+        };
+        let (id, actions) = d.request(ANY, None);
+        let stop = actions.iter().find_map(|a| match a {
+            Action::Send { id: i, stop_at, .. } if *i == id => Some(*stop_at),
+            _ => None,
+        });
+        let Some(stop) = stop else { continue };
+        let lost = stop.map(|at| at - d.now).filter(|within| takes > *within);
+        if let Some(within) = lost {
+            early += 1;
+            assert!(within >= 60 * MS, "cut off after {within} us at {n}");
+        }
+        let spent = lost.unwrap_or(takes);
+        d.now += spent;
+        let outcome = if lost.is_some() { Outcome::Overdue } else { Outcome::Completed };
+        let (note, report) = (note(d.now, Role::Replica), None);
+        d.step(&[Event::Ended { id, attempt: 0, outcome, complete: true, spent, note, report }]);
+        d.now += 50 * MS;
+    }
+    assert!((1..=40).contains(&early), "{early} cut off: the jam is learned from the first few");
+}
+
 #[test]
 fn a_write_that_reached_no_member_is_given_up_before_half_of_its_time() {
     // Late refusals of what was never tried cost more than the chance of a new primary is worth.
