Refuse reads with too little time left for an answer, rather than jam members with them

Change: a read with less than 1.5 mean service times left is refused at once, but for one in ten, which tell of the end of a jam.

Test: a_read_with_too_little_time_for_an_answer_is_refused_at_once_but_for_a_few.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -26,6 +26,9 @@
 /// A read that waits only for room is given up after this share of the tightest aim of any read class: a
 /// longer common queue serves no more reads, it only makes the tightest class miss its aim altogether.
 const HOLD_SHARE: f64 = 0.4;
+/// A read is not sent with less time left than so many mean service times, but for this share of such reads.
+const LEFT_FACTOR: f64 = 1.5;
+const LEFT_TRIED: f64 = 0.1;
 /// Final answers go out this long before the client leaves, in us: one late round must not lose them.
 const ANSWER_LEAD: Time = 12_000;
 /// A write of which no attempt reached a member is given up this long before half of its time is over, in
@@ -76,8 +79,7 @@
 /// So many members of a zone that go silent within this span, in us, and none heard since: it is lost.
 const ZONE_MEMBERS: usize = 3;
 const ZONE_SPAN: Time = 2_000_000;
-/// An answer slower than this share of its class's aim tells of a jam at the member, whoever caused it;
-/// sound members give few, as work varies.
+/// An answer slower than this share of its class's aim tells of a jam by whomever; sound ones give few.
 const SLOW_SHARE: f64 = 0.45;
 /// A slow answer lowers the member's bounds once for all that was out at the time, each quick one raises them
 /// by a share of the full bound, and so does this time, in us. The common ease of all members falls with
@@ -106,8 +108,7 @@
 const LOST_EASE: f64 = 0.5;
 /// A connection without use for this long counts as idle, in us.
 const IDLE_LEAST: Time = 250_000;
-/// Idle connections are closed before use, and used ones preferred, once the share of attempts lost on idle
-/// ones exceeds that on others by this much.
+/// Idle connections are closed before use once the share of attempts lost on them exceeds others' by this.
 const LINK_LIMIT: f64 = 0.45;
 /// A member that was never connected to has its turn within so much a router, in us ...
 const TURN_EACH: Time = 60_000;
@@ -131,8 +132,8 @@
 /// Routers that may ask at once; each more adds so much to the span over which all spread their calls ...
 pub(crate) const LIST_FEW: u32 = 18;
 pub(crate) const LIST_EACH: Time = 60_000;
-/// ... which is no longer than this: a drain counts as told 6 s after discovery could be asked, heard of or not,
-/// and the pause before the call and up to 2 s in which it waits for its turn are part of those.
+/// ... which is no longer than this: a drain counts as told 6 s after discovery could be asked, heard of or
+/// not, and the pause before the call and up to 2 s in which it waits for its turn are part of those.
 const LIST_SPAN_MOST: Time = 3_700_000;
 /// A list that is not newer than the last answer about a role by this much, in us, does not change it.
 const LIST_ROLE_AGE: Time = 6_000_000;
@@ -296,8 +297,7 @@
         (Time::from(self.set.instances) * TURN_EACH).min(most)
     }
 
-    /// Never connected to, and before its turn: all routers may have come to know it at one moment, and what
-    /// they would open at once adds up.
+    /// Never connected to, and before its turn: all routers may come to know it at one moment, which adds up.
     fn early(&self, id: MemberId, m: &Seen) -> bool {
         let turn = || self.turns(TURN_MOST) as f64 * lot(self.set.seed, u64::from(id.0), TURN_EACH);
         m.last_sent == 0 && self.now < m.quiet_since + turn() as Time
@@ -377,7 +377,8 @@
             let Some(open) = self.open.get(&id) else { continue };
             let class = &self.set.classes[open.class];
             let half = (open.arrived + open.deadline.max(open.arrived)) / 2;
-            let hopeless = class.need == Need::Write && !open.written && self.now + HALF_LEAD >= half;
+            let untried = class.need == Need::Write && !open.written && self.now + HALF_LEAD >= half;
+            let hopeless = untried || self.in_vain(open);
             if hopeless || self.now + ANSWER_LEAD >= open.deadline || !self.allows(open, None).0 {
                 self.give_up(id, out);
                 continue;
@@ -400,6 +401,14 @@
         self.round = round;
     }
 
+    /// A read with too little time left for an answer: a member would work on it in vain, and jam the more.
+    /// Some are sent all the same, as nothing else may tell when a jam is over.
+    fn in_vain(&self, open: &Open) -> bool {
+        let (class, left) = (&self.set.classes[open.class], open.deadline.saturating_sub(self.now) as f64);
+        let short = class.need != Need::Write && left < self.service[open.class] * LEFT_FACTOR;
+        short && lot(self.set.seed, open.seq, HELD_TICK) >= LEFT_TRIED
+    }
+
     /// Overload: members that would do have had no room for this read for as long as the queue may last (for
     /// a position or a primary it may wait until the aim). Can hurt in a short standstill of all members.
     fn crowded_out(&self, open: &Open) -> bool {
@@ -412,8 +421,7 @@
             && self.of_group(open.group).any(would_do)
     }
 
-    /// When a held read must go out if it is still to make its aim; past its aim, its deadline counts where
-    /// late answers are worth something.
+    /// When a held read must go out for its aim; past that, for its deadline where late answers are of worth.
     fn last_call(&self, open: &Open) -> Time {
         let class = &self.set.classes[open.class];
         let until = if class.late_value > 0.0 { open.deadline } else { open.arrived + class.aim };
@@ -584,9 +592,8 @@
         self.now >= m.rest_until && m.listed && !doubted && !m.quiet(self.now, self.limit)
     }
 
-    /// Whether a read may go there: a member that errs quickly always has the shortest queue, so one with a
-    /// high error share gets single trials. What all members show alike is no fault of one: the share counts
-    /// beyond what this router sees everywhere (worthless requests, lossy links). Can hurt where most fail.
+    /// Whether a read may go there: a member that errs quickly always has the shortest queue, so one with
+    /// more errors than this router sees everywhere gets single trials. Can hurt where most fail.
     fn usable(&self, m: &Seen) -> bool {
         let sound = m.errors.0 < ERROR_LIMIT + ERROR_COMMON * self.signs.errors.0;
         self.reachable(m) && (sound || m.reads == 0 && self.now >= m.last_sent + TRIAL_GAP)
@@ -607,9 +614,8 @@
         if count >= bound.max(1.0) as u32 || lot(!self.set.seed, open.seq, 0) >= bound {
             return false;
         }
-        // A cold member's budget. What is out there finishes at the member's own pace, so that a bound on it
-        // bounds the rate too; work that ended without an answer no longer counts as out, yet it was sent.
-        // Where even a cold share is a read or more, that bound does; else all routers together go by lot.
+        // A cold member's budget. What is out finishes at the member's pace, so that a bound on it bounds the
+        // rate; work that ended without an answer was sent, too. Where a share is below one read, lots do.
         let sent = m.spent.len() as u32 + m.out;
         m.cold_from.is_none()
             || (few || self.cold_lot((id, m), open, warmth))
@@ -618,10 +624,10 @@
 
     /// Whether this request is among those that a cold member may have. It may be the first choice of every
     /// router, so that its share of its group's first tries is all that bounds it: so many times the even
-    /// share of a member as warm as it is now, for any number of routers. A group's shares adjoin on the
-    /// circle of one lot, so that where all are cold hardly a request finds none. Clients' repeats come on
-    /// top of the even share, and only half-warm members have room for them. What must be current can go
-    /// nowhere else; it is a part of a primary's work, which leaves a cold one none for reads.
+    /// share of one as warm, for any number of routers. A group's shares adjoin on the circle of one lot, so
+    /// that where all are cold hardly a request finds none. Clients' repeats come on top, and only half-warm
+    /// members have room for them. What must be current can go nowhere else; it is a part of a primary's
+    /// work, and leaves a cold one no reads.
     fn cold_lot(&self, (id, m): (MemberId, &Seen), open: &Open, warmth: f64) -> bool {
         if matches!(self.set.classes[open.class].need, Need::Write | Need::Fresh) {
             return lot(!self.set.seed, open.seq, u64::from(id.0)) < COLD_CURRENT * warmth;
@@ -682,8 +688,7 @@
     }
 
     /// A member could not be reached, or has answered no work for long: its reads go elsewhere. Catches
-    /// crashes, hangs, cut links and lost zones alike; a standstill longer than the limit is taken for one
-    /// too, which costs work already done.
+    /// crashes, hangs, cut links and lost zones, and takes a standstill for one, which costs work done.
     fn suspect(&mut self, id: MemberId, (refused, open): (bool, bool), out: &mut Vec<Action>) {
         let now = self.now;
         let Some(m) = self.members.get_mut(&id) else { return };
@@ -708,9 +713,8 @@
         let after = since.saturating_sub(ZONE_SPAN);
         let Some(refused) = silent(&self.members, zone, after, ZONE_MEMBERS) else { return };
         let mut rest = Vec::new();
-        for (id, m) in
-            self.members.iter_mut().filter(|(_, m)| m.listed && m.zone == zone && m.doubt.is_none())
-        {
+        let trusted = |m: &Seen| m.listed && m.zone == zone && m.doubt.is_none();
+        for (id, m) in self.members.iter_mut().filter(|(_, m)| trusted(m)) {
             m.doubt = Some(Doubt { since, next, pause, refused, open: false, inferred: true });
             rest.push(*id);
         }
@@ -884,8 +888,7 @@
         }
     }
 
-    /// A member has gone silent or has lost its role: what waits there is taken back and goes elsewhere, if
-    /// it may be repeated and can still be of use.
+    /// A member has gone silent or lost its role: what waits there goes elsewhere where that is of use.
     fn rescue(&mut self, member: MemberId, out: &mut Vec<Action>) {
         let fits = |(_, o): &(&RequestId, &Open)| !o.done && !o.streaming && self.set.cancelling;
         let mut open: Vec<_> = self.open.iter().filter(fits).collect();
@@ -923,9 +926,8 @@
         for e in entries {
             self.entry(e, kind == ListKind::Disk);
         }
-        // Members are replaced all the time, under new ids. One that is gone and has nothing out can neither
-        // be sent anything nor answer; should it return, the list tells of its start, and it proves its
-        // position anew.
+        // Members are replaced all the time, under new ids. Of one that is gone and has nothing out nothing
+        // comes; should it return, the list tells of its start, and it proves its position anew.
         self.members.retain(|_, m| m.listed || !m.gone || m.out > 0);
         for g in self.groups.values_mut() {
             g.members.retain(|id| self.members.contains_key(id));
@@ -963,9 +965,9 @@
         }
     }
 
-    /// This router's next turn to ask for the list. All may have started, or lost the list, at once, and calls
-    /// that wait too long fail and still cost discovery their time: each has a moment of its own, the same in
-    /// every span, so that the calls stay apart however often they fail.
+    /// This router's next turn to ask for the list. All may have started, or lost the list, at once, and
+    /// calls that wait too long fail and still cost discovery their time: each has a moment of its own, the
+    /// same in every span, so that the calls stay apart however often they fail.
     fn ask_in_turn(&mut self, from: Time, few: Time) {
         let more = u64::from(self.set.instances.saturating_sub(LIST_FEW)) * LIST_EACH;
         let span = (few + more).clamp(1, LIST_SPAN_MOST);
@@ -989,8 +991,7 @@
                 at(m.quiet_since + limit);
             }
         }
-        let Some(next) = next else { return };
-        let next = next.max(self.now + self.set.period.max(1));
+        let Some(next) = next.map(|t| t.max(self.now + self.set.period.max(1))) else { return };
         if self.wake.is_none_or(|w| next < w) {
             self.wake = Some(next);
             out.push(Action::Wake { after: next - self.now, tag: next });
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -797,6 +797,44 @@
     assert!((1..=40).contains(&early), "{early} cut off: the jam is learned from the first few");
 }
 
+#[test]
+fn a_read_with_too_little_time_for_an_answer_is_refused_at_once_but_for_a_few() {
+    // Work takes 40 ms; clients that give up after 30 ms would have members work in vain, those with 400 ms would not.
+    let mut d = Driver::new(settings());
+    let mut ask = |left: Time| {
+        let id = RequestId(1_000_000 + d.now);
+        let event = Event::Request {
+            id,
+            class: ANY,
+            group: 9,
+            deadline: d.now + left,
+            session: None,
+            token_age: None,
+            proven: false,
+            repeat: false,
+        };
+        let actions = d.step(&[event]);
+        let (sent, refused) = (!sent(&actions).is_empty(), refused(&actions, id));
+        if sent {
+            d.now += 40 * MS;
+            let (note, report) = (note(d.now, Role::Replica), None);
+            let (outcome, spent) = (Outcome::Completed, 40 * MS);
+            d.step(&[Event::Ended { id, attempt: 0, outcome, complete: true, spent, note, report }]);
+        }
+        d.now += 50 * MS;
+        (sent, refused)
+    };
+    let mut tell = |left: Time, count: usize| {
+        let told: Vec<(bool, bool)> = (0..count).map(|_| ask(left)).collect();
+        assert!(told.iter().all(|(sent, refused)| sent != refused), "one or the other, at once");
+        told.iter().filter(|(sent, _)| *sent).count()
+    };
+    assert_eq!(tell(400 * MS, 100), 100);
+    let few = tell(30 * MS, 300);
+    assert!((10..=60).contains(&few), "{few} of 300: a few tell how long work takes now");
+    assert_eq!(tell(400 * MS, 100), 100);
+}
+
 #[test]
 fn a_write_that_reached_no_member_is_given_up_before_half_of_its_time() {
     // Late refusals of what was never tried cost more than the chance of a new primary is worth.
