Weigh a read's time against what was learned, not against the first guess

A process that has just started would have refused clients that wait for less than 0.375 of the aim.

Change: the mean and how often it was learned from are one type in src/state.rs; a read is refused by it only once 20 answers of its class have been heard.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -157,7 +157,7 @@
     pub(crate) held: Vec<(u64, RequestId)>,
     /// Kept for its room: what one round goes through.
     round: Vec<((bool, u32), u64, RequestId)>,
-    service: Vec<f64>,
+    service: Vec<Service>,
     /// The silence limit of this step.
     limit: Time,
     signs: Signs,
@@ -174,7 +174,7 @@
     pub fn new(set: Settings) -> Result<Self, SettingsError> {
         set.check()?;
         Ok(Router {
-            service: set.classes.iter().map(|c| c.aim as f64 / 4.0).collect(),
+            service: set.classes.iter().map(Service::guess).collect(),
             limit: SILENCE_MOST,
             set,
             ..Router::default()
@@ -196,7 +196,7 @@
     /// New settings, for what comes from now on. A number that now is another class's starts with a guess.
     fn retune(&mut self, set: &Settings) {
         let same = |n: usize| self.set.classes.get(n) == set.classes.get(n);
-        let guess = |(n, c): (usize, &Class)| if same(n) { self.service[n] } else { c.aim as f64 / 4.0 };
+        let guess = |(n, c): (usize, &Class)| if same(n) { self.service[n] } else { Service::guess(c) };
         self.service = set.classes.iter().enumerate().map(guess).collect();
         self.set = set.clone();
     }
@@ -405,7 +405,8 @@
     /// Some are sent all the same, as nothing else may tell when a jam is over.
     fn in_vain(&self, open: &Open) -> bool {
         let (class, left) = (&self.set.classes[open.class], open.deadline.saturating_sub(self.now) as f64);
-        let short = class.need != Need::Write && left < self.service[open.class] * LEFT_FACTOR;
+        let needs = self.service[open.class].learned(LATENCY_WEIGHT).map_or(0.0, |mean| mean * LEFT_FACTOR);
+        let short = class.need != Need::Write && left < needs;
         short && lot(self.set.seed, open.seq, HELD_TICK) >= LEFT_TRIED
     }
 
@@ -425,7 +426,7 @@
     fn last_call(&self, open: &Open) -> Time {
         let class = &self.set.classes[open.class];
         let until = if class.late_value > 0.0 { open.deadline } else { open.arrived + class.aim };
-        until.saturating_sub((self.service[open.class] as Time).min(class.aim / 2))
+        until.saturating_sub((self.service[open.class].mean as Time).min(class.aim / 2))
     }
 
     fn send(&mut self, id: RequestId, member: MemberId, out: &mut Vec<Action>) {
@@ -456,7 +457,8 @@
         m.last_sent = self.now;
         // Lost on the way: an answer overdue from a member that answers others in time is waited for no
         // longer, where a repeat is allowed and can still make the aim. Repeats can hurt if work is uneven.
-        let (mean, lost) = (self.service[open.class], self.service[open.class] * LOST_FACTOR);
+        let mean = self.service[open.class].mean;
+        let lost = mean * LOST_FACTOR;
         let again = self.now + (mean + lost) as Time <= open.arrived + class.aim;
         let stop =
             again && class.repeat != Repeat::Unsafe && m.ease.share >= LOST_EASE && m.cold_from.is_none();
@@ -644,7 +646,7 @@
     }
 
     fn silence_limit(&self) -> Time {
-        let mean = self.service.iter().fold(0.0f64, |a, b| a.max(*b));
+        let mean = self.service.iter().fold(0.0f64, |a, b| a.max(b.mean));
         ((mean * SILENCE_FACTOR) as Time)
             .clamp(SILENCE_LEAST, SILENCE_MOST.max((mean * SILENCE_MEANS) as Time))
     }
@@ -776,7 +778,7 @@
         }
         let slow = (self.set.classes[class].aim as f64 * SLOW_SHARE) as Time;
         // An attempt is lost when it was broken off or none of its kind takes so long.
-        let long = (now - sent) as f64 >= self.service[class] * LOST_FACTOR;
+        let long = (now - sent) as f64 >= self.service[class].mean * LOST_FACTOR;
         let lost = outcome == Severed || long && matches!(outcome, Overdue | Recalled);
         self.signs.judge_links(link, lost, outcome);
         let bad = matches!(outcome, Errored | Saturated | Severed);
@@ -817,13 +819,7 @@
             }
             _ => {}
         }
-        // What was cut off counts, too: by answers alone the mean would sink with each cut, and cut off more.
-        let mean = &mut self.service[class];
-        *mean += match outcome {
-            Completed => LATENCY_WEIGHT * (spent as f64 - *mean),
-            Overdue => LATENCY_WEIGHT * (spent as f64).min(*mean * LOST_FACTOR),
-            _ => 0.0,
-        };
+        self.service[class].see(outcome, spent, LATENCY_WEIGHT, LOST_FACTOR);
         let word = (outcome, write, session, note.and_then(|n| n.position));
         if let (Completed, true, Some(s), Some(p)) = word {
             self.sessions.remember(s, p, self.now, SESSION_SPAN);
--- a/src/state.rs
+++ b/src/state.rs
@@ -101,6 +101,38 @@
     }
 }
 
+/// How long a class's work takes, by what was seen lately.
+#[derive(Clone, Copy)]
+pub(crate) struct Service {
+    /// The mean, in us; a guess at first.
+    pub mean: f64,
+    /// Answers that it was learned from.
+    answers: u32,
+}
+
+impl Service {
+    /// Before anything was seen.
+    pub fn guess(class: &Class) -> Self {
+        Service { mean: class.aim as f64 / 4.0, answers: 0 }
+    }
+
+    /// An attempt has ended. One that was cut off counts with its time, of which no more than `most` means: by answers
+    /// alone the mean would sink with each cut, and cut off ever more.
+    pub fn see(&mut self, outcome: Outcome, spent: Time, weight: f64, most: f64) {
+        self.answers = self.answers.saturating_add(u32::from(outcome == Outcome::Completed));
+        self.mean += match outcome {
+            Outcome::Completed => weight * (spent as f64 - self.mean),
+            Outcome::Overdue => weight * (spent as f64).min(self.mean * most),
+            _ => 0.0,
+        };
+    }
+
+    /// The mean, once the guess no longer weighs much in it.
+    pub fn learned(&self, weight: f64) -> Option<f64> {
+        (f64::from(self.answers) * weight >= 1.0).then_some(self.mean)
+    }
+}
+
 /// A share in (0, 1] that is lowered by bad results and comes back with good ones and with time.
 #[derive(Clone, Copy)]
 pub(crate) struct Ease {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -829,6 +829,7 @@
         assert!(told.iter().all(|(sent, refused)| sent != refused), "one or the other, at once");
         told.iter().filter(|(sent, _)| *sent).count()
     };
+    assert_eq!(tell(30 * MS, 10), 10, "a guess refuses nobody");
     assert_eq!(tell(400 * MS, 100), 100);
     let few = tell(30 * MS, 300);
     assert!((10..=60).contains(&few), "{few} of 300: a few tell how long work takes now");
