Withdraw what has not begun when its member leaves or moves, or its client goes

At fault: src/net/peer.rs, attempt(): between the order and the first byte only the lease was looked at; Done put any connection back into the pool; src/net/fleet.rs, list() told peers of addresses alone; src/core/actor.rs told members nothing of a HangUp.

Change: an attempt is marked as begun directly before its first byte; until then a list that says leaving, gone or another address, or the client's end, withdraws it, and it counts as never sent (counter 'withdrawn'). Connections from before a move are not used again. The rig's discovery tells what a caller has heard ('list expect heard'): watches are renewed too often to count.

Tests, tests/crossings.rs; without the parts of the change in turn: 'withdrawn stays under 1: {attempts: 1, connect_failed: 1 ...' for the drain and for the client; the move's 'q expect 1 write' was not tried without its part.

--- a/crates/standins/src/member.rs
+++ b/crates/standins/src/member.rs
@@ -23,6 +23,8 @@
     Answer,
     /// Runs them and keeps the answers back until it does something else.
     Hold,
+    /// Keeps the welcome of new connections back until it does something else.
+    Shut,
     /// Runs them and resets the connection.
     Reset,
     /// Runs them and ends the connection in the middle of the answer.
@@ -64,6 +66,7 @@
         Ok(match word {
             "answer" => Behaviour::Answer,
             "hold" => Behaviour::Hold,
+            "shut" => Behaviour::Shut,
             "reset" => Behaviour::Reset,
             "half" => Behaviour::Half,
             "broken" => Behaviour::Broken(number("bytes")? as usize),
@@ -315,6 +318,7 @@
             let _slot = self.0.slots.acquire().await.ok()?;
             tokio::time::sleep(self.0.capacity.handshake).await;
         }
+        self.until(|does| does != Behaviour::Shut).await?;
         wire::put(&mut reply, b'R', &[0; 4]);
         wire::put(&mut reply, b'Z', b"I");
         stream.write_all(&reply).await.ok()?;
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -67,6 +67,8 @@
     pub whole: usize,
     /// For what comes after a version.
     pub watches: usize,
+    /// The newest version after which a caller wants to hear: it has the list up to that one.
+    pub heard: u64,
 }
 
 /// One caller's way in, where many are told apart.
@@ -253,6 +255,11 @@
         self.state().1
     }
 
+    /// The version of the list.
+    pub fn version(&self) -> u64 {
+        self.with(|list| list.0)
+    }
+
     /// The whole list as it stands.
     pub fn whole(&self) -> Value {
         self.with(|list| list.1.clone())
@@ -270,6 +277,7 @@
         {
             let calls = &mut self.state().1;
             *(if after.is_some() { &mut calls.watches } else { &mut calls.whole }) += 1;
+            calls.heard = calls.heard.max(after.unwrap_or(0));
         }
         if let Some(Door { proxy, log, .. }) = door {
             log.note(What::Called { proxy: *proxy, whole: after.is_none() });
@@ -356,8 +364,17 @@
 
     /// One entry's lifecycle changes; watches are told.
     pub fn change(&self, index: usize, lifecycle: &str) {
+        self.sets(index, "lifecycle", lifecycle);
+    }
+
+    /// A member is to be found at another address; watches are told.
+    pub fn moves(&self, index: usize, address: SocketAddr) {
+        self.sets(index, "hostPort", &address.to_string());
+    }
+
+    fn sets(&self, index: usize, field: &str, value: &str) {
         let version = self.with(|list| {
-            list.1[index]["lifecycle"] = lifecycle.into();
+            list.1[index][field] = value.into();
             (list.0, list.2) = (list.0 + 1, json!([list.1[index]]));
             list.0
         });
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -174,6 +174,10 @@
                 live.reply.take()?;
                 self.returning.ended(live.came, false);
                 count(Count::left);
+                // What waits for a connection would begin after its client has gone; what has begun is the module's to stop.
+                for (number, member) in live.attempts.iter().enumerate() {
+                    self.members.withdraw(*member, id, number as u32);
+                }
                 self.settle(id);
                 Some(Event::HangUp { id })
             }
--- a/src/core/actor_tests.rs
+++ b/src/core/actor_tests.rs
@@ -12,6 +12,7 @@
         true
     }
     fn cancel(&mut self, _: MemberId, _: RequestId, _: u32) {}
+    fn withdraw(&mut self, _: MemberId, _: RequestId, _: u32) {}
     fn probe(&mut self, _: MemberId) -> bool {
         true
     }
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -47,6 +47,7 @@
     severed,
     recalled,
     superseded,
+    withdrawn,
     missed,
     member_connections,
     member_idle_closed,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -245,6 +245,8 @@
     fn attempt(&mut self, member: MemberId, attempt: Attempt) -> bool;
     /// Stops waiting for an attempt.
     fn cancel(&mut self, member: MemberId, id: RequestId, number: u32);
+    /// Drops an attempt of which nothing has been written yet.
+    fn withdraw(&mut self, member: MemberId, id: RequestId, number: u32);
     /// Asks a member for its report; false if that cannot even be queued.
     fn probe(&mut self, member: MemberId) -> bool;
     /// Closes idle connections.
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -55,6 +55,7 @@
         let now = self.clock.now();
         if let Some(p) = self.peers.get_mut(&member) {
             p.gone.get_or_insert(now);
+            let _ = p.orders.try_send(Order::Leaves);
             let _ = p.orders.try_send(Order::CloseIdle);
         }
     }
@@ -69,6 +70,10 @@
         self.order(member, Order::Cancel(id, number));
     }
 
+    fn withdraw(&mut self, member: MemberId, id: RequestId, number: u32) {
+        self.order(member, Order::Withdraw(id, number));
+    }
+
     fn probe(&mut self, member: MemberId) -> bool {
         self.order(member, Order::Probe)
     }
@@ -96,6 +101,9 @@
             });
             peer.gone = None;
             let _ = peer.orders.try_send(Order::Address(*address));
+            if member.condition == Condition::Draining {
+                let _ = peer.orders.try_send(Order::Leaves);
+            }
         }
         if matches!(kind, ListKind::Disk | ListKind::Full) {
             let left: Vec<MemberId> = self.peers.keys().copied().collect();
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -17,6 +17,8 @@
 use rustc_hash::FxHashMap;
 use std::net::SocketAddr;
 use std::pin::pin;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
@@ -35,6 +37,10 @@
     Attempt(Attempt),
     /// Stop waiting for one.
     Cancel(RequestId, u32),
+    /// Drop one of which nothing has been written yet; one that has begun goes on.
+    Withdraw(RequestId, u32),
+    /// Nothing new may go to the member: drop all of which nothing has been written yet.
+    Leaves,
     /// Ask for a report.
     Probe,
     /// Close idle connections.
@@ -49,6 +55,8 @@
 struct Running {
     task: AbortHandle,
     since: Time,
+    /// Its first byte is being written or has been: the connection is there, and the last look has found nothing.
+    begun: Arc<AtomicBool>,
 }
 
 /// The actor's state.
@@ -63,6 +71,8 @@
     pool: Pool<(W::Link, Patience)>,
     running: FxHashMap<(RequestId, u32), Running>,
     probing: usize,
+    /// How often the member has moved: a connection from before leads to whoever has its address now.
+    moves: u32,
     /// Where tasks tell their ends; each tells one, so that there are never more than tasks.
     done: mpsc::UnboundedSender<Done<W::Link>>,
     ends: Option<mpsc::UnboundedReceiver<Done<W::Link>>>,
@@ -72,6 +82,8 @@
 struct Done<L> {
     attempt: Option<(RequestId, u32)>,
     link: Option<(L, Patience)>,
+    /// The member's moves when it began.
+    moves: u32,
 }
 
 impl<W: Wire> Peer<W> {
@@ -86,8 +98,8 @@
     ) -> Self {
         let pool = Pool::new(idle_most(times));
         let (done, ends) = mpsc::unbounded_channel();
-        let (running, probing, ends) = (FxHashMap::default(), 0, Some(ends));
-        Peer { id, address, core, budget, clock, times, wire, pool, running, probing, done, ends }
+        let (running, probing, moves, ends) = (FxHashMap::default(), 0, 0, Some(ends));
+        Peer { id, address, core, budget, clock, times, wire, pool, running, probing, moves, done, ends }
     }
 
     /// Runs until the fleet lets go of it and the last attempt has ended.
@@ -103,12 +115,12 @@
             }
             tokio::select! {
                 biased;
-                Some(Done { attempt, link }) = ends.recv() => {
+                Some(Done { attempt, link, moves }) = ends.recv() => {
                     match attempt {
                         Some(key) => drop(self.running.remove(&key)),
                         None => self.probing -= 1,
                     }
-                    if let Some(link) = link {
+                    if let Some(link) = link.filter(|_| moves == self.moves) {
                         self.pool.rest(link, self.clock.now());
                     }
                 }
@@ -136,21 +148,9 @@
     fn take(&mut self, order: Order) {
         match order {
             Order::Attempt(attempt) => self.attempt(attempt),
-            Order::Cancel(id, number) => {
-                // One that has just ended has told its end; a second end would be one too many. It stays until it
-                // is taken in.
-                let key = (id, number);
-                if self.running.get(&key).is_none_or(|r| r.task.is_finished()) {
-                    return;
-                }
-                let Some(Running { task, since }) = self.running.remove(&key) else { return };
-                task.abort();
-                let spent = self.clock.now().saturating_sub(since);
-                let ending =
-                    Ending { outcome: Outcome::Recalled, value: None, note: None, report: None, spent };
-                let core = self.core.clone();
-                tokio::spawn(async move { core.send(Input::Ended(id, number, ending)).await });
-            }
+            Order::Cancel(id, number) => self.stop((id, number), false),
+            Order::Withdraw(id, number) => self.stop((id, number), true),
+            Order::Leaves => self.withdraw_all(),
             Order::Probe => self.probe(),
             Order::CloseIdle => self.pool.clear(),
             Order::Times(times) => {
@@ -160,12 +160,39 @@
             Order::Address(address) => {
                 if address != self.address {
                     self.pool.clear();
-                    self.address = address;
+                    (self.address, self.moves) = (address, self.moves + 1);
+                    self.withdraw_all();
                 }
             }
         }
     }
 
+    /// Drops all of which nothing has been written.
+    fn withdraw_all(&mut self) {
+        let all: Vec<(RequestId, u32)> = self.running.keys().copied().collect();
+        all.into_iter().for_each(|key| self.stop(key, true));
+    }
+
+    /// Ends an attempt; where `unbegun`, only one of which nothing has been written, which then was never sent.
+    fn stop(&mut self, key: (RequestId, u32), unbegun: bool) {
+        // One that has just ended has told its end; a second end would be one too many. It stays until it is taken in.
+        let Some(running) = self.running.get(&key).filter(|r| !r.task.is_finished()) else { return };
+        let begun = running.begun.load(Ordering::Relaxed);
+        if unbegun && begun {
+            return;
+        }
+        running.task.abort();
+        let outcome = if begun { Outcome::Recalled } else { Outcome::Superseded };
+        let spent = self.clock.now().saturating_sub(running.since);
+        self.running.remove(&key);
+        if !begun {
+            count(Count::withdrawn);
+        }
+        let ending = Ending { outcome, value: None, note: None, report: None, spent };
+        let core = self.core.clone();
+        tokio::spawn(async move { core.send(Input::Ended(key.0, key.1, ending)).await });
+    }
+
     /// A connection of the pool, with the means for a new one should it not stand.
     fn dial(&mut self, safe: bool) -> (Dial<W>, Option<Patience>) {
         self.reap();
@@ -183,8 +210,10 @@
 
     fn attempt(&mut self, attempt: Attempt) {
         let ((dial, waits), core, clock) = (self.dial(attempt.safe), self.core.clone(), self.clock);
-        let (key, done) = ((attempt.id, attempt.number), self.done.clone());
+        let (key, done, moves) = ((attempt.id, attempt.number), self.done.clone(), self.moves);
         let since = clock.now();
+        let begun = Arc::new(AtomicBool::new(false));
+        let begins = begun.clone();
         // In a box of its own: the runtime moves what it is given several times, and this is large.
         let task = tokio::spawn(Box::pin(async move {
             let stop = clock.instant(attempt.stop_at);
@@ -196,13 +225,15 @@
                         Ok(link) => link,
                         Err(outcome) => return (None, Exchange { outcome, ..Exchange::default() }),
                     };
-                    // However long it took to come by the connection, and whatever stood still meanwhile.
+                    // However long it took to come by the connection, and whatever stood still meanwhile. What else may
+                    // not be sent any more has been withdrawn by now: from here on nothing waits before the first byte.
                     if clock.now() >= attempt.by {
                         return (
                             Some(link),
                             Exchange { outcome: Outcome::Superseded, ..Exchange::default() },
                         );
                     }
+                    begins.store(true, Ordering::Relaxed);
                     // Members are told how long this proxy waits; rounded up, as 0 would say that it is over.
                     let wait = attempt.stop_at.saturating_sub(clock.now()).div_ceil(1000).max(1);
                     let exchange = link.run(&attempt.work, wait, guard, &mut written).await;
@@ -235,14 +266,14 @@
                 None => link,
             };
             let link = link.map(|link| (link, patience));
-            let _ = done.send(Done { attempt: Some(key), link });
+            let _ = done.send(Done { attempt: Some(key), link, moves });
         }));
-        self.running.insert(key, Running { task: task.abort_handle(), since });
+        self.running.insert(key, Running { task: task.abort_handle(), since, begun });
     }
 
     fn probe(&mut self) {
         let ((dial, waits), core, id) = (self.dial(true), self.core.clone(), self.id);
-        let done = self.done.clone();
+        let (done, moves) = (self.done.clone(), self.moves);
         self.probing += 1;
         tokio::spawn(async move {
             let run = async {
@@ -258,7 +289,7 @@
             };
             let _ = core.send(Input::Probed(id, report)).await;
             let link = link.map(|link| (link, patience));
-            let _ = done.send(Done { attempt: None, link });
+            let _ = done.send(Done { attempt: None, link, moves });
         });
     }
 }
--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,109 @@
+//! Events that cross, each forced on real sockets: a member keeps a connection back until the other event has happened.
+//! `docs/crossings.md` says what each order demands.
+#![allow(missing_docs)]
+
+mod scenario;
+use scenario::play;
+
+#[test]
+fn a_write_that_waits_for_its_connection_is_not_sent_to_a_member_announced_as_leaving_meanwhile() {
+    play(
+        "member p primary
+         start watching patient
+         p does shut
+         a send write k1 01
+         p expect 1 opened
+         list does leaving p
+         counts withdrawn 1
+         p does answer
+         list does active p
+         a expect row 01
+         p expect 1 write k1",
+    );
+}
+
+#[test]
+fn what_waits_for_its_connection_when_its_client_leaves_is_never_sent() {
+    for leaves in ["close", "fin"] {
+        play(&format!(
+            "member p primary
+             start patient
+             p does shut
+             a send write k1 01
+             p expect 1 opened
+             a {leaves}
+             counts left 1
+             counts withdrawn 1
+             p does answer
+             b send write k2 02
+             b expect row 02
+             p expect 0 write k1"
+        ));
+    }
+}
+
+#[test]
+fn a_request_that_is_open_when_settings_get_shorter_still_has_its_time_at_the_end() {
+    play(
+        "member p primary
+         start
+         p does hold
+         a send write k1 01
+         p expect 1 write k1
+         config sets services/3/deadline_us 1200000
+         config sets services/3/aim_us 1000000
+         config sets services/2/deadline_us 1200000
+         config sets services/2/aim_us 1000000
+         config sets services/1/deadline_us 1200000
+         config sets services/1/aim_us 1000000
+         config sets services/0/deadline_us 1200000
+         config sets services/0/aim_us 1000000
+         config does whole
+         hup
+         counts reloads 1
+         stop
+         wait 4000
+         p does answer
+         a expect row 01
+         a expect closed
+         gone",
+    );
+}
+
+#[test]
+fn a_connection_from_before_a_member_has_moved_carries_nothing_more() {
+    // The answer that comes after the move is the client's; its connection leads to whoever has the former address now.
+    play(
+        "member p primary
+         start watching
+         member q primary
+         p does hold
+         a send write k1 01
+         p expect 1 write k1
+         list does moves p q
+         list expect heard
+         p does answer
+         a expect row 01
+         a send write k2 02
+         a expect row 02
+         p expect 0 write k2
+         q expect 1 write k2",
+    );
+}
+
+#[test]
+fn what_waits_for_its_connection_when_its_member_moves_goes_to_the_new_address() {
+    play(
+        "member p primary
+         start watching patient
+         member q primary
+         p does shut
+         a send write k1 01
+         p expect 1 opened
+         list does moves p q
+         a expect row 01
+         p does answer
+         q expect 1 write k1
+         p expect 0 write k1",
+    );
+}
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -369,13 +369,16 @@
          list expect 1 watches
          list does leaving r
          counts list_answers 1
+         list expect heard
          a send read k2 monthly-report
          a expect row -
          p expect 1 read k2
          list does left r
          counts list_answers 2
+         list expect heard
          list does active r
          counts list_answers 3
+         list expect heard
          a send read k3 monthly-report
          a expect row -
          r expect 1 read k3",
@@ -397,6 +400,7 @@
              list does well
              list does leaving r
              counts list_answers 1
+             list expect heard
              a send read k1 monthly-report
              a expect row -
              r expect 0 read k1
@@ -472,6 +476,7 @@
          {}{}{}wait 5200
          list does active p
          counts list_answers 2
+         list expect heard
          descriptors back 1",
         each("member r# replica 1"),
         each("r# does hold"),
@@ -605,6 +610,7 @@
          counts list_answers 1
          list does leaving r
          counts list_answers 2
+         list expect heard
          a send read k1 monthly-report
          a expect row 01
          p expect 1 read k1
@@ -616,6 +622,7 @@
          counts list_answers 3
          list does active r
          counts list_answers 4
+         list expect heard
          a send read k1 monthly-report
          a expect row 01
          r expect 1 read k1
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -3,15 +3,18 @@
 //!
 //! ```text
 //! member p primary            a member of group 1; replicas name their lag in ms: member r replica 400
-//! start [odata] [dnssd] [watching] [small] [few] [brief] [scant]   the proxy, with the members so far as its list; for dnssd it must browse for
+//! start [odata] [dnssd] [watching] [small] [few] [brief] [scant] [patient]   the proxy, with the members so far as its list; for dnssd it must browse for
 //!                             them, watching: it has discovery to watch, small: it has 40 descriptors, few: 60,
-//!                             brief: members close what is idle for 500 ms, scant: it has 16 MiB
+//!                             brief: members close what is idle for 500 ms, scant: it has 16 MiB, patient: it waits 30 s for a
+//!                             connection to a member
 //! dns does list p 2           a DNS server names member p with this time to live in seconds; `broken p 2`: without
 //!                             its TXT record; `drop p`: no longer; `garbage`: answers with what is no DNS message
 //! list does leaving p         discovery tells that p is `active`, `leaving` or has `left` (start watching)
+//! list does moves p q          discovery tells that p is to be found where q listens, a member that it does not list
 //! list does overbooked        well | overbooked | reset | silent | cut | noise | older | many | hasty: how calls end from now on;
 //!                             those that wait are done with so at the next change
 //! list expect 1 watches       so many calls for `watches` or for the `whole` list have come; 0: none ever
+//! list expect heard           the proxy has shown by its next call that it has the latest version
 //! list does move              discovery is to be another one that starts with the same list; `config does half` writes
 //!                             half of the file that says so, `config does whole` all of it, `hup` sends SIGHUP
 //! config adds NAME read_like any   the configuration gets another class; `config drops NAME`; `config sets limits/max_attempts 2`
@@ -22,7 +25,7 @@
 //!                             twice: a second copy comes right behind, after: one comes 30 ms later, behind US: one comes so
 //!                             many microseconds later, broken N: a reset after N bytes of the answer, stall: half an
 //!                             answer and no more, swapped: a row before its description, unready: full without
-//!                             ReadyForQuery, noisy: full and noise; boast: a report that cannot be true
+//!                             ReadyForQuery, noisy: full and noise; shut: new connections get no welcome; boast: a report that cannot be true
 //! p does replica 9000         p's role and lag from now on
 //! a send read K C [after=MS]  client a sends a read of key K in class C by PostgreSQL ...
 //! a send write K HEX          ... or a booking; `raw TEXT` sends a statement as it is, `bytes HEX` sends bytes,
@@ -31,7 +34,8 @@
 //! o send GET K C [h=v ...]    client o does so by OData; also `POST K HEX` and `http METHOD TARGET`
 //! a expect row HEX            or `row -` if empty, `error CODE [detail]`, `empty`, `closed`; for OData `STATUS [text in the response]`
 //! p expect 1 write K          p has been given that many statements so far that begin so
-//! a close                     resets the connection
+//! p expect 2 opened           so many connections have come to p
+//! a close                     resets the connection; `a fin` ends it in order, and a may still listen
 //! descriptors noted           the proxy's descriptors are counted; `descriptors more 6`: by so many more; `descriptors back 1`:
 //!                             they come back to that and 1
 //! stop                        SIGTERM to the proxy; `gone` waits for its end
@@ -188,7 +192,15 @@
                 std::fs::write(self.proxy().dir().join("config.json"), part).unwrap();
             }
             ["list", "does", ill] => self.registry.does(ill.parse().expect(line)),
+            ["list", "expect", "heard"] => {
+                let heard = || self.registry.calls().heard == self.registry.version();
+                until(heard, || format!("{line}: {:?}", self.registry.calls()));
+            }
             ["list", "expect", least, kind] => self.calls(line, least.parse().unwrap(), kind),
+            ["list", "does", "moves", who, to] => {
+                let index = self.members.iter().position(|(n, _)| n == who).expect("a member");
+                self.registry.moves(index, self.standin(to).address());
+            }
             ["list", "does", lifecycle, who] => {
                 let index = self.members.iter().position(|(n, _)| n == who).expect("a member");
                 self.registry.change(index, lifecycle);
@@ -234,6 +246,11 @@
             [who, "does", "replica", lag] => self.standin(who).becomes(false, lag.parse().unwrap()),
             [who, "does", "primary"] => self.standin(who).becomes(true, 0),
             [who, "does", ..] => self.standin(who).does(rest(2).parse().expect(line)),
+            [who, "fin"] => self.clients[who].shutdown(std::net::Shutdown::Write).unwrap(),
+            [who, "expect", count, "opened"] => {
+                let (count, opened) = (count.parse().unwrap(), || self.standin(who).totals().2);
+                until(|| opened() >= count, || format!("{line}: {}", opened()));
+            }
             [who, "close"] => reset(&self.clients.remove(who).expect("a client")),
             [who, "send", ref what @ ..] => self.send(who, what, rest(3)),
             [who, "expect", count, what, key] if self.members.iter().any(|(n, _)| n == who) => {
@@ -331,8 +348,8 @@
     }
 
     fn start(&mut self, with: &[&str]) {
-        let [odata, dnssd, watching, small, few, brief, scant, console, handed] =
-            ["odata", "dnssd", "watching", "small", "few", "brief", "scant", "console", "handed"]
+        let [odata, dnssd, watching, small, few, brief, scant, console, handed, patient] =
+            ["odata", "dnssd", "watching", "small", "few", "brief", "scant", "console", "handed", "patient"]
                 .map(|w| with.contains(&w));
         let members = self.members.iter().filter(|_| !dnssd).enumerate();
         let list: Vec<_> = members.map(|(i, (_, m))| entry(i, m.address())).collect();
@@ -340,6 +357,9 @@
         if brief {
             settings["limits"]["keepalive_us"] = 500_000.into();
         }
+        if patient {
+            settings["limits"]["connect_timeout_us"] = 30_000_000.into();
+        }
         let mut discovery = "127.0.0.1:9".to_string();
         if watching {
             settings["discovery"] = "subscribe".into();
