See clients' ends while nothing is read from them; close resting connections in order

At fault: src/pg/front.rs (reads, ended, the loop before bad(), two plain returns), src/net/listen.rs (the listener let go of).

Change: net::frames::left looks every 30 ms, by the kernel's word (read closed) and a look at the socket; resting connections end by a half-close and up to 60 ms of reading; at the end the backlog is emptied, unless another process takes over.

Ruled out by a test: an open request whose settings get shorter still has its time at the end, as its class keeps its slot.

--- a/src/net/frames.rs
+++ b/src/net/frames.rs
@@ -2,18 +2,23 @@
 
 use crate::meter::Socket;
 use bytes::BytesMut;
-use futures_util::{Stream, StreamExt};
+use futures_util::{FutureExt, Stream, StreamExt};
+use socket2::SockRef;
 use std::future::poll_fn;
+use std::io::ErrorKind;
+use std::mem::MaybeUninit;
 use std::task::Poll;
 use std::time::Duration;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, Interest};
+use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Framed};
 
 /// Room for reading and for writing that a connection starts with: hundreds rest at a time.
 pub const ROOM: usize = 4 * 1024;
 /// What is still read after a last word, and for how long. A close with bytes unread resets the connection, and what
 /// was said last may be lost with it; a client that sends without end gets the reset.
-const DRAIN: Duration = Duration::from_millis(300);
+pub const DRAIN: Duration = Duration::from_millis(300);
+const DRAIN_RESTING: Duration = Duration::from_millis(60);
 const DRAIN_MOST: usize = 512 * 1024;
 
 /// What comes next on a connection.
@@ -48,6 +53,27 @@
     .await
 }
 
+/// Between two looks at a connection that is not being read. A client that has left must be known to have within 100 ms.
+const LOOK: Duration = Duration::from_millis(30);
+
+/// Waits until the other side has ended its connection, while nothing is read from it: what it sent before may still
+/// stand unread.
+pub async fn left(stream: &TcpStream) {
+    loop {
+        tokio::time::sleep(LOOK).await;
+        // The end behind unread bytes shows in what the kernel told last; with none there it is what a look brings.
+        let told = stream.ready(Interest::READABLE).now_or_never().and_then(Result::ok);
+        let peeked = SockRef::from(stream).peek(&mut [MaybeUninit::uninit(); 1]);
+        let ended = match peeked {
+            Ok(n) => n == 0,
+            Err(e) => !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+        };
+        if ended || told.is_some_and(|ready| ready.is_read_closed()) {
+            return;
+        }
+    }
+}
+
 /// Lets go of buffers that a large message has left on a connection. Those that take their place have room at once: one
 /// that starts with none is read into a few bytes at a time.
 pub fn shrink<S, C>(conn: &mut Framed<S, C>) {
@@ -62,11 +88,20 @@
 
 /// Ends a connection on which the last word has been said, so that the client gets to read it.
 pub async fn finish<C>(conn: Framed<Socket, C>) -> std::io::Result<()> {
-    finish_stream(conn.into_inner()).await
+    finish_stream(conn.into_inner(), DRAIN).await
+}
+
+/// Ends a connection at rest, on which a request may be on its way: unread it is the client's to send again, so long as the
+/// close does not turn into a reset that takes the last answer along. Somebody may be waiting for its place.
+pub async fn finish_resting<C>(conn: Framed<Socket, C>) -> std::io::Result<()> {
+    finish_stream(conn.into_inner(), DRAIN_RESTING).await
 }
 
 /// The same for a stream that nothing more is read from.
-pub async fn finish_stream<S: AsyncRead + AsyncWrite + Unpin>(mut stream: S) -> std::io::Result<()> {
+pub async fn finish_stream<S: AsyncRead + AsyncWrite + Unpin>(
+    mut stream: S,
+    within: Duration,
+) -> std::io::Result<()> {
     stream.shutdown().await?;
     let (mut rest, mut read) = (vec![0; 16 * 1024], 0);
     let drain = async {
@@ -77,6 +112,10 @@
             }
         }
     };
-    let _ = tokio::time::timeout(DRAIN, drain).await;
+    let _ = tokio::time::timeout(within, drain).await;
     Ok(())
 }
+
+#[cfg(test)]
+#[path = "frames_tests.rs"]
+mod tests;
--- /dev/null
+++ b/src/net/frames_tests.rs
@@ -0,0 +1,57 @@
+//! The end of connections, on real sockets: what the other side gets to read, and what is seen of its own end.
+
+use super::*;
+use std::io::{Read, Write};
+use tokio_util::codec::BytesCodec;
+
+fn run<F: std::future::Future>(test: impl FnOnce(std::net::TcpStream, TcpStream) -> F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let client =
+        std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("it listens");
+    client.set_read_timeout(Some(Duration::from_secs(20))).expect("a time");
+    let (server, _) = listener.accept().expect("a client");
+    server.set_nonblocking(true).expect("a socket that does not block");
+    runtime.block_on(async { test(client, TcpStream::from_std(server).expect("a stream")).await })
+}
+
+#[test]
+fn a_request_that_crosses_the_close_of_a_resting_connection_does_not_take_the_last_answer_along() {
+    run(|mut client, server| async move {
+        let mut conn = Framed::new(Socket::new(server), BytesCodec::new());
+        conn.get_mut().write_all(b"the last answer").await.expect("written");
+        // It lies unread on this side when the connection is closed.
+        client.write_all(&[7; 4096]).expect("sent");
+        let reads = std::thread::spawn(move || {
+            let mut got = String::new();
+            client.read_to_string(&mut got).map(|_| got)
+        });
+        finish_resting(conn).await.expect("closed");
+        let got = reads.join().expect("no panic");
+        assert_eq!(got.expect("no reset"), "the last answer");
+    });
+}
+
+#[test]
+fn an_end_is_seen_behind_bytes_that_are_not_read_and_no_sooner() {
+    for unread in [0, 9000] {
+        run(|mut client, server| async move {
+            client.write_all(&vec![7; unread]).expect("sent");
+            let soon = tokio::time::timeout(4 * LOOK, left(&server)).await;
+            assert!(soon.is_err(), "it is still there, with {unread} bytes unread");
+            client.shutdown(std::net::Shutdown::Write).expect("ended");
+            let seen = tokio::time::timeout(Duration::from_secs(20), left(&server)).await;
+            assert!(seen.is_ok(), "{unread} bytes unread");
+        });
+    }
+}
+
+#[test]
+fn a_reset_is_an_end() {
+    run(|mut client, server| async move {
+        client.write_all(&[7; 64]).expect("sent");
+        socket2::SockRef::from(&client).set_linger(Some(Duration::ZERO)).expect("set");
+        drop(client);
+        assert!(tokio::time::timeout(Duration::from_secs(20), left(&server)).await.is_ok());
+    });
+}
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -9,7 +9,7 @@
 use std::future::Future;
 use std::io::{Error, ErrorKind};
 use std::time::Duration;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 /// After a failure to accept, such as one for want of descriptors.
@@ -68,7 +68,8 @@
     TcpListener::from_std(listener)
 }
 
-/// Accepts clients until the end begins, each served in a task of its own that holds a permit of the pot.
+/// Accepts clients until the end begins, each served in a task of its own that holds a permit of the pot. Those that the
+/// machine has accepted by then and nobody has taken yet are taken as well: a listener let go of resets them.
 pub async fn listen<F, E>(
     listener: TcpListener,
     counter: Count,
@@ -80,27 +81,11 @@
     E: Display,
 {
     // The permit comes after the client: a listener without clients keeps none from the other front's.
-    loop {
-        let accepted = tokio::select! {
-            biased;
-            () = reached(&mut closing, Phase::Leaving) => return,
-            accepted = listener.accept() => accepted,
-        };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(e) => {
-                log::warn!("a client could not be accepted: {e}");
-                tokio::time::sleep(PAUSE).await;
-                continue;
-            }
-        };
+    let seated = async |stream: TcpStream, closing: &Closing| {
         let permit = match tokio::time::timeout(SEAT, clients.seat()).await {
             Ok(Some(permit)) => permit,
             Ok(None) => return,
-            Err(_) => {
-                count(Count::no_seat);
-                continue;
-            }
+            Err(_) => return count(Count::no_seat),
         };
         count(counter);
         let _ = stream.set_nodelay(true);
@@ -111,5 +96,35 @@
             }
             drop(permit);
         });
+    };
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            () = reached(&mut closing, Phase::Leaving) => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => seated(stream, &closing).await,
+            Err(e) => {
+                log::warn!("a client could not be accepted: {e}");
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+    // While the next process takes clients from the same listener, they are that one's.
+    if *closing.borrow() < Phase::Closing {
+        return;
+    }
+    // The kernel is asked, not the runtime, which may not have heard of the last ones yet.
+    let Ok(listener) = listener.into_std() else { return };
+    while let Ok((stream, _)) = listener.accept() {
+        let stream = stream.set_nonblocking(true).and_then(|()| TcpStream::from_std(stream));
+        if let Ok(stream) = stream {
+            seated(stream, &closing).await;
+        }
     }
 }
+
+#[cfg(test)]
+#[path = "listen_tests.rs"]
+mod tests;
--- a/src/pg/front.rs
+++ b/src/pg/front.rs
@@ -9,7 +9,7 @@
 use crate::interface::*;
 use crate::meter::Socket;
 use crate::net::budget::{Pace, Pot, Ration};
-use crate::net::frames::{finish, next, shrink, Next, ROOM};
+use crate::net::frames::{finish, finish_resting, left, next, shrink, Next, ROOM};
 use crate::net::listen::{reached, Closing, Phase};
 use crate::terms::Terms;
 use bytes::{Buf, Bytes, BytesMut};
@@ -87,6 +87,16 @@
     reply
 }
 
+/// What the client says next, or its end alone where it is not to be heard before it has its answers: nothing more may
+/// be sent on for a client that has gone.
+async fn heard(conn: &mut Conn, reads: bool, part: bool) -> Next<Result<Frontend, WireError>> {
+    if reads {
+        return next(conn, part).await;
+    }
+    left(conn.get_ref().get_ref()).await;
+    Next::Message(None)
+}
+
 /// What a client has said so far.
 #[derive(Default)]
 struct Talk {
@@ -168,7 +178,7 @@
                     rests = Instant::now();
                     leaving |= phase >= Phase::Leaving;
                 }
-                read = next(&mut conn, part.is_some()), if reads => match read {
+                read = heard(&mut conn, reads, part.is_some()), if reads || !owed.is_empty() => match read {
                     Next::Part => part = Some(Instant::now()),
                     Next::Message(None) => return Ok(()),
                     // What was asked before the goodbye is still answered.
@@ -186,7 +196,7 @@
                 // Others wait for a seat, or too many rest: this one is between requests and has been for longest.
                 () = self.clients.wanted(!talk.sound), if owed.is_empty() => {
                     count(Count::pg_made_room);
-                    return Ok(());
+                    return Ok(finish_resting(conn).await?);
                 }
                 () = timer.as_mut() => match part {
                     _ if until.is_none_or(|until| Instant::now() < until) => {
@@ -195,14 +205,18 @@
                     Some(_) => break WireError::Unfinished,
                     None => {
                         count(if talk.asked { Count::pg_idle_closed } else { Count::pg_silent });
-                        return Ok(());
+                        return Ok(finish_resting(conn).await?);
                     }
                 },
             }
         };
-        // What was asked before is still answered first.
+        // What was asked before is still answered first, to a client that is still there.
         while !owed.is_empty() {
-            let reply = due(&mut owed).await;
+            let reply = tokio::select! {
+                biased;
+                reply = due(&mut owed) => reply,
+                () = left(conn.get_ref().get_ref()) => return Ok(()),
+            };
             put(&mut conn, reply, &mut owed).await?;
         }
         self.bad(conn, fault).await
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -42,6 +42,48 @@
     }
 }
 
+#[test]
+fn a_client_that_leaves_behind_its_goodbye_has_left() {
+    play(
+        "member p primary
+         start patient
+         p does shut
+         a send write k1 01
+         p expect 1 opened
+         a send bye
+         a fin
+         counts withdrawn 1
+         p does answer
+         b send write k2 02
+         b expect row 02
+         p expect 0 write k1",
+    );
+}
+
+#[test]
+fn an_end_that_stands_behind_unread_queries_is_seen_while_answers_are_owed() {
+    // Sixteen are read ahead; the end is behind the others. What was sent may run, and nothing more is sent for them.
+    let asked: String = (1..=20).map(|n| format!("a send read k{n} monthly-report\n")).collect();
+    play(&format!(
+        "member p primary
+         member r replica 0
+         start patient
+         p does shut
+         r does shut
+         {asked}
+         a fin
+         counts left 16
+         p does answer
+         r does answer
+         b send write k0 02
+         b expect row 02
+         p expect 0 read k16
+         r expect 0 read k16
+         p expect 0 read k17
+         r expect 0 read k17"
+    ));
+}
+
 #[test]
 fn a_request_that_is_open_when_settings_get_shorter_still_has_its_time_at_the_end() {
     play(
