Hold the sum of what 20 to 30 processes send to a cold member to its budget and chance

Need: beyond a cold member's budget of N calls only 2 x root of N + 2 are chance, for the sum of all processes.

Lead, ruled out: the arcs (twice the even share of a member as warm) keep the sum within that bound at all that a group can do, with 20, 30, and 24 processes of which half have just started, also where the cold member is everybody's first choice.

Test: what_all_send_to_a_cold_member_stays_within_its_budget_and_what_chance_may_add (module, virtual time).

--- a/tests/module.rs
+++ b/tests/module.rs
@@ -498,6 +498,60 @@
     }
 }
 
+#[test]
+fn what_all_send_to_a_cold_member_stays_within_its_budget_and_what_chance_may_add() {
+    // Twenty and thirty processes, a primary and four replicas with 60 reads a second each, at all that the group can do
+    // when warm. One replica has just started; some processes have, too, and know of no warmth but by the list.
+    const SPAN: Time = 1_500 * MS;
+    for (routers, fresh) in [(20u64, 0), (30, 0), (24, 12)] {
+        let fleet = |seed| Settings { seed, instances: routers as u32, ..settings() };
+        let mut all: Vec<Driver> = (0..routers).map(|seed| Driver::new(fleet(seed))).collect();
+        let start = all[0].now;
+        for (n, d) in all.iter_mut().enumerate() {
+            if (n as u64) < fresh {
+                *d = Driver::blank(fleet(n as u64));
+                d.now = start;
+            }
+            let warm = (1..5).map(|id| Member { up_since: Some(1), ..member(id, id == 1) });
+            let cold = Member { up_since: Some(start), ..member(5, false) };
+            d.list(ListKind::Full, warm.chain([cold]).collect());
+        }
+        let (mut given, mut worst) = (Vec::new(), f64::MIN);
+        let (mut seed, mut busy) = (routers, Vec::new());
+        for step in 0..1_600u64 {
+            let now = start + step * 5 * MS;
+            busy.retain(|(until, router, id): &(Time, usize, RequestId)| {
+                if *until <= now {
+                    all[*router].now = now;
+                    all[*router].ended(*id, 0, Outcome::Completed, None);
+                }
+                *until > now
+            });
+            // 300 a second: one and a half each step.
+            for _ in 0..1 + step % 2 {
+                seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+                let router = (seed >> 33) as usize % all.len();
+                all[router].now = now;
+                let (id, actions) = all[router].request(ANY, None);
+                match sent(&actions)[..] {
+                    [(_, to)] => {
+                        // The warm ones are slow, so that the cold one is everybody's first choice.
+                        busy.push((now + if to == 5 { 15 } else { 150 } * MS, router, id));
+                        given.extend((to == 5).then_some(now));
+                    }
+                    _ => drop(all[router].step(&[Event::HangUp { id }])),
+                }
+            }
+            let warmth = 0.2 + 0.8 * (now - start) as f64 / settings().rules.warm_after as f64;
+            let budget = 2.0 * 60.0 * warmth * SPAN as f64 / 1e6;
+            let got = given.iter().rev().take_while(|t| **t + SPAN > now).count() as f64;
+            worst = worst.max(got - budget - 2.0 * budget.sqrt() - 2.0);
+        }
+        assert!(worst <= 0.0, "{routers} routers: {worst:.1} more than chance may add");
+        assert!(given.len() > 150, "{routers} routers: {} warm nobody", given.len());
+    }
+}
+
 #[test]
 fn where_a_whole_group_is_half_warm_hardly_a_read_finds_nobody_and_repeats_find_some_too() {
     let found = |age: Time, repeat: bool| {
