See clients' ends on the OData front while nothing is read ahead, and close it in order

At fault: src/odata/front.rs, serve(): reads only while it reads ahead; plain returns.

Change: as on the platform's front, by net::frames. No test of its own: the parts are tested in src/net/frames_tests.rs.

--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -10,7 +10,7 @@
 use crate::interface::*;
 use crate::meter::Socket;
 use crate::net::budget::{Budget, Pace};
-use crate::net::frames::{finish, next, shrink, Next, ROOM};
+use crate::net::frames::{finish, finish_resting, left, next, shrink, Next, ROOM};
 use crate::net::listen::{closed, Closing, Phase};
 use crate::terms::Terms;
 use bytes::Bytes;
@@ -88,11 +88,11 @@
                             continue;
                         }
                     },
-                    () = closed(&mut closing) => return Ok(()),
-                    () = self.budget.clients.wanted(!known) => return Ok(()),
+                    () = closed(&mut closing) => return Ok(finish(conn).await?),
+                    () = self.budget.clients.wanted(!known) => return Ok(finish_resting(conn).await?),
                     () = tokio::time::sleep_until(until) => match part {
                         true => return self.bad(conn, HttpError::Unfinished).await,
-                        false => return Ok(()),
+                        false => return Ok(finish_resting(conn).await?),
                     },
                 },
             };
@@ -115,8 +115,8 @@
                     tokio::select! {
                         biased;
                         response = &mut answer => break response,
-                        // Read on meanwhile: this is how a client that leaves is noticed.
-                        read = conn.next(), if ahead.len() < AHEAD && broken.is_none() => match read {
+                        // Read on meanwhile: this is how a client that leaves is noticed, and by a look where no more is read.
+                        read = heard(&mut conn, ahead.len() < AHEAD && broken.is_none()) => match read {
                             Some(Ok(next)) => ahead.push_back(next),
                             Some(Err(e @ HttpError::Io(_))) => return Err(e),
                             Some(Err(e)) => broken = Some(e),
@@ -133,7 +133,7 @@
                 Err(_) => return Ok(()),
             }
             if closes {
-                return Ok(());
+                return Ok(finish(conn).await?);
             }
             if let Some(e) = broken {
                 return self.bad(conn, e).await;
@@ -261,6 +261,15 @@
     }
 }
 
+/// What the client says next, or its end alone where nothing more is to be read ahead.
+async fn heard(conn: &mut Conn, reads: bool) -> Option<Result<Incoming, HttpError>> {
+    if reads {
+        return conn.next().await;
+    }
+    left(conn.get_ref().get_ref()).await;
+    None
+}
+
 /// Fingerprint of what a booking asks for; how long a try waits is not part of it.
 fn print(terms: &Terms, facts: &Facts, key: &str, value: &[u8]) -> u64 {
     let mut hasher = DefaultHasher::new();
