Drop a booking that nobody waits for before anything of it was sent, and free its id

Need: a request that waited when its client left is not sent 0.3 s later; bookings over OData run on by design when their client resets, also those that had not been sent.

Change: tries are counted; when the last has left, the core withdraws what has not begun, refuses the booking if nothing of it can have run, and so the ledger forgets its id. One that may have run goes on, and a later try gets its answer.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -34,6 +34,10 @@
     unseen: Position,
     attempts: SmallVec<[MemberId; 4]>,
     out: u32,
+    /// An attempt may have run.
+    ran: bool,
+    /// Nobody waits for its answer, which is to be had all the same once it may have run.
+    abandoned: bool,
 }
 
 /// The actor's state.
@@ -174,13 +178,20 @@
                 live.reply.take()?;
                 self.returning.ended(live.came, false);
                 count(Count::left);
-                // What waits for a connection would begin after its client has gone; what has begun is the module's to stop.
-                for (number, member) in live.attempts.iter().enumerate() {
-                    self.members.withdraw(*member, id, number as u32);
-                }
+                self.withdraw(id);
                 self.settle(id);
                 Some(Event::HangUp { id })
             }
+            Input::Abandoned(id) => {
+                let live = self.live.get_mut(&id).filter(|live| live.reply.is_some())?;
+                live.abandoned = true;
+                let nothing = live.out == 0 && !live.ran;
+                self.withdraw(id);
+                nothing.then(|| {
+                    self.answer(id, Answer::Refused(None));
+                    Event::HangUp { id }
+                })
+            }
             Input::Ended(id, attempt, ending) => self.ended(id, attempt, ending, now),
             Input::Probed(member, report) => {
                 count(if report.is_some() { Count::probes } else { Count::probes_failed });
@@ -200,6 +211,13 @@
         }
     }
 
+    /// What waits for a connection would begin after its client has gone; what has begun is the module's to stop.
+    fn withdraw(&mut self, id: RequestId) {
+        for (number, member) in self.live.get(&id).iter().flat_map(|live| live.attempts.iter().enumerate()) {
+            self.members.withdraw(*member, id, number as u32);
+        }
+    }
+
     fn submit(
         &mut self,
         id: RequestId,
@@ -247,7 +265,10 @@
             "taken"
         );
         let (reply, attempts) = (Some(reply), SmallVec::new());
-        self.live.insert(id, Live { request, came: now, reply, unseen, attempts, out: 0 });
+        self.live.insert(
+            id,
+            Live { request, came: now, reply, unseen, attempts, out: 0, ran: false, abandoned: false },
+        );
         self.returning.asked(now);
         Some(event)
     }
@@ -306,7 +327,12 @@
         if matches!(outcome, Completed | Errored | Saturated | Miss) {
             self.returning.heard(now);
         }
-        let complete = live.reply.is_none();
+        live.ran |= !matches!(outcome, Saturated | Refused | Superseded | Miss);
+        let abandoned = live.abandoned && live.out == 0 && !live.ran;
+        let complete = live.reply.is_none() || abandoned;
+        if abandoned {
+            self.answer(id, Answer::Refused(None));
+        }
         self.settle(id);
         Some(Event::Ended { id, attempt, outcome, complete, spent, note, report })
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -171,6 +171,8 @@
     Submit(RequestId, Request, oneshot::Sender<Answer>),
     /// The client of a request has left.
     HangUp(RequestId),
+    /// Nobody waits for a request any more that is to run on all the same once it may have begun.
+    Abandoned(RequestId),
     /// An attempt has ended.
     Ended(RequestId, u32, Ending),
     /// A probe has ended; none: it was not answered.
@@ -291,6 +293,23 @@
     over: bool,
 }
 
+impl Pending {
+    /// Nobody waits for this any more: it is refused if nothing of it can have run, and runs on otherwise.
+    pub fn abandon(&self) {
+        self.tell(Input::Abandoned(self.id));
+    }
+
+    /// Without waiting for room in the mailbox, which a task can.
+    fn tell(&self, input: Input) {
+        let mailbox = self.mailbox.clone();
+        if let (Err(mpsc::error::TrySendError::Full(input)), Ok(runtime)) =
+            (mailbox.try_send(input), tokio::runtime::Handle::try_current())
+        {
+            runtime.spawn(async move { mailbox.send(input).await });
+        }
+    }
+}
+
 impl Future for Pending {
     type Output = Answer;
 
@@ -304,15 +323,8 @@
 
 impl Drop for Pending {
     fn drop(&mut self) {
-        if self.over {
-            return;
-        }
-        let (id, mailbox) = (self.id, self.mailbox.clone());
-        // A drop cannot wait for room in the mailbox, a task can.
-        if let (Err(mpsc::error::TrySendError::Full(input)), Ok(runtime)) =
-            (mailbox.try_send(Input::HangUp(id)), tokio::runtime::Handle::try_current())
-        {
-            runtime.spawn(async move { mailbox.send(input).await });
+        if !self.over {
+            self.tell(Input::HangUp(self.id));
         }
     }
 }
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -149,3 +149,58 @@
          p expect 0 write k1",
     );
 }
+
+#[test]
+fn a_booking_that_nobody_waits_for_any_more_is_dropped_before_it_is_sent_and_runs_on_after() {
+    play(
+        "member p primary
+         start odata patient
+         p does shut
+         o send POST k1 01 id=x sent=0
+         q send POST k1 01 id=x sent=0
+         p expect 1 opened
+         o close
+         p expect 1 opened
+         q close
+         counts withdrawn 1
+         p does answer
+         b send write k2 02
+         b expect row 02
+         p expect 0 write k1
+         r send POST k1 01 id=x sent=0
+         r expect 201
+         p expect 1 write k1
+         p does hold
+         s send POST k3 03 id=y sent=0
+         p expect 1 write k3
+         s close
+         p does answer
+         t send POST k3 03 id=y sent=0
+         t expect 201
+         p expect 1 write k3",
+    );
+}
+
+#[test]
+fn idle_clients_that_fill_the_descriptors_do_not_keep_the_list_out_when_discovery_is_back() {
+    // 60 descriptors; clients hold and ask for more of them than there are while every call to discovery fails.
+    let each = |what: &str| (0..60).map(|n| what.replace('#', &n.to_string()) + "\n").collect::<String>();
+    play(&format!(
+        "member p primary
+         member r replica 0
+         list does reset
+         start few watching
+         a send write k0 01
+         a expect row 01
+         {}
+         counts list_failures 3
+         list does well
+         list does leaving r
+         list expect heard
+         b send read k1 monthly-report
+         b expect row -
+         p expect 1 read k1
+         r expect 0 read k1",
+        each("c# send bytes")
+    ));
+}
