Name budgets, timeouts, resets, cancels and disconnects as the field does

Need: names follow the field's standard terms.

Change, no behaviour: Pot, Ration and Patience become DescriptorBudget, ByteBudget and Timeout; HangUp becomes Disconnected; outcomes Severed and Recalled become Reset and Cancelled. Words on the adapter's wire and names of counters stay.

--- a/src/bin/linentrail-benchlink/wire.rs
+++ b/src/bin/linentrail-benchlink/wire.rs
@@ -250,7 +250,7 @@
                     repeat: line.flag("repeat")?,
                 }
             }
-            "HANGUP" => Event::HangUp { id: line.id()? },
+            "HANGUP" => Event::Disconnected { id: line.id()? },
             "DUE" => Event::Wake { tag: line.must("ref")? },
             "PROBED" => Event::Probed {
                 member: MemberId(line.must("member")?),
@@ -307,8 +307,8 @@
             ("saturated", Saturated),
             ("overdue", Overdue),
             ("refused_conn", Refused),
-            ("severed", Severed),
-            ("recalled", Recalled),
+            ("severed", Reset),
+            ("recalled", Cancelled),
             ("superseded", Superseded),
             ("lookup_miss", Miss),
         ],
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -173,14 +173,14 @@
     fn take(&mut self, input: Input, now: Time) -> Option<Event> {
         match input {
             Input::Submit(id, request, reply) => self.submit(id, request, reply, now),
-            Input::HangUp(id) => {
+            Input::Disconnected(id) => {
                 let live = self.live.get_mut(&id)?;
                 live.reply.take()?;
                 self.returning.ended(live.came, false);
                 count(Count::left);
                 self.withdraw(id);
                 self.settle(id);
-                Some(Event::HangUp { id })
+                Some(Event::Disconnected { id })
             }
             Input::Abandoned(id) => {
                 let live = self.live.get_mut(&id).filter(|live| live.reply.is_some())?;
@@ -189,7 +189,7 @@
                 self.withdraw(id);
                 nothing.then(|| {
                     self.answer(id, Answer::Refused(None));
-                    Event::HangUp { id }
+                    Event::Disconnected { id }
                 })
             }
             Input::Ended(id, attempt, ending) => self.ended(id, attempt, ending, now),
@@ -281,8 +281,8 @@
             Saturated => Count::saturated,
             Overdue => Count::overdue,
             Refused => Count::connect_failed,
-            Severed => Count::severed,
-            Recalled => Count::recalled,
+            Reset => Count::severed,
+            Cancelled => Count::recalled,
             Superseded => Count::superseded,
             Miss => Count::missed,
         });
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -170,7 +170,7 @@
     /// A request and where its answer goes.
     Submit(RequestId, Request, oneshot::Sender<Answer>),
     /// The client of a request has left.
-    HangUp(RequestId),
+    Disconnected(RequestId),
     /// Nobody waits for a request any more that is to run on all the same once it may have begun.
     Abandoned(RequestId),
     /// An attempt has ended.
@@ -324,7 +324,7 @@
 impl Drop for Pending {
     fn drop(&mut self) {
         if !self.over {
-            self.tell(Input::HangUp(self.id));
+            self.tell(Input::Disconnected(self.id));
         }
     }
 }
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -235,7 +235,7 @@
                 self.held.push((open.seq, *id));
                 self.open.insert(*id, open);
             }
-            Event::HangUp { id } => self.close(*id, out),
+            Event::Disconnected { id } => self.close(*id, out),
             Event::Settings(set) => self.retune(set),
             Event::Wake { .. } => self.wake = None,
             Event::Probed { member, ok, report } => self.probed(*member, *ok, *report, out),
@@ -779,13 +779,13 @@
         let slow = (self.set.classes[class].aim as f64 * SLOW_SHARE) as Time;
         // An attempt is lost when it was broken off or none of its kind takes so long.
         let long = (now - sent) as f64 >= self.service[class].mean * LOST_FACTOR;
-        let lost = outcome == Severed || long && matches!(outcome, Overdue | Recalled);
+        let lost = outcome == Reset || long && matches!(outcome, Overdue | Cancelled);
         self.signs.judge_links(link, lost, outcome);
-        let bad = matches!(outcome, Errored | Saturated | Severed);
+        let bad = matches!(outcome, Errored | Saturated | Reset);
         if bad || outcome == Completed {
             self.signs.errors.see(bad, ERROR_COMMON_WEIGHT);
         }
-        let late = matches!(outcome, Completed | Overdue | Recalled) && now >= sent + slow;
+        let late = matches!(outcome, Completed | Overdue | Cancelled) && now >= sent + slow;
         let one = self.set.instances.min(SHARERS_MOST) >= MEMBER_READS;
         let Easing { limit, down, worse, none, better } = if one { EASING_ONE } else { EASING };
         if late && (now - sent) as f64 >= self.set.classes[class].aim as f64 * limit || outcome == Saturated {
@@ -798,7 +798,7 @@
                 m.rest_until = now + FULL_REST;
             }
             if (late || outcome == Saturated) && sent >= m.eased {
-                let worse = if matches!(outcome, Overdue | Recalled) { none } else { worse };
+                let worse = if matches!(outcome, Overdue | Cancelled) { none } else { worse };
                 m.ease.down(now, EASE_TIME, worse, EASE_LEAST);
                 m.eased = now;
             } else if !late && outcome == Completed {
@@ -814,7 +814,7 @@
             Refused => self.suspect(member, (true, false), out),
             // One broken attempt among others that are answered was lost on the way; with none left out
             // there, the member may have died: one request at a time will tell.
-            Severed if self.members.get(&member).is_some_and(|m| m.out == 0) => {
+            Reset if self.members.get(&member).is_some_and(|m| m.out == 0) => {
                 self.suspect(member, (false, true), out);
             }
             _ => {}
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1, as far as discovery and OData need it; `httparse` reads the heads.
 
-use crate::net::budget::{Ration, Share};
+use crate::net::budget::{ByteBudget, Share};
 use crate::net::frames::Holds;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use std::io;
@@ -139,7 +139,7 @@
     chunks: BytesMut,
     /// The client waits to be told to go on.
     expects: bool,
-    /// The body's share of the ration, from the moment that its length is known.
+    /// The body's share of the budget, from the moment that its length is known.
     share: Option<Share>,
 }
 
@@ -172,7 +172,7 @@
 struct Reader {
     reading: Option<Reading>,
     longest: usize,
-    ration: Option<Ration>,
+    budget: Option<ByteBudget>,
 }
 
 impl Reader {
@@ -208,7 +208,7 @@
             Body::Length(n) => n,
             Body::Chunked | Body::UntilEnd => self.longest,
         };
-        let share = self.ration.as_ref().map(|r| r.take(most).ok_or(HttpError::NoRoom)).transpose()?;
+        let share = self.budget.as_ref().map(|r| r.take(most).ok_or(HttpError::NoRoom)).transpose()?;
         self.reading = Some(Reading { head, headers, body, chunks: BytesMut::new(), expects, share });
         Ok(true)
     }
@@ -295,9 +295,9 @@
 pub struct HttpServer(Reader);
 
 impl HttpServer {
-    /// One that takes bodies of up to `longest` bytes, as far as the ration goes.
-    pub fn new(longest: usize, ration: Ration) -> Self {
-        HttpServer(Reader { reading: None, longest, ration: Some(ration) })
+    /// One that takes bodies of up to `longest` bytes, as far as the budget goes.
+    pub fn new(longest: usize, budget: ByteBudget) -> Self {
+        HttpServer(Reader { reading: None, longest, budget: Some(budget) })
     }
 }
 
@@ -381,7 +381,7 @@
 impl HttpClient {
     /// One that takes bodies of up to `longest` bytes.
     pub fn new(longest: usize) -> Self {
-        HttpClient(Reader { reading: None, longest, ration: None })
+        HttpClient(Reader { reading: None, longest, budget: None })
     }
 
     fn response(&mut self, src: &mut BytesMut, ended: bool) -> Result<Option<HttpResponse>, HttpError> {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -271,9 +271,9 @@
     /// No connection; it never ran.
     Refused,
     /// The connection broke; it may have run.
-    Severed,
+    Reset,
     /// Cancelled; it may have run.
-    Recalled,
+    Cancelled,
     /// Never sent.
     Superseded,
     /// Turned away untouched for the member's role or position; it never ran.
@@ -315,7 +315,7 @@
         Box<Settings>,
     ),
     /// The client has left; nothing more is owed.
-    HangUp {
+    Disconnected {
         /// The request.
         id: RequestId,
     },
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -17,7 +17,7 @@
 /// A message counts once here, and stands in memory up to so many times: read, rendered, and written.
 const COPIES: usize = 3;
 const BYTES_LEAST: usize = 2 * 1024 * 1024;
-/// In so many pieces half of the ration is lent to another process, and so long after a piece was not free.
+/// In so many pieces half of the budget is lent to another process, and so long after a piece was not free.
 const PIECES: usize = 16;
 const PIECE_PAUSE: Duration = Duration::from_millis(20);
 /// Bad messages are answered no closer together than this, in us, though none waits longer than `PACE_MOST`.
@@ -59,7 +59,7 @@
 /// Permits for one sort of socket. Whoever finds none asks for room. A connection on which nothing sound was ever
 /// asked gives up its own first, then the one that has waited longest for something to do.
 #[derive(Clone)]
-pub struct Pot {
+pub struct DescriptorBudget {
     seats: Arc<Semaphore>,
     strangers: Arc<Waiting>,
     idle: Arc<Waiting>,
@@ -68,10 +68,16 @@
     lent: Arc<AtomicUsize>,
 }
 
-impl Pot {
+impl DescriptorBudget {
     fn new(size: usize, idle: usize) -> Self {
         let (strangers, idle) = (Waiting::new(usize::MAX), Waiting::new(idle));
-        Pot { seats: Arc::new(Semaphore::new(size)), strangers, idle, size, lent: Arc::default() }
+        DescriptorBudget {
+            seats: Arc::new(Semaphore::new(size)),
+            strangers,
+            idle,
+            size,
+            lent: Arc::default(),
+        }
     }
 
     /// A permit, once there is one.
@@ -131,23 +137,23 @@
 /// Bytes of messages that all connections together may hold. A message takes its share when its length is known,
 /// before its bytes have come, and gives it back when the last of it is let go of, wherever that is.
 #[derive(Clone)]
-pub struct Ration(Arc<RationState>);
+pub struct ByteBudget(Arc<ByteBudgetState>);
 
-struct RationState {
+struct ByteBudgetState {
     left: AtomicUsize,
     size: usize,
 }
 
-/// So many bytes of a ration.
+/// So many bytes of a budget.
 pub struct Share {
-    of: Ration,
+    of: ByteBudget,
     bytes: usize,
 }
 
-impl Ration {
+impl ByteBudget {
     /// One of so many bytes.
     pub fn new(size: usize) -> Self {
-        Ration(Arc::new(RationState { left: AtomicUsize::new(size), size }))
+        ByteBudget(Arc::new(ByteBudgetState { left: AtomicUsize::new(size), size }))
     }
 
     /// A share, if there is enough left.
@@ -225,15 +231,15 @@
     }
 }
 
-/// Clients and members have a pot each, so that neither can starve the other.
+/// Clients and members have a budget each, so that neither can starve the other.
 #[derive(Clone)]
 pub struct Budget {
     /// For clients' connections, of all fronts.
-    pub clients: Pot,
+    pub clients: DescriptorBudget,
     /// For connections to members.
-    pub members: Pot,
+    pub members: DescriptorBudget,
     /// For messages of either side.
-    pub bytes: Ration,
+    pub bytes: ByteBudget,
 }
 
 impl Budget {
@@ -244,9 +250,9 @@
         let bytes = (memory.saturating_sub(MEMORY_RESERVE) / COPIES).max(BYTES_LEAST);
         let idle = (limit / IDLE_PART).max(2);
         Budget {
-            clients: Pot::new(clients, idle),
-            members: Pot::new(free - clients, usize::MAX),
-            bytes: Ration::new(bytes),
+            clients: DescriptorBudget::new(clients, idle),
+            members: DescriptorBudget::new(free - clients, usize::MAX),
+            bytes: ByteBudget::new(bytes),
         }
     }
 
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -1,6 +1,6 @@
 //! Accepting clients, for whichever front, and how far the process is with its start and its end.
 
-use super::budget::Pot;
+use super::budget::DescriptorBudget;
 use crate::core::counters::{count, Count};
 use crate::meter::Socket;
 use listenfd::ListenFd;
@@ -68,12 +68,12 @@
     TcpListener::from_std(listener)
 }
 
-/// Accepts clients until the end begins, each served in a task of its own that holds a permit of the pot. Those that the
+/// Accepts clients until the end begins, each served in a task of its own that holds a permit of the budget. Those that the
 /// machine has accepted by then and nobody has taken yet are taken as well: a listener let go of resets them.
 pub async fn listen<F, E>(
     listener: TcpListener,
     counter: Count,
-    clients: Pot,
+    clients: DescriptorBudget,
     mut closing: Closing,
     serve: impl Fn(Socket, Closing) -> F,
 ) where
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,6 @@
 pub mod frames;
 pub mod link;
 pub mod listen;
-pub mod patience;
 pub mod peer;
 pub mod pool;
+pub mod timeout;
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -6,8 +6,8 @@
 
 use super::budget::Budget;
 use super::link::{Exchange, Guard, Link, Wire};
-use super::patience::Patience;
 use super::pool::{Before, Pool};
+use super::timeout::Timeout;
 use crate::clock::Clock;
 use crate::core::counters::{count, Count};
 use crate::core::flow::Source;
@@ -24,8 +24,8 @@
 use tokio::task::AbortHandle;
 use tokio::time::Instant;
 
-/// Patience with a probe: reports are refreshed several times a second and cost the member next to nothing.
-const PROBE_PATIENCE: Duration = Duration::from_millis(900);
+/// Timeout with a probe: reports are refreshed several times a second and cost the member next to nothing.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(900);
 /// A connection that has stood idle for this share of the members' limit is closed rather than used: what is
 /// written at the limit or past it ends as a reset, and a write lost so may not be sent again.
 const IDLE_SHARE: f64 = 0.6;
@@ -68,7 +68,7 @@
     clock: Clock,
     times: SocketTimes,
     wire: W,
-    pool: Pool<(W::Link, Patience)>,
+    pool: Pool<(W::Link, Timeout)>,
     running: FxHashMap<(RequestId, u32), Running>,
     probing: usize,
     /// How often the member has moved: a connection from before leads to whoever has its address now.
@@ -81,7 +81,7 @@
 /// A task's end.
 struct Done<L> {
     attempt: Option<(RequestId, u32)>,
-    link: Option<(L, Patience)>,
+    link: Option<(L, Timeout)>,
     /// The member's moves when it began.
     moves: u32,
 }
@@ -182,7 +182,7 @@
             return;
         }
         running.task.abort();
-        let outcome = if begun { Outcome::Recalled } else { Outcome::Superseded };
+        let outcome = if begun { Outcome::Cancelled } else { Outcome::Superseded };
         let spent = self.clock.now().saturating_sub(running.since);
         self.running.remove(&key);
         if !begun {
@@ -194,7 +194,7 @@
     }
 
     /// A connection of the pool, with the means for a new one should it not stand.
-    fn dial(&mut self, safe: bool) -> (Dial<W>, Option<Patience>) {
+    fn dial(&mut self, safe: bool) -> (Dial<W>, Option<Timeout>) {
         self.reap();
         let now = self.clock.now();
         let mut ready = None;
@@ -203,9 +203,9 @@
             ready = (before == Before::Nothing || link.0.stands()).then_some(link);
         }
         let (ready, waits) = ready.unzip();
-        let patience = Duration::from_micros(self.times.connect);
+        let timeout = Duration::from_micros(self.times.connect);
         let (wire, budget) = (self.wire.clone(), self.budget.clone());
-        (Dial { ready, safe, address: self.address, patience, budget, wire }, waits)
+        (Dial { ready, safe, address: self.address, timeout, budget, wire }, waits)
     }
 
     fn attempt(&mut self, attempt: Attempt) {
@@ -217,7 +217,7 @@
         // In a box of its own: the runtime moves what it is given several times, and this is large.
         let task = tokio::spawn(Box::pin(async move {
             let stop = clock.instant(attempt.stop_at);
-            let mut patience = waits.unwrap_or_else(|| Patience::until(stop));
+            let mut timeout = waits.unwrap_or_else(|| Timeout::until(stop));
             let mut written = false;
             let end = {
                 let run = pin!(async {
@@ -240,7 +240,7 @@
                     let kept = exchange.reusable || exchange.begun.is_some();
                     (kept.then_some(link), exchange)
                 });
-                patience.within(stop, run).await
+                timeout.within(stop, run).await
             };
             let (link, exchange) = match end {
                 Some(end) => end,
@@ -265,7 +265,7 @@
                 Some(source) => Box::pin(pass_on(link, source)).await,
                 None => link,
             };
-            let link = link.map(|link| (link, patience));
+            let link = link.map(|link| (link, timeout));
             let _ = done.send(Done { attempt: Some(key), link, moves });
         }));
         self.running.insert(key, Running { task: task.abort_handle(), since, begun });
@@ -281,14 +281,14 @@
                 let (report, reusable) = link.probe(guard).await?;
                 Some((reusable.then_some(link), report))
             };
-            let end = Instant::now() + PROBE_PATIENCE;
-            let mut patience = waits.unwrap_or_else(|| Patience::until(end));
-            let (link, report) = match patience.within(end, pin!(run)).await {
+            let end = Instant::now() + PROBE_TIMEOUT;
+            let mut timeout = waits.unwrap_or_else(|| Timeout::until(end));
+            let (link, report) = match timeout.within(end, pin!(run)).await {
                 Some(Some((link, report))) => (link, Some(report)),
                 _ => (None, None),
             };
             let _ = core.send(Input::Probed(id, report)).await;
-            let link = link.map(|link| (link, patience));
+            let link = link.map(|link| (link, timeout));
             let _ = done.send(Done { attempt: None, link, moves });
         });
     }
@@ -312,7 +312,7 @@
     /// What is sent may be sent again.
     safe: bool,
     address: SocketAddr,
-    patience: Duration,
+    timeout: Duration,
     budget: Budget,
     wire: W,
 }
@@ -326,7 +326,7 @@
             // What is left over may spoil the statement's answer, and this one could not be sent again: the fence goes
             // alone, and the statement follows only where it has found nothing.
             Some(mut link) => {
-                let alone = Box::pin(tokio::time::timeout(self.patience, link.fence())).await;
+                let alone = Box::pin(tokio::time::timeout(self.timeout, link.fence())).await;
                 if alone.unwrap_or(false) {
                     return Ok((link, Guard::Proven));
                 }
@@ -337,9 +337,9 @@
     }
 
     async fn open(self) -> Result<W::Link, Outcome> {
-        let Dial { address, patience, budget, wire, .. } = self;
+        let Dial { address, timeout, budget, wire, .. } = self;
         // Out of descriptors is our fault, not the member's: the attempt was never sent, and the member is not in doubt.
-        let permit = match tokio::time::timeout(patience, budget.members.seat()).await {
+        let permit = match tokio::time::timeout(timeout, budget.members.seat()).await {
             Ok(Some(permit)) => permit,
             Ok(None) | Err(_) => {
                 count(Count::member_no_seat);
@@ -347,7 +347,7 @@
             }
         };
         count(Count::member_connections);
-        match tokio::time::timeout(patience, wire.open(address, permit)).await {
+        match tokio::time::timeout(timeout, wire.open(address, permit)).await {
             Ok(link) => link,
             Err(_) => Err(Outcome::Refused),
         }
--- a/src/net/patience.rs
+++ b/src/net/timeout.rs
@@ -11,12 +11,12 @@
 use tokio::time::{Instant, Sleep};
 
 /// A timer that waits share, one after the other.
-pub struct Patience(Pin<Box<Sleep>>);
+pub struct Timeout(Pin<Box<Sleep>>);
 
-impl Patience {
+impl Timeout {
     /// One whose first wait ends at this moment.
     pub fn until(end: Instant) -> Self {
-        Patience(Box::pin(tokio::time::sleep_until(end)))
+        Timeout(Box::pin(tokio::time::sleep_until(end)))
     }
 
     /// What the future brings, or none if it has brought nothing by then. Pinned by the caller: taken by value it would
@@ -58,15 +58,15 @@
     fn each_wait_ends_at_its_own_moment_earlier_or_later_than_the_one_before() {
         run(async {
             let (start, ms) = (Instant::now(), Duration::from_millis);
-            let mut patience = Patience::until(start + ms(100));
+            let mut timeout = Timeout::until(start + ms(100));
             for end in [100, 150, 160, 1_000, 1_001] {
-                assert!(patience.within(start + ms(end), pin!(pending::<()>())).await.is_none());
+                assert!(timeout.within(start + ms(end), pin!(pending::<()>())).await.is_none());
                 let passed = start.elapsed();
                 assert!(passed >= ms(end) && passed < ms(end + 2), "{passed:?} for {end}");
             }
             // Set for late, then needed early.
-            let mut patience = Patience::until(start + ms(60_000));
-            assert!(patience.within(start + ms(1_100), pin!(pending::<()>())).await.is_none());
+            let mut timeout = Timeout::until(start + ms(60_000));
+            assert!(timeout.within(start + ms(1_100), pin!(pending::<()>())).await.is_none());
             assert!(start.elapsed() < ms(1_110));
         });
     }
@@ -75,14 +75,14 @@
     fn what_comes_in_time_is_passed_on_and_does_not_move_the_timer() {
         run(async {
             let (start, ms) = (Instant::now(), Duration::from_millis);
-            let mut patience = Patience::until(start + ms(100));
+            let mut timeout = Timeout::until(start + ms(100));
             for n in 1..=50 {
                 let done = tokio::time::sleep(ms(10));
-                assert!(patience.within(start + ms(10 * n + 200), pin!(done)).await.is_some());
+                assert!(timeout.within(start + ms(10 * n + 200), pin!(done)).await.is_some());
             }
             // A wait whose moment has passed still takes what is there already.
-            assert_eq!(patience.within(start, pin!(async { 7 })).await, Some(7));
-            assert_eq!(patience.within(start, pin!(pending::<()>())).await, None);
+            assert_eq!(timeout.within(start, pin!(async { 7 })).await, Some(7));
+            assert_eq!(timeout.within(start, pin!(pending::<()>())).await, None);
         });
     }
 }
--- a/src/pg/codec.rs
+++ b/src/pg/codec.rs
@@ -3,7 +3,7 @@
 use super::frames::{Body, Frames, LONGEST};
 use crate::core::Value;
 use crate::meter::{self, Cost};
-use crate::net::budget::Ration;
+use crate::net::budget::ByteBudget;
 use crate::net::frames::Holds;
 use bytes::{BufMut, Bytes, BytesMut};
 use tokio_util::codec::{Decoder, Encoder};
@@ -124,8 +124,8 @@
 
 impl ServerCodec {
     /// One for a new connection.
-    pub fn new(ration: Ration) -> Self {
-        ServerCodec { started: false, frames: Frames::new(ration, 0, EARNEST) }
+    pub fn new(budget: ByteBudget) -> Self {
+        ServerCodec { started: false, frames: Frames::new(budget, 0, EARNEST) }
     }
 }
 
--- a/src/pg/frames.rs
+++ b/src/pg/frames.rs
@@ -1,6 +1,6 @@
 //! Cutting messages off what was read, and what can be wrong with them; shared by both ends of the protocol.
 
-use crate::net::budget::{Ration, Share};
+use crate::net::budget::{ByteBudget, Share};
 use crate::net::frames::ROOM;
 use bytes::{Buf, Bytes, BytesMut};
 use std::io;
@@ -91,9 +91,9 @@
 }
 
 /// Finds messages in what was read. The length that a message claims is no reason to make room for it: its share of
-/// the ration is taken first, and the buffer grows with what comes.
+/// the budget is taken first, and the buffer grows with what comes.
 pub(super) struct Frames {
-    ration: Ration,
+    budget: ByteBudget,
     share: Option<Share>,
     /// Short messages need no share: the buffer that every connection has holds them.
     free: usize,
@@ -104,8 +104,8 @@
 impl Frames {
     /// For an end that counts messages longer than `free` and makes room for a whole message once `earnest` bytes of
     /// it have come.
-    pub fn new(ration: Ration, free: usize, earnest: usize) -> Self {
-        Frames { ration, share: None, free, earnest }
+    pub fn new(budget: ByteBudget, free: usize, earnest: usize) -> Self {
+        Frames { budget, share: None, free, earnest }
     }
 
     /// The next message. `longest` tells the longest length of a tag's messages, or that there is no such tag: noise
@@ -132,7 +132,7 @@
         }
         let share = match self.share.take() {
             None if length <= self.free => None,
-            None => Some(self.ration.take(length).ok_or(WireError::NoRoom)?),
+            None => Some(self.budget.take(length).ok_or(WireError::NoRoom)?),
             some => some,
         };
         let end = at + length;
--- a/src/pg/front.rs
+++ b/src/pg/front.rs
@@ -8,7 +8,7 @@
 use crate::core::{Answer, Handle, Pending, Value};
 use crate::interface::*;
 use crate::meter::Socket;
-use crate::net::budget::{Pace, Pot, Ration};
+use crate::net::budget::{ByteBudget, DescriptorBudget, Pace};
 use crate::net::frames::{finish, finish_resting, left, next, shrink, Next, ROOM};
 use crate::net::listen::{reached, Closing, Phase};
 use crate::terms::Terms;
@@ -52,9 +52,9 @@
     /// The clock.
     pub clock: Clock,
     /// Permits for clients' connections.
-    pub clients: Pot,
+    pub clients: DescriptorBudget,
     /// Bytes of messages.
-    pub bytes: Ration,
+    pub bytes: ByteBudget,
     /// When bad messages are answered.
     pub pace: Pace,
 }
--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -13,7 +13,7 @@
 use crate::core::{Value, Work};
 use crate::interface::*;
 use crate::meter::{self, Cost, Socket};
-use crate::net::budget::Ration;
+use crate::net::budget::ByteBudget;
 use crate::net::frames::{next, shrink, Next, ROOM};
 use crate::net::link::{Exchange, Guard, Link, Wire};
 use bytes::Bytes;
@@ -42,13 +42,13 @@
 /// The members' side of the platform's protocol.
 #[derive(Clone)]
 pub struct Pg {
-    bytes: Ration,
+    bytes: ByteBudget,
     clock: Clock,
 }
 
 impl Pg {
     /// Connections count the bytes of what they hold in `bytes`.
-    pub fn new(bytes: Ration, clock: Clock) -> Self {
+    pub fn new(bytes: ByteBudget, clock: Clock) -> Self {
         Pg { bytes, clock }
     }
 }
@@ -263,7 +263,7 @@
             (End::Whole { .. }, Some(b"53300")) => Outcome::Saturated,
             // The member answered, but not with what can be passed on, and it may have run.
             (End::Whole { .. }, Some(_)) | (End::Spoilt(_), _) => Outcome::Errored,
-            (End::Broken, _) => Outcome::Severed,
+            (End::Broken, _) => Outcome::Reset,
         };
         // What proves that nothing ran must be beyond doubt, and the socket is asked whether anything came with it. A
         // value stands for itself; what comes behind it shows when the connection is used again.
--- a/src/pg/told.rs
+++ b/src/pg/told.rs
@@ -2,7 +2,7 @@
 
 use super::frames::{Body, Frames, WireError, LONGEST};
 use crate::core::flow;
-use crate::net::budget::{Ration, Share};
+use crate::net::budget::{ByteBudget, Share};
 use crate::net::frames::Holds;
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use smallvec::SmallVec;
@@ -93,7 +93,7 @@
 /// The client's end.
 pub struct ClientCodec {
     frames: Frames,
-    ration: Ration,
+    budget: ByteBudget,
     /// Bytes of a value that are still to come, and the share for what of them is in memory.
     left: usize,
     share: Option<Share>,
@@ -101,10 +101,10 @@
 
 impl ClientCodec {
     /// One for a new connection.
-    pub fn new(ration: Ration) -> Self {
+    pub fn new(budget: ByteBudget) -> Self {
         // A member's word for a length is taken as soon as there is a share for it: members send what they announce, or
         // else the connection ends within the time that an answer may take.
-        ClientCodec { frames: Frames::new(ration.clone(), FREE, 0), ration, left: 0, share: None }
+        ClientCodec { frames: Frames::new(budget.clone(), FREE, 0), budget, left: 0, share: None }
     }
 }
 
@@ -159,7 +159,7 @@
                 if src[5..7] != [0, 1] {
                     return Err(WireError::Malformed("a row does not have one column"));
                 }
-                self.share = Some(self.ration.take(IN_MEMORY).ok_or(WireError::NoRoom)?);
+                self.share = Some(self.budget.take(IN_MEMORY).ok_or(WireError::NoRoom)?);
                 self.left = row;
                 src.advance(11);
                 return Ok(Some(Backend::RowBegins(row)));
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -122,7 +122,7 @@
 
 #[test]
 fn an_unsafe_write_that_may_have_run_is_never_sent_again_nor_refused() {
-    for outcome in [Outcome::Errored, Outcome::Overdue, Outcome::Severed, Outcome::Recalled] {
+    for outcome in [Outcome::Errored, Outcome::Overdue, Outcome::Reset, Outcome::Cancelled] {
         let mut d = Driver::new(settings());
         let (id, _) = d.request(UNSAFE, None);
         let actions = d.ended(id, 0, outcome, None);
@@ -167,7 +167,7 @@
     let report = Report { position: Some(d.now), primary: Some(true), busy: None };
     let actions = d.step(&[Event::Probed { member: MemberId(3), ok: true, report: Some(report) }]);
     assert!(actions.contains(&Action::Cancel { id, attempt: 0 }));
-    let actions = d.ended(id, 0, Outcome::Recalled, None);
+    let actions = d.ended(id, 0, Outcome::Cancelled, None);
     assert_eq!(sent(&actions), vec![(id, 3)]);
 }
 
@@ -278,7 +278,7 @@
             let (id, _) = d.request(ANY, None);
             d.now += 150 * MS;
             d.ended(id, 0, bad, None);
-            d.step(&[Event::HangUp { id }]);
+            d.step(&[Event::Disconnected { id }]);
             admitted(&mut d, MS, quick);
             admitted(&mut d, MS, 1)
         };
@@ -351,7 +351,7 @@
                 actions = d.ended(id, attempt, outcome, told);
                 attempt += 1;
             }
-            d.step(&[Event::HangUp { id }]);
+            d.step(&[Event::Disconnected { id }]);
         }
         (d, struck)
     };
@@ -359,7 +359,7 @@
     assert_eq!(struck, 3, "three of eight tell that the zone is lost");
     let (id, actions) = d.request(ANY, None);
     assert!(sent(&actions).is_empty());
-    d.step(&[Event::HangUp { id }]);
+    d.step(&[Event::Disconnected { id }]);
     // One that answers a probe tells that the zone is back: those left alone for its sake alone may be tried.
     d.now += 1_000 * MS;
     let asked = probes(&d.request(ANY, None).1)[0];
@@ -383,7 +383,7 @@
             assert_eq!(sent(&actions).len(), 1);
             actions = d.ended(id, attempt, Outcome::Refused, None);
         }
-        d.step(&[Event::HangUp { id }]);
+        d.step(&[Event::Disconnected { id }]);
         d.now += 3_000 * MS;
         let probed = probes(&d.request(ANY, None).1)[0];
         trials += sent(&d.hear(probed, d.now, Role::Replica)).len();
@@ -439,11 +439,11 @@
     d.list(ListKind::Full, vec![member(2, false)]);
     let (first, _) = d.request(ANY, None);
     let (second, _) = d.request(ANY, None);
-    d.ended(first, 0, Outcome::Severed, None);
+    d.ended(first, 0, Outcome::Reset, None);
     assert_eq!(sent(&d.request(ANY, None).1).len(), 1, "others are still out there");
-    d.ended(second, 0, Outcome::Severed, None);
-    d.step(&[Event::HangUp { id: RequestId(3) }]);
-    d.ended(RequestId(3), 0, Outcome::Severed, None);
+    d.ended(second, 0, Outcome::Reset, None);
+    d.step(&[Event::Disconnected { id: RequestId(3) }]);
+    d.ended(RequestId(3), 0, Outcome::Reset, None);
     let tried = (0..4).map(|_| sent(&d.request(ANY, None).1).len()).sum::<usize>();
     assert_eq!(tried, 1, "all are lost: one at a time");
 }
@@ -486,7 +486,7 @@
                         got[to as usize - 4] += 1;
                     }
                 }
-                d.step(&[Event::HangUp { id }]);
+                d.step(&[Event::Disconnected { id }]);
             }
         }
         // An even share of the reads, times the warmth of 0.2 to 0.5 that they reach, times the rule's 2.
@@ -539,7 +539,7 @@
                         busy.push((now + if to == 5 { 15 } else { 150 } * MS, router, id));
                         given.extend((to == 5).then_some(now));
                     }
-                    _ => drop(all[router].step(&[Event::HangUp { id }])),
+                    _ => drop(all[router].step(&[Event::Disconnected { id }])),
                 }
             }
             let warmth = 0.2 + 0.8 * (now - start) as f64 / settings().rules.warm_after as f64;
@@ -601,15 +601,15 @@
             let (id, actions) = d.request(ANY, None);
             assert_eq!(sent(&actions).len(), 1);
             d.ended(id, 0, outcome, None);
-            d.step(&[Event::HangUp { id }]);
+            d.step(&[Event::Disconnected { id }]);
             closes(&actions)
         };
         attempt(&mut d, 0, Outcome::Completed);
         for _ in 0..used_lost {
-            attempt(&mut d, 5 * MS, Outcome::Severed);
+            attempt(&mut d, 5 * MS, Outcome::Reset);
         }
         for _ in 0..idle_lost {
-            assert!(!attempt(&mut d, 2_000 * MS, Outcome::Severed) || expected);
+            assert!(!attempt(&mut d, 2_000 * MS, Outcome::Reset) || expected);
         }
         let closed = attempt(&mut d, 2_000 * MS, Outcome::Completed);
         assert_eq!(closed, expected, "{idle_lost} lost on idle ones, {used_lost} on used ones");
@@ -636,7 +636,7 @@
         sent_now += sent(&actions).len();
         d.now += spent;
         d.ended(id, 0, Outcome::Completed, None);
-        d.step(&[Event::HangUp { id }]);
+        d.step(&[Event::Disconnected { id }]);
     }
     sent_now
 }
@@ -746,7 +746,7 @@
     let stray = RequestId(77);
     for id in [id, stray] {
         assert!(sent(&d.ended(id, 0, Outcome::Errored, None)).is_empty());
-        assert!(sent(&d.step(&[Event::HangUp { id }, Event::Started { id, attempt: 3 }])).is_empty());
+        assert!(sent(&d.step(&[Event::Disconnected { id }, Event::Started { id, attempt: 3 }])).is_empty());
     }
     d.step(&[Event::Probed { member: MemberId(99), ok: false, report: None }]);
     assert!(sent(&d.after(0)).is_empty());
@@ -946,7 +946,7 @@
     }
     for id in open {
         d.ended(id, 0, Outcome::Overdue, None);
-        d.step(&[Event::HangUp { id }]);
+        d.step(&[Event::Disconnected { id }]);
     }
     d.list(ListKind::Changes, vec![]);
     assert_eq!(d.router.remembered(), before, "60 members, 10 groups, no request");
@@ -971,7 +971,7 @@
                 probed.push(d.now - start);
                 d.step(&[Event::Probed { member: MemberId(2), ok: false, report: None }]);
             }
-            d.step(&[Event::HangUp { id }]);
+            d.step(&[Event::Disconnected { id }]);
         }
         assert!((3..=9).contains(&own), "{own} probes of one router in 6 s");
     }
@@ -1017,7 +1017,7 @@
     new.max_attempts = 2;
     new.classes.push(Class { repeat: Repeat::Safe, ..new.classes[UNSAFE].clone() });
     d.step(&[Event::Settings(Box::new(new.clone()))]);
-    let actions = d.ended(id, 0, Outcome::Severed, None);
+    let actions = d.ended(id, 0, Outcome::Reset, None);
     assert!(
         failed(&actions, id) && sent(&actions).is_empty(),
         "it came as one that must not run twice: {actions:?}"
