Keep which attempts have begun in one set a peer, not in a flag each

At fault: src/net/peer.rs, an Arc for each attempt ('Withdraw what has not begun ...').

Change: a set of the peer's, which keeps its room.

--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -14,11 +14,10 @@
 use crate::core::{Attempt, Ending, Input};
 use crate::interface::*;
 use crate::settings::SocketTimes;
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::task::AbortHandle;
@@ -55,10 +54,12 @@
 struct Running {
     task: AbortHandle,
     since: Time,
-    /// Its first byte is being written or has been: the connection is there, and the last look has found nothing.
-    begun: Arc<AtomicBool>,
 }
 
+/// Attempts under way whose first byte is being written or has been: the connection is there, and the last look has found
+/// nothing. One set for all of a peer: a flag for each attempt would be a call for memory each.
+type Begun = Arc<Mutex<FxHashSet<(RequestId, u32)>>>;
+
 /// The actor's state.
 pub struct Peer<W: Wire> {
     id: MemberId,
@@ -70,6 +71,7 @@
     wire: W,
     pool: Pool<(W::Link, Timeout)>,
     running: FxHashMap<(RequestId, u32), Running>,
+    begun: Begun,
     probing: usize,
     /// How often the member has moved: a connection from before leads to whoever has its address now.
     moves: u32,
@@ -86,6 +88,10 @@
     moves: u32,
 }
 
+fn lock(begun: &Begun) -> MutexGuard<'_, FxHashSet<(RequestId, u32)>> {
+    begun.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl<W: Wire> Peer<W> {
     /// A peer without connections.
     pub fn new(
@@ -98,8 +104,24 @@
     ) -> Self {
         let pool = Pool::new(idle_most(times));
         let (done, ends) = mpsc::unbounded_channel();
-        let (running, probing, moves, ends) = (FxHashMap::default(), 0, 0, Some(ends));
-        Peer { id, address, core, budget, clock, times, wire, pool, running, probing, moves, done, ends }
+        let (running, begun) = (FxHashMap::default(), Begun::default());
+        let (probing, moves, ends) = (0, 0, Some(ends));
+        Peer {
+            id,
+            address,
+            core,
+            budget,
+            clock,
+            times,
+            wire,
+            pool,
+            running,
+            begun,
+            probing,
+            moves,
+            done,
+            ends,
+        }
     }
 
     /// Runs until the fleet lets go of it and the last attempt has ended.
@@ -117,7 +139,7 @@
                 biased;
                 Some(Done { attempt, link, moves }) = ends.recv() => {
                     match attempt {
-                        Some(key) => drop(self.running.remove(&key)),
+                        Some(key) => drop((self.running.remove(&key), self.forget(key))),
                         None => self.probing -= 1,
                     }
                     if let Some(link) = link.filter(|_| moves == self.moves) {
@@ -167,6 +189,11 @@
         }
     }
 
+    /// An attempt is over; whether it had begun.
+    fn forget(&self, key: (RequestId, u32)) -> bool {
+        lock(&self.begun).remove(&key)
+    }
+
     /// Drops all of which nothing has been written.
     fn withdraw_all(&mut self) {
         let all: Vec<(RequestId, u32)> = self.running.keys().copied().collect();
@@ -177,14 +204,14 @@
     fn stop(&mut self, key: (RequestId, u32), unbegun: bool) {
         // One that has just ended has told its end; a second end would be one too many. It stays until it is taken in.
         let Some(running) = self.running.get(&key).filter(|r| !r.task.is_finished()) else { return };
-        let begun = running.begun.load(Ordering::Relaxed);
-        if unbegun && begun {
+        if unbegun && lock(&self.begun).contains(&key) {
             return;
         }
         running.task.abort();
-        let outcome = if begun { Outcome::Cancelled } else { Outcome::Superseded };
         let spent = self.clock.now().saturating_sub(running.since);
         self.running.remove(&key);
+        let begun = self.forget(key);
+        let outcome = if begun { Outcome::Cancelled } else { Outcome::Superseded };
         if !begun {
             count(Count::withdrawn);
         }
@@ -212,8 +239,7 @@
         let ((dial, waits), core, clock) = (self.dial(attempt.safe), self.core.clone(), self.clock);
         let (key, done, moves) = ((attempt.id, attempt.number), self.done.clone(), self.moves);
         let since = clock.now();
-        let begun = Arc::new(AtomicBool::new(false));
-        let begins = begun.clone();
+        let begun = self.begun.clone();
         // In a box of its own: the runtime moves what it is given several times, and this is large.
         let task = tokio::spawn(Box::pin(async move {
             let stop = clock.instant(attempt.stop_at);
@@ -233,7 +259,7 @@
                             Exchange { outcome: Outcome::Superseded, ..Exchange::default() },
                         );
                     }
-                    begins.store(true, Ordering::Relaxed);
+                    lock(&begun).insert(key);
                     // Members are told how long this proxy waits; rounded up, as 0 would say that it is over.
                     let wait = attempt.stop_at.saturating_sub(clock.now()).div_ceil(1000).max(1);
                     let exchange = link.run(&attempt.work, wait, guard, &mut written).await;
@@ -268,7 +294,7 @@
             let link = link.map(|link| (link, timeout));
             let _ = done.send(Done { attempt: Some(key), link, moves });
         }));
-        self.running.insert(key, Running { task: task.abort_handle(), since, begun });
+        self.running.insert(key, Running { task: task.abort_handle(), since });
     }
 
     fn probe(&mut self) {
