Call the agent from the first moment on where lists are pushed, and after any failure

Cause: where the settings say that lists are pushed ('discovery': 'automatic') no call was made at all. The module asks for the list only where it must be asked for (Router::list, 'ListKind::Disk if self.set.subscribe'), and net::discovery waited for that word, so that a process served by the list of its start for as long as it lived. What the agent holds counts as told.

Change: Delivery (src/listing.rs) says how changes come. Pushed: the actor calls with the process, no call waits for a turn, a watch behind a list or a move, a silent one is made anew, a refused one after 50 ms; watches wait for half of the drain grace and are given up after three quarters of it, as what the agent got while silent counts at its return. The grace is now read (rules.drain_grace_us). The first call of a process waits for no change (Call::Confirm), where lists are asked for, too: it confirms the list of the start at once and not after the wait of a watch. net::Discovery::run is split into steps.

--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -67,6 +67,8 @@
     pub whole: usize,
     /// For what comes after a version.
     pub watches: usize,
+    /// Those among them that wait for nothing.
+    pub confirms: usize,
     /// The newest version after which a caller wants to hear: it has the list up to that one.
     pub heard: u64,
 }
@@ -277,6 +279,7 @@
         {
             let calls = &mut self.state().1;
             *(if after.is_some() { &mut calls.watches } else { &mut calls.whole }) += 1;
+            calls.confirms += usize::from(after.is_some() && wait == 0);
             calls.heard = calls.heard.max(after.unwrap_or(0));
         }
         if let Some(Door { proxy, log, .. }) = door {
--- a/src/agreement/rules.rs
+++ b/src/agreement/rules.rs
@@ -138,6 +138,7 @@
                 cold_share: a.rules.cold_share.min(b.rules.cold_share),
                 warm_after: a.rules.warm_after.max(b.rules.warm_after),
                 fall_span: a.rules.fall_span.max(b.rules.fall_span),
+                drain_grace: a.rules.drain_grace.min(b.rules.drain_grace),
                 removal_not_binding: a.rules.removal_not_binding && b.rules.removal_not_binding,
             },
         };
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -114,8 +114,7 @@
     Remembered,
 }
 
-/// The figures of the rules that bind a driver; the settings of the operators fill them in. A draining member
-/// gets nothing from the moment the router is told, so that no grace is asked for.
+/// The figures of the rules that bind a driver; the settings of the operators fill them in.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Rules {
     /// A cold member starts with at least this share of its capacity.
@@ -124,6 +123,9 @@
     pub warm_after: Time,
     /// A cold member's work counts against its budget for this long, by all drivers together.
     pub fall_span: Time,
+    /// A member that drains or is gone may still get requests for this long after the driver counts as told. One that
+    /// has heard of it sends nothing more; the grace is for hearing of it.
+    pub drain_grace: Time,
     /// Where true, only a member listed as draining is closed; one called gone, or left out, is not.
     pub removal_not_binding: bool,
 }
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -8,7 +8,7 @@
 //! then waits longer than it need; where discovery answers in a few ms it waits for nothing that could be noticed.
 
 use crate::decide::{LIST_EACH, LIST_FEW};
-use crate::interface::Time;
+use crate::interface::{Settings, Time};
 use crate::state::lot;
 
 /// Longest span of the calls after a move, in us: a proxy must know by itself within 6 s what discovery had to tell, and a
@@ -18,9 +18,8 @@
 /// after the list still tells within those 6 s of what has changed behind the list.
 const ROUND_MOST: Time = 2_000_000;
 
-/// How long a watch may wait at discovery, in us. A renewal costs discovery no turn, so that a short wait costs it little;
-/// a silent watch is noticed by so much sooner.
-pub const WATCH_WAIT: Time = 1_500_000;
+/// How long a watch may wait at discovery where it is asked, in us.
+const WATCH_WAIT: Time = 1_500_000;
 /// Longest wait for a call's turn, in us: what has waited for longer discovery itself fails.
 const TURN_MOST: Time = 2_000_000;
 /// An answer's time beyond that on its way, in us. What a call that is given up has missed counts as told 6 s after
@@ -29,45 +28,104 @@
 /// A renewal needs no turn, but an answer on its way may stand behind others, in us.
 const RENEWAL_LEAD: Time = 700_000;
 
+/// Least wait of a watch where lists are pushed, in us: shorter ones would only cost processor time.
+const PUSHED_WAIT_MIN: Time = 50_000;
+
+/// How changes of the member list reach this proxy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Delivery {
+    /// One service answers all proxies, one call after another.
+    Asked,
+    /// An agent on the proxy's own machine holds what discovery has sent, and answers at once. What it holds counts as
+    /// told whether or not this process has called, from its first moment on.
+    Pushed {
+        /// How long after that a member that drains or is gone may still get requests, in us.
+        drain_grace: Time,
+    },
+}
+
+impl Delivery {
+    /// What the settings say of it.
+    pub fn of(settings: &Settings) -> Self {
+        if settings.subscribe {
+            Delivery::Asked
+        } else {
+            Delivery::Pushed { drain_grace: settings.rules.drain_grace }
+        }
+    }
+
+    /// How many of `proxies` call where this one does.
+    pub fn callers(self, proxies: u32) -> u32 {
+        match self {
+            Delivery::Asked => proxies,
+            Delivery::Pushed { .. } => 1,
+        }
+    }
+
+    /// How long a watch may wait for a change, in us. A renewal costs discovery no turn, so that a short wait costs it
+    /// little; a silent watch is noticed by so much sooner. What an agent got while it was silent counts at once, so
+    /// that silence must be noticed within the grace.
+    fn watch_wait(self) -> Time {
+        match self {
+            Delivery::Asked => WATCH_WAIT,
+            Delivery::Pushed { drain_grace } => (drain_grace / 2).clamp(PUSHED_WAIT_MIN, WATCH_WAIT),
+        }
+    }
+
+    /// How long discovery is to wait for a change before it answers this call, in us.
+    pub fn wait(self, call: Call) -> Time {
+        match call {
+            Call::Whole | Call::Confirm => 0,
+            Call::Watch | Call::Renewal => self.watch_wait(),
+        }
+    }
+
+    /// How long a call is waited for, in us, from when it is made.
+    pub fn timeout(self, call: Call) -> Time {
+        match (self, call) {
+            (Delivery::Pushed { .. }, _) => self.watch_wait() + self.watch_wait() / 2,
+            (Delivery::Asked, Call::Whole | Call::Confirm) => TURN_MOST + LEAD,
+            (Delivery::Asked, Call::Watch) => TURN_MOST + WATCH_WAIT + LEAD,
+            (Delivery::Asked, Call::Renewal) => WATCH_WAIT + RENEWAL_LEAD,
+        }
+    }
+
+    /// What becomes of a call that failed: without a word (`silent`), or with a refusal, a reset or what is no list.
+    pub fn failed(self, silent: bool) -> Next {
+        match self {
+            _ if silent => Next::Again,
+            Delivery::Pushed { .. } => Next::Soon,
+            Delivery::Asked => Next::Told,
+        }
+    }
+}
+
 /// One call to discovery.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Call {
     /// For the whole list.
     Whole,
+    /// For what has changed since the version that the process started with, answered at once also where nothing has: until
+    /// then nobody has confirmed that list.
+    Confirm,
     /// A watch that begins.
     Watch,
     /// A watch that goes on right behind its last answer.
     Renewal,
 }
 
-/// How long a call is waited for, in us, from when it is made.
-pub fn timeout(call: Call) -> Time {
-    match call {
-        Call::Whole => TURN_MOST + LEAD,
-        Call::Watch => TURN_MOST + WATCH_WAIT + LEAD,
-        Call::Renewal => WATCH_WAIT + RENEWAL_LEAD,
-    }
-}
-
 /// What becomes of a call that has brought no list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Next {
     /// It is made again at once: a silent call is broken, discovery need not be, and the pauses of a failed call would
     /// outlast what is left before all counts as told. All that fell silent together waited since different moments.
     Again,
+    /// It is made again after a short pause: an agent is this proxy's own, and no call of others waits behind.
+    Soon,
     /// The module hears that it failed, and says when the next is due.
     Told,
 }
 
-/// A call failed: without a word, or with a refusal, a reset or what is no list.
-pub fn failed(silent: bool) -> Next {
-    if silent {
-        Next::Again
-    } else {
-        Next::Told
-    }
-}
-
 /// When this proxy calls.
 #[derive(Debug, Clone, Copy)]
 pub struct Listing {
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,7 +15,7 @@
 use linentrail::handover::files::Folder;
 use linentrail::handover::{self, Desk, Handover};
 use linentrail::knowledge::Held;
-use linentrail::listing::Listing;
+use linentrail::listing::{Delivery, Listing};
 use linentrail::net::budget::{Budget, Pace};
 use linentrail::net::discovery::{Discovery, Lists, Service};
 use linentrail::net::fleet::Fleet;
@@ -96,7 +96,8 @@
     let (follow, asked) = mpsc::channel(1);
     let wire = pg::member::Pg::new(budget.bytes.clone(), clock);
     let fleet = Fleet::new(mailbox.clone(), follow, budget.clone(), clock, times, wire);
-    let (proxies, listing) = (settings.instances, Listing::new(settings.seed));
+    let (proxies, delivery) = (settings.instances, Delivery::of(&settings));
+    let listing = Listing::new(settings.seed);
     let (seed, zone, first) = (settings.seed, settings.zone, settings.clone());
     let actor = Actor::new(settings, fleet, clock, (inbox, ordered)).map_err(|e| e.to_string())?;
 
@@ -106,7 +107,7 @@
     let (held, known) = known.map_or_else(Default::default, |(held, _, entries)| (Some(held), entries));
     mailbox.send(Input::List(ListKind::Disk, known)).await.map_err(|e| e.to_string())?;
     tokio::spawn(actor.run());
-    let (discovery, service) = watch::channel(Service { address: told.discovery.clone(), proxies });
+    let (discovery, service) = watch::channel(Service { address: told.discovery.clone(), proxies, delivery });
     let mut version = Arc::default();
     if file.dnssd.browse {
         let DnsSd { server, service, .. } = &file.dnssd;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,8 +1,8 @@
-//! The actor of the member list: when the module asks, watches from the version held, each renewed at once; the whole
-//! list only where none is held.
+//! The actor of the member list: watches from the version held, each renewed at once; the whole list only where none is
+//! held. Where discovery is asked it begins when the module says so; where lists are pushed it begins with the process.
 //!
-//! A failed call is told to the module, which decides when to ask again; a watch that fell silent is opened anew at once
-//! (`src/listing.rs`). What is held stays, and so does its version,
+//! Where discovery is asked, a failed call is told to the module, which decides when to ask again; a watch that fell
+//! silent is opened anew at once (`src/listing.rs`). What is held stays, and so does its version,
 //! as a whole list costs discovery many times a watch and a large fleet asks all at once. A watch must be renewed
 //! within 200 ms of its last answer to go on; this actor hands an answer to the core and calls again with nothing in
 //! between but a short pause where an answer came at once and told nothing.
@@ -15,7 +15,7 @@
 use crate::core::{Input, Listed};
 use crate::http::{Headers, HttpClient, HttpRequest};
 use crate::interface::*;
-use crate::listing::{failed, timeout, Call, Listing, Next, WATCH_WAIT};
+use crate::listing::{Call, Delivery, Listing, Next};
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use serde_json::{json, Value as Json};
@@ -35,6 +35,8 @@
 /// pauses would outlast what is left before all counts as told.
 const MOVING: Duration = Duration::from_millis(4_000);
 const MOVING_PAUSE: Duration = Duration::from_millis(150);
+/// Between two calls to an agent that refuses them: what it gets meanwhile counts as told.
+const AGENT_PAUSE: Duration = Duration::from_millis(50);
 /// Least time between two answers to a watch that tell nothing, or the whole list. It must be renewed within 200 ms.
 const EMPTY_PAUSE: Duration = Duration::from_millis(150);
 /// Longest list taken in: thousands of members. Read, it takes several times as much.
@@ -191,6 +193,8 @@
     pub address: String,
     /// Proxies, this one included.
     pub proxies: u32,
+    /// Whether they all call there.
+    pub delivery: Delivery,
 }
 
 /// The actor's state.
@@ -209,6 +213,8 @@
     moving: Option<Instant>,
     /// The next call comes right behind an answer.
     renews: bool,
+    /// Discovery has answered since the process started.
+    confirmed: bool,
 }
 
 impl Discovery {
@@ -234,79 +240,113 @@
             after: held,
             moving: None,
             renews: false,
+            confirmed: false,
         }
     }
 
     /// Runs until the core is gone.
     pub async fn run(mut self, mut asked: mpsc::Receiver<Follow>) {
+        while self.begin(&mut asked).await {
+            if !self.follow(&mut asked).await {
+                return;
+            }
+        }
+    }
+
+    /// Waits for a reason to call, where not each moment is one; false once the core is gone.
+    async fn begin(&mut self, asked: &mut mpsc::Receiver<Follow>) -> bool {
+        if self.delivery() != Delivery::Asked {
+            return !self.core.is_closed();
+        }
+        let mut service = self.service.clone();
+        tokio::select! {
+            asks = asked.recv() => return asks.is_some(),
+            Ok(()) = service.changed() => self.moved(),
+        }
+        true
+    }
+
+    /// Calls and hands on what comes, up to a failure that the module is told of; false once the core is gone.
+    async fn follow(&mut self, asked: &mut mpsc::Receiver<Follow>) -> bool {
         let mut service = self.service.clone();
         loop {
-            tokio::select! {
-                asks = asked.recv() => if asks.is_none() {
-                    return;
-                },
-                Ok(()) = service.changed() => self.moved(),
-            }
-            loop {
-                // Asked again while it watches: that is one more answer that comes by itself.
-                while asked.try_recv().is_ok() {}
-                let (began, first) = (Instant::now() + self.pause, self.after.is_none());
-                let told = tokio::select! {
-                    biased;
-                    Ok(()) = service.changed() => {
-                        self.moved();
-                        continue;
-                    }
-                    told = self.call() => told,
-                };
-                let silent = told.is_none();
-                let (kind, entries) = told.flatten().unwrap_or((ListKind::Failed, Vec::new()));
-                log::debug!(
-                    target: LOG,
-                    "{kind:?} entries={} generation={} us={}",
-                    entries.len(),
-                    self.after.unwrap_or(0),
-                    began.elapsed().as_micros()
-                );
-                if kind == ListKind::Failed {
-                    count(Count::list_failures);
-                    (self.link, self.renews) = (None, false);
-                    if failed(silent) == Next::Again {
-                        continue;
-                    }
-                    if self.moving.is_some_and(|since| since.elapsed() < MOVING) {
-                        tokio::time::sleep(MOVING_PAUSE).await;
-                        continue;
-                    }
-                }
-                self.moving = None;
-                // A watch, which may be answered with a whole list, too, takes as long as nothing happens.
-                if first && kind == ListKind::Full {
-                    let took = began.elapsed().as_micros() as Time;
-                    self.pause =
-                        Duration::from_micros(self.listing.listed(self.service.borrow().proxies, took));
-                }
-                // A service that does not wait would be asked as fast as it answers; a watch goes on after this pause.
-                let nothing = entries.is_empty() || kind == ListKind::Full;
-                if !first && nothing && began.elapsed() < EMPTY_PAUSE {
-                    tokio::time::sleep(EMPTY_PAUSE).await;
-                }
-                if self.core.send(Input::List(kind, entries)).await.is_err() {
-                    return;
+            // Asked again while it watches: that is one more answer that comes by itself.
+            while asked.try_recv().is_ok() {}
+            let (began, first) = (Instant::now() + self.pause, self.after.is_none());
+            let confirmed = self.confirmed;
+            let told = tokio::select! {
+                biased;
+                Ok(()) = service.changed() => {
+                    self.moved();
+                    continue;
                 }
-                if kind == ListKind::Failed {
-                    // Asked again while the call was open: the pause that the module takes now holds for that, too.
-                    while asked.try_recv().is_ok() {}
-                    break;
+                told = self.call() => told,
+            };
+            let silent = told.is_none();
+            let (kind, entries) = told.flatten().unwrap_or((ListKind::Failed, Vec::new()));
+            log::debug!(
+                target: LOG,
+                "{kind:?} entries={} generation={} us={}",
+                entries.len(),
+                self.after.unwrap_or(0),
+                began.elapsed().as_micros()
+            );
+            if kind == ListKind::Failed {
+                count(Count::list_failures);
+                (self.link, self.renews) = (None, false);
+                if self.calls_again(silent).await {
+                    continue;
                 }
             }
+            self.moving = None;
+            // A watch, which may be answered with a whole list, too, takes as long as nothing happens.
+            if first && kind == ListKind::Full {
+                let took = began.elapsed().as_micros() as Time;
+                self.pause = Duration::from_micros(self.listing.listed(self.callers(), took));
+            }
+            // A service that does not wait would be asked as fast as it answers; a watch goes on after this pause.
+            let nothing = entries.is_empty() || kind == ListKind::Full;
+            if !first && confirmed && nothing && began.elapsed() < EMPTY_PAUSE {
+                tokio::time::sleep(EMPTY_PAUSE).await;
+            }
+            if self.core.send(Input::List(kind, entries)).await.is_err() {
+                return false;
+            }
+            if kind == ListKind::Failed {
+                // Asked again while the call was open: the pause that the module takes now holds for that, too.
+                while asked.try_recv().is_ok() {}
+                return true;
+            }
+        }
+    }
+
+    /// After a failed call: whether the next is this actor's own to make, and its time has come.
+    async fn calls_again(&mut self, silent: bool) -> bool {
+        match self.delivery().failed(silent) {
+            Next::Again => return !self.core.is_closed(),
+            Next::Soon => tokio::time::sleep(AGENT_PAUSE).await,
+            Next::Told if self.moving.is_some_and(|since| since.elapsed() < MOVING) => {
+                tokio::time::sleep(MOVING_PAUSE).await;
+            }
+            Next::Told => return false,
         }
+        !self.core.is_closed()
+    }
+
+    fn delivery(&self) -> Delivery {
+        self.service.borrow().delivery
+    }
+
+    /// Proxies that call where this one does.
+    fn callers(&self) -> u32 {
+        let service = self.service.borrow();
+        service.delivery.callers(service.proxies)
     }
 
     /// The old address has nothing more to say: its connection goes, and with it the watch.
     fn moved(&mut self) {
         (self.link, self.after, self.renews) = (None, None, false);
-        self.pause = Duration::from_micros(self.listing.moved(self.service.borrow().proxies));
+        self.pause = Duration::from_micros(self.listing.moved(self.callers()));
         self.moving = Some(Instant::now() + self.pause);
         count(Count::list_moves);
     }
@@ -319,14 +359,20 @@
             tokio::time::sleep(self.pause).await;
             (self.pause, self.renews) = (Duration::ZERO, false);
         }
+        let delivery = self.delivery();
         let (target, call) = match self.after {
             None => ("/api/targets".to_string(), Call::Whole),
-            Some(v) => {
-                let target = format!("/api/targets?after={v}&wait_ms={}", WATCH_WAIT / 1000);
-                (target, if self.renews { Call::Renewal } else { Call::Watch })
+            Some(version) => {
+                let call = match (self.confirmed, self.renews) {
+                    (false, _) => Call::Confirm,
+                    (true, true) => Call::Renewal,
+                    (true, false) => Call::Watch,
+                };
+                let wait = delivery.wait(call) / 1000;
+                (format!("/api/targets?after={version}&wait_ms={wait}"), call)
             }
         };
-        let most = Duration::from_micros(timeout(call));
+        let most = Duration::from_micros(delivery.timeout(call));
         let got = tokio::time::timeout(most, self.get(target)).await.ok()?;
         Some(got.and_then(|body| self.take(&body)))
     }
@@ -338,7 +384,7 @@
             log::warn!(target: LOG, "a list of {} bytes is cut off, unreadable, too long or old; dropped", body.len());
         }
         let (version, whole, entries) = read?;
-        (self.after, self.renews) = (Some(version), true);
+        (self.after, self.renews, self.confirmed) = (Some(version), true, true);
         self.told.store(version, Ordering::Relaxed);
         count(Count::list_answers);
         Some((if whole { ListKind::Full } else { ListKind::Changes }, entries))
--- a/src/reload.rs
+++ b/src/reload.rs
@@ -8,6 +8,7 @@
 use crate::handover::Desk;
 use crate::interface::Settings;
 use crate::knowledge::Held;
+use crate::listing::Delivery;
 use crate::net::discovery::Service;
 use crate::parley::Rules;
 use crate::settings::{Names, SocketTimes};
@@ -119,7 +120,7 @@
 
     async fn take(&mut self, told: Config, sound: Sound, text: &[u8]) {
         let Sound { names, settings, times } = sound;
-        let proxies = settings.instances;
+        let (proxies, delivery) = (settings.instances, Delivery::of(&settings));
         match &self.agreed {
             Some((_, own)) => {
                 own.send_replace(own_settings(text));
@@ -130,7 +131,7 @@
             None => self.hold(names, settings, times).await,
         }
         // Also where it is the same: the list is then asked for anew.
-        let _ = self.discovery.send(Service { address: told.discovery.clone(), proxies });
+        let _ = self.discovery.send(Service { address: told.discovery.clone(), proxies, delivery });
         count(Count::reloads);
         let fixed = self.running.fixed(&told);
         if !fixed.is_empty() {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -249,6 +249,7 @@
                 cold_share: self.number("rules.cold_share")?,
                 warm_after: self.must("rules.warm_after_us")?,
                 fall_span: self.must("rules.fall_us")?,
+                drain_grace: self.may("rules.drain_grace_us")?.unwrap_or(0),
                 removal_not_binding: self.flag("rules.removal_not_binding")?,
             },
         })
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -204,3 +204,53 @@
         each("c# send bytes")
     ));
 }
+
+#[test]
+fn where_lists_are_pushed_the_agent_is_called_from_the_start_and_again_after_any_failure() {
+    // What it holds counts as told whether or not this process has called.
+    play(
+        "member p primary
+         member r replica 0
+         start pushed
+         list expect 1 watches
+         list does leaving r
+         list expect heard
+         a send read k1 monthly-report
+         a expect row -
+         p expect 1 read k1
+         r expect 0 read k1
+         list does silent
+         list does active r
+         counts list_failures 2
+         list does well
+         list does leaving r
+         list expect heard
+         list does reset
+         list does active r
+         counts list_failures 5
+         list does well
+         list does leaving r
+         list expect heard
+         a send read k2 monthly-report
+         a expect row -
+         p expect 1 read k2
+         r expect 0 read k2",
+    );
+}
+
+#[test]
+fn the_list_of_the_start_is_confirmed_at_once_where_nothing_has_changed() {
+    // A watch would wait for a change first, and nothing may be sent meanwhile once that list is too old.
+    play(
+        "member p primary
+         start watching
+         list expect 1 confirms
+         counts list_answers 1
+         list does leaving p
+         list expect heard
+         list does active p
+         list expect heard
+         a send write k1 01
+         a expect row 01",
+    );
+}
