Ask for the list within 2 s of a start, and send nothing by one unconfirmed for too long

Cause: the spread of first calls (LIST_SPAN_MOST, 3.7 s) is longer than what a restart leaves of the 6 s after which a change counts as told whether or not a process was there to hear of it.

Spread over S, calls of W in all end at max(S, W) and none fails while W <= S + 2 s. Change: S is 2 s for the first call. It is not enough by itself: from 6 s less 5 s (the longest restart that we assume) plus the drain grace after the start, 1.5 s at a grace of 0.5, nothing is sent until discovery has answered; requests wait as for room and are refused in time. A failed call ends that: a discovery that is down fails them as a crowded one does, after 2 s. Not covered, and said there: where all calls take over 4 s, the few that fail for it go on by a list that nobody confirmed; restarts of over 5 s.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -6,6 +6,7 @@
 //! among those under a fixed bound and recent enough; with none, the read is held.
 
 use crate::interface::*;
+use crate::list_calls::ListCalls;
 use crate::state::*;
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, BTreeSet};
@@ -126,16 +127,6 @@
 const RESTART_AFTER: Time = 2_000_000;
 /// Weight of the newest answer in mean service times.
 const LATENCY_WEIGHT: f64 = 0.05;
-/// Least pause behind a failed call for the list, in us, the span of few routers' next ones, and its timeout.
-const LIST_PAUSE: Time = 300_000;
-const LIST_SPAN: Time = 1_000_000;
-const LIST_TIMEOUT: Time = 6_000_000;
-/// Routers that may ask at once; each more adds so much to the span over which all spread their calls ...
-pub(crate) const LIST_FEW: u32 = 18;
-pub(crate) const LIST_EACH: Time = 60_000;
-/// ... which is no longer than this: a drain counts as told 6 s after discovery could be asked, heard of or
-/// not, and the pause before the call and up to 2 s in which it waits for its turn are part of those.
-const LIST_SPAN_MOST: Time = 3_700_000;
 /// A list that is not newer than the last answer about a role by this much, in us, does not change it.
 const LIST_ROLE_AGE: Time = 6_000_000;
 /// Remembered session writes are folded into one floor after this long, in us.
@@ -164,7 +155,7 @@
     signs: Signs,
     sessions: Sessions,
     wake: Option<Time>,
-    list_next: Option<Time>,
+    lists: ListCalls,
 }
 
 impl Router {
@@ -384,6 +375,13 @@
                 self.give_up(id, out);
                 continue;
             }
+            if self.lists.holds(self.now) {
+                // Nothing is sent by a list that may be overruled: it waits for discovery's word as for room.
+                if self.now >= self.last_call(open) {
+                    self.give_up(id, out);
+                }
+                continue;
+            }
             let (need, group) = (class.need, open.group);
             self.ask_doubted(group, out);
             match need {
@@ -655,8 +653,7 @@
     }
 
     fn watch(&mut self, out: &mut Vec<Action>) {
-        if self.list_next.is_some_and(|t| self.now >= t) {
-            self.list_next = Some(self.now + LIST_TIMEOUT);
+        if self.lists.calls(self.now) {
             out.push(Action::Follow);
         }
         let (now, limit) = (self.now, self.limit);
@@ -910,10 +907,10 @@
 
     fn list(&mut self, kind: ListKind, entries: &[Member]) {
         match kind {
-            ListKind::Failed => return self.ask_in_turn(self.now + LIST_PAUSE, LIST_SPAN),
-            ListKind::Disk if self.set.subscribe => self.ask_in_turn(self.now, 0),
+            ListKind::Failed => return self.lists.failed(self.now, &self.set),
+            ListKind::Disk if self.set.subscribe => self.lists.started(self.now, &self.set),
             ListKind::Disk | ListKind::Operator => {}
-            ListKind::Full | ListKind::Changes => self.list_next = None,
+            ListKind::Full | ListKind::Changes => self.lists.answered(),
         }
         if matches!(kind, ListKind::Disk | ListKind::Full) && !self.set.rules.removal_not_binding {
             let named: BTreeSet<MemberId> = entries.iter().map(|e| e.id).collect();
@@ -963,21 +960,11 @@
         }
     }
 
-    /// This router's next turn to ask for the list. All may have started, or lost the list, at once, and
-    /// calls that wait too long fail and still cost discovery their time: each has a moment of its own, the
-    /// same in every span, so that the calls stay apart however often they fail.
-    fn ask_in_turn(&mut self, from: Time, few: Time) {
-        let more = u64::from(self.set.instances.saturating_sub(LIST_FEW)) * LIST_EACH;
-        let span = (few + more).clamp(1, LIST_SPAN_MOST);
-        let own = (span as f64 * lot(!self.set.seed, LIST_EACH, 0)) as Time;
-        self.list_next = Some(from + (own + span - from % span) % span);
-    }
-
     // ---- Timers --------------------------------------------------------------------------------------
 
     /// One pending wake-up, for whatever only the clock can bring about.
     fn arm(&mut self, out: &mut Vec<Action>) {
-        let (limit, mut next) = (self.limit, self.list_next);
+        let (limit, mut next) = (self.limit, self.lists.due());
         let mut at = |t: Time| next = Some(next.map_or(t, |n| n.min(t)));
         if !self.held.is_empty() {
             at(self.now + HELD_TICK);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -16,6 +16,7 @@
 mod interface;
 pub mod knowledge;
 pub mod known;
+mod list_calls;
 pub mod listing;
 pub mod logs;
 pub mod meter;
--- /dev/null
+++ b/src/list_calls_tests.rs
@@ -0,0 +1,155 @@
+//! Calls for the list and what may be sent before one is answered, in virtual time.
+
+use super::*;
+use crate::interface::Rules;
+
+const MS: Time = 1_000;
+/// What the clocks of a day allow beyond each limit.
+const SLACK: Time = 50 * MS;
+
+/// How long a start is watched: calls of more routers than discovery can serve fail without end.
+const WATCHED: Time = 30_000 * MS;
+
+fn settings(instances: u32, seed: u64) -> Settings {
+    let rules = Rules { drain_grace: 500 * MS, ..Rules::default() };
+    Settings { instances, seed, rules, ..Settings::default() }
+}
+
+/// One router of a fleet that started at once.
+struct Caller {
+    set: Settings,
+    calls: ListCalls,
+    /// When discovery confirmed its list.
+    confirmed: Option<Time>,
+}
+
+/// How a start of all routers at once went.
+struct Start {
+    /// When each had its list.
+    confirmed: Vec<Time>,
+    /// Calls that waited for too long.
+    failed: usize,
+    /// The longest time from the start in which a router sent by a list that nobody had confirmed.
+    unconfirmed: Time,
+}
+
+/// All `routers` start at 0. Discovery works through their calls in turn, `each` a call, and fails those that wait for
+/// longer than it allows, which cost their time all the same.
+fn start(routers: u32, each: Time) -> Start {
+    let mut callers: Vec<Caller> = (0..routers)
+        .map(|n| {
+            let set = settings(routers, u64::from(n) * 7_919 + 5);
+            let mut calls = ListCalls::default();
+            calls.started(0, &set);
+            Caller { set, calls, confirmed: None }
+        })
+        .collect();
+    let (mut free, mut failed, mut unconfirmed) = (0, 0, 0);
+    let due = |caller: &Caller| caller.calls.due().expect("a call is due until one is answered");
+    while let Some(next) =
+        (0..callers.len()).filter(|n| callers[*n].confirmed.is_none()).min_by_key(|n| due(&callers[*n]))
+    {
+        let now = due(&callers[next]);
+        if now > WATCHED {
+            break;
+        }
+        let Caller { set, calls, confirmed } = &mut callers[next];
+        assert!(calls.calls(now));
+        free = free.max(now) + each;
+        let (answered, until) = (free <= now + TURN_MAX, free.min(now + TURN_MAX));
+        let sends = (0..=until).step_by(10 * MS as usize).filter(|at| !calls.holds(*at)).last();
+        unconfirmed = unconfirmed.max(sends.unwrap_or(0));
+        if answered {
+            calls.answered();
+            *confirmed = Some(until);
+        } else {
+            failed += 1;
+            calls.failed(until, set);
+        }
+    }
+    let confirmed = callers.iter().filter_map(|caller| caller.confirmed).collect();
+    Start { confirmed, failed, unconfirmed }
+}
+
+#[test]
+fn nothing_is_sent_by_an_unconfirmed_list_once_a_change_from_before_the_start_counts_as_told() {
+    for routers in [1, 24, 192, 300, 350, 1_024] {
+        for each in [1, 2, 3, 5, 12, 20, 60].map(|ms| ms * MS) {
+            let Start { unconfirmed, failed, .. } = start(routers, each);
+            let work = Time::from(routers) * each;
+            // Calls that take longer than this in all cannot all succeed, and those that fail are not waited for.
+            assert!(work > FIRST_SPAN_MAX + TURN_MAX - 100 * MS || failed == 0, "{routers} {each}: {failed}");
+            if failed > 0 {
+                continue;
+            }
+            // Made when the list was last held, the change counts as told so long after the start.
+            let told = TOLD_AFTER - RESTART_MAX;
+            let allowed = told + 500 * MS + SLACK;
+            assert!(unconfirmed <= allowed, "{routers} routers, {each} us a call: {unconfirmed}");
+        }
+    }
+}
+
+#[test]
+fn first_calls_that_take_four_seconds_in_all_are_answered_without_a_failure() {
+    // A call costs discovery 12 ms where it tells of 70 members; 350 such calls take 4.2 s, and one in eight waits too long.
+    for (routers, each, failures) in
+        [(24, 12, 0), (192, 12, 0), (192, 20, 0), (300, 12, 0), (350, 12, 350 / 7)]
+    {
+        let Start { confirmed, failed, .. } = start(routers, each * MS);
+        let work = Time::from(routers) * each * MS;
+        let last = confirmed.iter().copied().max().unwrap_or(0);
+        assert!(failed <= failures, "{routers} routers, {each} ms: {failed} failed");
+        if failed == 0 {
+            // Nobody waits for longer than the span, or than the calls of all take.
+            assert!(last <= work.max(FIRST_SPAN_MAX) + 500 * MS, "{routers} routers, {each} ms: {last}");
+        }
+        assert!(last <= 10_000 * MS, "{routers} routers, {each} ms: {last}");
+    }
+}
+
+#[test]
+fn few_routers_call_at_once_and_hold_nothing_back() {
+    for routers in [1, 4, LIST_FEW] {
+        let Start { confirmed, unconfirmed, failed } = start(routers, 5 * MS);
+        assert!(confirmed.iter().all(|at| *at < 100 * MS), "{confirmed:?}");
+        assert!(unconfirmed < 100 * MS);
+        assert_eq!(failed, 0);
+    }
+}
+
+#[test]
+fn a_discovery_that_is_down_or_out_of_reach_keeps_nobody_from_serving() {
+    let set = settings(300, 9);
+    let mut calls = ListCalls::default();
+    calls.started(0, &set);
+    let made = calls.due().expect("the first call");
+    assert!(!calls.holds(1_400 * MS) && calls.holds(1_500 * MS));
+    assert!(calls.calls(made));
+    // Failed, at once or after a wait: nobody can tell whether it is down, and has told nobody anything.
+    let mut failed = calls;
+    failed.failed(made + TURN_MAX, &set);
+    assert!(!failed.holds(60_000 * MS));
+    let again = failed.due().expect("the next call");
+    assert!(again <= made + TURN_MAX + FAILED_PAUSE + FAILED_SPAN_MAX, "{again}");
+    let mut answered = calls;
+    answered.answered();
+    assert!(!answered.holds(60_000 * MS) && answered.due().is_none());
+    // No word at all: it is cut off.
+    assert!(calls.holds(made + CALL_TIMEOUT - MS));
+    assert!(calls.calls(made + CALL_TIMEOUT));
+    assert!(!calls.holds(made + CALL_TIMEOUT));
+}
+
+#[test]
+fn a_failed_call_is_made_again_before_what_it_missed_counts_as_told() {
+    for routers in [1, 24, 300, 350, 1_024] {
+        for seed in 0..200 {
+            let set = settings(routers, seed);
+            let mut calls = ListCalls::default();
+            calls.failed(seed * 37 * MS, &set);
+            let pause = calls.due().expect("the next call") - seed * 37 * MS;
+            assert!(pause >= FAILED_PAUSE && pause + TURN_MAX <= TOLD_AFTER, "{routers} {seed}: {pause}");
+        }
+    }
+}
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -7,8 +7,8 @@
 //! no list yet. What a proxy sees is how long its own call took: in a jam that is more than a call costs, and the watch
 //! then waits longer than it need; where discovery answers in a few ms it waits for nothing that could be noticed.
 
-use crate::decide::{LIST_EACH, LIST_FEW};
 use crate::interface::{Settings, Time};
+use crate::list_calls::{LIST_EACH, LIST_FEW};
 use crate::state::lot;
 
 /// Longest span of the calls after a move, in us: a proxy must know by itself within 6 s what discovery had to tell, and a
