Lift the bounds on proxies and members to 2,048 and more; bound a list by what it holds

Of 1,200 instances in one service 830 were found, as a DNS message holds 64 KiB and the stand-in does not shorten names within it: that bound is the protocol's, and stays. Looked through and left, being 1,024 or more: members out by hand (1,024), knowledge kept (16,384), files of a handover (4 MiB).

A text of that length could stand for millions of values, each tens of bytes in memory, so that LIST_VALUES_MAX refuses it before it is read.

No test is over LIST_VALUES_MAX itself.

--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -40,6 +40,8 @@
     Many,
     /// Answers watches at once, with nothing.
     Hasty,
+    /// Answers with lists that are indented.
+    Indented,
 }
 
 impl std::str::FromStr for Ill {
@@ -55,6 +57,7 @@
             "older" => Ill::Older,
             "many" => Ill::Many,
             "hasty" => Ill::Hasty,
+            "indented" => Ill::Indented,
             _ => return Err(format!("discovery cannot do '{text}'")),
         })
     }
@@ -331,6 +334,10 @@
         let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         let text = match ill() {
             Ill::Well | Ill::Hasty => answer(&body),
+            Ill::Indented => {
+                let list = json!({"generation": version, "reset": reset, "instances": shown});
+                answer(&format!("{list:#}"))
+            }
             Ill::Overbooked => BUSY.to_string(),
             Ill::Reset => {
                 unanswered();
@@ -352,7 +359,7 @@
                 answer(&json!({"generation": version + 9, "reset": true, "instances": many}).to_string())
             }
         };
-        let sound = matches!(ill(), Ill::Well | Ill::Hasty);
+        let sound = matches!(ill(), Ill::Well | Ill::Hasty | Ill::Indented);
         if let Some(door) = door.filter(|_| sound) {
             door.writes(&entries);
         }
--- a/src/agreement/mod.rs
+++ b/src/agreement/mod.rs
@@ -28,8 +28,8 @@
 pub type Number = u16;
 
 /// Most proxies of a fleet, and most voters among them.
-pub const FLEET_MOST: usize = 512;
-/// See [`FLEET_MOST`].
+pub const FLEET_MAX: usize = 4_096;
+/// See [`FLEET_MAX`].
 pub const VOTERS_MOST: usize = 9;
 
 /// What is agreed on, each by itself.
--- a/src/dnssd/browse.rs
+++ b/src/dnssd/browse.rs
@@ -27,8 +27,8 @@
 const ROUND_MOST: Time = 10_000_000;
 /// Records are asked for again this long before they expire, in us.
 const AHEAD: Time = 1_500_000;
-/// Instances followed, so that no answer can make the proxy ask without end.
-const INSTANCES_MOST: usize = 256;
+/// Most instances followed, so that no answer can make the proxy ask without end; one message names no more of them.
+const INSTANCES_MAX: usize = 4_096;
 
 /// The actor's state.
 pub struct Browser {
@@ -122,7 +122,7 @@
     /// Asks for everything once.
     async fn round(&mut self) -> Option<()> {
         self.ask(self.service.clone(), RecordType::PTR).await?;
-        for instance in self.cache.instances(&self.service).into_iter().take(INSTANCES_MOST) {
+        for instance in self.cache.instances(&self.service).into_iter().take(INSTANCES_MAX) {
             self.ask(instance.clone(), RecordType::SRV).await?;
             self.ask(instance.clone(), RecordType::TXT).await?;
             for host in self.cache.targets(&instance) {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -39,10 +39,12 @@
 const AGENT_PAUSE: Duration = Duration::from_millis(50);
 /// Least time between two answers to a watch that tell nothing, or the whole list. It must be renewed within 200 ms.
 const EMPTY_PAUSE: Duration = Duration::from_millis(150);
-/// Longest list taken in: thousands of members. Read, it takes several times as much.
-const LONGEST: usize = 1024 * 1024;
 /// Most entries taken from one list.
-const MOST: usize = 4_096;
+const LIST_ENTRIES_MAX: usize = 4_096;
+/// Longest list taken in, in bytes: that many entries of up to 1 KiB, indented or not. It is read into memory as it comes.
+const LIST_BYTES_MAX: usize = LIST_ENTRIES_MAX * 1024;
+/// Most values in a list. An entry has some twenty; read, each takes tens of bytes, however few stand for it in the text.
+const LIST_VALUES_MAX: usize = LIST_ENTRIES_MAX * 32;
 /// So many whole lists older than the one held, one after another, and discovery itself has begun anew.
 const OLDER_BELIEVED: u32 = 3;
 
@@ -124,7 +126,7 @@
         let items = json.get("instances")?.as_array()?;
         let older = held.is_some_and(|held| version < held);
         self.older = if older && whole { self.older + 1 } else { 0 };
-        if older && self.older < OLDER_BELIEVED || items.len() > MOST {
+        if older && self.older < OLDER_BELIEVED || items.len() > LIST_ENTRIES_MAX {
             return None;
         }
         self.older = 0;
@@ -174,6 +176,11 @@
     }
 }
 
+/// No fewer values than this JSON text holds: each but the first follows one of these.
+fn values(body: &[u8]) -> usize {
+    body.iter().filter(|byte| matches!(byte, b',' | b':' | b'[' | b'{')).count()
+}
+
 /// A list as discovery words it, for a later start.
 pub fn write(entries: &[Listed], version: u64, zones: &[String]) -> Json {
     let entry = |Listed { name, address, member }: &Listed| {
@@ -378,7 +385,9 @@
     }
 
     fn take(&mut self, body: &[u8]) -> Option<(ListKind, Vec<Listed>)> {
-        let read = serde_json::from_slice(body).ok().and_then(|json| self.lists.read(&json, self.after));
+        let json = Some(body).filter(|body| values(body) <= LIST_VALUES_MAX);
+        let json = json.and_then(|body| serde_json::from_slice(body).ok());
+        let read = json.and_then(|json| self.lists.read(&json, self.after));
         if read.is_none() {
             count(Count::list_dropped);
             log::warn!(target: LOG, "a list of {} bytes is cut off, unreadable, too long or old; dropped", body.len());
@@ -399,7 +408,7 @@
                 let connect = TcpStream::connect(address.as_str());
                 let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
                 let _ = stream.set_nodelay(true);
-                Framed::new(stream, HttpClient::new(LONGEST))
+                Framed::new(stream, HttpClient::new(LIST_BYTES_MAX))
             }
         };
         let mut headers = Headers::default();
--- a/src/operators/agreement.rs
+++ b/src/operators/agreement.rs
@@ -3,7 +3,7 @@
 
 use super::hcl::Reader;
 use crate::agreement::seal::{Keys, KEY_LEAST};
-use crate::agreement::{Number, Times, FLEET_MOST, VOTERS_MOST};
+use crate::agreement::{Number, Times, FLEET_MAX, VOTERS_MOST};
 use hcl_edit::expr::Expression;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -81,7 +81,7 @@
         let address = |text: &str| text.parse().ok().filter(|a: &SocketAddr| a.ip().is_loopback());
         let all: Vec<(Number, SocketAddr)> = numbered(e, address)?;
         let (count, map) = (all.len(), all.into_iter().collect::<BTreeMap<_, _>>());
-        (map.len() == count && count <= FLEET_MOST).then_some(map)
+        (map.len() == count && count <= FLEET_MAX).then_some(map)
     });
     let what = "a list of proxies' numbers";
     let voters: Vec<Number> = block.read("voters", Vec::new(), what, |e| {
@@ -157,6 +157,23 @@
         assert!(block.times.bound() <= 2_000_000, "{}", block.times.bound());
     }
 
+    #[test]
+    fn a_fleet_of_1200_proxies_is_read_and_one_past_the_bound_is_not() {
+        let fleet =
+            |proxies: usize| {
+                let one = |n: usize| format!("\"{n} 127.{}.{}.1:7001\"", 1 + n / 250, n % 250);
+                let all: Vec<String> = (1..=proxies).map(one).collect();
+                read(&SOUND.replace(
+                    "\"1 127.0.0.1:7001\", \"2 127.0.0.1:7002\", \"3 127.0.0.1:7003\"",
+                    &all.join(", "),
+                ))
+            };
+        for proxies in [1_200, FLEET_MAX] {
+            assert_eq!(fleet(proxies).expect("sound").agreement.proxies.len(), proxies);
+        }
+        assert!(fleet(FLEET_MAX + 1).is_err());
+    }
+
     #[test]
     fn each_fault_is_told_with_its_place() {
         for (from, to, word) in [
