--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -20,6 +20,7 @@
 use futures_util::{SinkExt, StreamExt};
 use serde_json::{json, Value as Json};
 use std::collections::{HashMap, HashSet};
+use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
@@ -37,6 +38,8 @@
 const MOVING_PAUSE: Duration = Duration::from_millis(150);
 /// Between two calls to an agent that refuses them: what it gets meanwhile counts as told.
 const AGENT_PAUSE: Duration = Duration::from_millis(50);
+/// What has come already when a call's time is over is still read.
+const LAST_LOOK: Duration = Duration::from_millis(10);
 /// Least time between two answers to a watch that tell nothing, or the whole list. It must be renewed within 200 ms.
 const EMPTY_PAUSE: Duration = Duration::from_millis(150);
 /// Most entries taken from one list.
@@ -388,7 +391,14 @@
             }
         };
         let most = Duration::from_micros(delivery.timeout(call));
-        let got = tokio::time::timeout(most, self.get(target)).await.ok()?;
+        let got = {
+            let mut answer = pin!(self.get(target));
+            match tokio::time::timeout(most, answer.as_mut()).await {
+                Ok(got) => got,
+                // A process that stood still finds its timer over before it has looked at its sockets.
+                Err(_) => tokio::time::timeout(LAST_LOOK, answer).await.ok()?,
+            }
+        };
         Some(got.and_then(|body| self.take(&body)))
     }
 
