--- a/src/list_calls.rs
+++ b/src/list_calls.rs
@@ -38,8 +38,9 @@
 const TURN_MAX: Time = 2_000_000;
 /// Whatever discovery has to tell counts as told this long after it had it, in us.
 const TOLD_AFTER: Time = 6_000_000;
-/// How old the list may be that a process starts with, in us: from its predecessor's last word to its own start.
-const RESTART_MAX: Time = 5_000_000;
+/// How old the oldest change may be that the list of a start lacks, in us. Discovery hears of what takes a process down with
+/// its members half a second later at the soonest, and a process is back within 5 s.
+const RESTART_MAX: Time = 4_500_000;
 
 /// The calls of one router.
 #[derive(Debug, Clone, Copy, Default)]
