--- a/src/list_calls.rs
+++ b/src/list_calls.rs
@@ -6,8 +6,8 @@
 //! restart has left of that time. Three figures bound its first call:
 //!
 //! - Discovery works through calls in turn, one of each router takes `routers x (call + entries told)`, and a call that has
-//!   waited for 2 s fails and costs its time all the same. Calls spread over a span succeed as long as one of each
-//!   router takes no longer than that span and those 2 s together; a span shorter than that time delays none of them.
+//!   waited for [`TURN_MAX`] fails and costs its time all the same. Calls spread over a span succeed as long as one of each
+//!   router takes no longer than that span and [`TURN_MAX`] together; a span shorter than that time delays none of them.
 //! - A span of [`FIRST_SPAN_MAX`] therefore serves all routers whose calls take up to 4 s in all, and the last of them has
 //!   its list by then.
 //! - Where even those do not fit into what the restart has left, the rule goes first: from [`ListCalls::holds`] on nothing is
@@ -28,14 +28,13 @@
 /// Least pause behind a failed call, in us, and the span over which few routers spread their next ones.
 const FAILED_PAUSE: Time = 300_000;
 const FAILED_SPAN: Time = 1_000_000;
-/// Longest span of the calls after a failure: with the pause before it and up to 2 s in which a call waits for
+/// Longest span of the calls after a failure: with the pause before it and up to [`TURN_MAX`] in which a call waits for
 /// its turn it is over before [`TOLD_AFTER`].
 const FAILED_SPAN_MAX: Time = 3_700_000;
 /// A call that has brought no word after this long is made again, in us; whoever answers no call cannot be reached.
 const CALL_TIMEOUT: Time = 6_000_000;
-/// Longest wait for a call's turn, in us: discovery fails those that have waited for longer.
-#[cfg(test)]
-const TURN_MAX: Time = 2_000_000;
+/// Longest wait for a call's turn, in us: what has waited for longer discovery itself fails.
+pub(crate) const TURN_MAX: Time = 2_000_000;
 /// Whatever discovery has to tell counts as told this long after it had it, in us.
 const TOLD_AFTER: Time = 6_000_000;
 /// How old the oldest change may be that the list of a start lacks, in us. Discovery hears of what takes a process down with
--- a/src/listing.rs
+++ b/src/listing.rs
@@ -8,7 +8,7 @@
 //! then waits longer than it need; where discovery answers in a few ms it waits for nothing that could be noticed.
 
 use crate::interface::{Settings, Time};
-use crate::list_calls::{LIST_EACH, LIST_FEW};
+use crate::list_calls::{LIST_EACH, LIST_FEW, TURN_MAX};
 use crate::state::lot;
 
 /// Longest span of the calls after a move, in us: a proxy must know by itself within 6 s what discovery had to tell, and a
@@ -20,8 +20,6 @@
 
 /// How long a watch may wait at discovery where it is asked, in us.
 const WATCH_WAIT: Time = 1_500_000;
-/// Longest wait for a call's turn, in us: what has waited for longer discovery itself fails.
-const TURN_MAX: Time = 2_000_000;
 /// An answer's time beyond that on its way, in us. What a call that is given up has missed counts as told 6 s after
 /// discovery had it: by then the call, given up and made again at once, must have been answered in its turn.
 const LEAD: Time = 100_000;
