--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod proxy;
 pub mod registry;
 pub mod rig;
+pub mod shim;
 pub mod wire;
 
 use std::sync::OnceLock;
--- /dev/null
+++ b/tests/system_faults.rs
@@ -0,0 +1,217 @@
+//! The real program while its system calls fail as Linux documents (`crates/standins/shim/faults.c`): short reads and
+//! writes, calls that fail for a moment, a wall clock that is stepped, a process that is held up.
+#![allow(missing_docs)]
+
+use linentrail_standins::client::{request_id, Ask, Pg, Told};
+use linentrail_standins::group::Group;
+use linentrail_standins::member::{Behaviour, Capacity, Member};
+use linentrail_standins::proxy::{self, Proxy, Setup};
+use linentrail_standins::registry::{entry, Registry};
+use linentrail_standins::shim::{Call, Shim};
+use linentrail_standins::{runtime, wire};
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+/// Longer than anything here takes on a slow machine: only a failure waits so long.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// A folder for one test; it goes with it.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Self {
+        static MADE: AtomicUsize = AtomicUsize::new(0);
+        let made = MADE.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("linentrail-faults-{}-{made}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A primary, two replicas, and a proxy before them.
+struct World {
+    members: Vec<Member>,
+    setup: Setup,
+    shim: Shim,
+    folder: Folder,
+}
+
+impl World {
+    fn new(calls: &[(Call, u32)]) -> Self {
+        let group = Group::default();
+        let capacity = Capacity::default();
+        let members: Vec<Member> =
+            [0, 5, 5].iter().map(|lag| Member::start(&group, *lag == 0, *lag, capacity)).collect();
+        let list: Vec<_> = members.iter().enumerate().map(|(n, m)| entry(n, m.address())).collect();
+        let discovery = Registry::default().start(list.clone().into()).to_string();
+        let folder = Folder::new();
+        let shim = Shim::new(&folder.0, &folder.0, 7, calls).unwrap();
+        let setup = Setup {
+            program: env!("CARGO_BIN_EXE_linentrail").into(),
+            config: proxy::config(&discovery, &list, proxy::settings(), 1024, 192),
+            environment: shim.environment(),
+            ..Setup::default()
+        };
+        World { members, setup, shim, folder }
+    }
+
+    fn start(&self) -> Proxy {
+        Proxy::start(&self.setup).unwrap()
+    }
+
+    fn faults(&self) -> usize {
+        let text = std::fs::read_to_string(self.folder.0.join("fault-log")).unwrap_or_default();
+        text.lines().count()
+    }
+}
+
+fn read(key: &str) -> Ask {
+    Ask { class: "monthly-report", key: key.into(), value: None, wait_ms: 15_000, after: None }
+}
+
+fn write(key: &str) -> Ask {
+    Ask { class: "place-order", key: key.into(), value: Some(vec![1; 40]), wait_ms: 15_000, after: None }
+}
+
+async fn answer(client: &mut Pg, what: &str) {
+    let told = tokio::time::timeout(PATIENCE, client.answer()).await;
+    let told = told.unwrap_or_else(|_| panic!("{what}: no answer"));
+    assert!(matches!(told, Ok(Told::Served(_))), "{what}: {told:?}");
+}
+
+/// Clients that ask in turn, and such that send several queries at once; all must be served.
+fn all_are_served(world: &World, proxy: &Proxy) {
+    let to = proxy.pg;
+    runtime().block_on(async {
+        let mut tasks = tokio::task::JoinSet::new();
+        for n in 0..6 {
+            tasks.spawn(async move {
+                let mut client = Pg::connect(to).await.unwrap();
+                for round in 0..25 {
+                    let key = format!("k{n}-{round}");
+                    let asks = [write(&key), read(&key), read("none"), read(&key)];
+                    if n % 2 == 0 {
+                        for (at, ask) in asks.iter().enumerate() {
+                            client.send(&wire::query(&ask.sql(&request_id()))).await.unwrap();
+                            answer(&mut client, &format!("client {n}, round {round}, request {at}")).await;
+                        }
+                    } else {
+                        let queries: Vec<u8> =
+                            asks.iter().flat_map(|ask| wire::query(&ask.sql(&request_id()))).collect();
+                        client.send(&queries).await.unwrap();
+                        for at in 0..asks.len() {
+                            answer(&mut client, &format!("client {n}, round {round}, query {at} of 4")).await;
+                        }
+                    }
+                }
+            });
+        }
+        while let Some(done) = tasks.join_next().await {
+            done.unwrap();
+        }
+    });
+    assert!(world.faults() > 50, "only {} faults came", world.faults());
+}
+
+#[test]
+fn short_reads_lose_no_request_and_no_answer() {
+    for calls in [&[(Call::RecvShort, 5)][..], &[(Call::RecvCut, 1)]] {
+        let world = World::new(calls);
+        let proxy = world.start();
+        world.shim.calls_fail(true).unwrap();
+        all_are_served(&world, &proxy);
+    }
+}
+
+#[test]
+fn short_writes_and_interrupted_waits_lose_nothing() {
+    let world = World::new(&[(Call::SendShort, 3), (Call::WaitInterrupted, 5)]);
+    let proxy = world.start();
+    world.shim.calls_fail(true).unwrap();
+    all_are_served(&world, &proxy);
+}
+
+#[test]
+fn connections_accepted_by_the_machine_are_taken_at_the_end_though_accept_fails_for_a_moment() {
+    const CLIENTS: usize = 16;
+    let mut world = World::new(&[(Call::AcceptFails, 2)]);
+    world.setup.still_coming = Some(Duration::from_millis(1));
+    let proxy = world.start();
+    proxy.signal("STOP").unwrap();
+    runtime().block_on(async {
+        let mut streams = Vec::new();
+        for n in 0..CLIENTS {
+            let mut stream = tokio::net::TcpStream::connect(proxy.pg).await.unwrap();
+            let query = wire::query(&read(&format!("k{n}")).sql(&request_id()));
+            let both = [wire::startup(), query].concat();
+            tokio::io::AsyncWriteExt::write_all(&mut stream, &both).await.unwrap();
+            streams.push(stream);
+        }
+        proxy.signal("TERM").unwrap();
+        world.shim.calls_fail(true).unwrap();
+        proxy.signal("CONT").unwrap();
+        for (n, mut stream) in streams.into_iter().enumerate() {
+            let mut all = Vec::new();
+            let read = tokio::io::AsyncReadExt::read_to_end(&mut stream, &mut all);
+            let read = tokio::time::timeout(PATIENCE, read).await.expect("an end");
+            assert!(read.is_ok() && all.ends_with(b"Z\0\0\0\x05I"), "client {n} of {CLIENTS}: {read:?}");
+            // A row stands between the welcome and the end.
+            assert!(all.windows(7).any(|w| w == b"SELECT "), "client {n} of {CLIENTS} has no answer");
+        }
+    });
+    assert!(world.faults() > 0, "no call has failed");
+}
+
+/// A client asks, and its request waits for a connection that the member does not welcome. The process is held up; the
+/// client leaves, and then the member welcomes. Whichever of the two the process hears of first when it goes on, the
+/// client has gone.
+#[test]
+fn nothing_begins_for_a_client_that_left_while_the_process_was_held_up() {
+    for round in 0..8 {
+        let world = World::new(&[]);
+        let proxy = world.start();
+        world.members.iter().for_each(|m| m.does(Behaviour::Shut));
+        let primary = &world.members[0];
+        let key = format!("k{round}");
+        let client = runtime().block_on(async {
+            let mut client = Pg::connect(proxy.pg).await.unwrap();
+            client.send(&wire::query(&write(&key).sql(&request_id()))).await.unwrap();
+            client
+        });
+        wait_for("a connection to the primary", || primary.totals().2 > 0);
+        std::thread::sleep(Duration::from_millis(20));
+        proxy.signal("STOP").unwrap();
+        // The welcome is on its way first on half of the rounds.
+        if round % 2 == 0 {
+            primary.does(Behaviour::Answer);
+            std::thread::sleep(Duration::from_millis(30));
+        }
+        drop(client);
+        std::thread::sleep(Duration::from_millis(30));
+        primary.does(Behaviour::Answer);
+        std::thread::sleep(Duration::from_millis(150));
+        proxy.signal("CONT").unwrap();
+        wait_for("the client's leave", || proxy.counters().unwrap()["left"] > 0);
+        std::thread::sleep(Duration::from_millis(50));
+        assert_eq!(
+            primary.given(&format!("write {key}")),
+            0,
+            "round {round}: sent for a client that has gone"
+        );
+    }
+}
+
+fn wait_for(what: &str, mut true_now: impl FnMut() -> bool) {
+    let began = Instant::now();
+    while !true_now() {
+        assert!(began.elapsed() < PATIENCE, "{what} does not come");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
