Wait for the listeners before the process ends: their backlog is owed its answers

Cause: at the end main looked whether all clients' permits were back at once, before the listeners' tasks had run or while they paused after a failed accept; with no client connected the process ended and the kernel reset all that it had accepted. Seen: 16 clients that connect and ask just before SIGTERM, accept failing once in two calls: 'Connection reset by peer' at client 3. Change: main waits for the listeners' tasks, then for the clients, both up to the last deadline.

--- a/src/main.rs
+++ b/src/main.rs
@@ -36,6 +36,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
 
 /// Counts what the program allocates; never in service.
 #[cfg(feature = "meter")]
@@ -203,7 +204,8 @@
         pace: pace.clone(),
     });
     let serve = move |stream, closing| front.clone().serve(stream, closing);
-    tokio::spawn(listen::listen(listener, Count::pg_connections, clients.clone(), closing.clone(), serve));
+    let mut listeners = JoinSet::new();
+    listeners.spawn(listen::listen(listener, Count::pg_connections, clients.clone(), closing.clone(), serve));
     if file.odata.enabled {
         let Odata { listen: address, repeat_span, repeat_ids, repeat_bytes, .. } = file.odata;
         let listener = TcpListener::bind(address).await.map_err(|e| format!("{address}: {e}"))?;
@@ -215,7 +217,7 @@
             odata::front::Front::new(core, bookings, read_under.clone(), clock, (budget.clone(), pace));
         let front = Arc::new(front);
         let serve = move |stream, closing| front.clone().serve(stream, closing);
-        tokio::spawn(listen::listen(listener, Count::odata_connections, clients.clone(), closing, serve));
+        listeners.spawn(listen::listen(listener, Count::odata_connections, clients.clone(), closing, serve));
     }
 
     let _ = phase.send(Phase::Serving);
@@ -240,9 +242,14 @@
     // What was taken is owed its answer: the settings say how long the last of it may take, and days differ in that.
     let longest = read_under.borrow().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
     let ends: Time = clock.now() + longest + LAST_ANSWERS.as_micros() as Time;
-    while !clients.all_back() && clock.now() < ends {
-        tokio::time::sleep(Duration::from_millis(10)).await;
-    }
+    let answered = async {
+        // Whoever the machine has accepted is taken before it counts that no connection is open.
+        while listeners.join_next().await.is_some() {}
+        while !clients.all_back() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let _ = tokio::time::timeout_at(clock.instant(ends), answered).await;
     if let Some(last) = last {
         // What was learned up to now; a disk that does not answer holds no end up.
         let _ = tokio::time::timeout(LAST_WRITING, last.write()).await;
