--- a/tests/system_faults.rs
+++ b/tests/system_faults.rs
@@ -9,7 +9,11 @@
 use linentrail_standins::registry::{entry, Registry};
 use linentrail_standins::shim::{Call, Shim};
 use linentrail_standins::{runtime, wire};
+use std::fs::File;
+use std::io::{BufRead, BufReader};
+use std::net::TcpStream;
 use std::path::PathBuf;
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
@@ -138,6 +142,22 @@
     all_are_served(&world, &proxy);
 }
 
+#[test]
+fn a_start_outlasts_sockets_that_are_not_to_be_had_for_a_moment() {
+    let world = World::new(&[(Call::SocketFails, 2)]);
+    world.shim.calls_fail(true).unwrap();
+    let mut faults = 0;
+    for seed in 0..6 {
+        let shim = Shim::new(&world.folder.0, &world.folder.0, seed, &[(Call::SocketFails, 2)]).unwrap();
+        shim.calls_fail(true).unwrap();
+        let setup = Setup { environment: shim.environment(), ..world.setup.clone() };
+        let started = Proxy::start(&setup);
+        assert!(started.is_ok(), "seed {seed}: {:?}", started.err());
+        faults = world.faults();
+    }
+    assert!(faults > 0, "no call has failed");
+}
+
 #[test]
 fn connections_accepted_by_the_machine_are_taken_at_the_end_though_accept_fails_for_a_moment() {
     const CLIENTS: usize = 16;
@@ -169,6 +189,36 @@
     assert!(world.faults() > 0, "no call has failed");
 }
 
+#[test]
+fn an_output_that_takes_no_more_ends_no_proxy() {
+    let world = World::new(&[]);
+    let config = world.folder.0.join("config.json");
+    std::fs::write(&config, world.setup.config.to_string()).unwrap();
+    let mut child = Command::new(&world.setup.program)
+        .env("BALANCER_CONFIG", &config)
+        .env("BALANCER_NAME", "t")
+        .stdout(File::options().write(true).open("/dev/full").unwrap())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stderr.take().unwrap()).lines().map_while(Result::ok);
+    let line = lines.find(|line| line.contains("serving clients at")).expect("it serves");
+    let address: std::net::SocketAddr = line.rsplit(' ').next().unwrap().parse().unwrap();
+    let drain = std::thread::spawn(move || lines.for_each(drop));
+    proxy::signal_all(&[child.id()], "USR1").unwrap();
+    runtime().block_on(async {
+        let mut client = Pg::connect(address).await.expect("it takes clients");
+        for n in 0..20 {
+            client.send(&wire::query(&read("k").sql(&request_id()))).await.unwrap();
+            answer(&mut client, &format!("request {n}")).await;
+        }
+    });
+    proxy::signal_all(&[child.id()], "TERM").unwrap();
+    let status = child.wait().unwrap();
+    drain.join().unwrap();
+    assert!(status.success(), "{status}");
+}
+
 /// A client asks, and its request waits for a connection that the member does not welcome. The process is held up; the
 /// client leaves, and then the member welcomes. Whichever of the two the process hears of first when it goes on, the
 /// client has gone.
@@ -215,3 +265,49 @@
         std::thread::sleep(Duration::from_millis(5));
     }
 }
+
+/// A message of which a part has been read is the proxy's: its connection is not the one to close for others.
+#[test]
+fn a_client_in_the_middle_of_a_message_keeps_its_connection_when_others_lack_one() {
+    let mut world = World::new(&[]);
+    // 40 descriptors: 8 beyond the reserve, 4 of them for clients.
+    world.setup.config["limits"]["sockets"] = 40.into();
+    let proxy = world.start();
+    runtime().block_on(async {
+        let mut client = Pg::connect(proxy.pg).await.unwrap();
+        client.ask(&write("k")).await.unwrap();
+        let query = wire::query(&read("k").sql(&request_id()));
+        let (first, rest) = query.split_at(query.len() / 2);
+        client.send(first).await.unwrap();
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let others: Vec<TcpStream> = (0..12).filter_map(|_| TcpStream::connect(proxy.pg).ok()).collect();
+        tokio::time::sleep(Duration::from_millis(800)).await;
+        client.send(rest).await.expect("the connection stands");
+        answer(&mut client, "the request sent in two pieces").await;
+        drop(others);
+    });
+}
+
+/// The wall clock of a machine is an hour off when its proxy starts: what members tell in times of theirs still means
+/// what it does. Reads that may be 3 s old go to replicas that are 5 ms behind, and not all of them to the primary.
+#[test]
+fn a_process_that_starts_on_a_machine_whose_clock_is_off_uses_the_replicas() {
+    const HOUR: i64 = 3_600_000_000;
+    for step in [0, HOUR, -HOUR] {
+        let world = World::new(&[]);
+        world.shim.clock_step(step).unwrap();
+        let proxy = world.start();
+        runtime().block_on(async {
+            let mut client = Pg::connect(proxy.pg).await.unwrap();
+            for n in 0..60 {
+                client.ask(&write(&format!("w{n}"))).await.unwrap();
+                let ask = Ask { class: "yard-board", ..read(&format!("k{n}")) };
+                client.send(&wire::query(&ask.sql(&request_id()))).await.unwrap();
+                answer(&mut client, &format!("step {step}: read {n}")).await;
+            }
+        });
+        let reads = |m: &Member| m.seen().iter().filter(|s| s.starts_with("read ")).count();
+        let of_replicas: usize = world.members[1..].iter().map(reads).sum();
+        assert!(of_replicas >= 40, "clock {step} us off: replicas got {of_replicas} reads of 60");
+    }
+}
