Outlast sockets that are not to be had for a moment, and an output that cannot be written

Causes: TcpListener::bind was tried once, so that ENFILE, ENOBUFS or ENOMEM at a start ended the process; a connection to a member that failed with EADDRNOTAVAIL, ENETUNREACH or for want of a socket counted as the member's refusal and put it in doubt; println! panics on any error of standard output (src/main.rs, the counters on SIGUSR1 and at the end). Change: net::momentary tries to listen for 5 s and to connect four times within 22 ms; local_failures counts them. cli::say and cli::complain write without a panic, and clippy denies print macros in src/main.rs. Ruled out: env_logger, which drops what it cannot write.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -1,6 +1,8 @@
 //! The command line.
 
 use clap::{Parser, Subcommand, ValueEnum};
+use std::fmt;
+use std::io::Write;
 use std::path::PathBuf;
 
 /// The proxy between old clients and the servers of today.
@@ -101,6 +103,16 @@
     Json,
 }
 
+/// A line on standard output. One that nobody takes, as on a full disk or behind a closed pipe, is lost and ends nothing.
+pub fn say(line: fmt::Arguments) {
+    let _ = writeln!(std::io::stdout(), "{line}");
+}
+
+/// The same on standard error.
+pub fn complain(line: fmt::Arguments) {
+    let _ = writeln!(std::io::stderr(), "{line}");
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/fleet.rs
+++ b/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The commands that ask a fleet that agrees, through the console of any of its proxies.
 
 use crate::ask::{call, configured};
-use crate::cli::Fleet;
+use crate::cli::{self, Fleet};
 use serde_json::Value;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
@@ -111,7 +111,7 @@
         }
         let state = format!("{} {}", of["state"], of["waits_for"]);
         if state != last {
-            eprintln!("{told}");
+            cli::complain(format_args!("{told}"));
             last = state;
         }
         std::thread::sleep(LOOK);
@@ -124,7 +124,7 @@
     if told.contains("is so already") {
         return Ok(vec![told]);
     }
-    eprintln!("{told}");
+    cli::complain(format_args!("{told}"));
     wait(console, kind, before)
 }
 
@@ -171,7 +171,7 @@
         console.map_or_else(configured, |c| Ok(c.to_string())).map(|console| done(asks, &console, json));
     match told {
         Ok(Ok((lines, well))) => {
-            lines.iter().for_each(|line| println!("{line}"));
+            lines.iter().for_each(|line| cli::say(format_args!("{line}")));
             if well {
                 ExitCode::SUCCESS
             } else {
@@ -179,11 +179,11 @@
             }
         }
         Ok(Err(why)) => {
-            eprintln!("linentrail: {why}");
+            cli::complain(format_args!("linentrail: {why}"));
             ExitCode::FAILURE
         }
         Err(message) => {
-            eprintln!("linentrail: {message}");
+            cli::complain(format_args!("linentrail: {message}"));
             ExitCode::from(2)
         }
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,4 +1,6 @@
 //! The real proxy: wiring, start and shutdown.
+// These panic where the output cannot be written; `cli::say` and `cli::complain` do not.
+#![deny(clippy::print_stdout, clippy::print_stderr)]
 
 use clap::Parser;
 use linentrail::check::{self, Finding};
@@ -20,6 +22,7 @@
 use linentrail::net::discovery::{Discovery, Lists, Service};
 use linentrail::net::fleet::Fleet;
 use linentrail::net::listen::{self, Phase};
+use linentrail::net::momentary;
 use linentrail::operators::agreement::OnLapse;
 use linentrail::operators::{self, DnsSd, Odata};
 use linentrail::parley::{Parley, Wiring};
@@ -33,7 +36,6 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
-use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
@@ -176,13 +178,14 @@
     tokio::spawn(reload.run(hangup));
     let (phase, closing) = watch::channel(Phase::Starting);
     if let Some(console) = &told.console {
-        let listener = TcpListener::bind(console).await.map_err(|e| format!("console {console}: {e}"))?;
+        let listener =
+            momentary::listen(console.as_str()).await.map_err(|e| format!("console {console}: {e}"))?;
         log::info!("operators call at {}", listener.local_addr().map_err(|e| e.to_string())?);
         tokio::spawn(Console::new(desk.clone(), closing.clone(), stored, fleet).run(listener));
     }
     let listener = match &handed {
         Some(descriptor) => listen::inherited(descriptor).map_err(|e| format!("{ACCEPT}: {e}"))?,
-        None => TcpListener::bind(&told.listen).await.map_err(|e| format!("{}: {e}", told.listen))?,
+        None => momentary::listen(told.listen.as_str()).await.map_err(|e| format!("{}: {e}", told.listen))?,
     };
     if let Some(folder) = folder.clone() {
         let mut handover = Handover::new(folder, desk.clone(), budget.clone(), clock);
@@ -208,7 +211,7 @@
     listeners.spawn(listen::listen(listener, Count::pg_connections, clients.clone(), closing.clone(), serve));
     if file.odata.enabled {
         let Odata { listen: address, repeat_span, repeat_ids, repeat_bytes, .. } = file.odata;
-        let listener = TcpListener::bind(address).await.map_err(|e| format!("{address}: {e}"))?;
+        let listener = momentary::listen(address).await.map_err(|e| format!("{address}: {e}"))?;
         log::info!("serving OData at {}", listener.local_addr().map_err(failed)?);
         // Answers that are remembered share the memory with all else.
         let repeat_bytes = repeat_bytes.min(told.memory / 8);
@@ -223,7 +226,7 @@
     let _ = phase.send(Phase::Serving);
     loop {
         tokio::select! {
-            _ = usr1.recv() => println!("counters: {}{}", counters::line(), meter::line()),
+            _ = usr1.recv() => cli::say(format_args!("counters: {}{}", counters::line(), meter::line())),
             _ = term.recv() => break,
             _ = int.recv() => break,
         }
@@ -254,7 +257,7 @@
         // What was learned up to now; a disk that does not answer holds no end up.
         let _ = tokio::time::timeout(LAST_WRITING, last.write()).await;
     }
-    println!("counters: {}{}", counters::line(), meter::line());
+    cli::say(format_args!("counters: {}{}", counters::line(), meter::line()));
     Ok(())
 }
 
@@ -262,7 +265,7 @@
 fn print_records() -> Result<(), String> {
     let file = operators::load()?;
     for record in records::own(&file.dnssd.instance, &file.dnssd.domain, file.odata.listen)? {
-        println!("{}", records::line(&record));
+        cli::say(format_args!("{}", records::line(&record)));
     }
     Ok(())
 }
@@ -270,15 +273,15 @@
 fn check(file: &Path) -> ExitCode {
     match check::file(file) {
         Ok(Finding::Sound(what)) => {
-            println!("{}: sound: {what}", file.display());
+            cli::say(format_args!("{}: sound: {what}", file.display()));
             ExitCode::SUCCESS
         }
         Ok(Finding::Faults(faults)) => {
-            faults.iter().for_each(|fault| println!("{}: {fault}", file.display()));
+            faults.iter().for_each(|fault| cli::say(format_args!("{}: {fault}", file.display())));
             ExitCode::FAILURE
         }
         Err(message) => {
-            eprintln!("linentrail: {message}");
+            cli::complain(format_args!("linentrail: {message}"));
             ExitCode::from(2)
         }
     }
@@ -287,7 +290,7 @@
 fn status(console: Option<&str>) -> ExitCode {
     match ask::status(console) {
         Ok(told) => {
-            told.lines.iter().for_each(|line| println!("{line}"));
+            told.lines.iter().for_each(|line| cli::say(format_args!("{line}")));
             if told.ready {
                 ExitCode::SUCCESS
             } else {
@@ -295,7 +298,7 @@
             }
         }
         Err(message) => {
-            eprintln!("linentrail: {message}");
+            cli::complain(format_args!("linentrail: {message}"));
             ExitCode::from(2)
         }
     }
@@ -306,7 +309,7 @@
     let arguments = match Arguments::try_parse() {
         Ok(arguments) => arguments,
         Err(fault) if fault.use_stderr() => {
-            eprintln!("linentrail: {}", cli::one_line(&fault));
+            cli::complain(format_args!("linentrail: {}", cli::one_line(&fault)));
             return ExitCode::from(2);
         }
         Err(help) => help.exit(),
@@ -326,7 +329,7 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("linentrail: {message}");
+            cli::complain(format_args!("linentrail: {message}"));
             ExitCode::FAILURE
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod link;
 pub mod listen;
 pub mod member_state;
+pub mod momentary;
 pub mod peer;
 pub mod pool;
 pub mod socket;
--- /dev/null
+++ b/src/net/momentary.rs
@@ -0,0 +1,60 @@
+//! Sockets that are not to be had for the moment: errors of this machine, not of the other side, which Linux documents for
+//! `socket(2)`, `bind(2)` and `connect(2)` and which pass by themselves.
+
+use crate::core::counters::{count, Count};
+use std::io::{Error, Result};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream, ToSocketAddrs};
+
+/// Between two tries to listen, and for so many of them (5 s): a start is owed within 10 s.
+const LISTEN_PAUSE: Duration = Duration::from_millis(50);
+const LISTEN_TRIES: u32 = 100;
+/// Before each further try to connect; after the last the connection counts as refused.
+const CONNECT_PAUSES: [Duration; 3] =
+    [Duration::from_millis(2), Duration::from_millis(5), Duration::from_millis(15)];
+
+/// No descriptor or memory for a socket.
+fn no_socket(e: &Error) -> bool {
+    matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE | libc::ENOBUFS | libc::ENOMEM))
+}
+
+/// No port or route either.
+fn no_connection(e: &Error) -> bool {
+    no_socket(e) || matches!(e.raw_os_error(), Some(libc::EADDRNOTAVAIL | libc::ENETUNREACH | libc::EAGAIN))
+}
+
+/// Listens there, once there is a socket to be had.
+///
+/// # Errors
+/// When the address cannot be listened on, or there is no socket for seconds.
+pub async fn listen(address: impl ToSocketAddrs + Copy) -> Result<TcpListener> {
+    let mut tries = 1;
+    loop {
+        match TcpListener::bind(address).await {
+            Err(e) if no_socket(&e) && tries < LISTEN_TRIES => {
+                count(Count::local_failures);
+                log::warn!("no socket to listen on yet: {e}");
+            }
+            done => return done,
+        }
+        tries += 1;
+        tokio::time::sleep(LISTEN_PAUSE).await;
+    }
+}
+
+/// Connects, and tries again where this machine had no socket, port or route for the moment. Cancel safe: dropped, nothing
+/// is left of it.
+///
+/// # Errors
+/// When the other side cannot be reached, or this machine lacks something for longer.
+pub async fn connect(address: SocketAddr) -> Result<TcpStream> {
+    for pause in CONNECT_PAUSES {
+        match TcpStream::connect(address).await {
+            Err(e) if no_connection(&e) => count(Count::local_failures),
+            done => return done,
+        }
+        tokio::time::sleep(pause).await;
+    }
+    TcpStream::connect(address).await
+}
--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -16,6 +16,7 @@
 use crate::net::budget::ByteBudget;
 use crate::net::frames::{next, shrink, Next, ROOM};
 use crate::net::link::{Exchange, Guard, Link, Wire};
+use crate::net::momentary;
 use crate::net::socket::Socket;
 use bytes::Bytes;
 use futures_util::SinkExt;
@@ -25,7 +26,6 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::Instant;
 use tokio_util::codec::Framed;
@@ -92,7 +92,7 @@
     type Link = Connection;
 
     async fn open(&self, address: SocketAddr, permit: OwnedSemaphorePermit) -> Result<Connection, Outcome> {
-        let stream = TcpStream::connect(address).await.map_err(|_| Outcome::Refused)?;
+        let stream = momentary::connect(address).await.map_err(|_| Outcome::Refused)?;
         let framed = Framed::with_capacity(Socket::new(stream), ClientCodec::new(self.bytes.clone()), ROOM);
         let mut link = Connection { framed, clock: self.clock, begun: None, _permit: permit };
         link.framed.send(Frontend::Startup).await.map_err(|_| Outcome::Refused)?;
