Add a soak: 10 to 40 real processes whose system calls fail, under overlapping faults

The rig's checker learns three rules: nothing begins for a client that has gone (Left), no member is told of more time than the client has (Deadline), who does not end what it began gets an error or a close in time (Unfinished); and it takes the violations that processes count (Invariant). Members that start anew tell discovery so.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -33,6 +33,8 @@
     Judge(fleet::JudgeOptions),
     /// Load of one class, at a rate or from clients that wait; results as JSON.
     Load(load::Options),
+    /// Runs 10 to 40 real processes under overlapping faults, their system calls' among them, seed after seed
+    Soak(fleet::hunt::SoakOptions),
 }
 
 /// Why a command ends without success.
@@ -68,6 +70,7 @@
             Command::Hunt(options) => fleet::hunt::run(&options, &stop).await,
             Command::Judge(options) => fleet::judge(&options),
             Command::Load(options) => load::run(&options, &stop).await,
+            Command::Soak(options) => fleet::hunt::soak(&options, &stop).await,
         }
     });
     match end {
--- a/crates/standins/shim/faults.c
+++ b/crates/standins/shim/faults.c
@@ -7,7 +7,8 @@
  *   recv_short   recv() returns 1 byte while more stands in the socket          recv(2): "may return any data available"
  *   recv_cut     recv() returns a drawn number of bytes, fewer than stand there recv(2)
  *   send_short   send() and writev() take 1 byte                                send(2), writev(2)
- *   recv_fails   recv() fails with ETIMEDOUT or EHOSTUNREACH, and goes on so    tcp(7), ip(7)
+ *   recv_fails   recv() on a connection that the process has made fails with
+ *                ETIMEDOUT or EHOSTUNREACH, and the connection is broken        tcp(7), ip(7)
  *   accept_fails accept4() fails with ECONNABORTED, ENFILE or ENOBUFS           accept(2)
  *   connect_fails connect() fails with EADDRNOTAVAIL, ENETUNREACH or ENOBUFS    connect(2), ip(7)
  *   socket_fails socket() fails with ENFILE or ENOBUFS                          socket(2)
@@ -62,6 +63,13 @@
 static struct control *control;
 static char folder[512];
 static int log_file = -1;
+/* Descriptors of connections that the process has made: whose break is no client's loss. */
+enum { DESCRIPTORS = 65536 };
+static unsigned char outgoing[DESCRIPTORS];
+
+static void set_outgoing(int fd, int yes) {
+    if (fd >= 0 && fd < DESCRIPTORS) outgoing[fd] = (unsigned char)yes;
+}
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 
 #define REAL(name) \
@@ -136,7 +144,7 @@
 ssize_t recv(int fd, void *to, size_t size, int flags) {
     REAL(recv);
     if (!(flags & MSG_PEEK)) {
-        if (comes(RECV_FAILS)) {
+        if (fd >= 0 && fd < DESCRIPTORS && outgoing[fd] && comes(RECV_FAILS)) {
             static const int errors[] = {ETIMEDOUT, EHOSTUNREACH};
             /* A broken connection stays broken. */
             shutdown(fd, SHUT_RDWR);
@@ -191,13 +199,16 @@
     REAL(accept4);
     static const int errors[] = {ECONNABORTED, ENFILE, ENOBUFS};
     if (comes(ACCEPT_FAILS)) return fails("accept4", fd, errors, 3);
-    return real(fd, address, length, flags);
+    int made = real(fd, address, length, flags);
+    set_outgoing(made, 0);
+    return made;
 }
 
 int connect(int fd, const struct sockaddr *address, socklen_t length) {
     REAL(connect);
     static const int errors[] = {EADDRNOTAVAIL, ENETUNREACH, ENOBUFS};
     if (comes(CONNECT_FAILS)) return fails("connect", fd, errors, 3);
+    set_outgoing(fd, 1);
     return real(fd, address, length);
 }
 
@@ -205,7 +216,9 @@
     REAL(socket);
     static const int errors[] = {ENFILE, ENOBUFS};
     if (domain == AF_INET && comes(SOCKET_FAILS)) return fails("socket", -1, errors, 2);
-    return real(domain, type, protocol);
+    int made = real(domain, type, protocol);
+    set_outgoing(made, 0);
+    return made;
 }
 
 int epoll_wait(int fd, struct epoll_event *events, int most, int timeout) {
--- a/crates/standins/src/member.rs
+++ b/crates/standins/src/member.rs
@@ -392,6 +392,9 @@
         let id = field("id").unwrap_or_default();
         let number = u64::from_str_radix(id, 16).unwrap_or(0);
         self.tells(|member| What::Given { member, id: number });
+        if let Some(ms) = field(",d").and_then(|ms| ms.parse::<u64>().ok()) {
+            self.tells(|_| What::Allowed { id: number, wait: ms * 1000 });
+        }
         let refusal = match does {
             Behaviour::Full | Behaviour::Unready | Behaviour::Noisy => Some("53300"),
             Behaviour::Error => Some("XX000"),
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -379,12 +379,18 @@
 
     /// A member is to be found at another address; watches are told.
     pub fn moves(&self, index: usize, address: SocketAddr) {
-        self.sets(index, "hostPort", &address.to_string());
+        self.sets(index, "hostPort", address.to_string());
     }
 
-    fn sets(&self, index: usize, field: &str, value: &str) {
+    /// A member has started now; watches are told.
+    pub fn started(&self, index: usize) {
+        self.sets(index, "startedAtMs", crate::now_ms());
+    }
+
+    fn sets(&self, index: usize, field: &str, value: impl Into<Value>) {
+        let value = value.into();
         let version = self.with(|list| {
-            list.1[index][field] = value.into();
+            list.1[index][field] = value;
             (list.0, list.2) = (list.0 + 1, json!([list.1[index]]));
             list.0
         });
--- a/crates/standins/src/rig/checker.rs
+++ b/crates/standins/src/rig/checker.rs
@@ -17,6 +17,14 @@
 /// What clocks of one machine may be apart, and how long a statement may be on its way to a member.
 const CLOCKS: Us = 10_000;
 const ON_THE_WAY: Us = 150_000;
+/// An attempt may begin so long after its client has closed its connection.
+const LEFT_MAX: Us = 100_000;
+/// The time that a statement names may be so much longer than what its client has left.
+const DEADLINE_SLACK: Us = 150_000;
+/// A client that begins something and does not end it gets an error or a close within this, and what clocks and a busy
+/// machine may add.
+const UNFINISHED_MAX: Us = 3_000_000;
+const UNFINISHED_SLACK: Us = 1_000_000;
 /// Breaches told of each rule; the others are counted.
 const TOLD: usize = 5;
 
@@ -80,6 +88,14 @@
     Unanswered,
     /// Whole lists.
     Whole,
+    /// Nothing begins for a client that has gone.
+    Left,
+    /// No member is told of more time than the client has.
+    Deadline,
+    /// Who does not end what it began gets an error or a close in time.
+    Unfinished,
+    /// A process has found that a decision of its own would have broken a rule.
+    Invariant,
     /// A process ends by itself.
     Crash,
     /// Full service comes too late.
@@ -152,6 +168,9 @@
     writes: Option<u64>,
     shows: Shows,
     wait: Us,
+    /// When its last byte was written, and when its client went.
+    sent: Option<Us>,
+    left: Option<Us>,
     ended: Option<Us>,
 }
 
@@ -226,6 +245,8 @@
     acted: Vec<(String, u32, Vec<String>, Us, Us)>,
     /// When each proxy that acts by leases could, by its own word: spans that do not touch.
     leases: HashMap<u32, Vec<(Us, Us)>>,
+    /// Bad clients that are owed a close: where, and since when.
+    begun: HashMap<u64, (u32, Us)>,
     /// When the machine stood still, from and to.
     stalls: Vec<(Us, Us)>,
 }
@@ -276,12 +297,26 @@
                     writes: *writes,
                     shows: *shows,
                     wait: *wait,
+                    sent: None,
+                    left: None,
                     ended: None,
                 };
                 if self.asked.insert(*id, asked).is_some() {
                     self.verdict.breach(Rule::Log, at, format!("request {id} is asked twice"));
                 }
             }
+            What::Sent { id } => {
+                self.asked.get_mut(id).into_iter().for_each(|asked| asked.sent = Some(at));
+            }
+            What::Left { id } => {
+                self.asked
+                    .get_mut(id)
+                    .into_iter()
+                    .for_each(|asked| (asked.left, asked.ended) = (Some(at), Some(at)));
+            }
+            What::Allowed { id, wait } => self.allowed(at, *id, *wait),
+            What::Begun { id, proxy } => drop(self.begun.insert(*id, (*proxy, at))),
+            What::Closed { id } => self.closed(at, *id),
             What::Ended { id, how, value } => self.ended(at, *id, *how, *value, bounds),
             What::Given { member, id } => self.given(at, *member, *id, bounds),
             What::Ran { member, id, key, value } => {
@@ -515,6 +550,7 @@
             self.verdict.breach(Rule::Log, at, format!("member {member} got {id}, and nobody asked it"));
             return;
         };
+        self.for_nobody(at, member, id);
         let stood = self.stood(at.saturating_sub(bounds.drain), at);
         let of = self.proxies.entry(proxy).or_default();
         // What a link held back may have been sent at any time since it was asked for.
@@ -555,7 +591,54 @@
         cold.told = over;
     }
 
+    /// Whether something began for a client that had gone.
+    fn for_nobody(&mut self, at: Us, member: u32, id: u64) {
+        let Some((proxy, Some(left))) = self.asked.get(&id).map(|a| (a.proxy, a.left)) else { return };
+        let late = at.saturating_sub(left);
+        let allowed = LEFT_MAX + ON_THE_WAY + self.stood(left, at);
+        let held = self.holds_back(proxy, member, left);
+        if late > allowed && !held && !gone(self.proxies.get(&proxy), left, at) {
+            let what = format!(
+                "member {member} got request {id} from proxy {proxy} {} ms after its client had gone",
+                late / 1000
+            );
+            self.verdict.breach(Rule::Left, at, what);
+        }
+    }
+
+    /// Whether the link between them may hold back what was sent since.
+    fn holds_back(&self, proxy: u32, member: u32, since: Us) -> bool {
+        let held = self.proxies.get(&proxy).and_then(|p| p.held.get(&member));
+        held.is_some_and(|until| until.is_none_or(|t| t >= since))
+    }
+
+    /// A member was told how long its proxy waits.
+    fn allowed(&mut self, at: Us, id: u64, wait: Us) {
+        let Some(asked) = self.asked.get(&id) else { return };
+        let (proxy, Some(sent)) = (asked.proxy, asked.sent) else { return };
+        let left = (sent + asked.wait).saturating_sub(at);
+        let slack = DEADLINE_SLACK + ON_THE_WAY + self.stood(sent, at);
+        let links = self.proxies.get(&proxy).is_some_and(|p| !p.held.is_empty());
+        if wait > left + slack && !links && !gone(self.proxies.get(&proxy), sent, at) {
+            let what = format!("request {id} may take {} ms, {} ms are left", wait / 1000, left / 1000);
+            self.verdict.breach(Rule::Deadline, at, what);
+        }
+    }
+
+    /// A bad client has got its error or its close.
+    fn closed(&mut self, at: Us, id: u64) {
+        let Some((proxy, since)) = self.begun.remove(&id) else { return };
+        let allowed = UNFINISHED_MAX + UNFINISHED_SLACK + self.stood(since, at);
+        if at > since + allowed && !gone(self.proxies.get(&proxy), since, at) {
+            let what =
+                format!("bad client {id} at proxy {proxy} has its close after {} ms", (at - since) / 1000);
+            self.verdict.breach(Rule::Unfinished, at, what);
+        }
+    }
+
     fn end(&mut self, last: Us, bounds: &Bounds) {
+        let owed: Vec<u64> = self.begun.keys().copied().collect();
+        owed.into_iter().for_each(|id| self.closed(last, id));
         let mut open: Vec<(&u64, &Asked)> = self.asked.iter().filter(|(_, a)| a.ended.is_none()).collect();
         open.sort_unstable_by_key(|(id, _)| **id);
         let mut breaches = Vec::new();
--- a/crates/standins/src/rig/clients.rs
+++ b/crates/standins/src/rig/clients.rs
@@ -24,6 +24,12 @@
 /// A client waits for so long past the moment at which an answer counts as late.
 const SILENCE: Duration = Duration::from_millis(1_000);
 
+/// A client that leaves does so within this, in ms.
+const LEAVES_WITHIN_MS: u64 = 250;
+/// How long a bad client waits for its error or its close, and between two of its visits.
+const BAD_CLIENT_WAITS: Duration = Duration::from_secs(5);
+const BAD_CLIENT_PAUSE_MS: u64 = 400;
+
 struct Client {
     n: u32,
     world: World,
@@ -48,6 +54,48 @@
         .collect()
 }
 
+/// Starts the bad ones: each begins something at a proxy, does not end it, and waits for what it is owed.
+pub fn start_bad(world: &World, stop: &Arc<AtomicBool>) -> Vec<tokio::task::JoinHandle<()>> {
+    let script = world.script();
+    let one = |n: u32| {
+        let rng = fastrand::Rng::with_seed(script.seed ^ u64::from(n + 1) << 40);
+        crate::runtime().spawn(bad_client(world.clone(), rng, stop.clone()))
+    };
+    (0..script.bad_clients).map(one).collect()
+}
+
+async fn bad_client(world: World, mut rng: fastrand::Rng, stop: Arc<AtomicBool>) {
+    while !stop.load(Ordering::Relaxed) {
+        let pause = Duration::from_millis(rng.u64(0..BAD_CLIENT_PAUSE_MS));
+        tokio::time::sleep(pause).await;
+        let proxy = rng.u32(1..=world.script().proxies);
+        let query = wire::query(
+            "SELECT v FROM records WHERE k = 'k' /* id=1,c=monthly-report,t=acme,d=400,cluster=1 */",
+        );
+        let said = match rng.u32(0..5) {
+            0 => wire::startup()[..rng.usize(1..8)].to_vec(),
+            1 => [wire::startup(), query[..rng.usize(1..query.len())].to_vec()].concat(),
+            2 => [wire::startup(), vec![0xff; rng.usize(1..400)]].concat(),
+            3 => vec![0; rng.usize(4..64)],
+            // Nothing at all.
+            _ => Vec::new(),
+        };
+        let id = u64::from_str_radix(&request_id(), 16).unwrap_or(0);
+        let Ok(mut stream) = tokio::net::TcpStream::connect(world.front(proxy)).await else { continue };
+        if tokio::io::AsyncWriteExt::write_all(&mut stream, &said).await.is_err() {
+            continue;
+        }
+        world.log().note(What::Begun { id, proxy });
+        let ends = async {
+            let mut got = [0; 4096];
+            while !matches!(tokio::io::AsyncReadExt::read(&mut stream, &mut got).await, Ok(0) | Err(_)) {}
+        };
+        if tokio::time::timeout(BAD_CLIENT_WAITS, ends).await.is_ok() || !stop.load(Ordering::Relaxed) {
+            world.log().note(What::Closed { id });
+        }
+    }
+}
+
 impl Client {
     async fn run(mut self, gap: f64, stop: Arc<AtomicBool>) {
         let mut due = Instant::now() + Duration::from_secs_f64(gap * self.rng.f64());
@@ -63,6 +111,12 @@
         }
     }
 
+    /// After how long it leaves before it has its answer, where this request is one of those.
+    fn leaves(&mut self) -> Option<Duration> {
+        let leaves = self.rng.u32(0..100) < self.world.script().leaving;
+        leaves.then(|| Duration::from_millis(self.rng.u64(1..LEAVES_WITHIN_MS)))
+    }
+
     fn roam(&mut self) {
         self.home = self.rng.u32(1..=self.world.script().proxies);
         self.conn = None;
@@ -120,6 +174,7 @@
         let id = request_id();
         let number = u64::from_str_radix(&id, 16).unwrap_or(0);
         let log = self.world.log().clone();
+        let leaves = self.leaves();
         let (proxy, wait) = (self.home, wait_ms * 1000);
         log.note(What::Asked { id: number, proxy, key, writes: value, shows, aim: aim * 1000, wait });
         let told = async {
@@ -128,12 +183,26 @@
             }
             let Some(conn) = &mut self.conn else { return Err(std::io::ErrorKind::NotConnected.into()) };
             conn.send(&wire::query(&ask.sql_for(&id, group, again))).await?;
-            conn.answer().await
+            log.note(What::Sent { id: number });
+            match leaves {
+                // It goes without a word; whether it had its answer by then is all the same.
+                Some(after) => match tokio::time::timeout(after, conn.answer()).await {
+                    Ok(told) => told.map(Some),
+                    Err(_) => Ok(None),
+                },
+                None => conn.answer().await.map(Some),
+            }
         };
         let patience = Duration::from_micros(wait + self.world.script().bounds.late) + SILENCE;
         let told = tokio::time::timeout(patience, told).await;
         let (how, shown, told) = match told {
-            Ok(Ok(told)) => match &told {
+            Ok(Ok(None)) => {
+                self.conn = None;
+                log.note(What::Left { id: number });
+                // What becomes of it is not this client's any more; it asks on.
+                return Some(Told::Failed(String::new()));
+            }
+            Ok(Ok(Some(told))) => match &told {
                 Told::Served(bytes) => {
                     (End::Served, bytes.iter().take(8).fold(0, |n, b| n << 8 | u64::from(*b)), Some(told))
                 }
--- a/crates/standins/src/rig/events.rs
+++ b/crates/standins/src/rig/events.rs
@@ -60,6 +60,28 @@
         /// How long the client waits.
         wait: Us,
     },
+    /// The last byte of the request has been written.
+    Sent {
+        /// The request's id.
+        id: u64,
+    },
+    /// Its client has closed the connection and waits for nothing any more.
+    Left {
+        /// The request's id.
+        id: u64,
+    },
+    /// A bad client has begun something that it does not end: it is owed an error or a close.
+    Begun {
+        /// The client's number, like a request's id.
+        id: u64,
+        /// At which proxy.
+        proxy: u32,
+    },
+    /// It has got that.
+    Closed {
+        /// The client's number.
+        id: u64,
+    },
     /// It is told, with the number of the value that it got.
     Ended {
         /// The request's id.
@@ -76,6 +98,13 @@
         /// The request's id.
         id: u64,
     },
+    /// How long the statement that was given says that its proxy waits.
+    Allowed {
+        /// The request's id.
+        id: u64,
+        /// So long.
+        wait: Us,
+    },
     /// A member has run a write, as its group's next commit.
     Ran {
         /// The member.
--- a/crates/standins/src/rig/run.rs
+++ b/crates/standins/src/rig/run.rs
@@ -50,7 +50,8 @@
     let began = Instant::now();
     said(&format!("{} proxies serve after {} ms", script.proxies, log.now() / 1000));
     let ends = Arc::new(AtomicBool::new(false));
-    let clients = clients::start(&world, &ends);
+    let mut clients = clients::start(&world, &ends);
+    clients.extend(clients::start_bad(&world, &ends));
     let wait = |until: Instant| {
         while Instant::now() < until && !stop.load(Ordering::Relaxed) {
             std::thread::sleep((until - Instant::now()).min(Duration::from_millis(20)));
@@ -91,6 +92,11 @@
     for proxy in crashed {
         verdict.breach(Rule::Crash, log.now(), format!("proxy {proxy} has ended by itself"));
     }
+    for (proxy, count) in by_proxy.iter().filter_map(|(p, c)| Some((p, *c.get("violations")?))) {
+        if count > 0 {
+            verdict.breach(Rule::Invariant, log.now(), format!("proxy {proxy} counts {count} violations"));
+        }
+    }
     // From when the proxies serve: the load begins then.
     let served = events.iter().find(|e| matches!(e.what, What::Asked { .. })).map_or(0, |e| e.at);
     let back = came_back(&events, served + SETTLES);
--- a/crates/standins/src/rig/script.rs
+++ b/crates/standins/src/rig/script.rs
@@ -5,6 +5,7 @@
 use super::relay::Fault;
 use crate::member::Behaviour;
 use crate::registry::Ill;
+use crate::shim::{Call, DiskError};
 use std::fmt::{self, Display};
 use std::time::Duration;
 
@@ -98,6 +99,12 @@
     Ill(Ill),
     /// Discovery tells a new state of a member.
     Lists(u32, String),
+    /// Whether the proxies' system calls fail, as the scenario's `calls` say.
+    CallsFail(Who, bool),
+    /// The proxies' wall clocks are off by so many us from now on.
+    ClockStep(Who, i64),
+    /// Writes to the proxies' stores fail so from now on, or no longer.
+    Disk(Who, Option<DiskError>),
 }
 
 /// A member's make.
@@ -140,8 +147,14 @@
     pub store: Option<Duration>,
     /// The proxies agree on their rules, and so many of them vote; 0: they do not.
     pub voters: u32,
+    /// System calls of the proxies that fail, each once in so many.
+    pub calls: Vec<(Call, u32)>,
     /// Requests a second, and clients that ask them.
     pub load: (f64, u32),
+    /// Of a hundred requests so many whose clients leave before the answer.
+    pub leaving: u32,
+    /// Clients that begin what they do not end.
+    pub bad_clients: u32,
     /// How long it runs.
     pub end: Duration,
     /// What must hold.
@@ -173,7 +186,10 @@
             known: true,
             store: None,
             voters: 0,
+            calls: Vec::new(),
             load: (60.0, 24),
+            leaving: 0,
+            bad_clients: 0,
             end: ms(5_000),
             bounds: Bounds::default(),
             full: None,
@@ -291,6 +307,9 @@
             ["store", "every", span] => self.store = Some(ms(span)?),
             ["agree", "voters", n] => self.voters = number(n)?,
             ["load", rate, "clients", n] => self.load = (number(rate)?, number(n)?),
+            ["calls", name, "1", "in", every] => self.calls.push((call(name)?, number(every)?)),
+            ["clients", "leave", percent] => self.leaving = number(percent)?,
+            ["clients", "bad", n] => self.bad_clients = number(n)?,
             ["end", at] => self.end = ms(at)?,
             ["bound", "full", span] => self.full = Some(ms(span)?),
             ["bound", what, n] => self.bound(what, n)?,
@@ -342,6 +361,7 @@
             Step::Kill(w, _) | Step::Term(w, _) | Step::Start(w, _) | Step::Stop(w, _) | Step::Hup(w, _) => {
                 all(w, self.proxies)
             }
+            Step::CallsFail(w, _) | Step::ClockStep(w, _) | Step::Disk(w, _) => all(w, self.proxies),
             Step::Harm(w, _) | Step::Console(w, _) | Step::ListLink(w, _) | Step::ClientLink(w, _) => {
                 all(w, self.proxies)
             }
@@ -432,11 +452,21 @@
         [of, "does", "start", span @ ..] => Step::Start(proxies(of)?, within(span)?),
         [of, "does", "hup", span @ ..] => Step::Hup(proxies(of)?, within(span)?),
         [of, "does", "stop", span] => Step::Stop(proxies(of)?, ms(span)?),
+        [of, "calls", "fail"] => Step::CallsFail(proxies(of)?, true),
+        [of, "calls", "well"] => Step::CallsFail(proxies(of)?, false),
+        [of, "clock", "off", off] => Step::ClockStep(proxies(of)?, number::<i64>(off)? * 1000),
+        [of, "disk", "full"] => Step::Disk(proxies(of)?, Some(DiskError::Full)),
+        [of, "disk", "broken"] => Step::Disk(proxies(of)?, Some(DiskError::Broken)),
+        [of, "disk", "well"] => Step::Disk(proxies(of)?, None),
         [of, "store", harm @ ..] => Step::Harm(proxies(of)?, self::harm(harm)?),
         _ => return Err(format!("no such step: '{}'", words.join(" "))),
     })
 }
 
+fn call(name: &str) -> Result<Call, String> {
+    Call::ALL.into_iter().find(|call| call.name() == name).ok_or_else(|| format!("there is no call '{name}'"))
+}
+
 fn harm(words: &[&str]) -> Result<Harm, String> {
     Ok(match words {
         ["wiped"] => Harm::Wiped,
