Add a test that fails: no list comes while configurations follow one another

Seen: discovery answers in 400 ms, a configuration that names the same discovery comes each 100 ms; after 8 s the core has no list, and what discovery told before the first of them counts as told 4 s after it. A second test, with two discoveries in turn that answer in 20 ms, passes by luck of its draws and bounds the same.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -445,3 +445,7 @@
         Some(response.body)
     }
 }
+
+#[cfg(test)]
+#[path = "discovery_tests.rs"]
+mod tests;
