Let no configuration put the whole list off any further than the first did

Cause: src/net/discovery.rs took each SIGHUP for a move: the open call was dropped, and Listing::moved drew a new pause of up to 2 s (300 proxies). Where configurations came closer together than pause and answer no call ever ended, and members that drained meanwhile got requests. Change: a call for the whole list that is due or open goes on where the address stays the same; moves to other addresses put the call off to 2 s after the first of them at most. A watch that is open when a configuration comes still ends, as before. Ruled out: a bound on the calls alone, as an answer that takes longer than the gap between two configurations never comes. Left: configurations that name another discovery each time, closer together than one answers.

--- a/src/listing.rs
+++ b/src/listing.rs
@@ -143,10 +143,12 @@
         lot(!self.seed, self.drawn, LIST_EACH)
     }
 
-    /// Discovery has moved, for so many proxies alike: how long until this one calls there, in us.
-    pub fn moved(&mut self, proxies: u32) -> Time {
+    /// Discovery has moved, for so many proxies alike: how long until this one calls there, in us. `waited` is how long ago
+    /// the first move was since which no list has come: one move after another puts the call off no further.
+    pub fn moved(&mut self, proxies: u32, waited: Time) -> Time {
         let span = (Time::from(proxies.saturating_sub(LIST_FEW)) * LIST_EACH).min(MOVE_SPAN_MAX);
-        (span as f64 * self.lot()) as Time
+        let drawn = (span as f64 * self.lot()) as Time;
+        drawn.min(MOVE_SPAN_MAX.saturating_sub(waited))
     }
 
     /// A whole list has come, by a call that took so long, in us: how long until the watch behind it begins. By then all
--- a/src/listing_tests.rs
+++ b/src/listing_tests.rs
@@ -98,17 +98,17 @@
 
 #[test]
 fn calls_after_a_move_are_spread_in_a_large_fleet_only() {
-    let pauses: Vec<Time> = (0..100).map(|seed| Listing::new(seed).moved(100)).collect();
+    let pauses: Vec<Time> = (0..100).map(|seed| Listing::new(seed).moved(100, 0)).collect();
     assert!(pauses.iter().all(|p| *p < 2_000 * MS));
     for from in [0, 500, 1_000, 1_500] {
         let within = pauses.iter().filter(|p| (from * MS..(from + 500) * MS).contains(*p)).count();
         assert!((12..=40).contains(&within), "{within} from {from} ms");
     }
-    assert_eq!(Listing::new(3).moved(18), 0);
+    assert_eq!(Listing::new(3).moved(18, 0), 0);
     // Two moves are two lots.
     let mut one = Listing::new(3);
-    assert_ne!(one.moved(100), one.moved(100));
-    assert_eq!(one.moved(2), 0);
+    assert_ne!(one.moved(100, 0), one.moved(100, 0));
+    assert_eq!(one.moved(2, 0), 0);
 }
 
 #[test]
@@ -131,8 +131,19 @@
     assert_eq!((pushed.failed(true), pushed.failed(false)), (Next::Again, Next::Soon));
     for seed in 0..100 {
         let mut listing = Listing::new(seed);
-        assert_eq!(listing.moved(pushed.callers(350)), 0);
+        assert_eq!(listing.moved(pushed.callers(350), 0), 0);
         assert_eq!(listing.listed(pushed.callers(350), TURN_MAX), 0);
     }
     assert_eq!(Delivery::Asked.callers(350), 350);
 }
+
+#[test]
+fn one_move_after_another_puts_the_call_off_no_further() {
+    for seed in 0..50 {
+        let mut listing = Listing::new(seed);
+        for waited in (0..4_000).step_by(50).map(|ms| ms * MS) {
+            let pause = listing.moved(300, waited);
+            assert!(waited.min(2_000 * MS) + pause <= 2_000 * MS, "seed {seed}: {pause} after {waited}");
+        }
+    }
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -208,6 +208,19 @@
     pub delivery: Delivery,
 }
 
+/// Waits until discovery moves. Told the same address again, a call for the whole list that is due or open there goes on: it
+/// brings what a new one would.
+async fn moves(service: &mut watch::Receiver<Service>, calling: Option<String>) {
+    loop {
+        if service.changed().await.is_err() {
+            return std::future::pending().await;
+        }
+        if calling.as_ref() != Some(&service.borrow_and_update().address) {
+            return;
+        }
+    }
+}
+
 /// The actor's state.
 pub struct Discovery {
     /// Where the version that is held is told.
@@ -222,6 +235,8 @@
     /// Version of the list that is held.
     after: Option<u64>,
     moving: Option<Instant>,
+    /// When discovery first moved since it last told a list.
+    unlisted_since: Option<Instant>,
     /// The next call comes right behind an answer.
     renews: bool,
     /// Discovery has answered since the process started.
@@ -250,6 +265,7 @@
             link: None,
             after: held,
             moving: None,
+            unlisted_since: None,
             renews: false,
             confirmed: false,
         }
@@ -293,9 +309,10 @@
             while asked.try_recv().is_ok() {}
             let (began, first) = (Instant::now() + self.pause, self.after.is_none());
             let confirmed = self.confirmed;
+            let calling = first.then(|| self.service.borrow().address.clone());
             let told = tokio::select! {
                 biased;
-                Ok(()) = service.changed() => {
+                () = moves(service, calling) => {
                     self.moved();
                     continue;
                 }
@@ -365,7 +382,8 @@
     /// The old address has nothing more to say: its connection goes, and with it the watch.
     fn moved(&mut self) {
         (self.link, self.after, self.renews) = (None, None, false);
-        self.pause = Duration::from_micros(self.listing.moved(self.callers()));
+        let waited = self.unlisted_since.get_or_insert_with(Instant::now).elapsed().as_micros() as Time;
+        self.pause = Duration::from_micros(self.listing.moved(self.callers(), waited));
         self.moving = Some(Instant::now() + self.pause);
         count(Count::list_moves);
     }
@@ -413,6 +431,7 @@
         }
         let (version, whole, entries) = read?;
         (self.after, self.renews, self.confirmed) = (Some(version), true, true);
+        self.unlisted_since = None;
         self.told.store(version, Ordering::Relaxed);
         count(Count::list_answers);
         Some((if whole { ListKind::Full } else { ListKind::Changes }, entries))
