Add two tests that fail: a commit without room, and a word after a clock went back

Seen: with the file of commits full (4 MiB) the other process of a proxy hears nothing of a write whose client has its answer, and would serve a read without it; ENOSPC and EIO at the append end alike, and a half record leaves all behind it misread. A SUSPEND said by a process whose clock is behind its predecessor's loses, at the next start, to the RESTORE before it.

--- a/src/handover/commits.rs
+++ b/src/handover/commits.rs
@@ -146,4 +146,20 @@
         assert_eq!(here.news(), [("k".into(), 9)]);
         let _ = std::fs::remove_dir_all(dir);
     }
+
+    #[test]
+    fn a_commit_that_finds_no_room_is_not_passed_over_in_silence() {
+        let dir = std::env::temp_dir().join(format!("linentrail-commits-full-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        let (a, b) = (dir.join("a"), dir.join("b"));
+        let whole = record("k", 3).repeat(MOST as usize / record("k", 3).len() + 1);
+        std::fs::write(&a, whole).expect("fine");
+        let mut there = Log::open(&b, a.clone()).expect("fine");
+        assert!(!there.news().is_empty());
+        let mut here = Log::open(&a, b).expect("fine");
+        here.wrote("k", 5);
+        let news = there.news();
+        assert!(news.iter().any(|(name, at)| &**name == "k" && *at == 5), "{news:?}");
+        let _ = std::fs::remove_dir_all(dir);
+    }
 }
--- a/tests/overlay.rs
+++ b/tests/overlay.rs
@@ -206,3 +206,27 @@
     assert!(!overlay.knows(&names[0]) && overlay.knows(&names[1]));
     assert_eq!(overlay.hands().len(), most);
 }
+
+/// Two processes of one proxy, one after the other, on a machine whose clock was set back in between: what was said later
+/// wins where the two are joined, as it must be once the store is read again.
+#[test]
+fn what_the_operators_said_last_wins_over_a_clock_that_was_set_back() {
+    use linentrail::knowledge::merge_hands;
+    let mut first = Overlay::default();
+    first.list(ListKind::Full, vec![entry("m", Condition::In, None)], 5_000);
+    first.suspend("m", 5_000).expect("it is listed");
+    first.restore("m", 6_000).expect("it is out");
+    let stored = first.hands().clone();
+    let mut second = Overlay::default();
+    second.list(ListKind::Full, vec![entry("m", Condition::In, None)], 1_000);
+    second.adopt(stored.clone());
+    let told = second.suspend("m", 1_500).expect("it is listed").expect("that is news");
+    assert_eq!(told.member.condition, Condition::Draining);
+    let mut joined = stored.clone();
+    merge_hands(&mut joined, second.hands());
+    assert_eq!(joined["m"].back, None, "it is out: {joined:?}");
+    second.restore("m", 1_600).expect("it is out");
+    let mut back = joined.clone();
+    merge_hands(&mut back, second.hands());
+    assert!(back["m"].back.is_some(), "it is back: {back:?}");
+}
