Tell a commit that finds no room, and let the operators' last word win over clocks

Causes: handover::commits::Log logged a failed append once and went on, so that the other process served reads without the write, and the part that a failed write left made it misread all that followed; Overlay::suspend and restore took the process's wall clock, by which merge_hands orders words of different processes. Change: a file that takes no more is taken away and written anew with what it lacked; while that fails the other sees no file and takes every session for written to up to now (PeerCommits::complete, counter handover_commits_failed). A word on a member is later than all that was said of it before. Left: where even the file's removal fails (EIO), the other goes on by what it holds.

--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -54,6 +54,7 @@
     withheld_client_gone,
     orders_dropped,
     violations,
+    handover_commits_failed,
     member_clock_offsets,
     accept_failures,
     local_failures,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -216,8 +216,17 @@
 pub trait Beside: Send {
     /// A session's write went through here.
     fn wrote(&mut self, session: &str, at: Position);
-    /// Those that went through there since the last call; an empty name stands for all sessions.
-    fn news(&mut self) -> Vec<(Arc<str>, Position)>;
+    /// Those that went through there since the last call.
+    fn news(&mut self) -> PeerCommits;
+}
+
+/// What another process of this proxy has committed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PeerCommits {
+    /// Sessions and positions by the members' clock; an empty name stands for all sessions.
+    pub commits: Vec<(Arc<str>, Position)>,
+    /// That is all of it; else any session may have been written to up to now.
+    pub complete: bool,
 }
 
 /// Whether a process is ready to serve.
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -4,7 +4,7 @@
 use super::actor::Actor;
 use super::counters::{add, count, Count};
 use super::member_times::with_times;
-use super::{Listed, Members, Order, Readiness};
+use super::{Listed, Members, Order, PeerCommits, Readiness};
 use crate::decide::REPORT_ROUNDING;
 use crate::interface::*;
 use crate::knowledge::evidence::{Listed as Life, Recalled, Usable};
@@ -15,6 +15,8 @@
 
 /// Commits no older than this, in us, are handed on by session; of the others the latest stands for all.
 const RECENT: Time = 20_000_000;
+/// How far ahead of this process's clock a commit may seem to lie, in us.
+const COMMIT_AHEAD_MAX: Time = 1_000_000;
 
 impl<M: Members> Actor<M> {
     /// What the operators ask, or another process tells, and what of it the module must know.
@@ -144,10 +146,14 @@
     /// Takes in what sessions have written by another process of this proxy.
     pub(super) fn catch_up(&mut self) {
         let Some(other) = &mut self.beside else { return };
-        let news = other.news();
-        let news = news.into_iter().map(|(name, told)| (name, self.member_clock.local(told)));
+        let PeerCommits { commits, complete } = other.news();
+        let news = commits.into_iter().map(|(name, told)| (name, self.member_clock.local(told)));
         let (all, named): (Vec<_>, Vec<_>) = news.partition(|(name, _)| name.is_empty());
-        let floor = all.into_iter().map(|(_, at)| at).max().unwrap_or(0);
+        let now = self.clock.now();
+        let untold = if complete { 0 } else { now };
+        // Nothing is committed far ahead of now, whatever stands in a file.
+        let latest = now + COMMIT_AHEAD_MAX;
+        let floor = all.into_iter().map(|(_, at)| at.min(latest)).max().unwrap_or(0).max(untold);
         if floor > 0 || !named.is_empty() {
             self.sessions.merge(named.iter().map(|(name, at)| (name, at)), floor);
         }
--- a/src/handover/commits.rs
+++ b/src/handover/commits.rs
@@ -4,7 +4,8 @@
 //! the writer's before the answer leaves, and a session's read first looks at what the other has appended. This holds
 //! only while both live; what was committed before, each has from the other's file of what it has learned.
 
-use crate::core::Beside;
+use crate::core::counters::{count, Count};
+use crate::core::{Beside, PeerCommits};
 use crate::interface::Position;
 use std::fs::File;
 use std::io::{self, Write};
@@ -44,13 +45,80 @@
     found
 }
 
+/// Most bytes of records that wait for a file that takes none; what comes beyond that stands for all sessions.
+const PENDING_MAX: usize = 64 * 1024;
+
+/// This process's file, which the other reads.
+///
+/// | state | what the other sees |
+/// | --- | --- |
+/// | sound | whole records, one after the other |
+/// | broken: an append failed, and may have left a part | no file: it takes all sessions for written to |
+/// | sound again | another file, with all that the former lacked |
+struct OwnFile {
+    path: PathBuf,
+    /// None while it is broken.
+    file: Option<File>,
+    /// What no file has taken yet.
+    pending: Vec<u8>,
+}
+
+impl OwnFile {
+    fn append(&mut self, record: &[u8]) {
+        if self.pending.len() + record.len() > PENDING_MAX {
+            self.pending = self::record("", Position::MAX);
+        }
+        self.pending.extend_from_slice(record);
+        let written = match &mut self.file {
+            Some(file) => Self::write(file, &self.pending),
+            None => Err(io::Error::other("the file broke")),
+        };
+        match written.or_else(|_| self.begin_anew()) {
+            Ok(()) => self.pending.clear(),
+            Err(e) => self.breaks(&e),
+        }
+    }
+
+    fn write(file: &mut File, bytes: &[u8]) -> io::Result<()> {
+        if file.metadata()?.len() > MOST {
+            return Err(io::Error::other("the file is full"));
+        }
+        file.write_all(bytes)
+    }
+
+    /// Another file in the place of one that takes no more. What the former told, the other has read, or reads from what
+    /// this process tells of all that it has learned.
+    fn begin_anew(&mut self) -> io::Result<()> {
+        self.file = None;
+        // Gone first: nothing may be read from a file that lacks something.
+        match std::fs::remove_file(&self.path) {
+            Err(e) if e.kind() != io::ErrorKind::NotFound => return Err(e),
+            _ => {}
+        }
+        let aside = self.path.with_extension("new");
+        let mut file = File::options().create(true).truncate(true).write(true).open(&aside)?;
+        file.write_all(&self.pending)?;
+        std::fs::rename(&aside, &self.path)?;
+        self.file = Some(File::options().append(true).open(&self.path)?);
+        Ok(())
+    }
+
+    fn breaks(&mut self, why: &io::Error) {
+        count(Count::handover_commits_failed);
+        if self.file.take().is_some() || self.pending.len() < PENDING_MAX / 2 {
+            log::error!("commits cannot be told to the other process of this proxy for now: {why}");
+        }
+    }
+}
+
 /// Both files, each read or appended to by this process alone.
 pub struct Log {
-    own: File,
-    full: bool,
+    own: OwnFile,
     other: PathBuf,
     /// The other's file, as far as it was read; another process there has another file.
     file: Option<(File, u64)>,
+    /// The other had a file, and has none now: it cannot tell what it commits.
+    lost: bool,
     at: u64,
     rest: Vec<u8>,
 }
@@ -61,15 +129,9 @@
     /// # Errors
     /// When its own cannot be opened.
     pub fn open(own: &PathBuf, other: PathBuf) -> io::Result<Self> {
-        let own = File::options().create(true).append(true).open(own)?;
-        Ok(Log { own, full: false, other, file: None, at: 0, rest: Vec::new() })
-    }
-
-    fn append(&mut self, record: &[u8]) -> io::Result<()> {
-        if self.own.metadata()?.len() > MOST {
-            return Err(io::Error::other("the file is full"));
-        }
-        self.own.write_all(record)
+        let file = File::options().create(true).append(true).open(own)?;
+        let own = OwnFile { path: own.clone(), file: Some(file), pending: Vec::new() };
+        Ok(Log { own, other, file: None, lost: false, at: 0, rest: Vec::new() })
     }
 
     fn read(&mut self) -> io::Result<()> {
@@ -77,7 +139,7 @@
         if self.file.as_ref().is_none_or(|(_, ino)| *ino != now) {
             let file = File::open(&self.other)?;
             let ino = file.metadata()?.ino();
-            (self.file, self.at) = (Some((file, ino)), 0);
+            (self.file, self.at, self.lost) = (Some((file, ino)), 0, false);
             self.rest.clear();
         }
         let Some((file, _)) = &self.file else { return Ok(()) };
@@ -95,17 +157,16 @@
 
 impl Beside for Log {
     fn wrote(&mut self, session: &str, at: Position) {
-        if let Err(e) = self.append(&record(session, at)) {
-            if !std::mem::replace(&mut self.full, true) {
-                log::error!("commits cannot be told to the other process of this proxy: {e}");
-            }
-        }
+        self.own.append(&record(session, at));
     }
 
-    fn news(&mut self) -> Vec<(Arc<str>, Position)> {
-        // Where there is no such file the other process does not write one.
-        let _ = self.read();
-        records(&mut self.rest)
+    fn news(&mut self) -> PeerCommits {
+        // Where there never was such a file the other process does not write one.
+        if self.read().is_err() && (self.lost || self.file.take().is_some()) {
+            self.lost = true;
+            return PeerCommits { commits: Vec::new(), complete: false };
+        }
+        PeerCommits { commits: records(&mut self.rest), complete: true }
     }
 }
 
@@ -133,17 +194,17 @@
         std::fs::create_dir_all(&dir).expect("a folder");
         let (a, b) = (dir.join("a"), dir.join("b"));
         let mut here = Log::open(&a, b.clone()).expect("fine");
-        assert!(here.news().is_empty(), "there is no other yet");
+        assert!(here.news().commits.is_empty(), "there is no other yet");
         let mut there = Log::open(&b, a.clone()).expect("fine");
         there.wrote("k", 5);
-        assert_eq!(here.news(), [("k".into(), 5)]);
-        assert!(here.news().is_empty() && there.news().is_empty());
+        assert_eq!(here.news().commits, [("k".into(), 5)]);
+        assert!(here.news().commits.is_empty() && there.news().commits.is_empty());
         // Another process takes the other's place.
         std::fs::write(dir.join("new"), b"").expect("fine");
         std::fs::rename(dir.join("new"), &b).expect("fine");
         let mut there = Log::open(&b, a).expect("fine");
         there.wrote("k", 9);
-        assert_eq!(here.news(), [("k".into(), 9)]);
+        assert_eq!(here.news().commits, [("k".into(), 9)]);
         let _ = std::fs::remove_dir_all(dir);
     }
 
@@ -155,11 +216,35 @@
         let whole = record("k", 3).repeat(MOST as usize / record("k", 3).len() + 1);
         std::fs::write(&a, whole).expect("fine");
         let mut there = Log::open(&b, a.clone()).expect("fine");
-        assert!(!there.news().is_empty());
+        assert!(!there.news().commits.is_empty());
         let mut here = Log::open(&a, b).expect("fine");
         here.wrote("k", 5);
-        let news = there.news();
+        let news = there.news().commits;
         assert!(news.iter().any(|(name, at)| &**name == "k" && *at == 5), "{news:?}");
         let _ = std::fs::remove_dir_all(dir);
     }
+
+    #[test]
+    fn while_a_file_takes_nothing_the_other_knows_that_it_is_not_told() {
+        let dir = std::env::temp_dir().join(format!("linentrail-commits-broken-{}", std::process::id()));
+        std::fs::create_dir_all(dir.join("sub")).expect("a folder");
+        let (a, b) = (dir.join("sub/a"), dir.join("b"));
+        let mut here = Log::open(&a, b.clone()).expect("fine");
+        let mut there = Log::open(&b, a.clone()).expect("fine");
+        here.wrote("k", 5);
+        assert_eq!(there.news(), PeerCommits { commits: vec![("k".into(), 5)], complete: true });
+        // Its file ends with a part of a record, and neither it nor another can be written.
+        here.own.file = Some(File::open(&a).expect("for reading alone"));
+        std::fs::write(&a, [7, 1, 2]).expect("fine");
+        std::fs::create_dir(a.with_extension("new")).expect("in the way");
+        here.wrote("k", 6);
+        here.wrote("j", 7);
+        assert_eq!(there.news(), PeerCommits { commits: vec![], complete: false });
+        assert!(!there.news().complete, "nor later");
+        std::fs::remove_dir(a.with_extension("new")).expect("it was there");
+        here.wrote("k", 8);
+        let all = vec![("k".into(), 6), ("j".into(), 7), ("k".into(), 8)];
+        assert_eq!(there.news(), PeerCommits { commits: all, complete: true });
+        let _ = std::fs::remove_dir_all(dir);
+    }
 }
--- a/src/overlay.rs
+++ b/src/overlay.rs
@@ -187,7 +187,9 @@
         if self.hands.values().filter(|h| h.is_out()).count() >= OUT_MOST {
             return Err(No::Full);
         }
-        self.hands.insert(name.into(), Hand { out: now, back: None });
+        // Later than all that was said before, also by a process whose clock was ahead of this one's.
+        let before = self.hands.get(name).map_or(0, |hand| hand.back.unwrap_or(hand.out).max(hand.out) + 1);
+        self.hands.insert(name.into(), Hand { out: now.max(before), back: None });
         Ok(self.again(name))
     }
 
@@ -200,7 +202,7 @@
             return Err(No::Unknown);
         }
         match self.hands.get_mut(name) {
-            Some(hand) if hand.is_out() => hand.back = Some(now),
+            Some(hand) if hand.is_out() => hand.back = Some(now.max(hand.out + 1)),
             _ => return Ok(None),
         }
         Ok(self.again(name))
