Tell by the file whether the other process's knowledge is new, not by two clocks

Cause (by reading, no run shows it): Handover::begin waited for a file that was written after this process began, and compared the writer's clock with its own. With the machine's clock set back between the two starts any file passed, also one from long ago, and first reads went by it; set forward, each start waited 0.8 s in vain. Change: the file must be another than at the beginning.

--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -10,7 +10,6 @@
 use crate::clock::Clock;
 use crate::core::counters::{count, Count};
 use crate::core::{Beside, Order, Taken};
-use crate::interface::Time;
 use crate::knowledge::format::{self, Unusable};
 use crate::net::budget::Budget;
 use crate::overlay::{Hands, No};
@@ -174,7 +173,9 @@
 
     /// Takes over what there is to take over, before the first client comes.
     pub async fn begin(&mut self) {
-        let began = self.clock.now();
+        // What another process has left, or wrote before this one began, is not what the one that lives knows now. Told by
+        // the file itself: the clocks of two processes may differ.
+        self.known = self.folder.mark(&known_of(self.folder.other()));
         self.follow().await;
         // A file of this process's own, whatever the last one in this seat has left.
         if let Err(e) = self.folder.write(&commits_of(self.folder.seat), &[]) {
@@ -185,7 +186,7 @@
         }
         self.share().await;
         let word = async {
-            while self.learn().await.is_none_or(|written| written < began) {
+            while self.learn().await.is_none() {
                 tokio::time::sleep(PAUSE).await;
             }
         };
@@ -274,16 +275,15 @@
         Some(())
     }
 
-    /// Takes in what the other has learned; when that was written.
-    async fn learn(&mut self) -> Option<Time> {
+    /// Takes in what the other has learned, where it has written that down since the last look.
+    async fn learn(&mut self) -> Option<()> {
         let name = known_of(self.folder.other());
         let mark = self.folder.mark(&name);
         if mark == self.known {
             return None;
         }
         self.known = mark;
-        let (known, at) = usable(&name, self.folder.read(&name), format::read_known)?;
-        self.desk.ask(|reply| Order::Learn(known, reply)).await?;
-        Some(at)
+        let (known, _) = usable(&name, self.folder.read(&name), format::read_known)?;
+        self.desk.ask(|reply| Order::Learn(known, reply)).await
     }
 }
