--- a/crates/standins/src/rig/draw.rs
+++ b/crates/standins/src/rig/draw.rs
@@ -166,7 +166,7 @@
         format!("list rate {} queue 200", [0, 60, 120][rng.usize(0..3)]),
         format!("store every {}", rng.u32(200..=1_000)),
         format!("load {} clients {}", proxies * 8, proxies * 4),
-        format!("clients leave {}", rng.u32(0..=8)),
+        format!("clients leave {}", rng.u32(0..=30)),
         format!("clients bad {}", rng.u32(0..=8)),
         format!("end {SOAK_END}"),
     ];
@@ -199,7 +199,18 @@
     let from = rng.u32(FIRST..places.last - 1_000);
     let to = rng.u32(from + 300..places.last);
     let some = format!("{}%", rng.u32(10..=100));
-    match rng.u32(0..4) {
+    match rng.u32(0..5) {
+        4 => {
+            // What waits for a connection waits on, while its client may leave and the member be announced as leaving.
+            let who = rng.u32(1..=places.members);
+            let mut steps =
+                vec![format!("at {from} m{who} does reset"), format!("at {} m{who} does shut", from + 60)];
+            if rng.bool() {
+                steps.push(format!("at {} list does leaving m{who}", from + 200));
+            }
+            steps.push(format!("at {to} m{who} does answer"));
+            ("shut", steps)
+        }
         0 => {
             let off = CLOCK_STEPS[rng.usize(0..CLOCK_STEPS.len())];
             let steps = [
@@ -364,7 +375,7 @@
             calls += script.calls.len();
             drawn.kinds().into_iter().for_each(|(kind, n)| *kinds.entry(kind).or_insert(0) += n);
         }
-        for kind in ["clock", "disk", "reloads", "release", "stop", "drain", "member down"] {
+        for kind in ["clock", "disk", "reloads", "release", "shut", "stop", "drain", "member down"] {
             assert!(kinds[kind] > 50, "{kinds:?}");
         }
         assert!(calls > 1_000, "{calls} calls that fail");
