Add a test that fails by OData: a request that has begun when the end comes

Seen: the connection closes without a word 0.3 s after SIGTERM, while the client sends the rest of its request. By the platform's protocol the same passes.

--- a/tests/system_faults.rs
+++ b/tests/system_faults.rs
@@ -10,7 +10,7 @@
 use linentrail_standins::shim::{Call, Shim};
 use linentrail_standins::{runtime, wire};
 use std::fs::File;
-use std::io::{BufRead, BufReader};
+use std::io::{BufRead, BufReader, Read, Write};
 use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::{Command, Stdio};
@@ -342,3 +342,35 @@
         assert!(cold < 20, "clock {step} us off: the cold member got {cold} reads of 60");
     }
 }
+
+/// A part of a request has been read when the process is told to end: the rest of it comes after connections have begun to
+/// close, and it is answered by either front.
+#[test]
+fn a_request_that_has_begun_when_the_end_comes_is_answered() {
+    let mut world = World::new(&[]);
+    world.setup.odata = true;
+    world.setup.still_coming = Some(Duration::from_millis(300));
+    for odata in [false, true] {
+        let proxy = world.start();
+        let (to, whole, answer) = if odata {
+            let head = "GET /records('k') HTTP/1.1\r\nHost: x\r\nSkip-Class: monthly-report\r\n";
+            let rest = "Skip-Tenant: acme\r\nSkip-Group: 1\r\n\r\n";
+            (proxy.odata.unwrap(), [head, rest].concat().into_bytes(), "HTTP/1.1 404")
+        } else {
+            let query = wire::query(&read("k").sql(&request_id()));
+            (proxy.pg, [wire::startup(), query].concat(), "SELECT ")
+        };
+        let (first, rest) = whole.split_at(whole.len() - 30);
+        let mut stream = TcpStream::connect(to).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        stream.write_all(first).unwrap();
+        std::thread::sleep(Duration::from_millis(50));
+        proxy.signal("TERM").unwrap();
+        std::thread::sleep(Duration::from_millis(700));
+        stream.write_all(rest).unwrap();
+        let mut all = Vec::new();
+        stream.read_to_end(&mut all).unwrap();
+        let told = String::from_utf8_lossy(&all);
+        assert!(told.contains(answer), "OData {odata}: {told:?}");
+    }
+}
