Go on reading where a value has begun: its rest may stand in the socket

Connection::answer told the socket that nothing is due after each reply, also where a large value had only begun; with its rest in the socket already no edge came, and the flow was given up after 3 s.

--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -195,7 +195,10 @@
             count(Count::member_extras);
         }
         let (reply, end) = self.reply().await;
-        self.framed.get_ref().expects_nothing();
+        // Of a value that has begun the rest may stand in the socket already.
+        if matches!(end, End::Whole { .. }) {
+            self.framed.get_ref().expects_nothing();
+        }
         (reply, end, strays > 0)
     }
 
