Keep an OData connection open while a request on it has begun

Cause: the select in odata::front took the end of the process, and others' want of a descriptor, also with a part of a request read. Its requests also tell the core of their client now, but for bookings that run on without one.

--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -5,7 +5,7 @@
 use crate::clock::Clock;
 use crate::core::bookings::{Booked, Bookings, Try};
 use crate::core::counters::{count, Count};
-use crate::core::{Answer, Handle, Operation, Request, Work};
+use crate::core::{Answer, Handle, Operation, Presence, Request, Work};
 use crate::http::{HttpError, HttpRequest, HttpResponse, HttpServer, Incoming};
 use crate::interface::*;
 use crate::net::budget::{Budget, Pace};
@@ -18,7 +18,7 @@
 use std::collections::VecDeque;
 use std::hash::{BuildHasher, DefaultHasher, Hash, Hasher, RandomState};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -88,8 +88,9 @@
                             continue;
                         }
                     },
-                    () = closed(&mut closing) => return Ok(finish(conn).await?),
-                    () = self.budget.clients.wanted(!known) => return Ok(finish_resting(conn).await?),
+                    // One of which a part has been read is the proxy's to answer.
+                    () = closed(&mut closing), if !part => return Ok(finish(conn).await?),
+                    () = self.budget.clients.wanted(!known), if !part => return Ok(finish_resting(conn).await?),
                     () = tokio::time::sleep_until(until) => match part {
                         true => return self.bad(conn, HttpError::Unfinished).await,
                         false => return Ok(finish_resting(conn).await?),
@@ -109,7 +110,7 @@
             known = true;
             let mut broken = None;
             let mut response = {
-                let answer = self.answer(&request);
+                let answer = self.answer(&request, conn.get_ref().presence());
                 tokio::pin!(answer);
                 loop {
                     tokio::select! {
@@ -167,7 +168,7 @@
         }
     }
 
-    async fn answer(&self, http: &HttpRequest) -> HttpResponse {
+    async fn answer(&self, http: &HttpRequest, client: Weak<dyn Presence>) -> HttpResponse {
         let form = match request::form(http) {
             Ok(form) => form,
             Err(fault) => return refused(fault, Form::default()),
@@ -177,7 +178,8 @@
             Ok(Call::Service) => reply::service(form),
             Ok(Call::Metadata) => reply::metadata(form),
             Ok(Call::Read(facts, key)) => {
-                let request = self.request(&terms, facts, &key, None);
+                let mut request = self.request(&terms, facts, &key, None);
+                request.client = Some(client);
                 let deadline = request.deadline;
                 let answer = self.gathered(self.core.submit(request).await.await).await;
                 reply::answer(form, Asked::Read(&key), answer, self.late(deadline))
@@ -185,9 +187,11 @@
             Ok(Call::Create { facts, key, value, repeatable, minimal }) => {
                 let asked = Asked::Create { key: &key, minimal, repeatable: repeatable.is_some() };
                 let print = print(&terms, &facts, &key, &value);
-                let (weight, request) = (value.len() + 512, self.request(&terms, facts, &key, Some(value)));
+                let weight = value.len() + 512;
+                let mut request = self.request(&terms, facts, &key, Some(value));
                 let deadline = request.deadline;
                 let Some(Repeatable { id, first_sent }) = repeatable else {
+                    request.client = Some(client);
                     let answer = self.core.submit(request).await.await;
                     return reply::answer(form, asked, answer, self.late(deadline));
                 };
