--- a/crates/standins/src/rig/checker_tests.rs
+++ b/crates/standins/src/rig/checker_tests.rs
@@ -283,3 +283,55 @@
     let leased_late = leased_late.at(995, What::Leased { proxy: 1, from: 985 * MS, until: 1_700 * MS });
     assert_eq!(leased_late.told(996, 7, End::Served, 1).broken(), []);
 }
+
+fn request(id: u64) -> What {
+    let (key, shows) = ("k".to_string(), Shows::Any);
+    What::Asked { id, proxy: 1, key, writes: None, shows, aim: 100_000, wait: 500_000 }
+}
+
+/// A proxy that serves from the start, and what happened after that.
+fn verdict(events: Vec<(Us, What)>, bounds: &Bounds) -> Vec<Rule> {
+    let first = [(0, What::Exec { proxy: 1 }), (0, What::Serves { proxy: 1 })];
+    let all: Vec<Event> = first.into_iter().chain(events).map(|(at, what)| Event { at, what }).collect();
+    judge(&all, 0, bounds).counts.into_keys().collect()
+}
+
+#[test]
+fn what_begins_for_a_client_that_has_gone_is_a_breach() {
+    let play = |given: Us| {
+        vec![
+            (1_000, request(7)),
+            (2_000, What::Sent { id: 7 }),
+            (5_000, What::Left { id: 7 }),
+            (given, What::Given { member: 1, id: 7 }),
+            (9_000_000, What::Fault("the end".into())),
+        ]
+    };
+    assert_eq!(verdict(play(200_000), &Bounds::default()), []);
+    assert_eq!(verdict(play(300_000), &Bounds::default()), [Rule::Left]);
+    assert_eq!(verdict(play(300_000), &Bounds { patience: 1_000_000, ..Bounds::default() }), []);
+}
+
+#[test]
+fn a_member_that_is_told_of_more_time_than_the_client_has_is_a_breach() {
+    let play = |wait: Us| {
+        vec![
+            (1_000, request(7)),
+            (2_000, What::Sent { id: 7 }),
+            (300_000, What::Given { member: 1, id: 7 }),
+            (300_000, What::Allowed { id: 7, wait }),
+            (400_000, What::Ended { id: 7, how: End::Refused, value: 0 }),
+        ]
+    };
+    assert_eq!(verdict(play(500_000), &Bounds::default()), []);
+    assert_eq!(verdict(play(520_000), &Bounds::default()), [Rule::Deadline]);
+}
+
+#[test]
+fn a_bad_client_that_gets_no_close_is_a_breach_also_at_the_end() {
+    let begun = (1_000, What::Begun { id: 9, proxy: 1 });
+    let end = |at: Us| (at, What::Fault("the end".into()));
+    assert_eq!(verdict(vec![begun.clone(), (3_000_000, What::Closed { id: 9 })], &Bounds::default()), []);
+    assert_eq!(verdict(vec![begun.clone(), end(3_000_000)], &Bounds::default()), []);
+    assert_eq!(verdict(vec![begun, end(5_000_000)], &Bounds::default()), [Rule::Unfinished]);
+}
--- a/crates/standins/src/rig/script.rs
+++ b/crates/standins/src/rig/script.rs
@@ -323,6 +323,7 @@
         let bounds = &mut self.bounds;
         match what {
             "late" => bounds.late = number::<u64>(n)? * 1000,
+            "patience" => bounds.patience = number::<u64>(n)? * 1000,
             "drain" => bounds.drain = number::<u64>(n)? * 1000,
             "cold" => bounds.cold = number(n)?,
             "opened" => bounds.opened = Some(number(n)?),
