--- a/src/console/mod.rs
+++ b/src/console/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::core::counters::{count, Count};
 use crate::core::{Order, Readiness};
-use crate::handover::Desk;
+use crate::handover::ControlHandle;
 use crate::net::listen::{Closing, Phase};
 use crate::net::socket::Socket;
 use crate::parley::{self, Ask};
@@ -38,7 +38,7 @@
 /// What every caller needs.
 #[derive(Clone)]
 pub struct Console {
-    desk: Desk,
+    control: ControlHandle,
     phase: Closing,
     /// The configuration was not to be read, and a stored one holds.
     stored: Arc<AtomicBool>,
@@ -53,14 +53,14 @@
 }
 
 impl Console {
-    /// One that hands its calls to the desk.
+    /// One that hands its calls to the control.
     pub fn new(
-        desk: Desk,
+        control: ControlHandle,
         phase: Closing,
         stored: Arc<AtomicBool>,
         fleet: Option<mpsc::Sender<parley::Call>>,
     ) -> Self {
-        Console { desk, phase, stored, fleet }
+        Console { control, phase, stored, fleet }
     }
 
     /// Takes callers until the process ends.
@@ -130,14 +130,14 @@
         let (told, done) = match call {
             Call::Status => return self.status().await,
             Call::Phase => {
-                return match self.desk.ask(Order::Progress).await {
+                return match self.control.request(Order::Progress).await {
                     Some(told) if told.phase == phases::Phase::Full => Reply::Yes(told.to_string().into()),
                     Some(told) => Reply::No(told.to_string()),
                     None => Reply::No("ending".to_string()),
                 }
             }
             Call::Confirm => {
-                return match self.desk.ask(Order::Confirm).await {
+                return match self.control.request(Order::Confirm).await {
                     Some(true) => Reply::Yes("confirmed".into()),
                     Some(false) => Reply::No("nothing waits to be confirmed".to_string()),
                     None => Reply::No("ending".to_string()),
@@ -147,10 +147,10 @@
                 return self.fleet(call).await.map_or_else(Reply::No, |yes| Reply::Yes(yes.into()))
             }
             Call::Suspend(id) => {
-                (self.desk.change(id, |reply| Order::Suspend(id.as_str().into(), reply)).await, "out")
+                (self.control.change(id, |reply| Order::Suspend(id.as_str().into(), reply)).await, "out")
             }
             Call::Restore(id) => {
-                (self.desk.change(id, |reply| Order::Restore(id.as_str().into(), reply)).await, "back")
+                (self.control.change(id, |reply| Order::Restore(id.as_str().into(), reply)).await, "back")
             }
         };
         told.map_or_else(Reply::No, |()| Reply::Yes(done.into()))
@@ -180,7 +180,7 @@
             Phase::Leaving | Phase::Closing => return Reply::No("ending".to_string()),
             Phase::Serving => {}
         }
-        match self.desk.ask(Order::Ready).await {
+        match self.control.request(Order::Ready).await {
             Some(Readiness::Ready) if self.stored.load(Ordering::Relaxed) => {
                 Reply::Yes("serving, by the last configuration that held".into())
             }
--- a/src/core/flow.rs
+++ b/src/core/flow.rs
@@ -13,7 +13,7 @@
 
 /// What comes of a value.
 #[derive(Debug)]
-pub enum Piece {
+pub enum Chunk {
     /// The next bytes.
     Bytes(Bytes),
     /// That was all of them, and the member has said so.
@@ -21,7 +21,7 @@
 }
 
 /// Where pieces are put in.
-pub type Source = mpsc::Sender<Piece>;
+pub type Source = mpsc::Sender<Chunk>;
 
 /// Where they are taken out. Copies are the same one: whoever takes a piece has it alone.
 #[derive(Debug, Clone)]
@@ -30,7 +30,7 @@
 #[derive(Debug)]
 struct Inner {
     length: usize,
-    pieces: Mutex<mpsc::Receiver<Piece>>,
+    pieces: Mutex<mpsc::Receiver<Chunk>>,
 }
 
 impl PartialEq for Flow {
@@ -54,7 +54,7 @@
     }
 
     /// The next piece; none where it broke off.
-    pub async fn next(&self) -> Option<Piece> {
+    pub async fn next(&self) -> Option<Chunk> {
         self.0.pieces.lock().await.recv().await
     }
 
@@ -63,10 +63,10 @@
         let mut all = Vec::with_capacity(self.length());
         loop {
             match self.next().await? {
-                Piece::Bytes(bytes) if all.len() + bytes.len() <= self.length() => {
+                Chunk::Bytes(bytes) if all.len() + bytes.len() <= self.length() => {
                     all.extend_from_slice(&bytes)
                 }
-                Piece::Whole if all.len() == self.length() => return Some(all.into()),
+                Chunk::Whole if all.len() == self.length() => return Some(all.into()),
                 _ => return None,
             }
         }
@@ -81,12 +81,12 @@
     fn only_a_flow_that_says_so_is_whole() {
         let runtime = tokio::runtime::Builder::new_current_thread().build().expect("a runtime");
         runtime.block_on(async {
-            let bytes = |text: &'static str| Piece::Bytes(Bytes::from_static(text.as_bytes()));
+            let bytes = |text: &'static str| Chunk::Bytes(Bytes::from_static(text.as_bytes()));
             for (pieces, whole) in [
-                (vec![bytes("ab"), bytes("c"), Piece::Whole], true),
+                (vec![bytes("ab"), bytes("c"), Chunk::Whole], true),
                 (vec![bytes("ab"), bytes("c")], false),
-                (vec![bytes("ab"), Piece::Whole], false),
-                (vec![bytes("ab"), bytes("cd"), Piece::Whole], false),
+                (vec![bytes("ab"), Chunk::Whole], false),
+                (vec![bytes("ab"), bytes("cd"), Chunk::Whole], false),
             ] {
                 let (source, flow) = Flow::new(3);
                 let put = async move {
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -68,33 +68,33 @@
 
 /// Where the operators' word on members is taken: recorded for both processes, and done in this one.
 #[derive(Clone)]
-pub struct Desk {
+pub struct ControlHandle {
     orders: mpsc::Sender<Order>,
     folder: Option<Arc<Folder>>,
     /// Where the operators' word is written down for later starts.
     scribe: Option<Scribe>,
 }
 
-impl Desk {
+impl ControlHandle {
     /// One that hands orders to the core, and records them where the proxy has a folder.
     pub fn new(orders: mpsc::Sender<Order>, folder: Option<Arc<Folder>>) -> Self {
-        Desk { orders, folder, scribe: None }
+        ControlHandle { orders, folder, scribe: None }
     }
 
     /// The same, which also writes down the operators' word for later starts.
     pub fn writing(self, scribe: Option<Scribe>) -> Self {
-        Desk { scribe, ..self }
+        ControlHandle { scribe, ..self }
     }
 
     /// Asks the core; none once it has ended.
-    pub async fn ask<T>(&self, order: impl FnOnce(oneshot::Sender<T>) -> Order) -> Option<T> {
+    pub async fn request<T>(&self, order: impl FnOnce(oneshot::Sender<T>) -> Order) -> Option<T> {
         let (reply, answer) = oneshot::channel();
         self.orders.send(order(reply)).await.ok()?;
         answer.await.ok()
     }
 
     /// Tells the core something that needs no answer; none once it has ended.
-    pub async fn tell(&self, order: Order) -> Option<()> {
+    pub async fn send(&self, order: Order) -> Option<()> {
         self.orders.send(order).await.ok()
     }
 
@@ -109,7 +109,7 @@
     ) -> Result<(), String> {
         self.record(order).await?;
         let Some(scribe) = &self.scribe else { return Ok(()) };
-        let hands = self.ask(Order::Hands).await.ok_or_else(|| "the process ends".to_string())?;
+        let hands = self.request(Order::Hands).await.ok_or_else(|| "the process ends".to_string())?;
         let Some((name, hand)) = hands.get_key_value(member) else { return Ok(()) };
         let written = scribe.word(name.clone(), *hand).await;
         written.map_err(|e| format!("done, but not written down for later starts: {e}"))
@@ -119,16 +119,16 @@
     async fn record(&self, order: impl FnOnce(oneshot::Sender<Taken>) -> Order) -> Result<(), String> {
         let ending = || "the process ends".to_string();
         let Some(folder) = &self.folder else {
-            return self.ask(order).await.ok_or_else(ending)?.map_err(said);
+            return self.request(order).await.ok_or_else(ending)?.map_err(said);
         };
         let fault = |e: io::Error| format!("the call cannot be recorded: {e}");
         // Held until the end: another call, here or there, must neither be lost nor undo this one.
         let _lock = self.lock(folder).await.map_err(fault)?;
         if let Some(hands) = usable(HANDS, folder.read(HANDS), format::read_hands) {
-            self.ask(|reply| Order::Adopt(hands, reply)).await.ok_or_else(ending)?;
+            self.request(|reply| Order::Adopt(hands, reply)).await.ok_or_else(ending)?;
         }
-        self.ask(order).await.ok_or_else(ending)?.map_err(said)?;
-        let hands = self.ask(Order::Hands).await.ok_or_else(ending)?;
+        self.request(order).await.ok_or_else(ending)?.map_err(said)?;
+        let hands = self.request(Order::Hands).await.ok_or_else(ending)?;
         folder.write(HANDS, &format::write_hands(&hands)).map_err(fault)
     }
 
@@ -155,7 +155,7 @@
 /// The actor of the folder.
 pub struct Handover {
     folder: Arc<Folder>,
-    desk: Desk,
+    control: ControlHandle,
     budget: Budget,
     clock: Clock,
     /// What the files were like when they were last read.
@@ -167,8 +167,8 @@
 
 impl Handover {
     /// One for a folder in which a seat is held.
-    pub fn new(folder: Arc<Folder>, desk: Desk, budget: Budget, clock: Clock) -> Self {
-        Handover { folder, desk, budget, clock, hands: None, known: None, lent: None }
+    pub fn new(folder: Arc<Folder>, control: ControlHandle, budget: Budget, clock: Clock) -> Self {
+        Handover { folder, control, budget, clock, hands: None, known: None, lent: None }
     }
 
     /// Takes over what there is to take over, before the first client comes.
@@ -211,7 +211,7 @@
                 } else {
                     log::info!("the other process of this proxy has ended");
                     self.lent.take().inspect(AbortHandle::abort);
-                    self.desk.ask(|reply| Order::Beside(None, reply)).await;
+                    self.control.request(|reply| Order::Beside(None, reply)).await;
                 }
             }
             if with && self.tell().await.is_none() {
@@ -248,7 +248,7 @@
         match Log::open(&place(self.folder.seat), place(self.folder.other())) {
             Ok(log) => {
                 let beside: Option<Box<dyn Beside>> = Some(Box::new(log));
-                self.desk.ask(|reply| Order::Beside(beside, reply)).await;
+                self.control.request(|reply| Order::Beside(beside, reply)).await;
             }
             Err(e) => log::warn!("the folder of the handover cannot be used: {e}"),
         }
@@ -262,12 +262,12 @@
         }
         self.hands = mark;
         let hands: Hands = usable(HANDS, self.folder.read(HANDS), format::read_hands)?;
-        self.desk.ask(|reply| Order::Adopt(hands, reply)).await
+        self.control.request(|reply| Order::Adopt(hands, reply)).await
     }
 
     /// Writes down what was learned here; none once the core has ended.
     async fn tell(&mut self) -> Option<()> {
-        let known = self.desk.ask(Order::Export).await?;
+        let known = self.control.request(Order::Export).await?;
         let name = known_of(self.folder.seat);
         if let Err(e) = self.folder.write(&name, &format::write_known(&known, self.clock.now())) {
             log::warn!("what was learned cannot be written down: {e}");
@@ -284,6 +284,6 @@
         }
         self.known = mark;
         let (known, _) = usable(&name, self.folder.read(&name), format::read_known)?;
-        self.desk.ask(|reply| Order::Learn(known, reply)).await
+        self.control.request(|reply| Order::Learn(known, reply)).await
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,7 +15,7 @@
 use linentrail::dnssd::browse::Browser;
 use linentrail::dnssd::records;
 use linentrail::handover::files::Folder;
-use linentrail::handover::{self, Desk, Handover};
+use linentrail::handover::{self, ControlHandle, Handover};
 use linentrail::knowledge::Held;
 use linentrail::listing::{Delivery, Listing};
 use linentrail::net::budget::{Budget, Pace};
@@ -122,14 +122,14 @@
     }
 
     let scribe = store.as_ref().map(|(scribe, ..)| scribe.clone());
-    let desk = Desk::new(orders, folder.clone()).writing(scribe.clone());
+    let control = ControlHandle::new(orders, folder.clone()).writing(scribe.clone());
     let (stored, mut held, mut last) = (Arc::new(AtomicBool::new(stored)), None, None);
     if let Some((scribe, found, text)) = store {
-        recovery::recall(&file.store, found, &desk, clock.now()).await;
+        recovery::recall(&file.store, found, &control, clock.now()).await;
         let (holds, settings) = watch::channel(Some(Held { at: clock.now(), text }));
         held = Some(holds);
         let (version, zones) = (version.clone(), zones.clone());
-        let gatherer = Gatherer { scribe, desk: desk.clone(), clock, settings, version, zones };
+        let gatherer = Gatherer { scribe, control: control.clone(), clock, settings, version, zones };
         let gatherer = Arc::new(gatherer);
         last = Some(gatherer.clone());
         let every = file.store.every;
@@ -139,8 +139,8 @@
     if file.agreement.enabled {
         if file.agreement.on_lapse == OnLapse::Refuse {
             // Before the first client comes: without a word of the voters nothing is sent.
-            desk.tell(Order::Lease(0)).await;
-            desk.ask(|reply| Order::Settings(Box::new(first), times, reply)).await;
+            control.send(Order::Lease(0)).await;
+            control.request(|reply| Order::Settings(Box::new(first), times, reply)).await;
         }
         let keys = file.agreement.read_keys()?;
         let (rules, ruled) = mpsc::channel(1);
@@ -148,7 +148,7 @@
         let wiring = Wiring {
             file: file.agreement.clone(),
             keys,
-            desk: desk.clone(),
+            control: control.clone(),
             core: mailbox.clone(),
             rules,
             scribe,
@@ -170,7 +170,7 @@
         slots,
         terms,
         discovery,
-        desk: desk.clone(),
+        control: control.clone(),
         held,
         stored: stored.clone(),
         clock,
@@ -181,21 +181,21 @@
         let listener =
             momentary::listen(console.as_str()).await.map_err(|e| format!("console {console}: {e}"))?;
         log::info!("operators call at {}", listener.local_addr().map_err(|e| e.to_string())?);
-        tokio::spawn(Console::new(desk.clone(), closing.clone(), stored, fleet).run(listener));
+        tokio::spawn(Console::new(control.clone(), closing.clone(), stored, fleet).run(listener));
     }
     let listener = match &handed {
         Some(descriptor) => listen::inherited(descriptor).map_err(|e| format!("{ACCEPT}: {e}"))?,
         None => momentary::listen(told.listen.as_str()).await.map_err(|e| format!("{}: {e}", told.listen))?,
     };
     if let Some(folder) = folder.clone() {
-        let mut handover = Handover::new(folder, desk.clone(), budget.clone(), clock);
+        let mut handover = Handover::new(folder, control.clone(), budget.clone(), clock);
         handover.begin().await;
         tokio::spawn(handover.run());
     }
     let failed = |e: std::io::Error| format!("sockets or signals: {e}");
     log::info!("serving clients at {}", listener.local_addr().map_err(failed)?);
     let began = clock.now().saturating_sub(began.elapsed().as_micros() as Time);
-    desk.ask(|reply| Order::Serves(began, reply)).await;
+    control.request(|reply| Order::Serves(began, reply)).await;
     let (core, pace) = (Handle::new(mailbox.clone()), Pace::default());
     let clients = budget.clients.clone();
     let front = Arc::new(pg::front::Front {
--- a/src/parley/mod.rs
+++ b/src/parley/mod.rs
@@ -16,7 +16,7 @@
 use crate::clock::Clock;
 use crate::core::counters::{count, Count};
 use crate::core::{Input, Order};
-use crate::handover::Desk;
+use crate::handover::ControlHandle;
 use crate::interface::{ListKind, Time};
 use crate::net::discovery::{self, Lists};
 use crate::operators::agreement::{Agreement, OnLapse};
@@ -92,7 +92,7 @@
     /// Its keys.
     pub keys: Keys,
     /// The way to the core.
-    pub desk: Desk,
+    pub control: ControlHandle,
     /// Lists go there.
     pub core: mpsc::Sender<Input>,
     /// Settings go there.
@@ -384,7 +384,7 @@
         match want {
             Want::Document(hash) => self.documents.get(&hash).map(|kept| kept.bytes.clone()),
             Want::List => {
-                let listed = self.with.desk.ask(Order::Listed).await?;
+                let listed = self.with.control.request(Order::Listed).await?;
                 let version = self.with.version.load(Ordering::Relaxed);
                 Some(discovery::write(&listed, version, &self.with.zones).to_string().into())
             }
@@ -483,7 +483,7 @@
             log::debug!(target: "rules", us = now, until = until; "leased");
         }
         if until > self.until && self.with.file.on_lapse == OnLapse::Refuse {
-            self.with.desk.tell(Order::Lease(until)).await?;
+            self.with.control.send(Order::Lease(until)).await?;
         }
         self.until = until;
         Some(())
@@ -518,7 +518,7 @@
         }
         let [own, all] = KINDS.map(|kind| self.acts.map(|acts| acts[kind.at()].holds));
         if all != Some(hands) {
-            self.with.desk.ask(|reply| Order::Fleet(out, reply)).await?;
+            self.with.control.request(|reply| Order::Fleet(out, reply)).await?;
         }
         if own != Some(settings) {
             let (reply, done) = oneshot::channel();
--- a/src/pg/front.rs
+++ b/src/pg/front.rs
@@ -4,7 +4,7 @@
 use super::statement::{self, Fault};
 use crate::clock::Clock;
 use crate::core::counters::{count, Count};
-use crate::core::flow::Piece;
+use crate::core::flow::Chunk;
 use crate::core::{Answer, Handle, Pending, Value};
 use crate::interface::*;
 use crate::net::budget::{ByteBudget, DescriptorBudget, Pace};
@@ -63,18 +63,18 @@
 }
 
 /// A reply that is owed on a connection.
-enum Owed {
+enum PendingReply {
     Ready(Reply),
     Paced(Pin<Box<Sleep>>, Reply),
     Waiting(Pending, bool),
 }
 
-impl Owed {
+impl PendingReply {
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Reply> {
         match self {
-            Owed::Ready(reply) => Poll::Ready(reply.clone()),
-            Owed::Paced(wait, reply) => wait.as_mut().poll(cx).map(|()| reply.clone()),
-            Owed::Waiting(pending, write) => {
+            PendingReply::Ready(reply) => Poll::Ready(reply.clone()),
+            PendingReply::Paced(wait, reply) => wait.as_mut().poll(cx).map(|()| reply.clone()),
+            PendingReply::Waiting(pending, write) => {
                 let write = *write;
                 Pin::new(pending).poll(cx).map(|answer| reply(answer, write))
             }
@@ -84,7 +84,7 @@
 
 /// The reply that is due first, once there is one. Replies go out in the order of their queries, so that only the
 /// first is asked for; nothing is lost where this is dropped.
-async fn due(owed: &mut VecDeque<Owed>) -> Reply {
+async fn due(owed: &mut VecDeque<PendingReply>) -> Reply {
     let reply = poll_fn(|cx| owed.front_mut().map_or(Poll::Pending, |first| first.poll(cx))).await;
     owed.pop_front();
     reply
@@ -92,7 +92,7 @@
 
 /// What a client has said so far.
 #[derive(Default)]
-struct Talk {
+struct SessionState {
     /// Anything at all after its startup.
     asked: bool,
     /// Something that could be understood.
@@ -133,15 +133,15 @@
         let mut closed = pin!(reached(&mut closing, Phase::Closing));
         // Set anew only when it rings too early: nearly every wait ends long before its limit.
         let mut timer = pin!(tokio::time::sleep_until(first));
-        let (mut talk, mut part, mut rests) = (Talk::default(), None::<Instant>, Instant::now());
+        let (mut session, mut part, mut rests) = (SessionState::default(), None::<Instant>, Instant::now());
         let fault = loop {
             if leaving && owed.is_empty() {
                 // What has come already is still taken, or the client would find its request unread.
                 let come = if ended { None } else { next(&mut conn, true).now_or_never() };
                 match come {
                     Some(Next::Message(Some(Ok(message)))) if message != Frontend::Terminate => {
-                        (talk.asked, part) = (true, None);
-                        owed.extend(self.take(message, &mut talk, conn.get_ref()).await);
+                        (session.asked, part) = (true, None);
+                        owed.extend(self.take(message, &mut session, conn.get_ref()).await);
                         continue;
                     }
                     None if !ended && !conn.read_buffer().is_empty() => {}
@@ -154,10 +154,10 @@
             part = part.filter(|_| reads);
             let until = match part {
                 // The first message has no longer than a client that says nothing.
-                Some(since) if talk.asked => Some(since + UNFINISHED),
+                Some(since) if session.asked => Some(since + UNFINISHED),
                 Some(_) => Some(first),
                 None if !owed.is_empty() => None,
-                None => Some(if talk.asked { rests + IDLE } else { first }),
+                None => Some(if session.asked { rests + IDLE } else { first }),
             };
             if until.is_some_and(|until| until < timer.deadline()) {
                 timer.as_mut().reset(until.unwrap_or(first));
@@ -177,8 +177,8 @@
                     // What was asked before the goodbye is still answered.
                     Next::Message(Some(Ok(Frontend::Terminate))) => (leaving, ended) = (true, true),
                     Next::Message(Some(Ok(message))) => {
-                        (part, talk.asked, rests) = (None, true, Instant::now());
-                        owed.extend(self.take(message, &mut talk, conn.get_ref()).await);
+                        (part, session.asked, rests) = (None, true, Instant::now());
+                        owed.extend(self.take(message, &mut session, conn.get_ref()).await);
                     }
                     Next::Message(Some(Err(e))) => break e,
                 },
@@ -188,7 +188,7 @@
                 }
                 // Others wait for a seat, or too many rest: this one is between requests and has been for longest. A message
                 // of which a part has been read is a request that was taken.
-                () = self.clients.wanted(!talk.sound), if owed.is_empty() && part.is_none() => {
+                () = self.clients.wanted(!session.sound), if owed.is_empty() && part.is_none() => {
                     count(Count::pg_made_room);
                     log::debug!(target: CONNECTION, "closed at rest, to make room for others");
                     return Ok(finish_resting(conn).await?);
@@ -199,7 +199,7 @@
                     }
                     Some(_) => break WireError::Unfinished,
                     None => {
-                        count(if talk.asked { Count::pg_idle_closed } else { Count::pg_silent });
+                        count(if session.asked { Count::pg_idle_closed } else { Count::pg_silent });
                         log::debug!(target: CONNECTION, "closed at rest, as nothing was asked for long");
                         return Ok(finish_resting(conn).await?);
                     }
@@ -234,35 +234,40 @@
         Ok(true)
     }
 
-    async fn take(&self, message: Frontend, talk: &mut Talk, client: &Socket) -> Option<Owed> {
+    async fn take(
+        &self,
+        message: Frontend,
+        session: &mut SessionState,
+        client: &Socket,
+    ) -> Option<PendingReply> {
         let no = |after| error("0A000", "only simple queries are spoken here", after);
         let text = match message {
-            Frontend::Query(text) if !talk.skipping => text,
+            Frontend::Query(text) if !session.skipping => text,
             Frontend::Sync => {
-                talk.skipping = false;
-                return Some(Owed::Ready(Reply::Ready));
+                session.skipping = false;
+                return Some(PendingReply::Ready(Reply::Ready));
             }
-            Frontend::Other(b'F') if !talk.skipping => return Some(self.paced(no(After::Ready))),
+            Frontend::Other(b'F') if !session.skipping => return Some(self.paced(no(After::Ready))),
             // Once for a round of the extended protocol; the rest of it, up to its Sync, gets no answer of its own.
-            Frontend::Other(b'P' | b'B' | b'D' | b'E' | b'C') if !talk.skipping => {
-                talk.skipping = true;
+            Frontend::Other(b'P' | b'B' | b'D' | b'E' | b'C') if !session.skipping => {
+                session.skipping = true;
                 return Some(self.paced(no(After::Sync)));
             }
             _ => return None,
         };
         if text.trim_ascii().is_empty() {
-            talk.sound = true;
-            return Some(Owed::Ready(Reply::Empty));
+            session.sound = true;
+            return Some(PendingReply::Ready(Reply::Empty));
         }
         count(Count::pg_requests);
         let terms = self.terms.borrow().clone();
         match statement::read(text, &terms, self.clock.now()) {
             Ok(mut request) => {
-                talk.sound = true;
+                session.sound = true;
                 request.deadline = request.deadline.saturating_sub(MARGIN);
                 request.client = Some(client.presence());
                 let write = request.terms.classes[request.class].need == Need::Write;
-                Some(Owed::Waiting(self.core.submit(request).await, write))
+                Some(PendingReply::Waiting(self.core.submit(request).await, write))
             }
             Err(Fault { code, message }) => {
                 let (after, message) = (After::Ready, Bytes::from(message));
@@ -272,9 +277,9 @@
     }
 
     /// The answer to what cannot be understood, in its turn.
-    fn paced(&self, reply: Reply) -> Owed {
+    fn paced(&self, reply: Reply) -> PendingReply {
         count(Count::pg_malformed);
-        Owed::Paced(Box::pin(tokio::time::sleep(self.pace.turn(self.clock.now()))), reply)
+        PendingReply::Paced(Box::pin(tokio::time::sleep(self.pace.turn(self.clock.now()))), reply)
     }
 
     /// The last word on a connection on which the next message cannot be found any more: an error, then a close.
@@ -306,7 +311,7 @@
 const LARGE: usize = 16 * 1024;
 
 /// Writes a reply and those behind it that are due already, in one go.
-async fn put(conn: &mut Conn, reply: Reply, owed: &mut VecDeque<Owed>) -> Result<(), WireError> {
+async fn put(conn: &mut Conn, reply: Reply, owed: &mut VecDeque<PendingReply>) -> Result<(), WireError> {
     let mut next = Some(reply);
     while let Some(reply) = next {
         match reply {
@@ -347,11 +352,11 @@
     *conn.write_buffer_mut() = head;
     loop {
         match flow.next().await {
-            Some(Piece::Bytes(mut bytes)) if bytes.len() <= left => {
+            Some(Chunk::Bytes(mut bytes)) if bytes.len() <= left => {
                 left -= bytes.len();
                 in_time(conn.get_mut().write_all_buf(&mut bytes)).await?;
             }
-            Some(Piece::Whole) if left == 0 => break,
+            Some(Chunk::Whole) if left == 0 => break,
             _ => return Err(WireError::Io(ErrorKind::UnexpectedEof.into())),
         }
     }
--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -8,7 +8,7 @@
 use super::statement::render;
 use super::told::{statement, Backend, ClientCodec, Column, Frontend, Parameter};
 use crate::core::counters::{count, Count};
-use crate::core::flow::{Flow, Piece, Source};
+use crate::core::flow::{Chunk, Flow, Source};
 use crate::core::{Value, Work};
 use crate::interface::*;
 use crate::meter::{self, Cost};
@@ -312,7 +312,7 @@
             let Ok(Next::Message(Some(Ok(message)))) = read else { break false };
             match message {
                 // As fast as it is taken; whoever wanted it may have left.
-                Backend::Piece(bytes) => match to.send(Piece::Bytes(bytes)).await {
+                Backend::Chunk(bytes) => match to.send(Chunk::Bytes(bytes)).await {
                     Ok(()) => {}
                     Err(_) => break false,
                 },
@@ -326,7 +326,7 @@
         shrink(&mut self.framed);
         self.framed.get_ref().expects_nothing();
         if whole {
-            let _ = to.send(Piece::Whole).await;
+            let _ = to.send(Chunk::Whole).await;
         } else {
             count(Count::flows_broken);
         }
--- a/src/pg/told.rs
+++ b/src/pg/told.rs
@@ -61,7 +61,7 @@
     /// The start of a row whose value has so many bytes; they follow in pieces.
     RowBegins(usize),
     /// The next of them.
-    Piece(Bytes),
+    Chunk(Bytes),
     /// The end of a command.
     CommandComplete,
     /// The answer to an empty query.
@@ -121,7 +121,7 @@
         if self.left == 0 {
             self.share = None;
         }
-        Some(Backend::Piece(src.split_to(some).freeze()))
+        Some(Backend::Chunk(src.split_to(some).freeze()))
     }
 }
 
--- a/src/recovery.rs
+++ b/src/recovery.rs
@@ -5,7 +5,7 @@
 use crate::config::{self, Config, Sound};
 use crate::core::counters::{count, Count};
 use crate::core::Order;
-use crate::handover::Desk;
+use crate::handover::ControlHandle;
 use crate::interface::Time;
 use crate::knowledge::{Held, Knowledge};
 use crate::net::discovery;
@@ -106,7 +106,7 @@
 }
 
 /// Hands the core what was stored, before the first client comes.
-pub async fn recall(file: &operators::Store, found: Recovered, desk: &Desk, now: Time) {
+pub async fn recall(file: &operators::Store, found: Recovered, control: &ControlHandle, now: Time) {
     let waits = found.finding.may_lack_words() && !file.confirm.is_zero();
     let until = if waits { now + file.confirm.as_micros() as Time } else { 0 };
     if waits {
@@ -115,7 +115,7 @@
             file.confirm
         );
     }
-    desk.ask(|reply| Order::Recall(Box::new(found.all), until, reply)).await;
+    control.request(|reply| Order::Recall(Box::new(found.all), until, reply)).await;
 }
 
 /// Gathers what is known, from where it is known.
@@ -123,7 +123,7 @@
     /// The way to the disk.
     pub scribe: Scribe,
     /// The way to the core.
-    pub desk: Desk,
+    pub control: ControlHandle,
     /// The clock.
     pub clock: Clock,
     /// The configuration that holds.
@@ -147,9 +147,9 @@
 
     /// Writes all down now; none once the core has ended.
     pub async fn write(&self) -> Option<()> {
-        let known = self.desk.ask(Order::Export).await?;
-        let hands = self.desk.ask(Order::Hands).await?;
-        let listed = self.desk.ask(Order::Listed).await?;
+        let known = self.control.request(Order::Export).await?;
+        let hands = self.control.request(Order::Hands).await?;
+        let listed = self.control.request(Order::Listed).await?;
         let now = self.clock.now();
         let list = (!listed.is_empty()).then(|| {
             let version = self.version.load(Ordering::Relaxed);
--- a/src/reload.rs
+++ b/src/reload.rs
@@ -5,7 +5,7 @@
 use crate::config::{self, Config, Sound};
 use crate::core::counters::{count, Count};
 use crate::core::Order;
-use crate::handover::Desk;
+use crate::handover::ControlHandle;
 use crate::interface::Settings;
 use crate::knowledge::Held;
 use crate::listing::Delivery;
@@ -37,7 +37,7 @@
     /// Where discovery's reader learns its address.
     pub discovery: watch::Sender<Service>,
     /// The way to the core.
-    pub desk: Desk,
+    pub control: ControlHandle,
     /// Where the text that holds is told to the store, if there is one.
     pub held: Option<watch::Sender<Option<Held>>>,
     /// A stored configuration holds, as the file could not be read at the start.
@@ -105,7 +105,7 @@
         let terms = self.slots.change(names, std::mem::take(&mut settings.classes));
         settings.classes = terms.classes.clone();
         // The module first: no request may come under terms that it does not know.
-        self.desk.ask(|reply| Order::Settings(Box::new(settings), times, reply)).await;
+        self.control.request(|reply| Order::Settings(Box::new(settings), times, reply)).await;
         let _ = self.terms.send(terms);
     }
 
