--- a/crates/lab/src/fleet/hunt.rs
+++ b/crates/lab/src/fleet/hunt.rs
@@ -14,41 +14,47 @@
 use std::sync::Arc;
 use tokio::task::JoinSet;
 
-/// Options of `hunt`.
+/// What is drawn, by whichever command.
 #[derive(Args)]
-pub struct Options {
+struct Seeds {
     /// The proxy to start; else the one beside this program
     #[arg(long)]
     program: Option<PathBuf>,
     /// The first seed
     #[arg(long, default_value_t = 1)]
     seed: u64,
-    /// How many scenarios; without it until it is stopped
+    /// How many seeds; without it until it is stopped
     #[arg(long)]
     count: Option<u64>,
+    /// Each breach is written here, as a scenario that shows it
+    #[arg(long)]
+    keep: Option<PathBuf>,
+}
+
+impl Seeds {
+    fn range(&self) -> std::ops::Range<u64> {
+        self.seed..self.count.map_or(u64::MAX, |n| self.seed.saturating_add(n))
+    }
+}
+
+/// Options of `hunt`.
+#[derive(Args)]
+pub struct Options {
+    #[command(flatten)]
+    seeds: Seeds,
     /// Scenarios at a time
     #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u64).range(1..=64))]
     jobs: u64,
     /// Draws proxies that agree on their rules
     #[arg(long)]
     agree: bool,
-    /// Each breach is written here, as a scenario that shows it
-    #[arg(long)]
-    keep: Option<PathBuf>,
 }
 
 /// Options of `soak`.
 #[derive(Args)]
 pub struct SoakOptions {
-    /// The proxy to start; else the one beside this program
-    #[arg(long)]
-    program: Option<PathBuf>,
-    /// The first seed
-    #[arg(long, default_value_t = 1)]
-    seed: u64,
-    /// How many seeds; without it until it is stopped
-    #[arg(long)]
-    count: Option<u64>,
+    #[command(flatten)]
+    seeds: Seeds,
     /// Runs at a time
     #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u64).range(1..=16))]
     jobs: u64,
@@ -58,9 +64,6 @@
     /// A breach is told and not made short
     #[arg(long)]
     whole: bool,
-    /// Each breach is written here, as a scenario that shows it
-    #[arg(long)]
-    keep: Option<PathBuf>,
 }
 
 /// What a hunt draws and what it does with a breach.
@@ -80,15 +83,14 @@
 
 /// Runs many processes whose system calls fail, under faults that overlap, seed after seed.
 pub async fn soak(options: &SoakOptions, stop: &Stop) -> Result<(), Failure> {
-    let last = options.count.map_or(u64::MAX, |n| options.seed.saturating_add(n));
     let hunt = Hunt {
-        program: program(options.program.as_ref())?,
-        seeds: options.seed..last,
+        program: program(options.seeds.program.as_ref())?,
+        seeds: options.seeds.range(),
         jobs: options.jobs as usize,
         draw: draw_soak,
         patient: options.patient,
         shortens: !options.whole,
-        keep: options.keep.clone(),
+        keep: options.seeds.keep.clone(),
     };
     hunt.run(stop).await
 }
@@ -127,15 +129,14 @@
 
 /// Runs the command.
 pub async fn run(options: &Options, stop: &Stop) -> Result<(), Failure> {
-    let last = options.count.map_or(u64::MAX, |n| options.seed.saturating_add(n));
     let hunt = Hunt {
-        program: program(options.program.as_ref())?,
-        seeds: options.seed..last,
+        program: program(options.seeds.program.as_ref())?,
+        seeds: options.seeds.range(),
         jobs: options.jobs as usize,
         draw: if options.agree { draw_agreeing } else { draw },
         patient: false,
         shortens: true,
-        keep: options.keep.clone(),
+        keep: options.seeds.keep.clone(),
     };
     hunt.run(stop).await
 }
