Add a test that fails: reads and writes that a signal interrupts

Seen: one call in five of recv, send, writev and connect returns EINTR (signal(7)); 'Connection reset by peer' at the first requests, for connections that stand. The runtime hands the error on, and the fronts and members' side take it for the connection's end.

--- a/crates/standins/shim/faults.c
+++ b/crates/standins/shim/faults.c
@@ -13,6 +13,7 @@
  *   connect_fails connect() fails with EADDRNOTAVAIL, ENETUNREACH or ENOBUFS    connect(2), ip(7)
  *   socket_fails socket() fails with ENFILE or ENOBUFS                          socket(2)
  *   wait_intr    epoll_wait() returns EINTR                                     epoll_wait(2)
+ *   call_intr    recv(), send(), writev() and connect() return EINTR            signal(7)
  *   pause        a thread is held up before send()                              scheduling; any call may take so long
  *   pause_us     for so long (150000)
  *
@@ -42,12 +43,13 @@
 #include <unistd.h>
 
 enum fault {
-    RECV_SHORT, RECV_CUT, SEND_SHORT, RECV_FAILS, ACCEPT_FAILS, CONNECT_FAILS, SOCKET_FAILS, WAIT_INTR, PAUSE, PAUSE_US, SEED,
+    RECV_SHORT, RECV_CUT, SEND_SHORT, RECV_FAILS, ACCEPT_FAILS, CONNECT_FAILS, SOCKET_FAILS, WAIT_INTR, CALL_INTR, PAUSE, PAUSE_US, SEED,
     FAULTS
 };
 
 static const char *const NAMES[FAULTS] = {
     "recv_short", "recv_cut", "send_short", "recv_fails", "accept_fails", "connect_fails", "socket_fails", "wait_intr",
+    "call_intr",
     "pause", "pause_us", "seed",
 };
 
@@ -141,8 +143,11 @@
     return -1;
 }
 
+static const int INTERRUPTED[] = {EINTR};
+
 ssize_t recv(int fd, void *to, size_t size, int flags) {
     REAL(recv);
+    if (comes(CALL_INTR)) return fails("recv", fd, INTERRUPTED, 1);
     if (!(flags & MSG_PEEK)) {
         if (fd >= 0 && fd < DESCRIPTORS && outgoing[fd] && comes(RECV_FAILS)) {
             static const int errors[] = {ETIMEDOUT, EHOSTUNREACH};
@@ -176,6 +181,7 @@
 
 ssize_t send(int fd, const void *from, size_t size, int flags) {
     REAL(send);
+    if (comes(CALL_INTR)) return fails("send", fd, INTERRUPTED, 1);
     hold_up(fd);
     if (size > 1 && comes(SEND_SHORT)) {
         note("send(%d) takes 1 of %zu bytes", fd, size);
@@ -186,6 +192,7 @@
 
 ssize_t writev(int fd, const struct iovec *parts, int n) {
     REAL(writev);
+    if (comes(CALL_INTR)) return fails("writev", fd, INTERRUPTED, 1);
     hold_up(fd);
     if (n > 0 && parts[0].iov_len > 1 && comes(SEND_SHORT)) {
         note("writev(%d) takes 1 byte", fd);
@@ -206,6 +213,7 @@
 
 int connect(int fd, const struct sockaddr *address, socklen_t length) {
     REAL(connect);
+    if (comes(CALL_INTR)) return fails("connect", fd, INTERRUPTED, 1);
     static const int errors[] = {EADDRNOTAVAIL, ENETUNREACH, ENOBUFS};
     if (comes(CONNECT_FAILS)) return fails("connect", fd, errors, 3);
     set_outgoing(fd, 1);
--- a/crates/standins/src/rig/draw.rs
+++ b/crates/standins/src/rig/draw.rs
@@ -179,6 +179,7 @@
         ("connect_fails", 3..=20),
         ("socket_fails", 3..=20),
         ("wait_intr", 3..=50),
+        ("call_intr", 10..=200),
         ("pause", 150..=1_000),
     ] {
         if rng.u32(0..3) == 0 {
--- a/crates/standins/src/shim.rs
+++ b/crates/standins/src/shim.rs
@@ -33,13 +33,15 @@
     SocketFails,
     /// A wait ends with EINTR.
     WaitInterrupted,
+    /// A read, a write or a connect ends with EINTR.
+    CallInterrupted,
     /// The process is held up for 150 ms before it writes.
     Pause,
 }
 
 impl Call {
     /// All of them.
-    pub const ALL: [Call; 9] = [
+    pub const ALL: [Call; 10] = [
         Call::RecvShort,
         Call::RecvCut,
         Call::SendShort,
@@ -48,6 +50,7 @@
         Call::ConnectFails,
         Call::SocketFails,
         Call::WaitInterrupted,
+        Call::CallInterrupted,
         Call::Pause,
     ];
 
@@ -62,6 +65,7 @@
             Call::ConnectFails => "connect_fails",
             Call::SocketFails => "socket_fails",
             Call::WaitInterrupted => "wait_intr",
+            Call::CallInterrupted => "call_intr",
             Call::Pause => "pause",
         }
     }
--- a/tests/system_faults.rs
+++ b/tests/system_faults.rs
@@ -142,6 +142,14 @@
     all_are_served(&world, &proxy);
 }
 
+#[test]
+fn calls_that_a_signal_interrupts_lose_nothing() {
+    let world = World::new(&[(Call::CallInterrupted, 5)]);
+    let proxy = world.start();
+    world.shim.calls_fail(true).unwrap();
+    all_are_served(&world, &proxy);
+}
+
 #[test]
 fn a_start_outlasts_sockets_that_are_not_to_be_had_for_a_moment() {
     let world = World::new(&[(Call::SocketFails, 2)]);
