Make calls again that a signal has interrupted, on every connection

Cause: mio and the runtime hand EINTR of recv, send and connect on, and net::socket, like the runtime's stream before it, did too.

--- a/src/net/momentary.rs
+++ b/src/net/momentary.rs
@@ -3,7 +3,6 @@
 
 use crate::core::counters::{count, Count};
 use std::io::{Error, Result};
-use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream, ToSocketAddrs};
 
@@ -19,9 +18,10 @@
     matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE | libc::ENOBUFS | libc::ENOMEM))
 }
 
-/// No port or route either.
+/// No port or route either, or a signal that came meanwhile.
 fn no_connection(e: &Error) -> bool {
-    no_socket(e) || matches!(e.raw_os_error(), Some(libc::EADDRNOTAVAIL | libc::ENETUNREACH | libc::EAGAIN))
+    let momentary = [libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::EAGAIN, libc::EINTR];
+    no_socket(e) || e.raw_os_error().is_some_and(|code| momentary.contains(&code))
 }
 
 /// Listens there, once there is a socket to be had.
@@ -48,7 +48,7 @@
 ///
 /// # Errors
 /// When the other side cannot be reached, or this machine lacks something for longer.
-pub async fn connect(address: SocketAddr) -> Result<TcpStream> {
+pub async fn connect(address: impl ToSocketAddrs + Copy) -> Result<TcpStream> {
     for pause in CONNECT_PAUSES {
         match TcpStream::connect(address).await {
             Err(e) if no_connection(&e) => count(Count::local_failures),
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -76,14 +76,17 @@
         if !std::mem::take(&mut self.unread) {
             return None;
         }
-        meter::add(Cost::Reads, 1);
-        match (&*SockRef::from(&*self.stream)).read(buf.initialize_unfilled()) {
-            Ok(read) => {
-                buf.advance(read);
-                Some(Ok(()))
+        loop {
+            meter::add(Cost::Reads, 1);
+            match (&*SockRef::from(&*self.stream)).read(buf.initialize_unfilled()) {
+                Ok(read) => {
+                    buf.advance(read);
+                    return Some(Ok(()));
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return None,
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Some(Err(e)),
             }
-            Err(e) if e.kind() == ErrorKind::WouldBlock => None,
-            Err(e) => Some(Err(e)),
         }
     }
 
@@ -96,13 +99,19 @@
             ready!(self.stream.poll_write_ready(cx))?;
             meter::add(Cost::Writes, 1);
             match write(&self.stream) {
-                Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+                Err(e) if calls_again(&e) => {}
                 written => return Poll::Ready(written),
             }
         }
     }
 }
 
+/// A call that did nothing: there is nothing to do it with, of which the runtime then knows, or a signal came. Neither says
+/// anything of the connection.
+fn calls_again(e: &Error) -> bool {
+    matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
+}
+
 impl Presence for TcpStream {
     fn gone(&self) -> bool {
         // The end behind unread bytes shows in what the kernel told last; with none there it is what a look brings.
@@ -123,7 +132,7 @@
             ready!(self.stream.poll_read_ready(cx))?;
             meter::add(Cost::Reads, 1);
             match self.stream.try_read_buf(buf) {
-                Err(e) if e.kind() == ErrorKind::WouldBlock => meter::add(Cost::EmptyReads, 1),
+                Err(e) if calls_again(&e) => meter::add(Cost::EmptyReads, 1),
                 read => return Poll::Ready(read.map(drop)),
             }
         }
