Let what stands in the sockets be taken in before an attempt that waited long begins

Cause: an attempt whose connection comes about in the turn in which a process goes on runs before the core has read the list that came in the same turn (src/net/peer.rs). The gate asks what the core knows, and the core did not know yet. Change: an attempt that has waited for 0.1 s gives way for four turns of the runtime first, in which the list is read, handed to the core and carried out. Others pay nothing. Ruled out: a look at discovery's socket from the gate, which knows no list; a bound on the wait, which withholds what is fine.

--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -30,6 +30,19 @@
 /// written at the limit or past it ends as a reset, and a write lost so may not be sent again.
 const IDLE_SHARE: f64 = 0.6;
 
+/// An attempt that has waited for so long, in us, first lets the others take in what stands in the process's sockets: it may
+/// have stood still meanwhile.
+const LONG_WAIT: Time = 100_000;
+/// Turns of the runtime in which a list that has come is read, handed to the core, and carried out.
+const TURNS: usize = 4;
+
+/// Lets the runtime look at its sockets, and all others do what follows from that.
+async fn hear_what_has_come() {
+    for _ in 0..TURNS {
+        tokio::task::yield_now().await;
+    }
+}
+
 /// What the fleet tells a peer.
 #[derive(Debug)]
 pub enum Order {
@@ -247,6 +260,9 @@
                         Ok(link) => link,
                         Err(outcome) => return (None, Exchange { outcome, ..Exchange::default() }),
                     };
+                    if clock.now() >= since + LONG_WAIT {
+                        hear_what_has_come().await;
+                    }
                     // From here on nothing waits before the first byte.
                     if state.begin(&attempt, &clock).is_err() {
                         let outcome = Outcome::Superseded;
