--- a/tests/system_faults.rs
+++ b/tests/system_faults.rs
@@ -237,17 +237,9 @@
     for round in 0..8 {
         let world = World::new(&[]);
         let proxy = world.start();
-        world.members.iter().for_each(|m| m.does(Behaviour::Shut));
         let primary = &world.members[0];
         let key = format!("k{round}");
-        let client = runtime().block_on(async {
-            let mut client = Pg::connect(proxy.pg).await.unwrap();
-            client.send(&wire::query(&write(&key).sql(&request_id()))).await.unwrap();
-            client
-        });
-        wait_for("a connection to the primary", || primary.totals().2 > 0);
-        std::thread::sleep(Duration::from_millis(20));
-        proxy.signal("STOP").unwrap();
+        let client = stands_still_with_a_write_that_waits(&world, &proxy, &key);
         // The welcome is on its way first on half of the rounds.
         if round % 2 == 0 {
             primary.does(Behaviour::Answer);
@@ -268,6 +260,20 @@
     }
 }
 
+/// A write waits for a connection that no member welcomes, and the process is stopped; the write's client.
+fn stands_still_with_a_write_that_waits(world: &World, proxy: &Proxy, key: &str) -> Pg {
+    world.members.iter().for_each(|m| m.does(Behaviour::Shut));
+    let client = runtime().block_on(async {
+        let mut client = Pg::connect(proxy.pg).await.unwrap();
+        client.send(&wire::query(&write(key).sql(&request_id()))).await.unwrap();
+        client
+    });
+    wait_for("a connection to the primary", || world.members[0].totals().2 > 0);
+    std::thread::sleep(Duration::from_millis(20));
+    proxy.signal("STOP").unwrap();
+    client
+}
+
 fn wait_for(what: &str, mut true_now: impl FnMut() -> bool) {
     let began = Instant::now();
     while !true_now() {
@@ -394,17 +400,9 @@
         world.setup.config["settings"]["discovery"] = "subscribe".into();
         let proxy = world.start();
         wait_for("a watch", || world.registry.calls().watches >= 2);
-        world.members.iter().for_each(|m| m.does(Behaviour::Shut));
         let primary = &world.members[0];
         let key = format!("k{round}");
-        let _client = runtime().block_on(async {
-            let mut client = Pg::connect(proxy.pg).await.unwrap();
-            client.send(&wire::query(&write(&key).sql(&request_id()))).await.unwrap();
-            client
-        });
-        wait_for("a connection to the primary", || primary.totals().2 > 0);
-        std::thread::sleep(Duration::from_millis(20));
-        proxy.signal("STOP").unwrap();
+        let _client = stands_still_with_a_write_that_waits(&world, &proxy, &key);
         if round % 2 == 0 {
             primary.does(Behaviour::Answer);
             std::thread::sleep(Duration::from_millis(30));
