--- a/src/handover/commits.rs
+++ b/src/handover/commits.rs
@@ -247,4 +247,24 @@
         assert_eq!(there.news(), PeerCommits { commits: all, complete: true });
         let _ = std::fs::remove_dir_all(dir);
     }
+
+    #[test]
+    fn what_was_not_read_yet_of_a_file_that_is_begun_anew_still_counts() {
+        let dir = std::env::temp_dir().join(format!("linentrail-commits-anew-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        let (a, b) = (dir.join("a"), dir.join("b"));
+        let mut here = Log::open(&a, b.clone()).expect("fine");
+        let mut there = Log::open(&b, a.clone()).expect("fine");
+        here.wrote("k", 5);
+        assert!(there.news().complete);
+        // Its answer is out, and the other has not looked since, when the file takes no more.
+        here.wrote("k", 6);
+        here.own.file = Some(File::open(&a).expect("for reading alone"));
+        here.wrote("j", 7);
+        let news = there.news();
+        let told =
+            |name: &str, at| news.commits.iter().any(|(n, p)| (&**n == name || n.is_empty()) && *p >= at);
+        assert!(news.complete && told("k", 6) && told("j", 7), "{news:?}");
+        let _ = std::fs::remove_dir_all(dir);
+    }
 }
