Let a file of commits that is begun anew stand for all that the former one told

The other process may not have read the former file to its end when it goes. Change: the new file begins with the latest commit of the former one, for all sessions; a failure is logged once a break, where it was logged at each commit by a condition that could not be true. One expectation gains the record that is written now.

--- a/src/handover/commits.rs
+++ b/src/handover/commits.rs
@@ -61,21 +61,35 @@
     file: Option<File>,
     /// What no file has taken yet.
     pending: Vec<u8>,
+    /// The latest commit that the file has taken, and the latest of those that wait; 0: none.
+    told: Position,
+    waiting: Position,
 }
 
 impl OwnFile {
-    fn append(&mut self, record: &[u8]) {
+    fn append(&mut self, session: &str, at: Position) {
+        let record = record(session, at);
         if self.pending.len() + record.len() > PENDING_MAX {
             self.pending = self::record("", Position::MAX);
         }
-        self.pending.extend_from_slice(record);
+        self.pending.extend_from_slice(&record);
+        self.waiting = self.waiting.max(at);
+        let sound = self.file.is_some();
         let written = match &mut self.file {
             Some(file) => Self::write(file, &self.pending),
             None => Err(io::Error::other("the file broke")),
         };
         match written.or_else(|_| self.begin_anew()) {
-            Ok(()) => self.pending.clear(),
-            Err(e) => self.breaks(&e),
+            Ok(()) => {
+                self.pending.clear();
+                self.told = self.told.max(std::mem::take(&mut self.waiting));
+            }
+            Err(e) => {
+                count(Count::handover_commits_failed);
+                if sound {
+                    log::error!("commits cannot be told to the other process of this proxy for now: {e}");
+                }
+            }
         }
     }
 
@@ -86,8 +100,8 @@
         file.write_all(bytes)
     }
 
-    /// Another file in the place of one that takes no more. What the former told, the other has read, or reads from what
-    /// this process tells of all that it has learned.
+    /// Another file in the place of one that takes no more. The other process may not have read the former to its end: up to
+    /// the latest commit there any session may have been written to.
     fn begin_anew(&mut self) -> io::Result<()> {
         self.file = None;
         // Gone first: nothing may be read from a file that lacks something.
@@ -97,18 +111,12 @@
         }
         let aside = self.path.with_extension("new");
         let mut file = File::options().create(true).truncate(true).write(true).open(&aside)?;
+        file.write_all(&record("", self.told))?;
         file.write_all(&self.pending)?;
         std::fs::rename(&aside, &self.path)?;
         self.file = Some(File::options().append(true).open(&self.path)?);
         Ok(())
     }
-
-    fn breaks(&mut self, why: &io::Error) {
-        count(Count::handover_commits_failed);
-        if self.file.take().is_some() || self.pending.len() < PENDING_MAX / 2 {
-            log::error!("commits cannot be told to the other process of this proxy for now: {why}");
-        }
-    }
 }
 
 /// Both files, each read or appended to by this process alone.
@@ -130,7 +138,7 @@
     /// When its own cannot be opened.
     pub fn open(own: &PathBuf, other: PathBuf) -> io::Result<Self> {
         let file = File::options().create(true).append(true).open(own)?;
-        let own = OwnFile { path: own.clone(), file: Some(file), pending: Vec::new() };
+        let own = OwnFile { path: own.clone(), file: Some(file), pending: Vec::new(), told: 0, waiting: 0 };
         Ok(Log { own, other, file: None, lost: false, at: 0, rest: Vec::new() })
     }
 
@@ -157,7 +165,7 @@
 
 impl Beside for Log {
     fn wrote(&mut self, session: &str, at: Position) {
-        self.own.append(&record(session, at));
+        self.own.append(session, at);
     }
 
     fn news(&mut self) -> PeerCommits {
@@ -243,7 +251,7 @@
         assert!(!there.news().complete, "nor later");
         std::fs::remove_dir(a.with_extension("new")).expect("it was there");
         here.wrote("k", 8);
-        let all = vec![("k".into(), 6), ("j".into(), 7), ("k".into(), 8)];
+        let all = vec![("".into(), 5), ("k".into(), 6), ("j".into(), 7), ("k".into(), 8)];
         assert_eq!(there.news(), PeerCommits { commits: all, complete: true });
         let _ = std::fs::remove_dir_all(dir);
     }
