--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -4,13 +4,15 @@
 use super::counters::{count, Count};
 use super::lease::Lease;
 use super::ledger::SessionLedger;
-use super::{Answer, Attempt, Beside, Ending, Input, Listed, Members, Order, Request, Taken, Work, REQUEST};
+use super::{
+    violated, Answer, Attempt, Beside, Ending, Input, Listed, Members, Order, Request, Taken, Work, REQUEST,
+};
 use crate::clock::Clock;
 use crate::interface::*;
 use crate::knowledge::evidence::Recalled;
 use crate::overlay::Overlay;
 use crate::phases::Returning;
-use crate::policy::invariants::{Progress, Violation};
+use crate::policy::invariants::Progress;
 use crate::policy::member_clock::MemberClock;
 use crate::Router;
 use bytes::Bytes;
@@ -64,12 +66,6 @@
     }
 }
 
-/// A decision would have broken a rule, and is not carried out.
-fn violated(id: RequestId, violation: Violation) {
-    count(Count::violations);
-    log::error!(target: REQUEST, id = id.0, violation:? = violation; "a decision breaks a rule");
-}
-
 /// The actor's state.
 pub struct Actor<M> {
     pub(super) router: Router,
@@ -425,7 +421,7 @@
             Action::Refuse { id, retry_after } => {
                 let kept = self.live.get(&id).map_or(Ok(()), |live| live.progress().may_refuse());
                 if let Err(violation) = kept {
-                    violated(id, violation);
+                    violated(id, None, violation);
                     return self.answer(id, Answer::Failed);
                 }
                 self.answer(id, Answer::Refused(retry_after));
@@ -477,7 +473,7 @@
         let may = live.reply.is_some() && now < stop_at && live.attempts.len() <= self.max_attempts;
         let kept = live.progress().may_send(now);
         if let Err(violation) = kept {
-            violated(id, violation);
+            violated(id, Some(member), violation);
         }
         if may && kept.is_ok() && self.members.attempt(member, attempt) {
             live.out += 1;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -18,6 +18,7 @@
 use crate::overlay::{Hands, No};
 use crate::phases::Progress;
 use crate::policy::begin::AttemptKey;
+use crate::policy::invariants::Violation;
 use crate::settings::SocketTimes;
 use crate::terms::Terms;
 use bytes::Bytes;
@@ -34,6 +35,16 @@
 /// The log's target for all that becomes of single requests; `RUST_LOG=info,request=debug` shows it.
 pub const REQUEST: &str = "request";
 
+/// A decision would have broken a rule, and is not carried out.
+pub fn violated(id: RequestId, member: Option<MemberId>, violation: Violation) {
+    counters::count(counters::Count::violations);
+    let member = member.map(|member| member.0);
+    log::error!(
+        target: REQUEST, id = id.0, member:? = member, violation:? = violation;
+        "a decision breaks a rule"
+    );
+}
+
 /// What a member is to do; the core never looks inside, and the members' side puts it into words.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Work {
--- a/src/net/fleet.rs
+++ b/src/net/fleet.rs
@@ -9,7 +9,7 @@
 use super::peer::{self, Order};
 use crate::clock::Clock;
 use crate::core::counters::{count, Count};
-use crate::core::{Attempt, Input, Listed, Members, REQUEST};
+use crate::core::{violated, Attempt, Input, Listed, Members};
 use crate::interface::*;
 use crate::policy::invariants::Violation;
 use crate::settings::SocketTimes;
@@ -95,11 +95,7 @@
         let Some(peer) = self.peers.get(&member) else { return false };
         let key = attempt.key();
         if peer.leaves {
-            count(Count::violations);
-            log::error!(
-                target: REQUEST, id = key.0 .0, member = member.0, violation:? = Violation::SentToLeaving;
-                "a decision breaks a rule"
-            );
+            violated(attempt.id, Some(member), Violation::SentToLeaving);
             return false;
         }
         peer.state.lock().gate.issue(key);
