--- a/crates/standins/src/proxy.rs
+++ b/crates/standins/src/proxy.rs
@@ -103,20 +103,14 @@
 /// The line of counters printed last, and how many were.
 type Printed = Arc<(Mutex<(u64, String)>, Condvar)>;
 
-/// The running program. It is killed when dropped.
-pub struct Proxy {
+/// The program from its exec on, before anybody knows that it serves. It is killed when dropped.
+#[derive(Debug)]
+pub struct Launched {
     child: Child,
-    printed: Printed,
     dir: PathBuf,
-    /// Where clients connect.
-    pub pg: SocketAddr,
-    /// Where OData clients do.
-    pub odata: Option<SocketAddr>,
-    /// Where operators call.
-    pub console: Option<SocketAddr>,
 }
 
-impl Drop for Proxy {
+impl Drop for Launched {
     fn drop(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
@@ -124,85 +118,31 @@
     }
 }
 
-/// A folder of this process's own, new with each call.
-fn folder() -> Result<PathBuf> {
-    static MADE: AtomicU64 = AtomicU64::new(0);
-    let made = MADE.fetch_add(1, Ordering::Relaxed);
-    let dir = std::env::temp_dir().join(format!("linentrail-{}-{made}-{}", std::process::id(), now_ms()));
-    std::fs::create_dir_all(&dir)?;
-    Ok(dir)
-}
-
-/// Sends all of these processes a signal at one moment.
-///
-/// # Errors
-/// When one of them has gone.
-pub fn signal_all(ids: &[u32], which: &str) -> Result<()> {
-    let ids: Vec<String> = ids.iter().map(u32::to_string).collect();
-    match Command::new("kill").arg(format!("-{which}")).args(ids).stderr(Stdio::null()).status()?.success() {
-        true => Ok(()),
-        false => Err(Error::other("a proxy has gone")),
-    }
-}
-
-impl Proxy {
-    /// Starts it and waits until it serves.
+impl Launched {
+    /// Writes its files and starts it.
     ///
     /// # Errors
-    /// When it cannot be started, or ends before it serves.
-    pub fn start(setup: &Setup) -> Result<Self> {
-        Self::start_noting(setup, || {})
+    /// When that cannot be done.
+    pub fn new(setup: &Setup) -> Result<Self> {
+        let dir = folder()?;
+        let text = setup.instead.clone().unwrap_or_else(|| setup.config.to_string());
+        std::fs::write(dir.join("config.json"), text)?;
+        std::fs::write(dir.join("linentrail.hcl"), setup.operators_file())?;
+        let child = command(setup, &dir)?.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn()?;
+        Ok(Launched { child, dir })
     }
 
-    /// The same, with a word as soon as the program runs.
+    /// Whether it has ended.
+    pub fn ended(&mut self) -> bool {
+        self.child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
+    /// Waits until it serves.
     ///
     /// # Errors
-    /// When it cannot be started, or ends before it serves.
-    pub fn start_noting(setup: &Setup, runs: impl FnOnce()) -> Result<Self> {
-        let dir = folder()?;
-        let text = setup.instead.clone().unwrap_or_else(|| setup.config.to_string());
-        std::fs::write(dir.join("config.json"), text)?;
-        let server = setup.browse.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 9)));
-        let operators = format!(
-            "odata {{\n enabled = {}\n listen = \"127.0.0.1:0\"\n}}\n\
-             dnssd {{\n browse = {}\n server = \"{server}\"\n service = \"{}\"\n}}\n\
-             shutdown {{\n still_coming_ms = {}\n}}\n{}",
-            setup.odata,
-            setup.browse.is_some(),
-            dns::SERVICE,
-            setup.still_coming.unwrap_or(Duration::from_secs(3)).as_millis(),
-            setup.operators
-        );
-        std::fs::write(dir.join("linentrail.hcl"), operators)?;
-        let mut command = match &setup.listener {
-            None => Command::new(&setup.program),
-            // The shell puts it where the platform has it.
-            Some(listener) => {
-                let mut shell = Command::new("/bin/sh");
-                shell.args(["-c", "exec \"$0\" 3<&0 0</dev/null"]).arg(&setup.program);
-                shell.stdin(OwnedFd::from(listener.try_clone()?)).env("BALANCER_ACCEPT_FD", "3");
-                shell
-            }
-        };
-        command.env_remove("BALANCER_LISTEN").env_remove("RUST_LOG").env_remove("TMPDIR");
-        if let Some(shared) = &setup.shared {
-            command.env("TMPDIR", shared);
-        }
-        if let Some(log) = &setup.log {
-            command.env("RUST_LOG", log);
-        }
-        command
-            .env("BALANCER_DISCOVERY", setup.config["discovery"].as_str().unwrap_or_default())
-            .env("BALANCER_NAME", setup.config["name"].as_str().unwrap_or_default())
-            .env("BALANCER_CONFIG", dir.join("config.json"))
-            .env_remove("LINENTRAIL_FILE");
-        command.envs(setup.environment.iter().cloned());
-        if !setup.shipped {
-            command.env("LINENTRAIL_FILE", dir.join("linentrail.hcl"));
-        }
-        let mut child = command.stdout(Stdio::piped()).stderr(Stdio::piped()).spawn()?;
-        runs();
-        let (out, err) = (child.stdout.take(), child.stderr.take());
+    /// When it ends before it serves.
+    pub fn serving(mut self, setup: &Setup) -> Result<Proxy> {
+        let (out, err) = (self.child.stdout.take(), self.child.stderr.take());
         let (Some(out), Some(err)) = (out, err) else { return Err(Error::other("no pipes")) };
         let mut lines = BufReader::new(err).lines();
         let mut said = Vec::new();
@@ -222,9 +162,6 @@
         let odata = if setup.odata { address("serving OData at") } else { None };
         let whole = odata.is_some() == setup.odata && console.is_some() == called;
         let (Some(pg), true) = (pg, whole) else {
-            let _ = child.kill();
-            let _ = child.wait();
-            let _ = std::fs::remove_dir_all(&dir);
             return Err(Error::other(format!("the proxy does not start: {}", said.join("; "))));
         };
         let (loud, rules) = (setup.loud, setup.rules.clone());
@@ -248,7 +185,108 @@
                 known.1.notify_all();
             }
         });
-        Ok(Proxy { child, printed, dir, pg, odata, console })
+        Ok(Proxy { process: self, printed, pg, odata, console })
+    }
+}
+
+impl Setup {
+    fn operators_file(&self) -> String {
+        let server = self.browse.unwrap_or_else(|| SocketAddr::from(([127, 0, 0, 1], 9)));
+        format!(
+            "odata {{\n enabled = {}\n listen = \"127.0.0.1:0\"\n}}\n\
+             dnssd {{\n browse = {}\n server = \"{server}\"\n service = \"{}\"\n}}\n\
+             shutdown {{\n still_coming_ms = {}\n}}\n{}",
+            self.odata,
+            self.browse.is_some(),
+            dns::SERVICE,
+            self.still_coming.unwrap_or(Duration::from_secs(3)).as_millis(),
+            self.operators
+        )
+    }
+}
+
+/// The command that starts it, with its files in `dir`.
+fn command(setup: &Setup, dir: &Path) -> Result<Command> {
+    let mut command = match &setup.listener {
+        None => Command::new(&setup.program),
+        // The shell puts it where the platform has it.
+        Some(listener) => {
+            let mut shell = Command::new("/bin/sh");
+            shell.args(["-c", "exec \"$0\" 3<&0 0</dev/null"]).arg(&setup.program);
+            shell.stdin(OwnedFd::from(listener.try_clone()?)).env("BALANCER_ACCEPT_FD", "3");
+            shell
+        }
+    };
+    command.env_remove("BALANCER_LISTEN").env_remove("RUST_LOG").env_remove("TMPDIR");
+    if let Some(shared) = &setup.shared {
+        command.env("TMPDIR", shared);
+    }
+    if let Some(log) = &setup.log {
+        command.env("RUST_LOG", log);
+    }
+    command
+        .env("BALANCER_DISCOVERY", setup.config["discovery"].as_str().unwrap_or_default())
+        .env("BALANCER_NAME", setup.config["name"].as_str().unwrap_or_default())
+        .env("BALANCER_CONFIG", dir.join("config.json"))
+        .env_remove("LINENTRAIL_FILE");
+    if !setup.shipped {
+        command.env("LINENTRAIL_FILE", dir.join("linentrail.hcl"));
+    }
+    // Last, so that a test can say otherwise.
+    command.envs(setup.environment.iter().cloned());
+    Ok(command)
+}
+
+/// The running program.
+pub struct Proxy {
+    process: Launched,
+    printed: Printed,
+    /// Where clients connect.
+    pub pg: SocketAddr,
+    /// Where OData clients do.
+    pub odata: Option<SocketAddr>,
+    /// Where operators call.
+    pub console: Option<SocketAddr>,
+}
+
+/// A folder of this process's own, new with each call.
+fn folder() -> Result<PathBuf> {
+    static MADE: AtomicU64 = AtomicU64::new(0);
+    let made = MADE.fetch_add(1, Ordering::Relaxed);
+    let dir = std::env::temp_dir().join(format!("linentrail-{}-{made}-{}", std::process::id(), now_ms()));
+    std::fs::create_dir_all(&dir)?;
+    Ok(dir)
+}
+
+/// Sends all of these processes a signal at one moment.
+///
+/// # Errors
+/// When one of them has gone.
+pub fn signal_all(ids: &[u32], which: &str) -> Result<()> {
+    let ids: Vec<String> = ids.iter().map(u32::to_string).collect();
+    match Command::new("kill").arg(format!("-{which}")).args(ids).stderr(Stdio::null()).status()?.success() {
+        true => Ok(()),
+        false => Err(Error::other("a proxy has gone")),
+    }
+}
+
+impl Proxy {
+    /// Starts it and waits until it serves.
+    ///
+    /// # Errors
+    /// When it cannot be started, or ends before it serves.
+    pub fn start(setup: &Setup) -> Result<Self> {
+        Launched::new(setup)?.serving(setup)
+    }
+
+    /// The same, with a word as soon as the program runs.
+    ///
+    /// # Errors
+    /// When it cannot be started, or ends before it serves.
+    pub fn start_noting(setup: &Setup, runs: impl FnOnce()) -> Result<Self> {
+        let launched = Launched::new(setup)?;
+        runs();
+        launched.serving(setup)
     }
 
     /// The console's answer to a line, and the time it took.
@@ -268,12 +306,12 @@
 
     /// Its process id.
     pub fn id(&self) -> u32 {
-        self.child.id()
+        self.process.child.id()
     }
 
     /// The folder of its files.
     pub fn dir(&self) -> &Path {
-        &self.dir
+        &self.process.dir
     }
 
     /// Sends it a signal, named as `kill` takes it.
@@ -281,7 +319,7 @@
     /// # Errors
     /// When that cannot be done.
     pub fn signal(&self, which: &str) -> Result<()> {
-        signal_all(&[self.child.id()], which)
+        signal_all(&[self.process.child.id()], which)
     }
 
     /// Its counters now, by name.
@@ -305,7 +343,7 @@
 
     /// Whether it has ended.
     pub fn ended(&mut self) -> bool {
-        self.child.try_wait().is_ok_and(|status| status.is_some())
+        self.process.ended()
     }
 
     /// Waits for its end.
@@ -313,7 +351,7 @@
     /// # Errors
     /// When that cannot be done.
     pub fn wait(&mut self) -> Result<ExitStatus> {
-        self.child.wait()
+        self.process.child.wait()
     }
 
     /// How many descriptors it holds.
