Listen as the first act of a start, and refuse whoever it keeps waiting

Cause: the listener came last in a start (src/main.rs, run): whoever came before was refused at connect, and while the start waited for others (a console's address, a process slot, a slow store) nobody was taken. Change: the clients' listener is bound before any file is read whole; clients are accepted once the limits are known, wait 200 ms for the front and then get 57P03 (503 by OData); waits for the disk and for a process slot run beside them; an address that is still held is tried for 5 s. An inherited listener is left to the other process until the front serves. Seen on the way: a blocking thread in the shipped start broke the test of the deploy line; it is only used where something waits.

--- a/src/config.rs
+++ b/src/config.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::Settings;
 use crate::settings::{Names, Pairs, SocketTimes};
+use serde::Deserialize;
 use serde_json::Value;
 
 /// All that a proxy is told.
@@ -155,6 +156,23 @@
     told.map(str::to_string).ok_or_else(|| format!("{path}: it tells no {field}, nor does {variable}"))
 }
 
+/// Where clients connect, before anything else of the file is looked at: a start listens there first.
+///
+/// # Errors
+/// When neither `BALANCER_LISTEN` nor the file says it, with one plain message.
+pub fn listen_address() -> Result<String, String> {
+    #[derive(Deserialize)]
+    struct Place {
+        listen: String,
+    }
+    if let Some(told) = std::env::var("BALANCER_LISTEN").ok().filter(|told| !told.is_empty()) {
+        return Ok(told);
+    }
+    let (path, text) = text()?;
+    let place: Place = serde_json::from_slice(&text).map_err(|e| format!("{path}: {e}"))?;
+    Ok(place.listen)
+}
+
 /// Reads the file that `BALANCER_CONFIG` names, and checks it whole.
 ///
 /// # Errors
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -24,6 +24,7 @@
     pg_idle_closed,
     pg_made_room,
     no_seat,
+    refused_starting,
     taken_ids,
     odata_connections,
     odata_requests,
--- a/src/main.rs
+++ b/src/main.rs
@@ -21,21 +21,25 @@
 use linentrail::net::budget::{Budget, Pace};
 use linentrail::net::discovery::{Discovery, Lists, Service};
 use linentrail::net::fleet::Fleet;
-use linentrail::net::listen::{self, Phase};
+use linentrail::net::listen::{self, Closing, Phase};
 use linentrail::net::momentary;
+use linentrail::net::socket::Socket;
+use linentrail::net::startup::{self, ClientListener, StartGate};
 use linentrail::operators::agreement::OnLapse;
 use linentrail::operators::{self, DnsSd, Odata};
 use linentrail::parley::{Parley, Wiring};
 use linentrail::recovery::{self, Gatherer, Start};
 use linentrail::reload::{tell_classes, Reload};
 use linentrail::terms::Slots;
-use linentrail::{ask, fleet, logs, meter, odata, pg};
+use linentrail::{ask, config, fleet, logs, meter, odata, pg};
 use linentrail::{ListKind, Time};
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
@@ -73,13 +77,121 @@
     }
 }
 
+/// Listens where clients are told to come, if that can be told before the rest of the configuration is read; what is wrong
+/// with it otherwise is said when it is read whole.
+async fn listen_early(inherited: Option<&str>) -> Result<Option<ClientListener>, String> {
+    match (config::listen_address(), inherited) {
+        (Ok(address), _) => bind_clients(inherited, &address).await.map(Some),
+        (Err(_), Some(_)) => bind_clients(inherited, "").await.map(Some),
+        (Err(_), None) => Ok(None),
+    }
+}
+
+async fn bind_clients(inherited: Option<&str>, address: &str) -> Result<ClientListener, String> {
+    let place = if inherited.is_some() { ACCEPT } else { address };
+    ClientListener::bind(inherited, address).await.map_err(|e| format!("{place}: {e}"))
+}
+
+async fn bind_odata(odata: &Odata) -> Result<TcpListener, String> {
+    let address = odata.listen;
+    momentary::listen(address).await.map_err(|e| format!("{address}: {e}"))
+}
+
+/// Does a part of the start that may wait for others; where it can, beside the clients that come meanwhile, on a thread that
+/// an ordinary start does not need.
+async fn beside<T: Send + 'static>(
+    waits: bool,
+    work: impl FnOnce() -> Result<T, String> + Send + 'static,
+) -> Result<T, String> {
+    if !waits {
+        return work();
+    }
+    tokio::task::spawn_blocking(work).await.map_err(|e| e.to_string())?
+}
+
+/// What takes clients, from the start to the end.
+struct Accepting {
+    closing: Closing,
+    listeners: JoinSet<()>,
+    pg_address: Option<SocketAddr>,
+    odata_address: Option<SocketAddr>,
+}
+
+impl Accepting {
+    fn new(closing: Closing) -> Self {
+        Accepting { closing, listeners: JoinSet::new(), pg_address: None, odata_address: None }
+    }
+
+    /// Takes clients of the platform's protocol, who wait at the gate until the front is there.
+    fn pg(&mut self, listener: TcpListener, budget: &Budget, gate: StartGate<pg::front::Front>) {
+        self.pg_address = listener.local_addr().ok();
+        let (clients, bytes) = (budget.clients.clone(), budget.bytes.clone());
+        let serve = move |stream: Socket, closing: Closing| {
+            let (gate, bytes) = (gate.clone(), bytes.clone());
+            async move {
+                match gate.passed().await {
+                    Some(front) => front.serve(stream, closing).await,
+                    None => pg::front::refuse_starting(stream, bytes).await,
+                }
+            }
+        };
+        let closing = self.closing.clone();
+        self.listeners.spawn(listen::listen(listener, Count::pg_connections, clients, closing, serve));
+    }
+
+    /// The same by OData.
+    fn odata(&mut self, listener: TcpListener, budget: &Budget, gate: StartGate<odata::front::Front>) {
+        self.odata_address = listener.local_addr().ok();
+        let (clients, bytes) = (budget.clients.clone(), budget.bytes.clone());
+        let serve = move |stream: Socket, closing: Closing| {
+            let (gate, bytes) = (gate.clone(), bytes.clone());
+            async move {
+                match gate.passed().await {
+                    Some(front) => front.serve(stream, closing).await,
+                    None => odata::front::refuse_starting(stream, bytes).await,
+                }
+            }
+        };
+        let closing = self.closing.clone();
+        self.listeners.spawn(listen::listen(listener, Count::odata_connections, clients, closing, serve));
+    }
+}
+
 async fn run(began: Instant) -> Result<(), String> {
     // Heard from the start: unheard, each of them would end the process, and whoever reads that it serves may send one.
     let hear = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
     let (hangup, mut usr1) = (hear(SignalKind::hangup())?, hear(SignalKind::user_defined1())?);
     let (mut term, mut int) = (hear(SignalKind::terminate())?, hear(SignalKind::interrupt())?);
+    let handed = std::env::var(ACCEPT).ok().filter(|v| !v.is_empty());
+    // Before all else, so that whoever connects from now on finds a listener.
+    let early = listen_early(handed.as_deref()).await?;
+    log::info!("clients can connect {} us after the start", began.elapsed().as_micros());
     let file = operators::load()?;
-    let Start { told, sound, stored, store, memory: votes, own } = recovery::start(&file.store)?;
+    let loaded = config::load();
+    let (phase, closing) = watch::channel(Phase::Starting);
+    let mut accepting = Accepting::new(closing.clone());
+    let early_budget = loaded.as_ref().ok().map(|(told, ..)| Budget::new(told.sockets, told.memory));
+    let odata_listener = match file.odata.enabled {
+        true => Some(bind_odata(&file.odata).await?),
+        false => None,
+    };
+    let (open_pg, pg_gate) = startup::gate();
+    let (open_odata, odata_gate) = startup::gate();
+    // Where another process of this proxy may serve from the same listener, the clients are that one's for now.
+    let (mut pg_waits, mut odata_waits) = (early, odata_listener);
+    if let (Some(budget), None) = (&early_budget, &handed) {
+        if let Some(listener) =
+            pg_waits.take_if(|l| loaded.as_ref().is_ok_and(|(told, ..)| l.fits(&told.listen)))
+        {
+            accepting.pg(listener.into_inner(), budget, pg_gate.clone());
+        }
+        if let Some(listener) = odata_waits.take() {
+            accepting.odata(listener, budget, odata_gate.clone());
+        }
+    }
+    let store_file = file.store.clone();
+    let start = beside(file.store.enabled, move || recovery::start(&store_file, loaded));
+    let Start { told, sound, stored, store, memory: votes, own } = start.await?;
     let Sound { names, settings, times } = sound;
     let zones = names.zones.clone();
     let mut slots = Slots::default();
@@ -90,10 +202,10 @@
         "limits: {} descriptors, {memory} MiB; members close what is idle for {idle} ms",
         told.sockets
     );
-    let handed = std::env::var(ACCEPT).ok().filter(|v| !v.is_empty());
-    let folder = meet(&told.name, handed.is_some())?.map(Arc::new);
+    let (name, shares_listener) = (told.name.clone(), handed.is_some());
+    let folder = beside(shares_listener, move || meet(&name, shares_listener)).await?.map(Arc::new);
     let clock = Clock::start();
-    let budget = Budget::new(told.sockets, told.memory);
+    let budget = early_budget.unwrap_or_else(|| Budget::new(told.sockets, told.memory));
     let (mailbox, inbox) = mpsc::channel(MAILBOX);
     let (orders, ordered) = mpsc::channel(ORDERS);
     let (follow, asked) = mpsc::channel(1);
@@ -176,52 +288,51 @@
         clock,
     };
     tokio::spawn(reload.run(hangup));
-    let (phase, closing) = watch::channel(Phase::Starting);
     if let Some(console) = &told.console {
         let listener =
             momentary::listen(console.as_str()).await.map_err(|e| format!("console {console}: {e}"))?;
         log::info!("operators call at {}", listener.local_addr().map_err(|e| e.to_string())?);
         tokio::spawn(Console::new(control.clone(), closing.clone(), stored, fleet).run(listener));
     }
-    let listener = match &handed {
-        Some(descriptor) => listen::inherited(descriptor).map_err(|e| format!("{ACCEPT}: {e}"))?,
-        None => momentary::listen(told.listen.as_str()).await.map_err(|e| format!("{}: {e}", told.listen))?,
-    };
     if let Some(folder) = folder.clone() {
         let mut handover = Handover::new(folder, control.clone(), budget.clone(), clock);
         handover.begin().await;
         tokio::spawn(handover.run());
     }
-    let failed = |e: std::io::Error| format!("sockets or signals: {e}");
-    log::info!("serving clients at {}", listener.local_addr().map_err(failed)?);
     let began = clock.now().saturating_sub(began.elapsed().as_micros() as Time);
     control.request(|reply| Order::Serves(began, reply)).await;
     let (core, pace) = (Handle::new(mailbox.clone()), Pace::default());
     let clients = budget.clients.clone();
-    let front = Arc::new(pg::front::Front {
+    open_pg.open(Arc::new(pg::front::Front {
         core: core.clone(),
         terms: read_under.clone(),
         clock,
         clients: clients.clone(),
         bytes: budget.bytes.clone(),
         pace: pace.clone(),
-    });
-    let serve = move |stream, closing| front.clone().serve(stream, closing);
-    let mut listeners = JoinSet::new();
-    listeners.spawn(listen::listen(listener, Count::pg_connections, clients.clone(), closing.clone(), serve));
+    }));
+    if accepting.pg_address.is_none() {
+        let listener = match pg_waits.take().filter(|l| l.fits(&told.listen)) {
+            Some(listener) => listener,
+            None => bind_clients(handed.as_deref(), &told.listen).await?,
+        };
+        accepting.pg(listener.into_inner(), &budget, pg_gate);
+    }
+    log::info!("serving clients at {}", accepting.pg_address.ok_or("clients have no address")?);
     if file.odata.enabled {
-        let Odata { listen: address, repeat_span, repeat_ids, repeat_bytes, .. } = file.odata;
-        let listener = momentary::listen(address).await.map_err(|e| format!("{address}: {e}"))?;
-        log::info!("serving OData at {}", listener.local_addr().map_err(failed)?);
+        let Odata { repeat_span, repeat_ids, repeat_bytes, .. } = file.odata;
         // Answers that are remembered share the memory with all else.
         let repeat_bytes = repeat_bytes.min(told.memory / 8);
         let bookings = Bookings::new(core.clone(), clock, repeat_ids, repeat_bytes, repeat_span);
         let front =
             odata::front::Front::new(core, bookings, read_under.clone(), clock, (budget.clone(), pace));
-        let front = Arc::new(front);
-        let serve = move |stream, closing| front.clone().serve(stream, closing);
-        listeners.spawn(listen::listen(listener, Count::odata_connections, clients.clone(), closing, serve));
+        open_odata.open(Arc::new(front));
+        if let Some(listener) = odata_waits.take() {
+            accepting.odata(listener, &budget, odata_gate);
+        }
+        log::info!("serving OData at {}", accepting.odata_address.ok_or("OData has no address")?);
     }
+    let mut listeners = accepting.listeners;
 
     let _ = phase.send(Phase::Serving);
     loop {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,4 +11,5 @@
 pub mod peer;
 pub mod pool;
 pub mod socket;
+pub mod startup;
 pub mod timeout;
--- a/src/net/momentary.rs
+++ b/src/net/momentary.rs
@@ -24,17 +24,22 @@
     no_socket(e) || e.raw_os_error().is_some_and(|code| momentary.contains(&code))
 }
 
-/// Listens there, once there is a socket to be had.
+/// No socket, or another process still holds the address: the one that this takes over from may be about to end.
+fn no_listener(e: &Error) -> bool {
+    no_socket(e) || e.raw_os_error() == Some(libc::EADDRINUSE)
+}
+
+/// Listens there, once there is a socket to be had and the address is free.
 ///
 /// # Errors
-/// When the address cannot be listened on, or there is no socket for seconds.
+/// When the address cannot be listened on, or not for seconds.
 pub async fn listen(address: impl ToSocketAddrs + Copy) -> Result<TcpListener> {
     let mut tries = 1;
     loop {
         match TcpListener::bind(address).await {
-            Err(e) if no_socket(&e) && tries < LISTEN_TRIES => {
+            Err(e) if no_listener(&e) && tries < LISTEN_TRIES => {
                 count(Count::local_failures);
-                log::warn!("no socket to listen on yet: {e}");
+                log::warn!("cannot listen yet: {e}");
             }
             done => return done,
         }
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -8,7 +8,7 @@
 use crate::core::{Answer, Handle, Operation, Presence, Request, Work};
 use crate::http::{HttpError, HttpRequest, HttpResponse, HttpServer, Incoming};
 use crate::interface::*;
-use crate::net::budget::{Budget, Pace};
+use crate::net::budget::{Budget, ByteBudget, Pace};
 use crate::net::frames::{finish, finish_resting, next, next_or_end, shrink, Next, ROOM};
 use crate::net::listen::{closed, Closing, Phase};
 use crate::net::socket::Socket;
@@ -52,6 +52,19 @@
 
 type Conn = Framed<Socket, HttpServer>;
 
+/// Refuses a client that the start keeps waiting: the only response on its connection.
+///
+/// # Errors
+/// When the connection breaks.
+pub async fn refuse_starting(stream: Socket, bytes: ByteBudget) -> Result<(), HttpError> {
+    count(Count::refused_starting);
+    let mut conn = Framed::with_capacity(stream, HttpServer::new(LONGEST_BODY, bytes), ROOM);
+    let mut response = Fault::come_back(None, "the proxy is starting").response(Form::default());
+    response.closes = true;
+    conn.send(response).await?;
+    Ok(finish(conn).await?)
+}
+
 impl Front {
     /// A front on the core.
     pub fn new(
--- a/src/pg/front.rs
+++ b/src/pg/front.rs
@@ -307,6 +307,18 @@
     }
 }
 
+/// Refuses a client that the start keeps waiting: the last word on its connection.
+///
+/// # Errors
+/// When the connection breaks.
+pub async fn refuse_starting(stream: Socket, bytes: ByteBudget) -> Result<(), WireError> {
+    count(Count::refused_starting);
+    log::debug!(target: CONNECTION, "refused, as the start takes long");
+    let mut conn = Framed::with_capacity(stream, ServerCodec::new(bytes), ROOM);
+    conn.send(error("57P03", "the proxy is starting", After::End)).await?;
+    Ok(finish(conn).await?)
+}
+
 /// A value from this size on is written from where it lies, not copied into the connection's buffer first.
 const LARGE: usize = 16 * 1024;
 
--- a/src/recovery.rs
+++ b/src/recovery.rs
@@ -64,14 +64,18 @@
     store.map(|(scribe, found)| (scribe, found, String::from_utf8_lossy(text).as_ref().into()))
 }
 
-/// Reads the configuration, or where it cannot be used and the operators' file says so, takes the last that held.
+/// What reading the configuration brought.
+pub type Loaded = Result<(Config, Sound, Vec<u8>), String>;
+
+/// Goes by the configuration that was read, or where it cannot be used and the operators' file says so, by the last that
+/// held. It waits for the disk.
 ///
 /// # Errors
 /// With one plain message.
-pub fn start(file: &operators::Store) -> Result<Start, String> {
+pub fn start(file: &operators::Store, loaded: Loaded) -> Result<Start, String> {
     let store = if file.enabled { Some(open(file)?) } else { None };
     let (store, memory) = store.map(|(scribe, found, memory)| ((scribe, found), memory)).unzip();
-    let fault = match config::load() {
+    let fault = match loaded {
         Ok((told, sound, text)) => {
             let own = own_settings(&text);
             return Ok(Start { told, sound, stored: false, store: keeping(store, &text), memory, own });
