Tell each client connection in the log, and let repeats share the budget of slow start

Change: log target connection (accepted, empty query, request read, closed and why, by the client's port), counters connections_closed and pg_unanswered, so that accepted = closed + open and read = answered + left can be checked.

--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -24,6 +24,8 @@
     pg_idle_closed,
     pg_made_room,
     no_seat,
+    connections_closed,
+    pg_unanswered,
     refused_starting,
     taken_ids,
     odata_connections,
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -8,6 +8,7 @@
 use std::fmt::Display;
 use std::future::Future;
 use std::io::{Error, ErrorKind};
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -19,6 +20,9 @@
 /// How long a client may wait for a seat. Those behind it wait too, and a close is owed within seconds.
 const SEAT: Duration = Duration::from_millis(200);
 
+/// The log's target for what becomes of clients' connections; `client` is the client's port.
+pub const CONNECTION: &str = "connection";
+
 /// How far the process is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
@@ -83,17 +87,25 @@
     E: Display,
 {
     // The permit comes after the client: a listener without clients keeps none from the other front's.
-    let seated = async |stream: TcpStream, closing: &Closing| {
+    let seated = async |stream: TcpStream, peer: SocketAddr, closing: &Closing| {
+        let client = peer.port();
         let permit = match tokio::time::timeout(SEAT, clients.seat()).await {
             Ok(Some(permit)) => permit,
             Ok(None) => return,
-            Err(_) => return count(Count::no_seat),
+            Err(_) => {
+                log::debug!(target: CONNECTION, client; "closed unread, as no descriptor came free");
+                return count(Count::no_seat);
+            }
         };
         count(counter);
+        log::debug!(target: CONNECTION, client; "accepted");
         let served = serve(Socket::new(stream), closing.clone());
         tokio::spawn(async move {
-            if let Err(e) = served.await {
-                log::debug!("a client's connection ended: {e}");
+            let ended = served.await;
+            count(Count::connections_closed);
+            match ended {
+                Ok(()) => log::debug!(target: CONNECTION, client; "closed"),
+                Err(e) => log::debug!(target: CONNECTION, client; "broken: {e}"),
             }
             drop(permit);
         });
@@ -105,7 +117,7 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => seated(stream, &closing).await,
+            Ok((stream, peer)) => seated(stream, peer, &closing).await,
             Err(e) => {
                 count(Count::accept_failures);
                 log::warn!("a client could not be accepted: {e}");
@@ -121,12 +133,12 @@
     let Ok(listener) = listener.into_std() else { return };
     let mut failures = 0;
     loop {
-        let accepted = listener.accept().and_then(|(stream, _)| {
+        let accepted = listener.accept().and_then(|(stream, peer)| {
             stream.set_nonblocking(true)?;
-            TcpStream::from_std(stream)
+            Ok((TcpStream::from_std(stream)?, peer))
         });
         match accepted {
-            Ok(stream) => seated(stream, &closing).await,
+            Ok((stream, peer)) => seated(stream, peer, &closing).await,
             Err(e) if e.kind() == ErrorKind::WouldBlock => return,
             // What fails for a moment ends nothing: let go of, the listener would reset all that wait behind.
             Err(e) => {
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -38,6 +38,11 @@
         &self.stream
     }
 
+    /// The other side's port, by which the log tells connections apart.
+    pub fn port(&self) -> u16 {
+        self.stream.peer_addr().map_or(0, |peer| peer.port())
+    }
+
     /// Tells whether the other side is still there, for as long as this connection lives.
     pub fn presence(&self) -> Weak<dyn Presence> {
         let stream: Arc<dyn Presence> = self.stream.clone();
--- a/src/pg/front.rs
+++ b/src/pg/front.rs
@@ -3,13 +3,13 @@
 use super::codec::{row_head, row_tail, After, Frontend, Reply, ServerCodec, WireError};
 use super::statement::{self, Fault};
 use crate::clock::Clock;
-use crate::core::counters::{count, Count};
+use crate::core::counters::{add, count, Count};
 use crate::core::flow::Chunk;
 use crate::core::{Answer, Handle, Pending, Value};
 use crate::interface::*;
 use crate::net::budget::{ByteBudget, DescriptorBudget, Pace};
 use crate::net::frames::{finish, finish_resting, next, next_or_end, shrink, Next, ROOM};
-use crate::net::listen::{reached, Closing, Phase};
+use crate::net::listen::{reached, Closing, Phase, CONNECTION};
 use crate::net::socket::Socket;
 use crate::terms::Terms;
 use bytes::{Buf, Bytes, BytesMut};
@@ -43,9 +43,6 @@
 /// Kept off a client's deadline, in us: the way there and back takes time.
 const MARGIN: Time = 4_000;
 
-/// The log's target for why connections are closed.
-const CONNECTION: &str = "connection";
-
 /// What every connection needs.
 pub struct Front {
     /// Way into the core.
@@ -82,6 +79,21 @@
     }
 }
 
+/// The replies that are owed on a connection, in the order of their queries. A request whose answer has not come when this
+/// ends goes without one, and is counted.
+#[derive(Default)]
+struct OwedReplies(VecDeque<PendingReply>);
+
+impl Drop for OwedReplies {
+    fn drop(&mut self) {
+        let waiting = self.0.iter().filter(|reply| matches!(reply, PendingReply::Waiting(..))).count();
+        if waiting > 0 {
+            add(Count::pg_unanswered, waiting as u64);
+            log::debug!(target: CONNECTION, requests = waiting; "ended before their answers");
+        }
+    }
+}
+
 /// The reply that is due first, once there is one. Replies go out in the order of their queries, so that only the
 /// first is asked for; nothing is lost where this is dropped.
 async fn due(owed: &mut VecDeque<PendingReply>) -> Reply {
@@ -124,7 +136,8 @@
             }
             Ok(Err(e)) => return self.bad(conn, e).await,
         }
-        let mut owed = VecDeque::new();
+        let mut replies = OwedReplies::default();
+        let owed = &mut replies.0;
         let (mut phase, mut ended) = (*closing.borrow(), false);
         // Set anew with each step of the end: first connections end with their next answer, then between requests.
         let mut leaving = phase >= Phase::Closing;
@@ -164,9 +177,9 @@
             }
             tokio::select! {
                 biased;
-                reply = due(&mut owed), if !owed.is_empty() => {
+                reply = due(owed), if !owed.is_empty() => {
                     // A client that takes in nothing must not hold its seat for ever.
-                    put(&mut conn, reply, &mut owed).await?;
+                    put(&mut conn, reply, owed).await?;
                     shrink(&mut conn);
                     rests = Instant::now();
                     leaving |= phase >= Phase::Leaving;
@@ -210,10 +223,10 @@
         while !owed.is_empty() {
             let reply = tokio::select! {
                 biased;
-                reply = due(&mut owed) => reply,
+                reply = due(owed) => reply,
                 () = conn.get_mut().ended() => return Ok(()),
             };
-            put(&mut conn, reply, &mut owed).await?;
+            put(&mut conn, reply, owed).await?;
         }
         self.bad(conn, fault).await
     }
@@ -256,6 +269,7 @@
             _ => return None,
         };
         if text.trim_ascii().is_empty() {
+            log::debug!(target: CONNECTION, client = client.port(); "empty query");
             session.sound = true;
             return Some(PendingReply::Ready(Reply::Empty));
         }
@@ -266,6 +280,7 @@
                 session.sound = true;
                 request.deadline = request.deadline.saturating_sub(MARGIN);
                 request.client = Some(client.presence());
+                log::debug!(target: CONNECTION, client = client.port(), name:? = request.name; "request read");
                 let write = request.terms.classes[request.class].need == Need::Write;
                 Some(PendingReply::Waiting(self.core.submit(request).await, write))
             }
--- a/src/policy/router.rs
+++ b/src/policy/router.rs
@@ -88,7 +88,9 @@
                     _ => 0,
                 };
                 self.seq += 1;
-                let surge = self.arrivals.arrival(self.now, self.set.rules.fall_span, *repeat);
+                let current = matches!(kind.need, Need::Write | Need::Fresh);
+                let span = self.set.rules.fall_span;
+                let surge = self.arrivals.arrival(self.now, span, (current, *repeat));
                 let open = Open {
                     class: *class,
                     group: *group,
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -7,11 +7,12 @@
 //! | rule | because |
 //! | --- | --- |
 //! | a first try has one hash fraction, and is open to the members in whose share that lies | shares of all routers add up, however many there are |
-//! | shares shrink as requests and repeats come faster than requests usually do | the capacity does not grow with a burst |
 //! | a request is admitted by what held when it came | those that are held would go all at once when the weight has grown |
-//! | clients' repeats are read from half the capacity on, and written with what first tries leave | they come on top of those |
+//! | shares shrink as first tries come faster than usual | the capacity does not grow with a burst |
+//! | clients' repeats are read from half the capacity on | they come on top of first tries |
+//! | where repeats are read, they and first tries share; all that is written again gets a part of what first tries do | the same |
 //! | one request arrives at a member in slow start once | what it turned away was work, too |
-//! | what has waited for a primary does not go to one in slow start | it would arrive at one moment |
+//! | of what has waited for a primary, half as much goes to one in slow start | it arrives at one moment |
 
 use super::state::*;
 use super::tuning::*;
@@ -21,28 +22,67 @@
 /// Which hash fraction of a request its reads go by; that of what must be current goes by the member.
 const READS: u64 = 1;
 
-/// How fast requests come, in the span of the budget and usually.
+/// How fast requests come, in the span of the budget and usually, and how many of them are clients' repeats.
 #[derive(Debug, Default)]
 pub(crate) struct ArrivalRates {
     lately: DecayingRate,
     usually: DecayingRate,
+    reads: RepeatRates,
+    current: RepeatRates,
+}
+
+/// First tries and repeats of one kind of requests.
+#[derive(Debug, Default)]
+struct RepeatRates {
+    first: DecayingRate,
+    repeats: DecayingRate,
+}
+
+/// What was seen of all requests when one came.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Surge {
+    /// How many times faster than usual first tries came; at least 1.
+    pub burst: f64,
+    /// How many requests there were for each first try, of its kind.
+    pub tries: f64,
+}
+
+impl Default for Surge {
+    fn default() -> Self {
+        Surge { burst: 1.0, tries: 1.0 }
+    }
+}
+
+impl RepeatRates {
+    fn arrival(&mut self, now: Time, span: Time, repeat: bool) -> f64 {
+        let (first, repeats) = (self.first.faded(now, span), self.repeats.faded(now, span));
+        if repeat { &mut self.repeats } else { &mut self.first }.add(now, span);
+        // One try more than was seen, so that a few repeats in a row do not pass for a flood.
+        (first + repeats + 1.0) / (first + 1.0)
+    }
 }
 
 impl ArrivalRates {
-    /// Takes in an arrival. How many times faster than usual they came before it, and at least 1: its own arrival would make
-    /// any that comes alone a burst. Clients' repeats come on top of what is usual.
-    pub fn arrival(&mut self, now: Time, span: Time, repeat: bool) -> f64 {
-        let span = span / SURGE_PART;
-        let (lately, usually) = (self.lately.now(now, span), self.usually.now(now, USUAL_SPAN));
-        self.lately.add(now, span);
+    /// Takes in an arrival, and tells what was seen before it: its own arrival would make any that comes alone a burst.
+    pub fn arrival(&mut self, now: Time, span: Time, (current, repeat): (bool, bool)) -> Surge {
+        let kind = if current { &mut self.current } else { &mut self.reads };
+        let tries = kind.arrival(now, span * REPEAT_SPANS, repeat);
+        let part = span / SURGE_PART;
+        let burst = self.burst(now, part);
         if !repeat {
+            self.lately.add(now, part);
             self.usually.add(now, USUAL_SPAN);
         }
+        Surge { burst, tries }
+    }
+
+    fn burst(&self, now: Time, span: Time) -> f64 {
+        let usual = self.usually.now(now, USUAL_SPAN) * span as f64;
+        let count = self.lately.now(now, span) * span as f64;
         // Few tell little: what chance adds to a count is no burst.
-        let count = lately * span as f64;
-        let certain = count - count.sqrt() / 2.0;
-        if usually > 0.0 {
-            (certain / (usually * span as f64)).max(1.0)
+        let certain = count - count.sqrt() / 3.0;
+        if usual > 0.0 {
+            (certain / usual).max(1.0)
         } else {
             1.0
         }
@@ -87,16 +127,17 @@
         if open.has_reached(id) {
             return false;
         }
-        let multiple = self.set.rules.fall_multiple / open.surge;
+        let Surge { burst, tries } = open.surge;
+        let multiple = self.set.rules.fall_multiple / burst;
         match self.set.classes[open.class].need {
             Need::Write | Need::Fresh => {
                 let waited = self.groups.get(&open.group).is_some_and(|g| open.arrived < g.primary_since);
-                // Repeats get what first tries leave.
-                let share = multiple * weight - if open.repeat { 1.0 } else { 0.0 };
-                !waited && lot(!self.set.seed, open.seq, u64::from(id.0)) < share
+                let waited = if waited { WAITED_PART } else { 1.0 };
+                let repeats = if open.repeat { (REPEATED_CURRENT / tries).min(1.0) } else { 1.0 };
+                lot(!self.set.seed, open.seq, u64::from(id.0)) < multiple * weight * waited * repeats
             }
-            _ if open.repeat && weight < SLOW_START_REPEATS => false,
-            _ => self.slow_start_share_has((id, m), open, multiple),
+            _ if weight >= SLOW_START_REPEATS => self.slow_start_share_has((id, m), open, multiple / tries),
+            _ => !open.repeat && self.slow_start_share_has((id, m), open, multiple),
         }
     }
 
--- a/src/policy/slow_start_tests.rs
+++ b/src/policy/slow_start_tests.rs
@@ -6,7 +6,7 @@
     let (mut rates, mut now) = (ArrivalRates::default(), 7 * SECOND);
     let arrival = |gap| {
         now += gap;
-        rates.arrival(now, 2 * SECOND, false)
+        rates.arrival(now, 2 * SECOND, (false, false)).burst
     };
     gaps.map(arrival).collect()
 }
@@ -25,3 +25,21 @@
     let rested = surges((0..200).map(|n| if n == 199 { 30 * SECOND } else { SECOND / 20 }));
     assert_eq!(rested.last(), Some(&1.0));
 }
+
+#[test]
+fn repeats_are_counted_by_kind_and_a_single_one_is_no_flood() {
+    let mut rates = ArrivalRates::default();
+    let mut arrival =
+        |at: Time, current, repeat| rates.arrival(at * SECOND / 10, SECOND, (current, repeat)).tries;
+    for at in 0..40 {
+        assert_eq!(arrival(at, false, false), 1.0);
+    }
+    assert!(arrival(40, false, true) < 1.1);
+    for at in 40..80 {
+        (0..3).for_each(|_| assert!(arrival(at, false, true) >= 1.0));
+        arrival(at, false, false);
+    }
+    let reads = arrival(80, false, false);
+    assert!((3.0..4.0).contains(&reads), "three repeats each: {reads}");
+    assert_eq!(arrival(80, true, false), 1.0, "of other kinds nothing is known");
+}
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -1,5 +1,6 @@
 //! What a router remembers. It decides nothing: the modules beside it read and write it.
 
+use super::slow_start::Surge;
 use crate::interface::*;
 use smallvec::SmallVec;
 use std::cmp::Ordering;
@@ -62,8 +63,8 @@
     pub written: bool,
     /// A client's repeat.
     pub repeat: bool,
-    /// How many times faster than usual requests came when it did.
-    pub surge: f64,
+    /// What was seen of all requests when it came.
+    pub surge: Surge,
     /// Its answer has begun.
     pub streaming: bool,
     /// Most attempts, as the settings had it when it came.
