Cut the shares of slow start in bursts alone, and leave repeats out of those

Change: a burst counts from 1.3 times the usual rate, over half of the budget's span; in it repeats are not read at members in slow start, without it as before; repeated writes get up to half of what first tries do.

--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -9,8 +9,8 @@
 //! | a first try has one hash fraction, and is open to the members in whose share that lies | shares of all routers add up, however many there are |
 //! | a request is admitted by what held when it came | those that are held would go all at once when the weight has grown |
 //! | shares shrink as first tries come faster than usual | the capacity does not grow with a burst |
-//! | clients' repeats are read from half the capacity on | they come on top of first tries |
-//! | where repeats are read, they and first tries share; all that is written again gets a part of what first tries do | the same |
+//! | clients' repeats are read from half the capacity on, and not in a burst | they come on top of first tries |
+//! | all that is written again gets a part of what first tries do | the same |
 //! | one request arrives at a member in slow start once | what it turned away was work, too |
 //! | of what has waited for a primary, half as much goes to one in slow start | it arrives at one moment |
 
@@ -22,16 +22,15 @@
 /// Which hash fraction of a request its reads go by; that of what must be current goes by the member.
 const READS: u64 = 1;
 
-/// How fast requests come, in the span of the budget and usually, and how many of them are clients' repeats.
+/// How fast requests come, in the span of the budget and usually, and how much of what must be current is repeated.
 #[derive(Debug, Default)]
 pub(crate) struct ArrivalRates {
     lately: DecayingRate,
     usually: DecayingRate,
-    reads: RepeatRates,
     current: RepeatRates,
 }
 
-/// First tries and repeats of one kind of requests.
+/// First tries and repeats of what must be current.
 #[derive(Debug, Default)]
 struct RepeatRates {
     first: DecayingRate,
@@ -43,7 +42,7 @@
 pub(crate) struct Surge {
     /// How many times faster than usual first tries came; at least 1.
     pub burst: f64,
-    /// How many requests there were for each first try, of its kind.
+    /// How many requests for what must be current there were for each first try; at least 1.
     pub tries: f64,
 }
 
@@ -65,8 +64,7 @@
 impl ArrivalRates {
     /// Takes in an arrival, and tells what was seen before it: its own arrival would make any that comes alone a burst.
     pub fn arrival(&mut self, now: Time, span: Time, (current, repeat): (bool, bool)) -> Surge {
-        let kind = if current { &mut self.current } else { &mut self.reads };
-        let tries = kind.arrival(now, span * REPEAT_SPANS, repeat);
+        let tries = if current { self.current.arrival(now, span * REPEAT_SPANS, repeat) } else { 1.0 };
         let part = span / SURGE_PART;
         let burst = self.burst(now, part);
         if !repeat {
@@ -81,8 +79,8 @@
         let count = self.lately.now(now, span) * span as f64;
         // Few tell little: what chance adds to a count is no burst.
         let certain = count - count.sqrt() / 3.0;
-        if usual > 0.0 {
-            (certain / usual).max(1.0)
+        if usual > 0.0 && certain >= usual * BURST_MIN {
+            certain / usual
         } else {
             1.0
         }
@@ -136,8 +134,8 @@
                 let repeats = if open.repeat { (REPEATED_CURRENT / tries).min(1.0) } else { 1.0 };
                 lot(!self.set.seed, open.seq, u64::from(id.0)) < multiple * weight * waited * repeats
             }
-            _ if weight >= SLOW_START_REPEATS => self.slow_start_share_has((id, m), open, multiple / tries),
-            _ => !open.repeat && self.slow_start_share_has((id, m), open, multiple),
+            _ if open.repeat && (weight < SLOW_START_REPEATS || burst > 1.0) => false,
+            _ => self.slow_start_share_has((id, m), open, multiple),
         }
     }
 
--- a/src/policy/tuning.rs
+++ b/src/policy/tuning.rs
@@ -87,12 +87,14 @@
 /// The part of its capacity from which on a member in slow start takes clients' repeats.
 pub(super) const SLOW_START_REPEATS: f64 = 0.5;
 /// A surge is seen in this part of the budget's span: before the span is over it has to count.
-pub(super) const SURGE_PART: Time = 3;
+pub(super) const SURGE_PART: Time = 2;
+/// So many times as many requests as usual are a burst; fewer come by chance, and what the settings allow has room for them.
+pub(super) const BURST_MIN: f64 = 1.3;
 /// Repeats are counted over so many of these spans: a flood of them lasts, and writes are few.
 pub(super) const REPEAT_SPANS: Time = 3;
-/// All repeats of what must be current get so much of what its first tries do: those take three quarters or so of a warm
+/// All repeats of what must be current get at most so much of what its first tries do: those take three quarters or so of a warm
 /// primary at the group's full load, and the rest of the budget is for chance.
-pub(super) const REPEATED_CURRENT: f64 = 0.25;
+pub(super) const REPEATED_CURRENT: f64 = 0.5;
 /// Of what has waited for a primary so much goes to one in slow start: it comes within one span, beside what comes then.
 pub(super) const WAITED_PART: f64 = 0.5;
 /// Over so long, in us, the usual rate of requests is learned: longer than any burst, and not as long as a day's course.
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -376,3 +376,19 @@
         assert!(got > 100, "seed {seed}: {got} warm nobody");
     }
 }
+
+#[test]
+fn the_settings_say_how_many_times_its_capacity_a_member_in_slow_start_may_get() {
+    let writes = |fall_multiple: f64| {
+        let one = |seed| {
+            let rules = Rules { fall_multiple, ..settings().rules };
+            let mut d = Driver::new(Settings { seed, instances: 100, rules, ..settings() });
+            d.list(ListKind::Full, vec![Member { up_since: Some(d.now), ..member(1, true) }]);
+            sent(&d.request(UNSAFE, None).1).len()
+        };
+        (0..300).map(one).sum::<usize>()
+    };
+    // A fifth of its capacity, 300 times: 60 of them for each multiple.
+    assert!((40..80).contains(&writes(1.0)), "{}", writes(1.0));
+    assert!((150..210).contains(&writes(3.0)), "{}", writes(3.0));
+}
