Soak what clients do up to the kill, signals in a row, and a crowd

Change: step 'end' (SIGTERM, then HUP, USR1, TERM and INT at random, SIGKILL at the earliest, 3.7 s after; clients use their connections up to it), in each soak; idle clients that fill small descriptor limits in a third of them. Judged: a request that a member has got must be answered though its proxy ends; none that was sent over 0.7 s after SIGTERM may be found by the kill; only what was never read may be closed unread, while ending or in a crowd.

--- a/crates/standins/src/rig/checker.rs
+++ b/crates/standins/src/rig/checker.rs
@@ -25,6 +25,8 @@
 /// machine may add.
 const UNFINISHED_MAX: Us = 3_000_000;
 const UNFINISHED_SLACK: Us = 1_000_000;
+/// What comes to a process later than this after it was told to end must have its answer before the kill.
+const TAKEN_AFTER_END: Us = 700_000;
 /// Breaches told of each rule; the others are counted.
 const TOLD: usize = 5;
 
@@ -35,6 +37,8 @@
     pub late: Us,
     /// Nothing new reaches a member so long after it was told to be draining or said to be out.
     pub drain: Us,
+    /// Idle clients fill the descriptors: a new connection may be shut unread.
+    pub crowded: bool,
     /// The operators' word on a member outlasts the process that it was said to.
     pub hands_kept: bool,
     /// Added to all limits on time that no other bound sets: for machines of any speed.
@@ -57,6 +61,7 @@
         Bounds {
             late: 500_000,
             drain: 500_000,
+            crowded: false,
             hands_kept: false,
             patience: 0,
             cold: 4.0,
@@ -175,6 +180,8 @@
     sent: Option<Us>,
     left: Option<Us>,
     ended: Option<Us>,
+    /// A member has got it, so that its proxy has read it.
+    given: bool,
 }
 
 /// A span in which a proxy was not there.
@@ -189,6 +196,9 @@
 #[derive(Default)]
 struct Proxy {
     up: bool,
+    /// When it was told to end, with a kill to come; and the kills.
+    ending: Option<Us>,
+    ended: Vec<(Us, Us)>,
     gaps: Vec<Gap>,
     whole: u64,
     /// Members whose link holds back what is sent, and those whose link has done so up to a moment.
@@ -303,6 +313,7 @@
                     sent: None,
                     left: None,
                     ended: None,
+                    given: false,
                 };
                 if self.asked.insert(*id, asked).is_some() {
                     self.verdict.breach(Rule::Log, at, format!("request {id} is asked twice"));
@@ -413,8 +424,15 @@
                 let gaps = &mut self.proxies.entry(*proxy).or_default().gaps;
                 gaps.iter_mut().filter(|g| g.to == Us::MAX && g.stopped).for_each(|g| g.to = at);
             }
+            What::Ending { proxy } => {
+                self.faulted = true;
+                self.proxies.entry(*proxy).or_default().ending = Some(at);
+            }
             What::Down { proxy, stopped } => {
                 self.faulted = true;
+                if !stopped {
+                    self.killed(at, *proxy);
+                }
                 let gap = Gap { from: at, to: Us::MAX, stopped: *stopped };
                 self.proxies.entry(*proxy).or_default().gaps.push(gap);
             }
@@ -426,6 +444,28 @@
         }
     }
 
+    /// A process that was told to end is killed, or has ended: what was sent to it long after it was told, and what it read, must
+    /// have had its answer.
+    fn killed(&mut self, at: Us, proxy: u32) {
+        let Some(of) = self.proxies.get_mut(&proxy) else { return };
+        let Some(told) = of.ending.take() else { return };
+        of.ended.push((told, at));
+        let late = |a: &Asked| {
+            a.given && a.ended.is_none() && a.sent.is_some_and(|sent| sent > told + TAKEN_AFTER_END)
+        };
+        let found = self
+            .asked
+            .iter()
+            .filter(|(_, a)| a.proxy == proxy && late(a))
+            .map(|(id, a)| (*id, a.sent.unwrap_or(at)));
+        let mut found: Vec<(u64, Us)> = found.filter(|(_, sent)| self.stood(*sent, at) == 0).collect();
+        found.sort_unstable();
+        for (id, sent) in found {
+            let what = format!("the kill finds request {id} at proxy {proxy} unanswered, sent {} ms after it was told to end", (sent - told) / 1000);
+            self.verdict.breach(Rule::Answer, at, what);
+        }
+    }
+
     /// A sum over its bound, once the first fault has come; told anew only after it was within it again.
     fn bound(
         &mut self,
@@ -463,7 +503,12 @@
             return;
         }
         let (proxy, until) = (asked.proxy, since + asked.wait + bounds.late + stood);
+        // A connection that is closed between requests, at a process that ends or that lacks descriptors, is no answer owed: its
+        // client sends the request once more. What a member has got was read.
+        let ends = self.proxies.get(&proxy).is_some_and(|p| p.ends_within(since, at));
+        let unread = how == End::Broken && !asked.given && (ends || bounds.crowded);
         let unanswered = how == End::Broken && stood < STANDSTILL || how == End::Silent && stood == 0;
+        let unanswered = unanswered && !unread;
         if (unanswered || at > until) && !gone(self.proxies.get(&proxy), since, at) {
             let what = format!("request {id} at proxy {proxy}: {how:?} after {} ms", (at - since) / 1000);
             self.verdict.breach(Rule::Answer, at, what);
@@ -553,6 +598,7 @@
             self.verdict.breach(Rule::Log, at, format!("member {member} got {id}, and nobody asked it"));
             return;
         };
+        self.asked.get_mut(&id).into_iter().for_each(|asked| asked.given = true);
         self.for_nobody(at, member, id, bounds.patience);
         let stood = self.stood(at.saturating_sub(bounds.drain), at);
         let of = self.proxies.entry(proxy).or_default();
@@ -656,6 +702,14 @@
 }
 
 /// Whether a proxy was not there at some moment of a span.
+impl Proxy {
+    /// Whether it was told to end, or ended so, in this span.
+    fn ends_within(&self, from: Us, to: Us) -> bool {
+        self.ending.is_some_and(|told| told <= to)
+            || self.ended.iter().any(|(told, end)| *told <= to && *end >= from)
+    }
+}
+
 fn gone(proxy: Option<&Proxy>, from: Us, to: Us) -> bool {
     let Some(proxy) = proxy else { return true };
     let within = |gap: &Gap| gap.from <= to && gap.to >= from;
--- a/crates/standins/src/rig/clients.rs
+++ b/crates/standins/src/rig/clients.rs
@@ -30,6 +30,9 @@
 const BAD_CLIENT_WAITS: Duration = Duration::from_secs(5);
 const BAD_CLIENT_PAUSE_MS: u64 = 400;
 
+/// How often a client that rests looks whether it still can.
+const IDLE_CLIENT_LOOKS: Duration = Duration::from_millis(100);
+
 struct Client {
     n: u32,
     world: World,
@@ -64,6 +67,31 @@
     (0..script.bad_clients).map(one).collect()
 }
 
+/// Starts those that ask nothing: each connects somewhere, rests there until it is closed, and comes again.
+pub fn start_idle(world: &World, stop: &Arc<AtomicBool>) -> Vec<tokio::task::JoinHandle<()>> {
+    let script = world.script();
+    let one = |n: u32| {
+        let rng = fastrand::Rng::with_seed(script.seed ^ u64::from(n + 1) << 50);
+        crate::runtime().spawn(idle_client(world.clone(), rng, stop.clone()))
+    };
+    (0..script.idle_clients).map(one).collect()
+}
+
+async fn idle_client(world: World, mut rng: fastrand::Rng, stop: Arc<AtomicBool>) {
+    while !stop.load(Ordering::Relaxed) {
+        tokio::time::sleep(Duration::from_millis(rng.u64(0..BAD_CLIENT_PAUSE_MS))).await;
+        let proxy = rng.u32(1..=world.script().proxies);
+        let Ok(mut conn) = Pg::connect(world.front(proxy)).await else { continue };
+        // Some are served once, and rest then.
+        if rng.bool() && conn.send(&wire::query("")).await.is_err() {
+            continue;
+        }
+        while !stop.load(Ordering::Relaxed) && !conn.ended().await {
+            tokio::time::sleep(IDLE_CLIENT_LOOKS).await;
+        }
+    }
+}
+
 async fn bad_client(world: World, mut rng: fastrand::Rng, stop: Arc<AtomicBool>) {
     while !stop.load(Ordering::Relaxed) {
         let pause = Duration::from_millis(rng.u64(0..BAD_CLIENT_PAUSE_MS));
--- a/crates/standins/src/rig/draw.rs
+++ b/crates/standins/src/rig/draw.rs
@@ -145,6 +145,8 @@
 /// When the last fault of a soak must have ended, and when it ends, in ms.
 const SOAK_LAST: u32 = 7_000;
 const SOAK_END: u32 = 9_500;
+/// How long an end with its kill takes, in ms.
+const ENDING: u32 = 4_200;
 /// An hour and some seconds, in ms: what wall clocks are off by.
 const CLOCK_STEPS: [i64; 4] = [3_600_000, -3_600_000, 7_000, -7_000];
 
@@ -188,6 +190,15 @@
     }
     let mut faults: Vec<_> = (0..rng.u32(3..=6)).map(|_| fault(&mut rng, &places)).collect();
     faults.extend((0..rng.u32(1..=3)).map(|_| machine_fault(&mut rng, &places)));
+    let at = rng.u32(FIRST..SOAK_LAST - ENDING);
+    let who = format!("{}%", rng.u32(10..=60));
+    faults.push(("end", vec![format!("at {at} {who} does end within {}", rng.u32(1..400))]));
+    if rng.u32(0..3) == 0 {
+        // Idle clients fill what descriptors a proxy may have.
+        let sockets = rng.u32(64..=128);
+        world.push(format!("sockets {sockets}"));
+        world.push(format!("clients idle {}", proxies * sockets / 4));
+    }
     faults.push((
         "calls",
         vec!["at 300 proxies calls fail".into(), format!("at {SOAK_LAST} proxies calls well")],
@@ -376,7 +387,7 @@
             calls += script.calls.len();
             drawn.kinds().into_iter().for_each(|(kind, n)| *kinds.entry(kind).or_insert(0) += n);
         }
-        for kind in ["clock", "disk", "reloads", "release", "shut", "stop", "drain", "member down"] {
+        for kind in ["clock", "disk", "reloads", "release", "shut", "stop", "drain", "member down", "end"] {
             assert!(kinds[kind] > 50, "{kinds:?}");
         }
         assert!(calls > 1_000, "{calls} calls that fail");
--- a/crates/standins/src/rig/events.rs
+++ b/crates/standins/src/rig/events.rs
@@ -167,6 +167,11 @@
         /// Out, or back.
         out: bool,
     },
+    /// A proxy has been told to end, and is killed later; clients go on using what they have open there.
+    Ending {
+        /// The proxy.
+        proxy: u32,
+    },
     /// A proxy's process is started.
     Exec {
         /// The proxy.
--- a/crates/standins/src/rig/script.rs
+++ b/crates/standins/src/rig/script.rs
@@ -67,6 +67,8 @@
     Kill(Who, Duration),
     /// Processes are told to end.
     Term(Who, Duration),
+    /// Processes are told to end, get more signals in a row, are killed at the earliest that the platform may do so, and start again.
+    End(Who, Duration),
     /// Those that are down are started, each at a moment of this span.
     Start(Who, Duration),
     /// Processes stand still for so long.
@@ -155,6 +157,10 @@
     pub leaving: u32,
     /// Clients that begin what they do not end.
     pub bad_clients: u32,
+    /// Clients that connect and ask nothing.
+    pub idle_clients: u32,
+    /// Descriptors that a proxy may have.
+    pub sockets: u64,
     /// How long it runs.
     pub end: Duration,
     /// What must hold.
@@ -190,6 +196,8 @@
             load: (60.0, 24),
             leaving: 0,
             bad_clients: 0,
+            idle_clients: 0,
+            sockets: 1024,
             end: ms(5_000),
             bounds: Bounds::default(),
             full: None,
@@ -309,6 +317,11 @@
             ["load", rate, "clients", n] => self.load = (number(rate)?, number(n)?),
             ["calls", name, "1", "in", every] => self.calls.push((call(name)?, number(every)?)),
             ["clients", "leave", percent] => self.leaving = number(percent)?,
+            ["clients", "idle", n] => {
+                self.idle_clients = number(n)?;
+                self.bounds.crowded = self.idle_clients > 0;
+            }
+            ["sockets", n] => self.sockets = number(n)?,
             ["clients", "bad", n] => self.bad_clients = number(n)?,
             ["end", at] => self.end = ms(at)?,
             ["bound", "full", span] => self.full = Some(ms(span)?),
@@ -362,6 +375,7 @@
             Step::Kill(w, _) | Step::Term(w, _) | Step::Start(w, _) | Step::Stop(w, _) | Step::Hup(w, _) => {
                 all(w, self.proxies)
             }
+            Step::End(w, _) => all(w, self.proxies),
             Step::CallsFail(w, _) | Step::ClockStep(w, _) | Step::Disk(w, _) => all(w, self.proxies),
             Step::Harm(w, _) | Step::Console(w, _) | Step::ListLink(w, _) | Step::ClientLink(w, _) => {
                 all(w, self.proxies)
@@ -449,6 +463,7 @@
         },
         [of, "does", ..] if is_members(of) => Step::Does(members(of)?, rest(2).parse()?),
         [of, "does", "kill", span @ ..] => Step::Kill(proxies(of)?, within(span)?),
+        [of, "does", "end", span @ ..] => Step::End(proxies(of)?, within(span)?),
         [of, "does", "term", span @ ..] => Step::Term(proxies(of)?, within(span)?),
         [of, "does", "start", span @ ..] => Step::Start(proxies(of)?, within(span)?),
         [of, "does", "hup", span @ ..] => Step::Hup(proxies(of)?, within(span)?),
--- a/crates/standins/src/rig/world.rs
+++ b/crates/standins/src/rig/world.rs
@@ -16,10 +16,15 @@
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// How long a proposal is made again that finds no majority for the moment.
 const ASKS_AGAIN: Duration = Duration::from_millis(2_500);
+/// The longest deadline of the classes, counted as 3 s at most, and 0.7 s: no kill comes sooner after SIGTERM.
+const KILLED_AFTER: Duration = Duration::from_millis(3_700);
+/// Between two of the signals that follow SIGTERM, in ms, and which they are.
+const SIGNALS_WITHIN_MS: u64 = 300;
+const SIGNALS: [&str; 4] = ["HUP", "USR1", "TERM", "INT"];
 /// Requests that may wait at a member for a slot.
 const QUEUE: usize = 4096;
 
@@ -185,7 +190,7 @@
                 client_links.insert(n, relay);
             }
             let known = if script.known { known } else { Vec::new() };
-            let mut config = proxy::config(&door.to_string(), &known, settings(script), 1024, 192);
+            let mut config = proxy::config(&door.to_string(), &known, settings(script), script.sockets, 192);
             config["name"] = format!("p{n}").into();
             config["listen"] = listen.to_string().into();
             config["console"] = "127.0.0.1:0".into();
@@ -325,6 +330,33 @@
         }
     }
 
+    /// Tells processes to end, sends them more signals in a row, kills each at the earliest that the platform may, and starts it
+    /// again.
+    fn end(&self, who: &Who, span: Duration) -> Result<()> {
+        let one = |n: u32| -> Result<()> {
+            std::thread::sleep(self.moment(n, span));
+            let mut seat = self.seat(n);
+            let Some(mut proxy) = seat.running.take() else { return Ok(()) };
+            let mut rng = fastrand::Rng::with_seed(self.0.script.seed ^ u64::from(n) << 30);
+            self.0.log.note(What::Ending { proxy: n });
+            let told = Instant::now();
+            proxy.signal("TERM")?;
+            while told.elapsed() < KILLED_AFTER && !proxy.ended() {
+                std::thread::sleep(Duration::from_millis(rng.u64(10..SIGNALS_WITHIN_MS)));
+                // A process that is not there hears nothing.
+                let _ = proxy.signal(SIGNALS[rng.usize(0..SIGNALS.len())]);
+            }
+            self.0.log.note(What::Down { proxy: n, stopped: false });
+            drop(proxy);
+            drop(seat);
+            self.start_all(&[n], Duration::ZERO)
+        };
+        std::thread::scope(|scope| {
+            let ends: Vec<_> = self.proxies(who).into_iter().map(|n| scope.spawn(move || one(n))).collect();
+            ends.into_iter().try_for_each(|t| t.join().unwrap_or_else(|_| Err(Error::other("no thread"))))
+        })
+    }
+
     /// Carries out a step; it may block for as long as the step's span.
     ///
     /// # Errors
@@ -345,6 +377,7 @@
                         .transpose()?;
                 }
             }
+            Step::End(who, span) => self.end(who, *span)?,
             Step::Start(who, span) => self.start_all(&self.proxies(who), *span)?,
             Step::Stop(who, span) => {
                 let ids = self.ids(who);
@@ -391,7 +424,7 @@
                 std::fs::write(&path, proposed.to_string())?;
                 let call = format!("FLEET PROPOSE {} rig", path.display());
                 // As an operator would: what only needs a moment is asked again.
-                let began = std::time::Instant::now();
+                let began = Instant::now();
                 let answer = loop {
                     let Some(answer) = self.call(*who, &call) else { return Ok(()) };
                     let again =
