Share how both fronts take clients at a start, and plant breaches of new soak rules

Refactor: net::startup has one trait for fronts; main wires each by one line. Tests: a request that a member got and that its ending proxy drops, one that the kill finds, a shut connection in a crowd and its opposite.

--- a/crates/standins/src/rig/checker_tests.rs
+++ b/crates/standins/src/rig/checker_tests.rs
@@ -335,3 +335,31 @@
     assert_eq!(verdict(vec![begun.clone(), end(3_000_000)], &Bounds::default()), []);
     assert_eq!(verdict(vec![begun, end(5_000_000)], &Bounds::default()), [Rule::Unfinished]);
 }
+
+#[test]
+fn what_a_proxy_has_read_is_owed_an_answer_though_it_ends_and_what_it_has_not_read_is_none() {
+    let ending =
+        sound().at(10, What::Ending { proxy: 1 }).ask(900, 1, None, Shows::Any).at(901, What::Sent { id: 1 });
+    let given = ending.clone().at(905, What::Given { member: 1, id: 1 });
+    assert_eq!(ending.clone().told(910, 1, End::Broken, 0).broken(), [], "closed between requests");
+    assert_eq!(given.clone().told(910, 1, End::Broken, 0).broken(), [Rule::Answer]);
+    assert_eq!(ending.clone().told(1_950, 1, End::Silent, 0).broken(), [Rule::Answer]);
+    let kill = |plot: &Plot| plot.clone().at(1_200, What::Down { proxy: 1, stopped: false });
+    assert_eq!(kill(&given).told(1_201, 1, End::Broken, 0).broken(), [Rule::Answer], "the kill finds it");
+    assert_eq!(kill(&given.clone().told(950, 1, End::Served, 1)).broken(), []);
+    let early =
+        sound().at(10, What::Ending { proxy: 1 }).ask(600, 1, None, Shows::Any).at(601, What::Sent { id: 1 });
+    assert_eq!(
+        kill(&early.at(605, What::Given { member: 1, id: 1 })).told(1_201, 1, End::Broken, 0).broken(),
+        []
+    );
+}
+
+#[test]
+fn in_a_crowd_a_connection_may_be_shut_unread_and_no_other() {
+    let crowded = Bounds { crowded: true, ..Bounds::default() };
+    let asked = sound().ask(10, 1, None, Shows::Any);
+    assert_eq!(asked.clone().told(20, 1, End::Broken, 0).rules(&crowded), []);
+    let given = asked.at(12, What::Given { member: 1, id: 1 });
+    assert_eq!(given.told(20, 1, End::Broken, 0).rules(&crowded), [Rule::Answer]);
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -21,10 +21,9 @@
 use linentrail::net::budget::{Budget, Pace};
 use linentrail::net::discovery::{Discovery, Lists, Service};
 use linentrail::net::fleet::Fleet;
-use linentrail::net::listen::{self, Closing, Phase};
+use linentrail::net::listen::{Closing, Phase};
 use linentrail::net::momentary;
-use linentrail::net::socket::Socket;
-use linentrail::net::startup::{self, ClientListener, StartGate};
+use linentrail::net::startup::{self, ClientFront, ClientListener, StartGate};
 use linentrail::operators::agreement::OnLapse;
 use linentrail::operators::{self, DnsSd, Odata};
 use linentrail::parley::{Parley, Wiring};
@@ -122,38 +121,27 @@
         Accepting { closing, listeners: JoinSet::new(), pg_address: None, odata_address: None }
     }
 
-    /// Takes clients of the platform's protocol, who wait at the gate until the front is there.
+    /// Takes clients who wait at the gate until the front is there; where they come.
+    fn take<F: ClientFront>(
+        &mut self,
+        listener: TcpListener,
+        counter: Count,
+        budget: &Budget,
+        gate: StartGate<F>,
+    ) -> Option<SocketAddr> {
+        let address = listener.local_addr().ok();
+        self.listeners.spawn(gate.take_clients(listener, counter, budget.clone(), self.closing.clone()));
+        address
+    }
+
+    /// Takes clients of the platform's protocol.
     fn pg(&mut self, listener: TcpListener, budget: &Budget, gate: StartGate<pg::front::Front>) {
-        self.pg_address = listener.local_addr().ok();
-        let (clients, bytes) = (budget.clients.clone(), budget.bytes.clone());
-        let serve = move |stream: Socket, closing: Closing| {
-            let (gate, bytes) = (gate.clone(), bytes.clone());
-            async move {
-                match gate.passed().await {
-                    Some(front) => front.serve(stream, closing).await,
-                    None => pg::front::refuse_starting(stream, bytes).await,
-                }
-            }
-        };
-        let closing = self.closing.clone();
-        self.listeners.spawn(listen::listen(listener, Count::pg_connections, clients, closing, serve));
+        self.pg_address = self.take(listener, Count::pg_connections, budget, gate);
     }
 
     /// The same by OData.
     fn odata(&mut self, listener: TcpListener, budget: &Budget, gate: StartGate<odata::front::Front>) {
-        self.odata_address = listener.local_addr().ok();
-        let (clients, bytes) = (budget.clients.clone(), budget.bytes.clone());
-        let serve = move |stream: Socket, closing: Closing| {
-            let (gate, bytes) = (gate.clone(), bytes.clone());
-            async move {
-                match gate.passed().await {
-                    Some(front) => front.serve(stream, closing).await,
-                    None => odata::front::refuse_starting(stream, bytes).await,
-                }
-            }
-        };
-        let closing = self.closing.clone();
-        self.listeners.spawn(listen::listen(listener, Count::odata_connections, clients, closing, serve));
+        self.odata_address = self.take(listener, Count::odata_connections, budget, gate);
     }
 }
 
--- a/src/net/startup.rs
+++ b/src/net/startup.rs
@@ -1,9 +1,14 @@
 //! Clients that come while the process starts: the kernel takes them from the first act of a start on, and each gets a final
 //! answer in time, from the front itself or, where the rest of the start takes long, a refusal.
 
-use super::listen;
+use super::budget::{Budget, ByteBudget};
+use super::listen::{self, Closing};
 use super::momentary;
-use std::io::Result;
+use super::socket::Socket;
+use crate::core::counters::Count;
+use std::fmt::Display;
+use std::future::Future;
+use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::TcpListener;
@@ -13,6 +18,25 @@
 /// however short that is, and a refusal sooner than that lets the client go elsewhere.
 const STARTING_GRACE: Duration = Duration::from_millis(200);
 
+/// A front that takes clients' connections.
+pub trait ClientFront: Send + Sync + 'static {
+    /// How a connection breaks.
+    type Error: Display + Send;
+
+    /// Serves one client to its end.
+    fn serve(
+        self: Arc<Self>,
+        stream: Socket,
+        closing: Closing,
+    ) -> impl Future<Output = Result<(), Self::Error>> + Send;
+
+    /// Refuses a client that the start keeps waiting: the last word on its connection.
+    fn refuse_starting(
+        stream: Socket,
+        bytes: ByteBudget,
+    ) -> impl Future<Output = Result<(), Self::Error>> + Send;
+}
+
 /// Lets clients through to a front, once there is one.
 pub struct GateOpener<F>(watch::Sender<Option<Arc<F>>>);
 
@@ -38,6 +62,24 @@
     }
 }
 
+impl<F: ClientFront> StartGate<F> {
+    /// Takes clients from a listener up to the end of the process; they wait here until the front is there. `counter`
+    /// counts them.
+    pub async fn take_clients(self, listener: TcpListener, counter: Count, budget: Budget, closing: Closing) {
+        let bytes = budget.bytes.clone();
+        let serve = move |stream: Socket, closing: Closing| {
+            let (gate, bytes) = (self.clone(), bytes.clone());
+            async move {
+                match gate.passed().await {
+                    Some(front) => front.serve(stream, closing).await,
+                    None => F::refuse_starting(stream, bytes).await,
+                }
+            }
+        };
+        listen::listen(listener, counter, budget.clients.clone(), closing, serve).await;
+    }
+}
+
 impl<F> StartGate<F> {
     /// The front, at once where it serves already; none where it does not within the time that a client is held. Cancel
     /// safe.
@@ -60,7 +102,7 @@
     ///
     /// # Errors
     /// When neither can be done.
-    pub async fn bind(inherited: Option<&str>, address: &str) -> Result<Self> {
+    pub async fn bind(inherited: Option<&str>, address: &str) -> io::Result<Self> {
         match inherited {
             Some(descriptor) => listen::inherited(descriptor).map(ClientListener::Inherited),
             None => Ok(ClientListener::Own(momentary::listen(address).await?, address.to_string())),
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -12,6 +12,7 @@
 use crate::net::frames::{finish, finish_resting, next, next_or_end, shrink, Next, ROOM};
 use crate::net::listen::{closed, Closing, Phase};
 use crate::net::socket::Socket;
+use crate::net::startup::ClientFront;
 use crate::terms::Terms;
 use bytes::Bytes;
 use futures_util::SinkExt;
@@ -52,17 +53,21 @@
 
 type Conn = Framed<Socket, HttpServer>;
 
-/// Refuses a client that the start keeps waiting: the only response on its connection.
-///
-/// # Errors
-/// When the connection breaks.
-pub async fn refuse_starting(stream: Socket, bytes: ByteBudget) -> Result<(), HttpError> {
-    count(Count::refused_starting);
-    let mut conn = Framed::with_capacity(stream, HttpServer::new(LONGEST_BODY, bytes), ROOM);
-    let mut response = Fault::come_back(None, "the proxy is starting").response(Form::default());
-    response.closes = true;
-    conn.send(response).await?;
-    Ok(finish(conn).await?)
+impl ClientFront for Front {
+    type Error = HttpError;
+
+    async fn serve(self: Arc<Self>, stream: Socket, closing: Closing) -> Result<(), HttpError> {
+        self.serve_client(stream, closing).await
+    }
+
+    async fn refuse_starting(stream: Socket, bytes: ByteBudget) -> Result<(), HttpError> {
+        count(Count::refused_starting);
+        let mut conn = Framed::with_capacity(stream, HttpServer::new(LONGEST_BODY, bytes), ROOM);
+        let mut response = Fault::come_back(None, "the proxy is starting").response(Form::default());
+        response.closes = true;
+        conn.send(response).await?;
+        Ok(finish(conn).await?)
+    }
 }
 
 impl Front {
@@ -78,11 +83,7 @@
         Front { core, bookings, terms, clock, budget, pace, random, sent }
     }
 
-    /// Serves one client.
-    ///
-    /// # Errors
-    /// When the connection breaks.
-    pub async fn serve(self: Arc<Self>, stream: Socket, mut closing: Closing) -> Result<(), HttpError> {
+    async fn serve_client(self: Arc<Self>, stream: Socket, mut closing: Closing) -> Result<(), HttpError> {
         let codec = HttpServer::new(LONGEST_BODY, self.budget.bytes.clone());
         let mut conn = Framed::with_capacity(stream, codec, ROOM);
         let (mut ahead, mut known, mut part) = (VecDeque::new(), false, false);
--- a/src/pg/front.rs
+++ b/src/pg/front.rs
@@ -11,6 +11,7 @@
 use crate::net::frames::{finish, finish_resting, next, next_or_end, shrink, Next, ROOM};
 use crate::net::listen::{reached, Closing, Phase, CONNECTION};
 use crate::net::socket::Socket;
+use crate::net::startup::ClientFront;
 use crate::terms::Terms;
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::{FutureExt, SinkExt, StreamExt};
@@ -115,12 +116,24 @@
 
 type Conn = Framed<Socket, ServerCodec>;
 
+impl ClientFront for Front {
+    type Error = WireError;
+
+    async fn serve(self: Arc<Self>, stream: Socket, closing: Closing) -> Result<(), WireError> {
+        self.serve_client(stream, closing).await
+    }
+
+    async fn refuse_starting(stream: Socket, bytes: ByteBudget) -> Result<(), WireError> {
+        count(Count::refused_starting);
+        log::debug!(target: CONNECTION, client = stream.port(); "refused, as the start takes long");
+        let mut conn = Framed::with_capacity(stream, ServerCodec::new(bytes), ROOM);
+        conn.send(error("57P03", "the proxy is starting", After::End)).await?;
+        Ok(finish(conn).await?)
+    }
+}
+
 impl Front {
-    /// Serves one client.
-    ///
-    /// # Errors
-    /// When the connection breaks.
-    pub async fn serve(self: Arc<Self>, stream: Socket, mut closing: Closing) -> Result<(), WireError> {
+    async fn serve_client(self: Arc<Self>, stream: Socket, mut closing: Closing) -> Result<(), WireError> {
         let first = Instant::now() + FIRST;
         let mut conn = Framed::with_capacity(stream, ServerCodec::new(self.bytes.clone()), ROOM);
         let welcome = tokio::select! {
@@ -322,18 +335,6 @@
     }
 }
 
-/// Refuses a client that the start keeps waiting: the last word on its connection.
-///
-/// # Errors
-/// When the connection breaks.
-pub async fn refuse_starting(stream: Socket, bytes: ByteBudget) -> Result<(), WireError> {
-    count(Count::refused_starting);
-    log::debug!(target: CONNECTION, "refused, as the start takes long");
-    let mut conn = Framed::with_capacity(stream, ServerCodec::new(bytes), ROOM);
-    conn.send(error("57P03", "the proxy is starting", After::End)).await?;
-    Ok(finish(conn).await?)
-}
-
 /// A value from this size on is written from where it lies, not copied into the connection's buffer first.
 const LARGE: usize = 16 * 1024;
 
