--- a/tests/starting.rs
+++ b/tests/starting.rs
@@ -32,7 +32,7 @@
 
 /// A primary behind a proxy whose addresses are known before its start.
 struct World {
-    _primary: Member,
+    primary: Member,
     address: Ipv4Addr,
     setup: Setup,
 }
@@ -45,7 +45,7 @@
         let mut config = proxy::config("127.0.0.1:9", &list, proxy::settings(), 1024, 192);
         config["listen"] = format!("{address}:{PORT}").into();
         let program = env!("CARGO_BIN_EXE_linentrail").into();
-        World { _primary: primary, address, setup: Setup { program, config, ..Setup::default() } }
+        World { primary, address, setup: Setup { program, config, ..Setup::default() } }
     }
 
     fn clients(&self) -> SocketAddr {
@@ -107,8 +107,8 @@
 }
 
 /// A pipe in place of the operators' file: the start stands still until somebody writes to it.
-fn pipe() -> PathBuf {
-    let path = std::env::temp_dir().join(format!("linentrail-start-{}.hcl", std::process::id()));
+fn pipe(name: &str) -> PathBuf {
+    let path = std::env::temp_dir().join(format!("linentrail-start-{name}-{}.hcl", std::process::id()));
     let _ = std::fs::remove_file(&path);
     assert!(Command::new("mkfifo").arg(&path).status().unwrap().success());
     path
@@ -122,7 +122,7 @@
 #[test]
 fn clients_connect_before_the_start_has_read_its_files() {
     let mut world = World::new();
-    let operators = pipe();
+    let operators = pipe("files");
     world.setup.environment = vec![("LINENTRAIL_FILE".into(), operators.to_string_lossy().into())];
     let mut launched = Launched::new(&world.setup).unwrap();
     let mut client = connect(world.clients(), &mut launched);
@@ -153,6 +153,27 @@
     assert!(matches!(answer(&mut client), Told::Served(_)));
 }
 
+/// A request's time runs from its last byte, wherever it stands: one whose client has given up reaches no member.
+#[test]
+fn a_request_that_has_waited_for_the_start_longer_than_its_client_does_reaches_no_member() {
+    let mut world = World::new();
+    let operators = pipe("late");
+    world.setup.environment = vec![("LINENTRAIL_FILE".into(), operators.to_string_lossy().into())];
+    let mut launched = Launched::new(&world.setup).unwrap();
+    let mut client = connect(world.clients(), &mut launched);
+    let statement = Ask { wait_ms: 400, ..booking("late") }.sql(&request_id());
+    client.write_all(&[wire::startup(), wire::query(&statement)].concat()).unwrap();
+    thread::sleep(Duration::from_millis(1_000));
+    write_to(&operators);
+    assert_eq!(answer(&mut client), Told::Refused(None));
+    assert_eq!(world.primary.given("write late"), 0, "{:?}", world.primary.seen());
+    let proxy = launched.serving(&world.setup).unwrap();
+    let mut client = TcpStream::connect(proxy.pg).unwrap();
+    ask(&mut client, "soon");
+    assert!(matches!(answer(&mut client), Told::Served(_)));
+    assert_eq!(world.primary.given("write soon"), 1, "{:?}", world.primary.seen());
+}
+
 #[test]
 fn an_odata_client_gets_503_while_the_start_takes_long() {
     let mut world = World::new();
