Count a request's time from the start of the process while that kept it waiting

Cause: src/net/startup.rs let requests stand in the socket until the front was there, and both fronts counted their time from the reading (pg/front.rs, take; odata/front.rs, request). Change: a connection that was accepted while the gate was shut, or within 50 ms of the first accept, carries since when it may have waited; what it sends up to its first answer has that much less time. The OData half has no test of its own.

--- a/src/main.rs
+++ b/src/main.rs
@@ -110,6 +110,8 @@
 
 /// What takes clients, from the start to the end.
 struct Accepting {
+    /// When the process began: nobody has waited longer for it.
+    began: Instant,
     closing: Closing,
     listeners: JoinSet<()>,
     pg_address: Option<SocketAddr>,
@@ -117,8 +119,9 @@
 }
 
 impl Accepting {
-    fn new(closing: Closing) -> Self {
-        Accepting { closing, listeners: JoinSet::new(), pg_address: None, odata_address: None }
+    fn new(began: Instant, closing: Closing) -> Self {
+        let listeners = JoinSet::new();
+        Accepting { began, closing, listeners, pg_address: None, odata_address: None }
     }
 
     /// Takes clients who wait at the gate until the front is there; where they come.
@@ -130,7 +133,8 @@
         gate: StartGate<F>,
     ) -> Option<SocketAddr> {
         let address = listener.local_addr().ok();
-        self.listeners.spawn(gate.take_clients(listener, counter, budget.clone(), self.closing.clone()));
+        let (began, budget, closing) = (self.began, budget.clone(), self.closing.clone());
+        self.listeners.spawn(gate.take_clients(listener, began, counter, budget, closing));
         address
     }
 
@@ -157,7 +161,7 @@
     let file = operators::load()?;
     let loaded = config::load();
     let (phase, closing) = watch::channel(Phase::Starting);
-    let mut accepting = Accepting::new(closing.clone());
+    let mut accepting = Accepting::new(began, closing.clone());
     let early_budget = loaded.as_ref().ok().map(|(told, ..)| Budget::new(told.sockets, told.memory));
     let odata_listener = match file.odata.enabled {
         true => Some(bind_odata(&file.odata).await?),
--- a/src/net/startup.rs
+++ b/src/net/startup.rs
@@ -10,7 +10,7 @@
 use std::future::Future;
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
@@ -23,9 +23,10 @@
     /// How a connection breaks.
     type Error: Display + Send;
 
-    /// Serves one client to its end.
+    /// Serves one client to its end. What it has sent already may have been sent at any time since `waits_since`.
     fn serve(
         self: Arc<Self>,
+        waits_since: Option<Instant>,
         stream: Socket,
         closing: Closing,
     ) -> impl Future<Output = Result<(), Self::Error>> + Send;
@@ -37,6 +38,9 @@
     ) -> impl Future<Output = Result<(), Self::Error>> + Send;
 }
 
+/// So long after a listener's first accept whoever it accepts may have come before that.
+const QUEUE_EMPTY_AFTER: Duration = Duration::from_millis(50);
+
 /// Lets clients through to a front, once there is one.
 pub struct GateOpener<F>(watch::Sender<Option<Arc<F>>>);
 
@@ -63,15 +67,27 @@
 }
 
 impl<F: ClientFront> StartGate<F> {
-    /// Takes clients from a listener up to the end of the process; they wait here until the front is there. `counter`
-    /// counts them.
-    pub async fn take_clients(self, listener: TcpListener, counter: Count, budget: Budget, closing: Closing) {
+    /// Takes clients from a listener up to the end of the process; they wait here until the front is there. The listener has
+    /// been open since `bound` at the earliest. `counter` counts clients.
+    pub async fn take_clients(
+        self,
+        listener: TcpListener,
+        bound: Instant,
+        counter: Count,
+        budget: Budget,
+        closing: Closing,
+    ) {
         let bytes = budget.bytes.clone();
+        let began = Instant::now();
         let serve = move |stream: Socket, closing: Closing| {
             let (gate, bytes) = (self.clone(), bytes.clone());
+            let accepted = Instant::now();
+            // Those that come at once may have stood in the listener's queue.
+            let queued = accepted < began + QUEUE_EMPTY_AFTER;
+            let waits_since = (queued || !gate.is_open()).then_some(if queued { bound } else { accepted });
             async move {
                 match gate.passed().await {
-                    Some(front) => front.serve(stream, closing).await,
+                    Some(front) => front.serve(waits_since, stream, closing).await,
                     None => F::refuse_starting(stream, bytes).await,
                 }
             }
@@ -81,6 +97,11 @@
 }
 
 impl<F> StartGate<F> {
+    /// Whether nobody has to wait.
+    pub fn is_open(&self) -> bool {
+        self.0.borrow().is_some()
+    }
+
     /// The front, at once where it serves already; none where it does not within the time that a client is held. Cancel
     /// safe.
     pub async fn passed(mut self) -> Option<Arc<F>> {
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -56,8 +56,13 @@
 impl ClientFront for Front {
     type Error = HttpError;
 
-    async fn serve(self: Arc<Self>, stream: Socket, closing: Closing) -> Result<(), HttpError> {
-        self.serve_client(stream, closing).await
+    async fn serve(
+        self: Arc<Self>,
+        waits_since: Option<std::time::Instant>,
+        stream: Socket,
+        closing: Closing,
+    ) -> Result<(), HttpError> {
+        self.serve_client(waits_since, stream, closing).await
     }
 
     async fn refuse_starting(stream: Socket, bytes: ByteBudget) -> Result<(), HttpError> {
@@ -83,7 +88,12 @@
         Front { core, bookings, terms, clock, budget, pace, random, sent }
     }
 
-    async fn serve_client(self: Arc<Self>, stream: Socket, mut closing: Closing) -> Result<(), HttpError> {
+    async fn serve_client(
+        self: Arc<Self>,
+        mut waits_since: Option<std::time::Instant>,
+        stream: Socket,
+        mut closing: Closing,
+    ) -> Result<(), HttpError> {
         let codec = HttpServer::new(LONGEST_BODY, self.budget.bytes.clone());
         let mut conn = Framed::with_capacity(stream, codec, ROOM);
         let (mut ahead, mut known, mut part) = (VecDeque::new(), false, false);
@@ -124,7 +134,9 @@
             known = true;
             let mut broken = None;
             let mut response = {
-                let answer = self.answer(&request, conn.get_ref().presence());
+                // What was sent before the front was there has waited since then.
+                let waited = waits_since.take().map_or(0, |since| since.elapsed().as_micros() as Time);
+                let answer = self.answer(&request, conn.get_ref().presence(), waited);
                 tokio::pin!(answer);
                 loop {
                     tokio::select! {
@@ -182,13 +194,18 @@
         }
     }
 
-    async fn answer(&self, http: &HttpRequest, client: Weak<dyn Presence>) -> HttpResponse {
+    /// The response to a request that has waited so long, in us, before it could be read.
+    async fn answer(&self, http: &HttpRequest, client: Weak<dyn Presence>, waited: Time) -> HttpResponse {
         let form = match request::form(http) {
             Ok(form) => form,
             Err(fault) => return refused(fault, Form::default()),
         };
         let terms = self.terms.borrow().clone();
-        match request::read(http, &terms) {
+        let mut call = request::read(http, &terms);
+        if let Ok(Call::Read(facts, _) | Call::Create { facts, .. }) = &mut call {
+            facts.wait = facts.wait.saturating_sub(waited);
+        }
+        match call {
             Ok(Call::Service) => reply::service(form),
             Ok(Call::Metadata) => reply::metadata(form),
             Ok(Call::Read(facts, key)) => {
--- a/src/pg/front.rs
+++ b/src/pg/front.rs
@@ -110,6 +110,8 @@
     asked: bool,
     /// Something that could be understood.
     sound: bool,
+    /// What has come until the first answer may have been sent since then.
+    waits_since: Option<std::time::Instant>,
     /// A round of the extended protocol was turned away; the rest of it is passed over.
     skipping: bool,
 }
@@ -119,8 +121,13 @@
 impl ClientFront for Front {
     type Error = WireError;
 
-    async fn serve(self: Arc<Self>, stream: Socket, closing: Closing) -> Result<(), WireError> {
-        self.serve_client(stream, closing).await
+    async fn serve(
+        self: Arc<Self>,
+        waits_since: Option<std::time::Instant>,
+        stream: Socket,
+        closing: Closing,
+    ) -> Result<(), WireError> {
+        self.serve_client(waits_since, stream, closing).await
     }
 
     async fn refuse_starting(stream: Socket, bytes: ByteBudget) -> Result<(), WireError> {
@@ -133,7 +140,12 @@
 }
 
 impl Front {
-    async fn serve_client(self: Arc<Self>, stream: Socket, mut closing: Closing) -> Result<(), WireError> {
+    async fn serve_client(
+        self: Arc<Self>,
+        waits_since: Option<std::time::Instant>,
+        stream: Socket,
+        mut closing: Closing,
+    ) -> Result<(), WireError> {
         let first = Instant::now() + FIRST;
         let mut conn = Framed::with_capacity(stream, ServerCodec::new(self.bytes.clone()), ROOM);
         let welcome = tokio::select! {
@@ -159,7 +171,8 @@
         let mut closed = pin!(reached(&mut closing, Phase::Closing));
         // Set anew only when it rings too early: nearly every wait ends long before its limit.
         let mut timer = pin!(tokio::time::sleep_until(first));
-        let (mut session, mut part, mut rests) = (SessionState::default(), None::<Instant>, Instant::now());
+        let (mut session, mut part, mut rests) =
+            (SessionState { waits_since, ..SessionState::default() }, None::<Instant>, Instant::now());
         let fault = loop {
             if leaving && owed.is_empty() {
                 // What has come already is still taken, or the client would find its request unread.
@@ -193,6 +206,7 @@
                 reply = due(owed), if !owed.is_empty() => {
                     // A client that takes in nothing must not hold its seat for ever.
                     put(&mut conn, reply, owed).await?;
+                    session.waits_since = None;
                     shrink(&mut conn);
                     rests = Instant::now();
                     leaving |= phase >= Phase::Leaving;
@@ -288,7 +302,8 @@
         }
         count(Count::pg_requests);
         let terms = self.terms.borrow().clone();
-        match statement::read(text, &terms, self.clock.now()) {
+        let waited = session.waits_since.map_or(0, |since| since.elapsed().as_micros() as Time);
+        match statement::read(text, &terms, self.clock.now().saturating_sub(waited)) {
             Ok(mut request) => {
                 session.sound = true;
                 request.deadline = request.deadline.saturating_sub(MARGIN);
