Look for sockets that stay in the test of the deploy line, not at one moment

Traced: 120 starts with 10 to 14 looks each in 60 ms: in 7 of them one look, and no other, has one socket more, which is in no table of TCP by then: the first call to discovery, refused at 127.0.0.1:9. The start says 'serving' a little later than before, so that this call falls into the look now and then. The check was wrong in taking one look; the new one is as strict on what stays: twenty looks, of which none may show a file, and none more than that one call, and the least is 4.

--- a/tests/store.rs
+++ b/tests/store.rs
@@ -311,11 +311,19 @@
         .map(|n| (n.to_string(), alone.folder.display().to_string()))
         .into();
     let proxy = Proxy::start(&setup).expect("it starts");
-    let (sockets, files, others) = held(&proxy);
+    // A call to discovery that is refused holds one more socket for less than a look; what stays shows in each of them.
+    let looks: Vec<_> = (0..20)
+        .map(|_| {
+            std::thread::sleep(std::time::Duration::from_millis(10));
+            held(&proxy)
+        })
+        .collect();
     // The listener, and the pair that signals come by, one end of it twice; so it was before there was a store.
-    assert_eq!((sockets, files), (1 + 3, Vec::new()));
+    assert_eq!(looks.iter().map(|(sockets, ..)| *sockets).min(), Some(1 + 3), "{looks:?}");
+    assert!(looks.iter().all(|(sockets, ..)| *sockets <= 1 + 3 + 1), "{looks:?}");
+    assert!(looks.iter().all(|(_, files, _)| files.is_empty()), "{looks:?}");
     // Standard input, output and error, and the runtime's own.
-    assert!(others <= 8, "{others}");
+    assert!(looks.iter().all(|(.., others)| *others <= 8), "{looks:?}");
     let threads = std::fs::read_dir(format!("/proc/{}/task", proxy.id())).expect("it runs").count();
     assert_eq!(threads, 1);
     let left: Vec<_> = std::fs::read_dir(alone.folder.join("linentrail-t")).expect("the folder").collect();
