--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -61,6 +61,19 @@
     }
 }
 
+/// How the fields of an error begin behind which the connection ends.
+const FATAL: &[u8] = b"SFATAL\0";
+
+/// What the fields of an error tell.
+fn told_by_error(fields: &[u8]) -> Told {
+    let text = String::from_utf8_lossy(fields);
+    let field = |name: char| text.split('\0').find_map(|t| t.strip_prefix(name));
+    match field('C') {
+        Some("53300" | "57P03") => Told::Refused(field('D').and_then(|d| d.parse().ok())),
+        code => Told::Failed(code.unwrap_or_default().to_string()),
+    }
+}
+
 /// A client by PostgreSQL's protocol.
 pub struct Pg {
     stream: BufReader<TcpStream>,
@@ -73,14 +86,43 @@
     /// # Errors
     /// When there is none.
     pub async fn connect(to: SocketAddr) -> Result<Self> {
-        let stream = TcpStream::connect(to).await?;
-        stream.set_nodelay(true)?;
-        let mut this = Pg { stream: BufReader::with_capacity(16 * 1024, stream), body: Vec::new() };
+        let mut this = Pg::connect_silently(to).await?;
         this.stream.write_all(&wire::startup()).await?;
         while wire::read_async(&mut this.stream, true, &mut this.body).await? != b'Z' {}
         Ok(this)
     }
 
+    /// Connects, and says nothing yet.
+    ///
+    /// # Errors
+    /// When no connection comes up.
+    pub async fn connect_silently(to: SocketAddr) -> Result<Self> {
+        let stream = TcpStream::connect(to).await?;
+        stream.set_nodelay(true)?;
+        Ok(Pg { stream: BufReader::with_capacity(16 * 1024, stream), body: Vec::new() })
+    }
+
+    /// Sends the startup and these queries in one go, as the protocol allows, and gives the answer to the first of them: what
+    /// comes behind the welcome, or a fatal error in its place.
+    ///
+    /// # Errors
+    /// As [`Pg::answer`].
+    pub async fn ask_with_startup(&mut self, queries: &[u8]) -> Result<Told> {
+        // Where the other side has ended the connection already, its last word may still be read.
+        let _ = self.stream.write_all(&[&wire::startup(), queries].concat()).await;
+        self.first_answer().await
+    }
+
+    async fn first_answer(&mut self) -> Result<Told> {
+        loop {
+            match wire::read_async(&mut self.stream, true, &mut self.body).await? {
+                b'Z' => return self.answer().await,
+                b'E' => return Ok(told_by_error(&self.body)),
+                _ => {}
+            }
+        }
+    }
+
     /// Sends queries in one go.
     ///
     /// # Errors
@@ -105,14 +147,9 @@
                 b'D' => Told::Served(body.get(6..).unwrap_or_default().to_vec()),
                 b'C' if told.is_none() => Told::Served(Vec::new()),
                 b'I' => Told::Served(Vec::new()),
-                b'E' => {
-                    let text = String::from_utf8_lossy(body).into_owned();
-                    let field = |f: char| text.split('\0').find_map(|t| t.strip_prefix(f));
-                    match field('C') {
-                        Some("53300" | "57P03") => Told::Refused(field('D').and_then(|d| d.parse().ok())),
-                        code => Told::Failed(code.unwrap_or_default().to_string()),
-                    }
-                }
+                // Nothing comes behind a fatal error.
+                b'E' if body.starts_with(FATAL) => return Ok(told_by_error(body)),
+                b'E' => told_by_error(body),
                 _ => continue,
             };
             if told.is_some() && tag != b'E' {
@@ -192,7 +229,8 @@
                 )
             }
         };
-        self.stream.write_all(text.as_bytes()).await?;
+        // Where the other side has ended the connection already, its last word may still be read.
+        let _ = self.stream.write_all(text.as_bytes()).await;
         self.answer().await
     }
 
