--- a/src/console/mod.rs
+++ b/src/console/mod.rs
@@ -121,7 +121,7 @@
         }
         let last_word = async {
             conn.send(reply).await?;
-            crate::net::frames::finish_stream(conn.into_inner()).await
+            crate::net::client_end::drain(conn.into_inner()).await
         };
         let _ = tokio::time::timeout(LAST_WORD, last_word).await;
     }
@@ -177,7 +177,7 @@
         let phase = *self.phase.borrow();
         match phase {
             Phase::Starting => return Reply::No("starting: clients are not taken yet".to_string()),
-            Phase::Leaving | Phase::Closing => return Reply::No("ending".to_string()),
+            Phase::Leaving | Phase::Closing | Phase::Ended => return Reply::No("ending".to_string()),
             Phase::Serving => {}
         }
         match self.control.request(Order::Ready).await {
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,6 +18,7 @@
 use linentrail::handover::{self, ControlHandle, Handover};
 use linentrail::knowledge::Held;
 use linentrail::listing::{Delivery, Listing};
+use linentrail::net::answer_limit::AnswerLimit;
 use linentrail::net::budget::{Budget, Pace};
 use linentrail::net::discovery::{Discovery, Lists, Service};
 use linentrail::net::fleet::Fleet;
@@ -32,8 +33,10 @@
 use linentrail::terms::Slots;
 use linentrail::{ask, config, fleet, logs, meter, odata, pg};
 use linentrail::{ListKind, Time};
+use std::future::Future;
 use std::net::SocketAddr;
 use std::path::Path;
+use std::pin::Pin;
 use std::process::ExitCode;
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
@@ -58,6 +61,14 @@
 const SEAT_TRIES: usize = 250;
 /// Time beyond the longest deadline that open requests get after new clients are no longer taken.
 const LAST_ANSWERS: Duration = Duration::from_millis(200);
+/// The platform's protocol: a process may be killed so long after SIGTERM, in us, beyond the longest deadline, which counts as
+/// three seconds at most.
+const KILL_MARGIN: Time = 700_000;
+const LONGEST_BEFORE_KILL: Time = 3_000_000;
+/// Answers are to be there so long before that, in us.
+const ANSWER_LEAD: Time = 60_000;
+/// How long those may take that are refused at the very end.
+const LAST_REFUSALS: Duration = Duration::from_millis(100);
 /// How long the last writing of the store may take.
 const LAST_WRITING: Duration = Duration::from_secs(2);
 
@@ -108,12 +119,16 @@
     tokio::task::spawn_blocking(work).await.map_err(|e| e.to_string())?
 }
 
+/// Refuses clients that come too late, up to the end of the process.
+type Late = Pin<Box<dyn Future<Output = ()> + Send>>;
+
 /// What takes clients, from the start to the end.
 struct Accepting {
     /// When the process began: nobody has waited longer for it.
     began: Instant,
     closing: Closing,
-    listeners: JoinSet<()>,
+    /// Each gives its listener back for those that come too late.
+    listeners: JoinSet<Option<Late>>,
     pg_address: Option<SocketAddr>,
     odata_address: Option<SocketAddr>,
 }
@@ -133,8 +148,13 @@
         gate: StartGate<F>,
     ) -> Option<SocketAddr> {
         let address = listener.local_addr().ok();
-        let (began, budget, closing) = (self.began, budget.clone(), self.closing.clone());
-        self.listeners.spawn(gate.take_clients(listener, began, counter, budget, closing));
+        let acceptor = gate.acceptor(listener, self.began, counter, budget);
+        let closing = self.closing.clone();
+        self.listeners.spawn(async move {
+            let acceptor = acceptor.accept_all(closing.clone()).await?;
+            let late: Late = Box::pin(acceptor.refuse_all(closing));
+            Some(late)
+        });
         address
     }
 
@@ -294,6 +314,7 @@
     let began = clock.now().saturating_sub(began.elapsed().as_micros() as Time);
     control.request(|reply| Order::Serves(began, reply)).await;
     let (core, pace) = (Handle::new(mailbox.clone()), Pace::default());
+    let answer_limit = AnswerLimit::default();
     let clients = budget.clients.clone();
     open_pg.open(Arc::new(pg::front::Front {
         core: core.clone(),
@@ -302,6 +323,7 @@
         clients: clients.clone(),
         bytes: budget.bytes.clone(),
         pace: pace.clone(),
+        answer_limit: answer_limit.clone(),
     }));
     if accepting.pg_address.is_none() {
         let listener = match pg_waits.take().filter(|l| l.fits(&told.listen)) {
@@ -316,8 +338,8 @@
         // Answers that are remembered share the memory with all else.
         let repeat_bytes = repeat_bytes.min(told.memory / 8);
         let bookings = Bookings::new(core.clone(), clock, repeat_ids, repeat_bytes, repeat_span);
-        let front =
-            odata::front::Front::new(core, bookings, read_under.clone(), clock, (budget.clone(), pace));
+        let (terms, limit) = (read_under.clone(), answer_limit.clone());
+        let front = odata::front::Front::new(core, bookings, terms, clock, (budget.clone(), pace), limit);
         open_odata.open(Arc::new(front));
         if let Some(listener) = odata_waits.take() {
             accepting.odata(listener, &budget, odata_gate);
@@ -343,14 +365,19 @@
             "told to end: clients are still taken for a while, then connections close between requests"
         );
     }
+    let told_at = clock.now();
     tokio::time::sleep(file.still_coming).await;
-    let _ = phase.send(Phase::Closing);
     // What was taken is owed its answer: the settings say how long the last of it may take, and days differ in that.
     let longest = read_under.borrow().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+    answer_limit.set(told_at + longest.min(LONGEST_BEFORE_KILL) + KILL_MARGIN - ANSWER_LEAD);
+    let _ = phase.send(Phase::Closing);
     let ends: Time = clock.now() + longest + LAST_ANSWERS.as_micros() as Time;
+    let mut late = JoinSet::new();
     let answered = async {
         // Whoever the machine has accepted is taken before it counts that no connection is open.
-        while listeners.join_next().await.is_some() {}
+        while let Some(listener) = listeners.join_next().await {
+            listener.ok().flatten().into_iter().for_each(|refuses| drop(late.spawn(refuses)));
+        }
         while !clients.all_back() {
             tokio::time::sleep(Duration::from_millis(10)).await;
         }
@@ -360,6 +387,14 @@
         // What was learned up to now; a disk that does not answer holds no end up.
         let _ = tokio::time::timeout(LAST_WRITING, last.write()).await;
     }
+    let _ = phase.send(Phase::Ended);
+    let refused = async {
+        while late.join_next().await.is_some() {}
+        while !clients.all_back() {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let _ = tokio::time::timeout(LAST_REFUSALS, refused).await;
     cli::say(format_args!("counters: {}{}", counters::line(), meter::line()));
     Ok(())
 }
--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+use tokio::time::Instant;
 
 /// Descriptors for the runtime, listeners, standard streams, discovery and what a library opens by itself.
 const RESERVE: usize = 32;
@@ -29,7 +30,14 @@
 /// take long to give back, a connection would else leave the others none to ask on.
 const IDLE_PART: usize = 6;
 
-/// Connections that could make room, the longest waiting first.
+/// A connection on which nothing was ever asked is evicted only when nothing has come on it for so long: its first request
+/// may be on its way.
+pub const QUIET_MIN: Duration = Duration::from_millis(200);
+/// Of the clients' permits one in so many is kept for refusing, up to a most.
+const REFUSAL_PART: usize = 16;
+const REFUSALS_MAX: usize = 16;
+
+/// Those that could give way, the longest waiting first.
 struct Waiting {
     count: AtomicUsize,
     wanted: Notify,
@@ -56,57 +64,102 @@
     }
 }
 
-/// Permits for one sort of socket. Whoever finds none asks for room. A connection on which nothing sound was ever
-/// asked gives up its own first, then the one that has waited longest for something to do.
+/// Permits for one sort of socket. Whoever finds none asks for room: a connection on which nothing sound was ever asked
+/// gives up its own first, then the one that has waited longest for something to do.
 #[derive(Clone)]
 pub struct DescriptorBudget {
-    seats: Arc<Semaphore>,
+    permits: Arc<Semaphore>,
     strangers: Arc<Waiting>,
     idle: Arc<Waiting>,
+    /// Permits for connections that are refused, and those who hold them.
+    refusal_permits: Arc<Semaphore>,
+    refusals: Arc<Waiting>,
     size: usize,
+    refusals_size: usize,
     /// Permits that another process of this proxy has.
     lent: Arc<AtomicUsize>,
 }
 
 impl DescriptorBudget {
-    fn new(size: usize, idle: usize) -> Self {
+    /// Permits for `size` sockets, of which so many may be idle; of those of clients a few are for refusing.
+    fn new(size: usize, idle: usize, refuses: bool) -> Self {
         let (strangers, idle) = (Waiting::new(usize::MAX), Waiting::new(idle));
+        // Where there are few permits, the one for refusing comes from the reserve.
+        let refusals = if refuses { (size / REFUSAL_PART).min(REFUSALS_MAX) } else { 0 };
+        let (size, refusals_size) = (size - refusals, refusals.max(1));
         DescriptorBudget {
-            seats: Arc::new(Semaphore::new(size)),
+            permits: Arc::new(Semaphore::new(size)),
             strangers,
             idle,
+            refusal_permits: Arc::new(Semaphore::new(refusals_size)),
+            refusals: Waiting::new(usize::MAX),
             size,
+            refusals_size,
             lent: Arc::default(),
         }
     }
 
+    /// A permit, if one is free now.
+    pub fn try_permit(&self) -> Option<OwnedSemaphorePermit> {
+        self.permits.clone().try_acquire_owned().ok()
+    }
+
     /// A permit, once there is one.
-    pub async fn seat(&self) -> Option<OwnedSemaphorePermit> {
-        if let Ok(permit) = self.seats.clone().try_acquire_owned() {
+    pub async fn permit(&self) -> Option<OwnedSemaphorePermit> {
+        if let Some(permit) = self.try_permit() {
             return Some(permit);
         }
+        self.ask_for_room();
+        self.permits.clone().acquire_owned().await.ok()
+    }
+
+    /// Tells the next connection that could give way. Whoever was told and cannot do so passes it on by this.
+    pub fn ask_for_room(&self) {
         // With none of either sort there, the next to have nothing to do is told.
         let strangers = self.strangers.count.load(Ordering::Relaxed) > 0;
         if strangers { &self.strangers } else { &self.idle }.wanted.notify_one();
-        self.seats.clone().acquire_owned().await.ok()
     }
 
-    /// Waits until someone lacks a permit, or too many wait; they are told in turn, the longest waiting first. `stranger`:
-    /// nothing sound was ever asked on this connection.
-    pub async fn wanted(&self, stranger: bool) {
-        if stranger { &self.strangers } else { &self.idle }.wanted().await;
+    /// Waits until someone lacks a permit, or too many wait; they are told in turn, the longest waiting first.
+    pub async fn wanted(&self) {
+        self.idle.wanted().await;
+    }
+
+    /// The same for a client's connection. `stranger`: nothing sound was ever asked on it, and nothing has come since
+    /// `quiet_since`.
+    pub async fn client_wanted(&self, stranger: bool, quiet_since: Instant) {
+        if !stranger {
+            return self.wanted().await;
+        }
+        tokio::time::sleep_until(quiet_since + QUIET_MIN).await;
+        self.strangers.wanted().await;
+    }
+
+    /// A permit for refusing. With none free, whoever has had one for longest is told to hurry.
+    pub async fn refusal_permit(&self) -> Option<OwnedSemaphorePermit> {
+        if let Ok(permit) = self.refusal_permits.clone().try_acquire_owned() {
+            return Some(permit);
+        }
+        self.refusals.wanted.notify_one();
+        self.refusal_permits.clone().acquire_owned().await.ok()
+    }
+
+    /// Waits until someone lacks a permit for refusing.
+    pub async fn refusal_wanted(&self) {
+        self.refusals.wanted().await;
     }
 
     /// All permits are back.
     pub fn all_back(&self) -> bool {
-        self.seats.available_permits() + self.lent.load(Ordering::Relaxed) == self.size
+        self.permits.available_permits() + self.lent.load(Ordering::Relaxed) == self.size
+            && self.refusal_permits.available_permits() == self.refusals_size
     }
 
     /// Half of the permits, as they come free, for as long as what is returned lives.
     async fn lend(&self) -> Lent {
         let mut lent = Lent { permits: Vec::new(), count: self.lent.clone() };
         for _ in 0..self.size / 2 {
-            if let Some(permit) = self.seat().await {
+            if let Some(permit) = self.permit().await {
                 lent.permits.push(permit);
                 self.lent.fetch_add(1, Ordering::Relaxed);
             }
@@ -250,8 +303,8 @@
         let bytes = (memory.saturating_sub(MEMORY_RESERVE) / COPIES).max(BYTES_LEAST);
         let idle = (limit / IDLE_PART).max(2);
         Budget {
-            clients: DescriptorBudget::new(clients, idle),
-            members: DescriptorBudget::new(free - clients, usize::MAX),
+            clients: DescriptorBudget::new(clients, idle, true),
+            members: DescriptorBudget::new(free - clients, usize::MAX, false),
             bytes: ByteBudget::new(bytes),
         }
     }
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -1,8 +1,11 @@
 //! Accepting clients, for whichever front, and how far the process is with its start and its end.
 
 use super::budget::DescriptorBudget;
+use super::client_end::{EndReport, Ended, CONNECTION};
 use super::socket::Socket;
 use crate::core::counters::{count, Count};
+use futures_util::future::FusedFuture;
+use futures_util::FutureExt;
 use listenfd::ListenFd;
 use socket2::SockRef;
 use std::fmt::Display;
@@ -11,17 +14,14 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{watch, OwnedSemaphorePermit};
 
 /// After a failure to accept, such as one for want of descriptors.
 const PAUSE: Duration = Duration::from_millis(20);
 /// Failures to accept at the end before those that still wait are given up: some 3 s, as long as a bad client is owed.
 const ACCEPT_FAILURES_MAX: u32 = 150;
-/// How long a client may wait for a seat. Those behind it wait too, and a close is owed within seconds.
-const SEAT: Duration = Duration::from_millis(200);
-
-/// The log's target for what becomes of clients' connections; `client` is the client's port.
-pub const CONNECTION: &str = "connection";
+/// How long a client may wait for a permit before it is refused; sooner, where others want to be refused too.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// How far the process is.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -34,6 +34,8 @@
     Leaving,
     /// Connections end between requests.
     Closing,
+    /// Nobody is taken any more, not even to be refused.
+    Ended,
 }
 
 /// Tells how far the process is.
@@ -74,83 +76,207 @@
     TcpListener::from_std(listener)
 }
 
-/// Accepts clients until the end begins, each served in a task of its own that holds a permit of the budget. Those that the
-/// machine has accepted by then and nobody has taken yet are taken as well: a listener let go of resets them.
-pub async fn listen<F, E>(
+/// Why a client is refused before its request has reached a front.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Refusal {
+    /// The front is not there yet.
+    Starting,
+    /// No permit came free.
+    NoPermit,
+    /// The process ends.
+    Ending,
+}
+
+impl Refusal {
+    /// Counts one more.
+    pub fn count(self) {
+        count(match self {
+            Refusal::Starting => Count::refused_starting,
+            Refusal::NoPermit => Count::refused_no_permit,
+            Refusal::Ending => Count::refused_ending,
+        });
+    }
+
+    /// What a client is told.
+    pub fn text(self) -> &'static str {
+        match self {
+            Refusal::Starting => "the proxy is starting",
+            Refusal::NoPermit => "no connection is free; trying again is harmless",
+            Refusal::Ending => "the proxy is shutting down",
+        }
+    }
+}
+
+/// What becomes of the connections that are accepted.
+pub trait Serves: Clone + Send + 'static {
+    /// How a connection breaks.
+    type Error: Display + Send;
+
+    /// Serves one client to its end.
+    fn serve(
+        &self,
+        stream: Socket,
+        closing: Closing,
+    ) -> impl Future<Output = Result<Ended, Self::Error>> + Send + 'static;
+
+    /// Refuses one: the last word on its connection. Once `hurried` it waits for nothing any more.
+    fn refuse(
+        &self,
+        stream: Socket,
+        why: Refusal,
+        hurried: impl Future<Output = ()> + Send + 'static,
+    ) -> impl Future<Output = Result<Ended, Self::Error>> + Send + 'static;
+}
+
+/// A listener and what its clients need. Nobody who comes waits behind another: without a permit he has a task of his own, on a
+/// permit for refusing.
+pub struct Acceptor<S> {
     listener: TcpListener,
     counter: Count,
     clients: DescriptorBudget,
-    mut closing: Closing,
-    serve: impl Fn(Socket, Closing) -> F,
-) where
-    F: Future<Output = Result<(), E>> + Send + 'static,
-    E: Display,
-{
-    // The permit comes after the client: a listener without clients keeps none from the other front's.
-    let seated = async |stream: TcpStream, peer: SocketAddr, closing: &Closing| {
-        let client = peer.port();
-        let permit = match tokio::time::timeout(SEAT, clients.seat()).await {
-            Ok(Some(permit)) => permit,
-            Ok(None) => return,
-            Err(_) => {
-                log::debug!(target: CONNECTION, client; "closed unread, as no descriptor came free");
-                return count(Count::no_seat);
-            }
-        };
-        count(counter);
-        log::debug!(target: CONNECTION, client; "accepted");
-        let served = serve(Socket::new(stream), closing.clone());
-        tokio::spawn(async move {
-            let ended = served.await;
-            count(Count::connections_closed);
-            match ended {
-                Ok(()) => log::debug!(target: CONNECTION, client; "closed"),
-                Err(e) => log::debug!(target: CONNECTION, client; "broken: {e}"),
+    serves: S,
+}
+
+impl<S: Serves> Acceptor<S> {
+    /// An acceptor that counts its clients by `counter`.
+    pub fn new(listener: TcpListener, counter: Count, clients: DescriptorBudget, serves: S) -> Self {
+        Acceptor { listener, counter, clients, serves }
+    }
+
+    /// Accepts clients until the end begins. Those that the machine has accepted by then and nobody has taken yet are taken as
+    /// well: a listener let go of resets them. What comes back is for [`Acceptor::refuse_all`], where no other process takes the
+    /// clients.
+    pub async fn accept_all(self, mut closing: Closing) -> Option<Self> {
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                () = reached(&mut closing, Phase::Leaving) => break,
+                accepted = self.listener.accept() => accepted,
+            };
+            match accepted {
+                Ok((stream, peer)) => self.admit(stream, peer, &closing).await,
+                Err(e) => accept_failed(&e).await,
             }
-            drop(permit);
-        });
-    };
-    loop {
-        let accepted = tokio::select! {
-            biased;
-            () = reached(&mut closing, Phase::Leaving) => break,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, peer)) => seated(stream, peer, &closing).await,
-            Err(e) => {
-                count(Count::accept_failures);
-                log::warn!("a client could not be accepted: {e}");
-                tokio::time::sleep(PAUSE).await;
+        }
+        // While the next process takes clients from the same listener, they are that one's.
+        if *closing.borrow() < Phase::Closing {
+            return None;
+        }
+        let mut failures = 0;
+        while let Some(accepted) = accept_now(&self.listener) {
+            match accepted {
+                Ok((stream, peer)) => self.admit(stream, peer, &closing).await,
+                // What fails for a moment ends nothing.
+                Err(e) => {
+                    accept_failed(&e).await;
+                    failures += 1;
+                    if failures > ACCEPT_FAILURES_MAX {
+                        log::error!("clients that have come are left: {e}");
+                        return None;
+                    }
+                }
             }
         }
+        Some(self)
     }
-    // While the next process takes clients from the same listener, they are that one's.
-    if *closing.borrow() < Phase::Closing {
-        return;
-    }
-    // The kernel is asked, not the runtime, which may not have heard of the last ones yet.
-    let Ok(listener) = listener.into_std() else { return };
-    let mut failures = 0;
-    loop {
-        let accepted = listener.accept().and_then(|(stream, peer)| {
-            stream.set_nonblocking(true)?;
-            Ok((TcpStream::from_std(stream)?, peer))
-        });
-        match accepted {
-            Ok((stream, peer)) => seated(stream, peer, &closing).await,
-            Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-            // What fails for a moment ends nothing: let go of, the listener would reset all that wait behind.
-            Err(e) => {
-                count(Count::accept_failures);
-                failures += 1;
-                if failures > ACCEPT_FAILURES_MAX {
-                    return log::error!("clients that have come are left: {e}");
-                }
-                tokio::time::sleep(PAUSE).await;
+
+    /// Refuses whoever comes still, up to the end of the process.
+    pub async fn refuse_all(self, mut closing: Closing) {
+        loop {
+            let accepted = tokio::select! {
+                biased;
+                () = reached(&mut closing, Phase::Ended) => break,
+                accepted = self.listener.accept() => accepted,
+            };
+            match accepted {
+                Ok((stream, peer)) => self.turn_away(stream, peer).await,
+                Err(e) => accept_failed(&e).await,
             }
         }
+        while let Some(Ok((stream, peer))) = accept_now(&self.listener) {
+            self.turn_away(stream, peer).await;
+        }
     }
+
+    /// Has a client served, at once or once there is a permit, or refused.
+    async fn admit(&self, stream: TcpStream, peer: SocketAddr, closing: &Closing) {
+        let client = peer.port();
+        let stream = Socket::new(stream);
+        if let Some(permit) = self.clients.try_permit() {
+            count(self.counter);
+            log::debug!(target: CONNECTION, client; "accepted");
+            tokio::spawn(reported(client, permit, self.serves.serve(stream, closing.clone())));
+            return;
+        }
+        let Some(refusal_permit) = self.clients.refusal_permit().await else { return };
+        let (clients, counter, serves) = (self.clients.clone(), self.counter, self.serves.clone());
+        let closing = closing.clone();
+        tokio::spawn(async move {
+            let waiting = clients.clone();
+            let mut hurried = Box::pin(async move { waiting.refusal_wanted().await }.fuse());
+            let permit = tokio::select! {
+                biased;
+                permit = tokio::time::timeout(PERMIT_TIMEOUT, clients.permit()) => permit.ok().flatten(),
+                () = &mut hurried => None,
+            };
+            let Some(permit) = permit else {
+                log::debug!(target: CONNECTION, client; "refused, as no permit came free");
+                let hurry = async move {
+                    if !hurried.is_terminated() {
+                        hurried.await;
+                    }
+                };
+                let refused = serves.refuse(stream, Refusal::NoPermit, hurry);
+                return reported(client, refusal_permit, refused).await;
+            };
+            drop(refusal_permit);
+            count(counter);
+            log::debug!(target: CONNECTION, client; "accepted, with a permit that came free");
+            reported(client, permit, serves.serve(stream, closing)).await;
+        });
+    }
+
+    /// Has a client refused that comes too late.
+    async fn turn_away(&self, stream: TcpStream, peer: SocketAddr) {
+        let Some(permit) = self.clients.refusal_permit().await else { return };
+        let client = peer.port();
+        log::debug!(target: CONNECTION, client; "refused, as the process ends");
+        let waiting = self.clients.clone();
+        let hurried = async move { waiting.refusal_wanted().await };
+        let refused = self.serves.refuse(Socket::new(stream), Refusal::Ending, hurried);
+        tokio::spawn(reported(client, permit, refused));
+    }
+}
+
+/// Carries out what becomes of a connection, and tells its end.
+async fn reported<E: Display>(
+    client: u16,
+    permit: OwnedSemaphorePermit,
+    served: impl Future<Output = Result<Ended, E>>,
+) {
+    let report = EndReport::new(client);
+    report.tell(&served.await);
+    drop(permit);
+}
+
+/// A client that the machine has accepted, if there is one. The kernel is asked, not the runtime, which may not have heard of
+/// the last ones yet.
+fn accept_now(listener: &TcpListener) -> Option<std::io::Result<(TcpStream, SocketAddr)>> {
+    let accepted = SockRef::from(listener).accept().and_then(|(stream, peer)| {
+        stream.set_nonblocking(true)?;
+        let peer = peer.as_socket().ok_or(ErrorKind::AddrNotAvailable)?;
+        Ok((TcpStream::from_std(stream.into())?, peer))
+    });
+    match accepted {
+        Err(e) if e.kind() == ErrorKind::WouldBlock => None,
+        accepted => Some(accepted),
+    }
+}
+
+async fn accept_failed(e: &Error) {
+    count(Count::accept_failures);
+    log::warn!("a client could not be accepted: {e}");
+    tokio::time::sleep(PAUSE).await;
 }
 
 #[cfg(test)]
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,8 @@
 //! Sockets other than the fronts': one actor for each peer, discovery, accepting, the descriptor budget.
 
+pub mod answer_limit;
 pub mod budget;
+pub mod client_end;
 pub mod discovery;
 pub mod fleet;
 pub mod frames;
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -156,7 +156,7 @@
                     self.reap();
                 }
                 // Another peer lacks a descriptor: the one that has been idle for longest here goes.
-                () = self.budget.members.wanted(false), if !self.pool.is_empty() => {
+                () = self.budget.members.wanted(), if !self.pool.is_empty() => {
                     self.pool.drop_oldest();
                     count(Count::member_idle_closed);
                 }
@@ -374,7 +374,7 @@
     async fn open(self) -> Result<W::Link, Outcome> {
         let Dial { address, timeout, budget, wire, .. } = self;
         // Out of descriptors is our fault, not the member's: the attempt was never sent, and the member is not in doubt.
-        let permit = match tokio::time::timeout(timeout, budget.members.seat()).await {
+        let permit = match tokio::time::timeout(timeout, budget.members.permit()).await {
             Ok(Some(permit)) => permit,
             Ok(None) | Err(_) => {
                 count(Count::member_no_seat);
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -18,6 +18,17 @@
 use tokio::io::{AsyncRead, AsyncWrite, Interest, ReadBuf};
 use tokio::net::TcpStream;
 
+/// What stands unread in a socket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unread {
+    /// Nothing, as of now.
+    Nothing,
+    /// Bytes.
+    Bytes,
+    /// The end of the connection, or a fault that ended it.
+    End,
+}
+
 /// A stream whose calls to the kernel are counted, and which believes only the kernel.
 #[derive(Debug)]
 pub struct Socket {
@@ -76,6 +87,23 @@
         }
     }
 
+    /// Asks the kernel what stands unread, whatever the runtime has heard of it; the next read finds bytes at once.
+    pub fn unread(&mut self) -> Unread {
+        loop {
+            meter::add(Cost::Peeks, 1);
+            match SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit(); 1]) {
+                Ok(0) => return Unread::End,
+                Ok(_) => {
+                    self.unread = true;
+                    return Unread::Bytes;
+                }
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Unread::Nothing,
+                Err(_) => return Unread::End,
+            }
+        }
+    }
+
     /// A read where the runtime may take the socket for empty though it is not.
     fn read_unheard(&mut self, buf: &mut ReadBuf<'_>) -> Option<Result<()>> {
         if !std::mem::take(&mut self.unread) {
@@ -174,3 +202,7 @@
         })
     }
 }
+
+#[cfg(test)]
+#[path = "socket_tests.rs"]
+mod tests;
--- a/src/net/startup.rs
+++ b/src/net/startup.rs
@@ -2,7 +2,8 @@
 //! answer in time, from the front itself or, where the rest of the start takes long, a refusal.
 
 use super::budget::{Budget, ByteBudget};
-use super::listen::{self, Closing};
+use super::client_end::Ended;
+use super::listen::{self, Acceptor, Closing, Refusal, Serves};
 use super::momentary;
 use super::socket::Socket;
 use crate::core::counters::Count;
@@ -29,13 +30,15 @@
         waits_since: Option<Instant>,
         stream: Socket,
         closing: Closing,
-    ) -> impl Future<Output = Result<(), Self::Error>> + Send;
+    ) -> impl Future<Output = Result<Ended, Self::Error>> + Send;
 
-    /// Refuses a client that the start keeps waiting: the last word on its connection.
-    fn refuse_starting(
+    /// Refuses a client: the last word on its connection. Once `hurried` it waits for nothing any more.
+    fn refuse(
         stream: Socket,
         bytes: ByteBudget,
-    ) -> impl Future<Output = Result<(), Self::Error>> + Send;
+        why: Refusal,
+        hurried: impl Future<Output = ()> + Send,
+    ) -> impl Future<Output = Result<Ended, Self::Error>> + Send;
 }
 
 /// So long after a listener's first accept whoever it accepts may have come before that.
@@ -66,33 +69,65 @@
     }
 }
 
+/// Has clients served by a front, once it is there.
+pub struct Gated<F> {
+    gate: StartGate<F>,
+    bytes: ByteBudget,
+    /// When the listener was bound, at the earliest, and when its first client could be accepted.
+    bound: Instant,
+    began: Instant,
+}
+
+impl<F> Clone for Gated<F> {
+    fn clone(&self) -> Self {
+        let Gated { gate, bytes, bound, began } = self;
+        Gated { gate: gate.clone(), bytes: bytes.clone(), bound: *bound, began: *began }
+    }
+}
+
+impl<F: ClientFront> Serves for Gated<F> {
+    type Error = F::Error;
+
+    fn serve(
+        &self,
+        stream: Socket,
+        closing: Closing,
+    ) -> impl Future<Output = Result<Ended, F::Error>> + Send + 'static {
+        let (gate, bytes) = (self.gate.clone(), self.bytes.clone());
+        let accepted = Instant::now();
+        // Those that come at once may have stood in the listener's queue.
+        let queued = accepted < self.began + QUEUE_EMPTY_AFTER;
+        let waits_since = (queued || !gate.is_open()).then_some(if queued { self.bound } else { accepted });
+        async move {
+            match gate.passed().await {
+                Some(front) => front.serve(waits_since, stream, closing).await,
+                None => F::refuse(stream, bytes, Refusal::Starting, std::future::pending()).await,
+            }
+        }
+    }
+
+    fn refuse(
+        &self,
+        stream: Socket,
+        why: Refusal,
+        hurried: impl Future<Output = ()> + Send + 'static,
+    ) -> impl Future<Output = Result<Ended, F::Error>> + Send + 'static {
+        F::refuse(stream, self.bytes.clone(), why, hurried)
+    }
+}
+
 impl<F: ClientFront> StartGate<F> {
-    /// Takes clients from a listener up to the end of the process; they wait here until the front is there. The listener has
-    /// been open since `bound` at the earliest. `counter` counts clients.
-    pub async fn take_clients(
+    /// What takes clients from a listener; they wait here until the front is there. The listener has been open since
+    /// `bound` at the earliest. `counter` counts clients.
+    pub fn acceptor(
         self,
         listener: TcpListener,
         bound: Instant,
         counter: Count,
-        budget: Budget,
-        closing: Closing,
-    ) {
-        let bytes = budget.bytes.clone();
-        let began = Instant::now();
-        let serve = move |stream: Socket, closing: Closing| {
-            let (gate, bytes) = (self.clone(), bytes.clone());
-            let accepted = Instant::now();
-            // Those that come at once may have stood in the listener's queue.
-            let queued = accepted < began + QUEUE_EMPTY_AFTER;
-            let waits_since = (queued || !gate.is_open()).then_some(if queued { bound } else { accepted });
-            async move {
-                match gate.passed().await {
-                    Some(front) => front.serve(waits_since, stream, closing).await,
-                    None => F::refuse_starting(stream, bytes).await,
-                }
-            }
-        };
-        listen::listen(listener, counter, budget.clients.clone(), closing, serve).await;
+        budget: &Budget,
+    ) -> Acceptor<Gated<F>> {
+        let gated = Gated { gate: self, bytes: budget.bytes.clone(), bound, began: Instant::now() };
+        Acceptor::new(listener, counter, budget.clients.clone(), gated)
     }
 }
 
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -8,16 +8,22 @@
 use crate::core::{Answer, Handle, Operation, Presence, Request, Work};
 use crate::http::{HttpError, HttpRequest, HttpResponse, HttpServer, Incoming};
 use crate::interface::*;
+use crate::net::answer_limit::AnswerLimit;
+use crate::net::budget::QUIET_MIN;
 use crate::net::budget::{Budget, ByteBudget, Pace};
-use crate::net::frames::{finish, finish_resting, next, next_or_end, shrink, Next, ROOM};
-use crate::net::listen::{closed, Closing, Phase};
+use crate::net::client_end::{self, EndReason, Ended};
+use crate::net::frames::{next, next_or_end, shrink, Next, ROOM};
+use crate::net::listen::{closed, Closing, Phase, Refusal};
 use crate::net::socket::Socket;
 use crate::net::startup::ClientFront;
 use crate::terms::Terms;
 use bytes::Bytes;
 use futures_util::SinkExt;
 use std::collections::VecDeque;
+use std::future::Future;
 use std::hash::{BuildHasher, DefaultHasher, Hash, Hasher, RandomState};
+use std::io::ErrorKind;
+use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::Duration;
@@ -34,9 +40,10 @@
 const UNFINISHED: Duration = Duration::from_secs(2);
 /// The module's last word comes no earlier than this before a deadline, in us.
 const LEAD: Time = 25_000;
-/// How long a client may take to take in a response, and a last one.
+/// How long a client may take to take in a response.
 const PATIENCE: Duration = Duration::from_secs(5);
-const LAST_WORD: Duration = Duration::from_millis(500);
+/// How long the request of a client that is refused is waited for.
+const REFUSED_REQUEST_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// What every connection needs.
 pub struct Front {
@@ -46,6 +53,7 @@
     clock: Clock,
     budget: Budget,
     pace: Pace,
+    answer_limit: AnswerLimit,
     /// For the ids of statements.
     random: RandomState,
     sent: AtomicU64,
@@ -61,17 +69,33 @@
         waits_since: Option<std::time::Instant>,
         stream: Socket,
         closing: Closing,
-    ) -> Result<(), HttpError> {
+    ) -> Result<Ended, HttpError> {
         self.serve_client(waits_since, stream, closing).await
     }
 
-    async fn refuse_starting(stream: Socket, bytes: ByteBudget) -> Result<(), HttpError> {
-        count(Count::refused_starting);
+    async fn refuse(
+        stream: Socket,
+        bytes: ByteBudget,
+        why: Refusal,
+        hurried: impl Future<Output = ()> + Send,
+    ) -> Result<Ended, HttpError> {
+        why.count();
         let mut conn = Framed::with_capacity(stream, HttpServer::new(LONGEST_BODY, bytes), ROOM);
-        let mut response = Fault::come_back(None, "the proxy is starting").response(Form::default());
-        response.closes = true;
-        conn.send(response).await?;
-        Ok(finish(conn).await?)
+        let mut hurried = pin!(hurried);
+        let request = tokio::time::timeout(REFUSED_REQUEST_TIMEOUT, next(&mut conn, true));
+        let hurry = tokio::select! {
+            biased;
+            _ = request => false,
+            () = &mut hurried => true,
+        };
+        client_end::say_last(&mut conn, last_refusal(why.text())).await;
+        if hurry {
+            return Ok(client_end::at_once_after_last_word(conn, EndReason::Refused));
+        }
+        Ok(tokio::select! {
+            ended = client_end::after_last_word(conn, EndReason::Refused) => ended,
+            () = hurried => client_end::cut_short(EndReason::Refused),
+        })
     }
 }
 
@@ -83,9 +107,10 @@
         terms: watch::Receiver<Arc<Terms>>,
         clock: Clock,
         (budget, pace): (Budget, Pace),
+        answer_limit: AnswerLimit,
     ) -> Self {
         let (random, sent) = (RandomState::new(), AtomicU64::new(0));
-        Front { core, bookings, terms, clock, budget, pace, random, sent }
+        Front { core, bookings, terms, clock, budget, pace, answer_limit, random, sent }
     }
 
     async fn serve_client(
@@ -93,33 +118,48 @@
         mut waits_since: Option<std::time::Instant>,
         stream: Socket,
         mut closing: Closing,
-    ) -> Result<(), HttpError> {
+    ) -> Result<Ended, HttpError> {
         let codec = HttpServer::new(LONGEST_BODY, self.budget.bytes.clone());
         let mut conn = Framed::with_capacity(stream, codec, ROOM);
         let (mut ahead, mut known, mut part) = (VecDeque::new(), false, false);
-        let mut until = Instant::now() + IDLE;
+        let mut rests = Instant::now();
+        let mut until = rests + IDLE;
         loop {
             let request = match ahead.pop_front() {
                 Some(request) => request,
-                None => tokio::select! {
-                    biased;
-                    read = next(&mut conn, part) => match read {
-                        Next::Message(Some(Ok(request))) => request,
-                        Next::Message(Some(Err(e))) => return self.bad(conn, e).await,
-                        Next::Message(None) => return Ok(()),
-                        Next::Part => {
-                            (part, until) = (true, Instant::now() + UNFINISHED);
+                None => {
+                    let ends = tokio::select! {
+                        biased;
+                        read = next(&mut conn, part) => match read {
+                            Next::Message(Some(Ok(request))) => Err(request),
+                            Next::Message(Some(Err(e))) => return self.bad(conn, e).await,
+                            Next::Message(None) => return Ok(client_end::by_client(conn)),
+                            Next::Part => {
+                                (part, until) = (true, Instant::now() + UNFINISHED);
+                                continue;
+                            }
+                        },
+                        // One of which a part has been read is the proxy's to answer.
+                        () = closed_and_quiet(&mut closing, known, rests), if !part => Ok(EndReason::Shutdown),
+                        () = self.budget.clients.client_wanted(!known, rests), if !part => Ok(EndReason::MadeRoom),
+                        () = tokio::time::sleep_until(until) => match part {
+                            true => return self.bad(conn, HttpError::Unfinished).await,
+                            false => Ok(if known { EndReason::Idle } else { EndReason::Silent }),
+                        },
+                    };
+                    match ends {
+                        Err(request) => request,
+                        Ok(reason) => {
+                            if let Some(ended) = end_at_rest(&mut conn, reason, known).await {
+                                return Ok(ended);
+                            }
+                            if reason == EndReason::MadeRoom {
+                                self.budget.clients.ask_for_room();
+                            }
                             continue;
                         }
-                    },
-                    // One of which a part has been read is the proxy's to answer.
-                    () = closed(&mut closing), if !part => return Ok(finish(conn).await?),
-                    () = self.budget.clients.wanted(!known), if !part => return Ok(finish_resting(conn).await?),
-                    () = tokio::time::sleep_until(until) => match part {
-                        true => return self.bad(conn, HttpError::Unfinished).await,
-                        false => return Ok(finish_resting(conn).await?),
-                    },
-                },
+                    }
+                }
             };
             part = false;
             let request = match request {
@@ -147,33 +187,39 @@
                             Next::Message(Some(Ok(next))) => ahead.push_back(next),
                             Next::Message(Some(Err(e @ HttpError::Io(_)))) => return Err(e),
                             Next::Message(Some(Err(e))) => broken = Some(e),
-                            Next::Message(None) => return Ok(()),
+                            Next::Message(None) => return Ok(client_end::by_client(conn)),
                             Next::Part => {}
                         },
                     }
                 }
             };
-            response.closes =
-                request.closes || ahead.is_empty() && broken.is_none() && *closing.borrow() >= Phase::Leaving;
+            let ends = *closing.borrow() >= Phase::Leaving
+                && ahead.is_empty()
+                && broken.is_none()
+                && !client_end::holds_unanswered(&mut conn);
+            response.closes = request.closes || ends;
             let closes = response.closes;
             match tokio::time::timeout(PATIENCE, conn.send(response)).await {
                 Ok(sent) => sent?,
-                Err(_) => return Ok(()),
+                Err(_) => return Err(HttpError::Io(ErrorKind::TimedOut.into())),
             }
             if closes {
-                return Ok(finish(conn).await?);
+                let reason = if ends { EndReason::Shutdown } else { EndReason::ClientLeft };
+                return Ok(client_end::announced(conn, reason).await);
             }
             if let Some(e) = broken {
                 return self.bad(conn, e).await;
             }
             shrink(&mut conn);
-            until = Instant::now() + IDLE;
+            rests = Instant::now();
+            until = rests + IDLE;
         }
     }
 
     /// Answers what could not be read, in its turn, and ends the connection: where the next request starts is not
     /// known.
-    async fn bad(&self, mut conn: Conn, e: HttpError) -> Result<(), HttpError> {
+    async fn bad(&self, mut conn: Conn, e: HttpError) -> Result<Ended, HttpError> {
+        let no_room = matches!(e, HttpError::NoRoom);
         let fault = match e {
             HttpError::Io(_) => return Err(e),
             HttpError::TooLong => Fault::new(413, "TooLarge", "the request is too long"),
@@ -183,15 +229,19 @@
         };
         let mut response = refused(fault, Form::default());
         response.closes = true;
-        let last_word = async {
-            tokio::time::sleep(self.pace.turn(self.clock.now())).await;
-            tokio::time::timeout(LAST_WORD, conn.send(response)).await.unwrap_or(Ok(()))?;
-            Ok(finish(conn).await?)
-        };
-        tokio::select! {
-            done = last_word => done,
-            () = self.budget.clients.wanted(true) => Ok(()),
+        let now = Instant::now();
+        // A sound request that finds no room is refused at once; what is none waits for its turn, unless others lack the permit.
+        if !no_room {
+            tokio::select! {
+                () = tokio::time::sleep(self.pace.turn(self.clock.now())) => {}
+                () = self.budget.clients.client_wanted(true, now) => {}
+            }
         }
+        client_end::say_last(&mut conn, response).await;
+        Ok(tokio::select! {
+            ended = client_end::after_last_word(conn, EndReason::Fault) => ended,
+            () = self.budget.clients.client_wanted(true, now) => client_end::cut_short(EndReason::Fault),
+        })
     }
 
     /// The response to a request that has waited so long, in us, before it could be read.
@@ -278,7 +328,7 @@
         let operation =
             Operation { terms: terms.clone(), id, class, tenant, group, after, repeat, key: key_text, value };
         let work = Work::Operation(Arc::new(operation));
-        let deadline = self.clock.now().saturating_add(wait);
+        let deadline = self.answer_limit.cap(self.clock.now().saturating_add(wait));
         let session: Option<Arc<str>> = session.map(Arc::from);
         let key_session = session.as_ref().filter(|s| &***s != key).map(|_| Arc::from(key));
         Request {
@@ -298,6 +348,31 @@
     }
 }
 
+/// Waits until connections are to end, and one on which nothing was asked has been quiet: its first request may be on its way.
+async fn closed_and_quiet(closing: &mut Closing, known: bool, rests: Instant) {
+    closed(closing).await;
+    if !known {
+        tokio::time::sleep_until(rests + QUIET_MIN).await;
+    }
+}
+
+/// Ends a connection if nothing stands on it. A client that was never answered gets a refusal, for what may cross it.
+async fn end_at_rest(conn: &mut Conn, reason: EndReason, known: bool) -> Option<Ended> {
+    let text = match reason {
+        EndReason::MadeRoom => Refusal::NoPermit.text(),
+        EndReason::Shutdown => Refusal::Ending.text(),
+        _ => "nothing was asked in time",
+    };
+    client_end::at_rest(conn, reason, (!known).then(|| last_refusal(text))).await
+}
+
+/// A refusal behind which the connection ends.
+fn last_refusal(text: &str) -> HttpResponse {
+    let mut response = Fault::come_back(None, text).response(Form::default());
+    response.closes = true;
+    response
+}
+
 /// Fingerprint of what a booking asks for; how long a try waits is not part of it.
 fn print(terms: &Terms, facts: &Facts, key: &str, value: &[u8]) -> u64 {
     let mut hasher = DefaultHasher::new();
--- a/src/pg/codec.rs
+++ b/src/pg/codec.rs
@@ -29,6 +29,8 @@
     Cancel,
     /// A simple query.
     Query(Bytes),
+    /// A message for which there is no memory; it is passed over.
+    NoRoom,
     /// Synchronisation point of the extended protocol.
     Sync,
     /// Goodbye.
@@ -80,7 +82,11 @@
     frames: Frames,
 }
 
-impl Holds for ServerCodec {}
+impl Holds for ServerCodec {
+    fn holds(&self) -> bool {
+        self.frames.passes_over()
+    }
+}
 
 impl Decoder for ServerCodec {
     type Item = Frontend;
@@ -102,7 +108,12 @@
             b'D' | b'E' | b'C' | b'f' => Some(LONGEST_STARTUP),
             _ => None,
         };
-        let Some(found) = self.frames.next(src, true, longest)? else { return Ok(None) };
+        let found = match self.frames.next(src, true, longest) {
+            // A sound message that is refused; what stands behind it can still be found.
+            Err(WireError::NoRoom) => return Ok(Some(Frontend::NoRoom)),
+            found => found?,
+        };
+        let Some(found) = found else { return Ok(None) };
         Ok(Some(match found.tag {
             b'Q' => {
                 let mut body = Body(found.body(src));
--- a/src/pg/frames.rs
+++ b/src/pg/frames.rs
@@ -99,23 +99,34 @@
     free: usize,
     /// So much of a long message must have come before room is made for the rest.
     earnest: usize,
+    /// So many bytes of a message that found no memory are still to be passed over.
+    unwanted: usize,
 }
 
 impl Frames {
     /// For an end that counts messages longer than `free` and makes room for a whole message once `earnest` bytes of
     /// it have come.
     pub fn new(budget: ByteBudget, free: usize, earnest: usize) -> Self {
-        Frames { budget, share: None, free, earnest }
+        Frames { budget, share: None, free, earnest, unwanted: 0 }
+    }
+
+    /// Whether bytes of a message are still to come that found no memory.
+    pub fn passes_over(&self) -> bool {
+        self.unwanted > 0
     }
 
     /// The next message. `longest` tells the longest length of a tag's messages, or that there is no such tag: noise
-    /// is known by its first byte, however long it says that it is.
+    /// is known by its first byte, however long it says that it is. One that finds no memory is an error once, and the next
+    /// calls pass over it.
     pub fn next(
         &mut self,
         src: &mut BytesMut,
         tagged: bool,
         longest: impl Fn(u8) -> Option<usize>,
     ) -> Result<Option<Found>, WireError> {
+        let passed_over = self.unwanted.min(src.len());
+        src.advance(passed_over);
+        self.unwanted -= passed_over;
         let at = usize::from(tagged);
         let tag = if tagged { src.first().copied() } else { Some(0) };
         let Some(tag) = tag else { return Ok(None) };
@@ -130,12 +141,18 @@
         if length > longest {
             return Err(WireError::TooLong(length));
         }
+        let end = at + length;
         let share = match self.share.take() {
             None if length <= self.free => None,
-            None => Some(self.budget.take(length).ok_or(WireError::NoRoom)?),
+            None => match self.budget.take(length) {
+                None => {
+                    self.unwanted = end;
+                    return Err(WireError::NoRoom);
+                }
+                share => share,
+            },
             some => some,
         };
-        let end = at + length;
         if src.len() < end {
             self.share = share;
             if end > ROOM && src.len() >= self.earnest && src.capacity() < end {
--- a/src/pg/mod.rs
+++ b/src/pg/mod.rs
@@ -4,5 +4,6 @@
 mod frames;
 pub mod front;
 pub mod member;
+mod session;
 pub mod statement;
 pub mod told;
--- /dev/null
+++ b/src/pg/session.rs
@@ -0,0 +1,455 @@
+//! One client's connection by the platform's protocol, from its first byte to its end: queries in, answers out in their order.
+//!
+//! | state | ends by |
+//! | --- | --- |
+//! | never asked | the client; `FIRST`; others who lack a permit, once it was quiet; the end of the process, once it was quiet |
+//! | a message is begun | its rest; `UNFINISHED` |
+//! | answers are owed | nothing but the client |
+//! | at rest | the client; `IDLE`; others who lack a permit; the end of the process |
+//!
+//! All but the client's own end go through [`client_end`], which ends nothing that has no answer.
+
+use super::codec::{row_head, row_tail, After, Frontend, Reply, ServerCodec, WireError};
+use super::front::{error, reply, Front};
+use super::statement::{self, Fault};
+use crate::core::counters::{add, count, Count};
+use crate::core::flow::Chunk;
+use crate::core::{Pending, Value};
+use crate::interface::*;
+use crate::net::budget::QUIET_MIN;
+use crate::net::client_end::{self, EndReason, Ended, CONNECTION};
+use crate::net::frames::{next_or_end, shrink, Next, ROOM};
+use crate::net::listen::{reached, Closing, Phase, Refusal};
+use crate::net::socket::Socket;
+use bytes::{Buf, Bytes, BytesMut};
+use futures_util::{FutureExt, SinkExt};
+use std::collections::VecDeque;
+use std::future::{poll_fn, Future};
+use std::io::ErrorKind;
+use std::pin::{pin, Pin};
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::time::{Instant, Sleep};
+use tokio_util::codec::Framed;
+
+/// Queries taken from one connection before their answers have gone out, and while memory is short.
+const PIPELINE: usize = 16;
+const PIPELINE_TIGHT: usize = 1;
+/// From a connection's start to the end of its first message after the startup: a client that says nothing, or
+/// begins and does not end, is owed a close within 3 s.
+const FIRST: Duration = Duration::from_millis(2_500);
+/// How long a message that was begun may take to end.
+const UNFINISHED: Duration = Duration::from_millis(2_400);
+/// How long a client may hold its connection without asking anything more: its permit costs memory and a descriptor,
+/// and some never come back.
+const IDLE: Duration = Duration::from_millis(4_000);
+/// How long a client may take to take in an answer.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Kept off a client's deadline, in us: the way there and back takes time.
+const MARGIN: Time = 4_000;
+
+/// A reply that is owed on a connection.
+enum PendingReply {
+    Ready(Reply),
+    Paced(Pin<Box<Sleep>>, Reply),
+    Waiting(Pending, bool),
+}
+
+impl PendingReply {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Reply> {
+        match self {
+            PendingReply::Ready(reply) => Poll::Ready(reply.clone()),
+            PendingReply::Paced(wait, reply) => wait.as_mut().poll(cx).map(|()| reply.clone()),
+            PendingReply::Waiting(pending, write) => {
+                let write = *write;
+                Pin::new(pending).poll(cx).map(|answer| reply(answer, write))
+            }
+        }
+    }
+}
+
+/// The replies that are owed on a connection, in the order of their queries. A request whose answer has not come when this
+/// ends goes without one, and is counted.
+#[derive(Default)]
+struct OwedReplies(VecDeque<PendingReply>);
+
+impl Drop for OwedReplies {
+    fn drop(&mut self) {
+        let waiting = self.0.iter().filter(|reply| matches!(reply, PendingReply::Waiting(..))).count();
+        if waiting > 0 {
+            add(Count::pg_unanswered, waiting as u64);
+            log::debug!(target: CONNECTION, requests = waiting; "ended before their answers");
+        }
+    }
+}
+
+/// The reply that is due first, once there is one. Replies go out in the order of their queries, so that only the
+/// first is asked for; nothing is lost where this is dropped.
+async fn due(owed: &mut VecDeque<PendingReply>) -> Reply {
+    let reply = poll_fn(|cx| owed.front_mut().map_or(Poll::Pending, |first| first.poll(cx))).await;
+    owed.pop_front();
+    reply
+}
+
+/// What a client has said so far.
+#[derive(Default)]
+struct SessionState {
+    /// Anything at all after its startup.
+    asked: bool,
+    /// Something that could be understood.
+    sound: bool,
+    /// What has come until the first answer may have been sent since then.
+    waits_since: Option<std::time::Instant>,
+    /// A round of the extended protocol was turned away; the rest of it is passed over.
+    skipping: bool,
+}
+
+pub(super) type Conn = Framed<Socket, ServerCodec>;
+
+/// A connection while it is served.
+pub(super) struct Session {
+    front: Arc<Front>,
+    conn: Conn,
+    owed: OwedReplies,
+    state: SessionState,
+    opened: Instant,
+    /// Since when nothing was asked and nothing answered.
+    rests: Instant,
+    /// Since when a message is begun that has not ended.
+    part: Option<Instant>,
+    phase: Phase,
+    /// The connection ends as soon as it is at rest.
+    leaving: bool,
+    /// The client has said goodbye.
+    goodbye: bool,
+}
+
+impl Session {
+    /// One on a new connection. What its client has sent already may have been sent at any time since `waits_since`.
+    pub(super) fn new(front: Arc<Front>, waits_since: Option<std::time::Instant>, stream: Socket) -> Self {
+        let conn = Framed::with_capacity(stream, ServerCodec::new(front.bytes.clone()), ROOM);
+        let (state, opened) = (SessionState { waits_since, ..SessionState::default() }, Instant::now());
+        Session {
+            front,
+            conn,
+            owed: OwedReplies::default(),
+            state,
+            opened,
+            rests: opened,
+            part: None,
+            phase: Phase::Starting,
+            leaving: false,
+            goodbye: false,
+        }
+    }
+
+    /// Serves it to its end.
+    pub(super) async fn run(mut self, mut closing: Closing) -> Result<Ended, WireError> {
+        self.phase = *closing.borrow();
+        self.leaving = self.phase >= Phase::Closing;
+        // Set anew with each step of the end: first connections end with their next answer, then between requests.
+        let mut begun = closing.clone();
+        let mut begun = pin!(reached(&mut begun, Phase::Leaving));
+        let mut closed = pin!(reached(&mut closing, Phase::Closing));
+        // Set anew only when it rings too early: nearly every wait ends long before its limit.
+        let mut timer = pin!(tokio::time::sleep_until(self.opened + FIRST));
+        loop {
+            if let Some(reason) = self.ends_now() {
+                if self.goodbye {
+                    return Ok(client_end::after_last_word(self.conn, reason).await);
+                }
+                if let Some(ended) = self.end_at_rest(reason).await {
+                    return Ok(ended);
+                }
+            }
+            let reads = self.reads();
+            // Only what is being read can be late.
+            self.part = self.part.filter(|_| reads);
+            let until = self.limit();
+            if until.is_some_and(|until| until < timer.deadline()) {
+                timer.as_mut().reset(until.unwrap_or(self.opened + FIRST));
+            }
+            let at_rest = self.at_rest();
+            tokio::select! {
+                biased;
+                reply = due(&mut self.owed.0), if !self.owed.0.is_empty() => self.answer(reply).await?,
+                read = next_or_end(&mut self.conn, reads, self.part.is_some()), if reads || !self.owed.0.is_empty() => {
+                    match read {
+                        Next::Part => self.part = Some(Instant::now()),
+                        Next::Message(None) => return Ok(client_end::by_client(self.conn)),
+                        Next::Message(Some(Ok(message))) => self.take(message).await,
+                        Next::Message(Some(Err(fault))) => return self.end_with(fault).await,
+                    }
+                }
+                () = begun.as_mut(), if self.phase < Phase::Leaving => self.phase = Phase::Leaving,
+                () = closed.as_mut(), if self.phase == Phase::Leaving => {
+                    (self.phase, self.leaving) = (Phase::Closing, true);
+                }
+                // Others lack a permit, or too many rest: this one is between requests and has been for longest.
+                () = self.front.clients.client_wanted(!self.state.sound, self.rests), if at_rest => {
+                    if let Some(ended) = self.end_at_rest(EndReason::MadeRoom).await {
+                        return Ok(ended);
+                    }
+                    self.front.clients.ask_for_room();
+                }
+                () = timer.as_mut() => match self.part {
+                    _ if until.is_none_or(|until| Instant::now() < until) => {
+                        timer.as_mut().reset(until.unwrap_or_else(|| Instant::now() + IDLE));
+                    }
+                    Some(_) => return self.end_with(WireError::Unfinished).await,
+                    None if self.ends_now().is_some() => {}
+                    None => {
+                        let reason = if self.state.asked { EndReason::Idle } else { EndReason::Silent };
+                        if let Some(ended) = self.end_at_rest(reason).await {
+                            return Ok(ended);
+                        }
+                    }
+                },
+            }
+        }
+    }
+
+    /// Nothing is owed, and no message is begun.
+    fn at_rest(&self) -> bool {
+        self.owed.0.is_empty() && self.part.is_none()
+    }
+
+    /// Whether more is read now.
+    fn reads(&self) -> bool {
+        let depth = if self.front.bytes.tight() { PIPELINE_TIGHT } else { PIPELINE };
+        self.owed.0.len() < depth && !self.goodbye
+    }
+
+    /// Why the connection is to end, if it is to end now.
+    fn ends_now(&self) -> Option<EndReason> {
+        match () {
+            () if !self.at_rest() => None,
+            () if self.goodbye => Some(EndReason::ClientLeft),
+            // The first request of a new client may be on its way.
+            () if self.leaving && (self.state.asked || Instant::now() >= self.rests + QUIET_MIN) => {
+                Some(EndReason::Shutdown)
+            }
+            () => None,
+        }
+    }
+
+    /// Until when the client has to say something more; none while it waits itself.
+    fn limit(&self) -> Option<Instant> {
+        let first = self.opened + FIRST;
+        match self.part {
+            // The first message has no longer than a client that says nothing.
+            Some(since) if self.state.asked => Some(since + UNFINISHED),
+            Some(_) => Some(first),
+            None if !self.owed.0.is_empty() => None,
+            None if self.state.asked => Some(self.rests + IDLE),
+            None if self.leaving => Some(first.min(self.rests + QUIET_MIN)),
+            None => Some(first),
+        }
+    }
+
+    /// Ends the connection if nothing stands on it. A client that was never answered gets a refusal, for what may cross it.
+    async fn end_at_rest(&mut self, reason: EndReason) -> Option<Ended> {
+        let last_word = (!self.state.asked).then(|| match reason {
+            EndReason::MadeRoom => error("53300", Refusal::NoPermit.text(), After::End),
+            EndReason::Shutdown => error("57P03", Refusal::Ending.text(), After::End),
+            _ => error("57P03", "nothing was asked in time", After::End),
+        });
+        client_end::at_rest(&mut self.conn, reason, last_word).await
+    }
+
+    /// Sends an answer, and those behind it that are due already.
+    async fn answer(&mut self, reply: Reply) -> Result<(), WireError> {
+        // A client that takes in nothing must not hold its permit for ever.
+        put(&mut self.conn, reply, &mut self.owed.0).await?;
+        shrink(&mut self.conn);
+        self.rests = Instant::now();
+        if self.state.asked {
+            self.state.waits_since = None;
+            self.leaving |= self.phase >= Phase::Leaving;
+        }
+        Ok(())
+    }
+
+    /// Takes in a message; what it is owed is owed from now on.
+    async fn take(&mut self, message: Frontend) {
+        (self.part, self.rests) = (None, Instant::now());
+        let reply = match message {
+            Frontend::Encrypt => Some(PendingReply::Ready(Reply::NoEncryption)),
+            Frontend::Startup { user } => {
+                log::trace!("client {user}");
+                Some(PendingReply::Ready(Reply::Welcome))
+            }
+            // What was asked before the goodbye is still answered.
+            Frontend::Terminate | Frontend::Cancel => {
+                (self.leaving, self.goodbye) = (true, true);
+                None
+            }
+            message => {
+                self.state.asked = true;
+                self.command(message).await
+            }
+        };
+        self.owed.0.extend(reply);
+    }
+
+    /// The answer to a command of a session that has begun, if it has one.
+    async fn command(&mut self, message: Frontend) -> Option<PendingReply> {
+        let no = |after| error("0A000", "only simple queries are spoken here", after);
+        let text = match message {
+            Frontend::Query(text) if !self.state.skipping => text,
+            Frontend::NoRoom if !self.state.skipping => {
+                count(Count::pg_no_room);
+                return Some(PendingReply::Ready(error("53300", NO_ROOM, After::Ready)));
+            }
+            Frontend::Sync => {
+                self.state.skipping = false;
+                return Some(PendingReply::Ready(Reply::Ready));
+            }
+            Frontend::Other(b'F') if !self.state.skipping => return Some(self.paced(no(After::Ready))),
+            // Once for a round of the extended protocol; the rest of it, up to its Sync, gets no answer of its own.
+            Frontend::Other(b'P' | b'B' | b'D' | b'E' | b'C') if !self.state.skipping => {
+                self.state.skipping = true;
+                return Some(self.paced(no(After::Sync)));
+            }
+            _ => return None,
+        };
+        if text.trim_ascii().is_empty() {
+            log::debug!(target: CONNECTION, client = self.conn.get_ref().port(); "empty query");
+            self.state.sound = true;
+            return Some(PendingReply::Ready(Reply::Empty));
+        }
+        Some(self.query(text).await)
+    }
+
+    /// The answer to a query.
+    async fn query(&mut self, text: Bytes) -> PendingReply {
+        count(Count::pg_requests);
+        let front = &self.front;
+        let terms = front.terms.borrow().clone();
+        let waited = self.state.waits_since.map_or(0, |since| since.elapsed().as_micros() as Time);
+        match statement::read(text, &terms, front.clock.now().saturating_sub(waited)) {
+            Ok(mut request) => {
+                self.state.sound = true;
+                let client = self.conn.get_ref();
+                request.deadline = front.answer_limit.cap(request.deadline.saturating_sub(MARGIN));
+                request.client = Some(client.presence());
+                log::debug!(target: CONNECTION, client = client.port(), name:? = request.name; "request read");
+                let write = request.terms.classes[request.class].need == Need::Write;
+                PendingReply::Waiting(front.core.submit(request).await, write)
+            }
+            Err(Fault { code, message }) => {
+                let (after, message) = (After::Ready, Bytes::from(message));
+                self.paced(Reply::Error { after, code, message, detail: None })
+            }
+        }
+    }
+
+    /// The answer to what cannot be understood, in its turn.
+    fn paced(&self, reply: Reply) -> PendingReply {
+        count(Count::pg_malformed);
+        PendingReply::Paced(Box::pin(tokio::time::sleep(self.turn())), reply)
+    }
+
+    fn turn(&self) -> Duration {
+        self.front.pace.turn(self.front.clock.now())
+    }
+
+    /// The next message cannot be found any more: what was asked before is answered, to a client that is still there, then comes
+    /// an error, and the end.
+    async fn end_with(mut self, fault: WireError) -> Result<Ended, WireError> {
+        while !self.owed.0.is_empty() {
+            let reply = tokio::select! {
+                biased;
+                reply = due(&mut self.owed.0) => reply,
+                () = self.conn.get_mut().ended() => return Ok(client_end::by_client(self.conn)),
+            };
+            put(&mut self.conn, reply, &mut self.owed.0).await?;
+        }
+        let (code, counter) = match fault {
+            WireError::Io(_) => return Err(fault),
+            WireError::TooLong(_) => ("54000", Count::pg_oversized),
+            WireError::Malformed(_) => ("08P01", Count::pg_malformed),
+            WireError::Unfinished => ("08P01", Count::pg_unfinished),
+            WireError::NoRoom => ("53300", Count::pg_no_room),
+        };
+        count(counter);
+        log::debug!(target: CONNECTION, "closed with an error: {fault}");
+        let (message, now) = (Bytes::from(fault.to_string()), Instant::now());
+        let front = self.front.clone();
+        // A sound request that finds no room is refused at once; what is none waits for its turn, unless others lack the permit.
+        if !matches!(fault, WireError::NoRoom) {
+            tokio::select! {
+                () = tokio::time::sleep(self.turn()) => {}
+                () = front.clients.client_wanted(true, now) => {}
+            }
+        }
+        let last_word = Reply::Error { after: After::End, code, message, detail: None };
+        client_end::say_last(&mut self.conn, last_word).await;
+        Ok(tokio::select! {
+            ended = client_end::after_last_word(self.conn, EndReason::Fault) => ended,
+            () = front.clients.client_wanted(true, now) => client_end::cut_short(EndReason::Fault),
+        })
+    }
+}
+
+/// What a client is told whose message finds no memory.
+const NO_ROOM: &str = "no room for one more message; trying again is harmless";
+
+/// A value from this size on is written from where it lies, not copied into the connection's buffer first.
+const LARGE: usize = 16 * 1024;
+
+/// Writes a reply and those behind it that are due already, in one go.
+async fn put(conn: &mut Conn, reply: Reply, owed: &mut VecDeque<PendingReply>) -> Result<(), WireError> {
+    let mut next = Some(reply);
+    while let Some(reply) = next {
+        match reply {
+            Reply::Row(value, write) if value.bytes.as_ref().is_some_and(|b| b.len() >= LARGE) => {
+                let (mut head, mut tail) = (std::mem::take(conn.write_buffer_mut()), BytesMut::new());
+                row_head(&value, &mut head);
+                row_tail(&value, write, &mut tail);
+                let bytes = value.bytes.unwrap_or_default();
+                let mut all = (&head[..]).chain(bytes).chain(tail);
+                in_time(conn.get_mut().write_all_buf(&mut all)).await?;
+                head.clear();
+                *conn.write_buffer_mut() = head;
+            }
+            Reply::Row(value, write) if value.flow.is_some() => flow(conn, value, write).await?,
+            reply => in_time(conn.feed(reply)).await?,
+        }
+        next = if owed.is_empty() { None } else { due(owed).now_or_never() };
+    }
+    in_time(SinkExt::<Reply>::flush(conn)).await
+}
+
+/// A client that takes in nothing for so long must not hold its seat for ever.
+async fn in_time<E: Into<WireError>>(write: impl Future<Output = Result<(), E>>) -> Result<(), WireError> {
+    match tokio::time::timeout(PATIENCE, write).await {
+        Ok(written) => written.map_err(Into::into),
+        Err(_) => Err(WireError::Io(ErrorKind::TimedOut.into())),
+    }
+}
+
+/// Passes on a large value as it comes. Its length stands before it, so that a client can tell when it breaks off:
+/// all that is left then is to end the connection.
+async fn flow(conn: &mut Conn, value: Value, write: bool) -> Result<(), WireError> {
+    let Some(flow) = &value.flow else { return Ok(()) };
+    let (mut head, mut left) = (std::mem::take(conn.write_buffer_mut()), flow.length());
+    row_head(&value, &mut head);
+    in_time(conn.get_mut().write_all(&head)).await?;
+    head.clear();
+    *conn.write_buffer_mut() = head;
+    loop {
+        match flow.next().await {
+            Some(Chunk::Bytes(mut bytes)) if bytes.len() <= left => {
+                left -= bytes.len();
+                in_time(conn.get_mut().write_all_buf(&mut bytes)).await?;
+            }
+            Some(Chunk::Whole) if left == 0 => break,
+            _ => return Err(WireError::Io(ErrorKind::UnexpectedEof.into())),
+        }
+    }
+    row_tail(&value, write, conn.write_buffer_mut());
+    Ok(())
+}
