Have the soak ask the client's side: each request on a new connection is owed an answer

Need: no rig had clients that write their first query with the startup and come faster than permits are free, and a close before a member had got the request was excused while a process ended or descriptors were short, on new connections too. Change: clients surge N (that many at once, one query each behind the startup), a third of all new connections ask with the startup; Sent tells whether it is the first of its connection, and a close is no excuse for that one, nor is a kill. Planted breaches: checker_tests.

--- a/crates/standins/src/rig/checker.rs
+++ b/crates/standins/src/rig/checker.rs
@@ -178,6 +178,8 @@
     wait: Us,
     /// When its last byte was written, and when its client went.
     sent: Option<Us>,
+    /// It is the first on its connection.
+    first: bool,
     left: Option<Us>,
     ended: Option<Us>,
     /// A member has got it, so that its proxy has read it.
@@ -311,6 +313,7 @@
                     shows: *shows,
                     wait: *wait,
                     sent: None,
+                    first: false,
                     left: None,
                     ended: None,
                     given: false,
@@ -319,8 +322,9 @@
                     self.verdict.breach(Rule::Log, at, format!("request {id} is asked twice"));
                 }
             }
-            What::Sent { id } => {
-                self.asked.get_mut(id).into_iter().for_each(|asked| asked.sent = Some(at));
+            What::Sent { id, first } => {
+                let asked = self.asked.get_mut(id);
+                asked.into_iter().for_each(|asked| (asked.sent, asked.first) = (Some(at), *first));
             }
             What::Left { id } => {
                 self.asked
@@ -451,7 +455,9 @@
         let Some(told) = of.ending.take() else { return };
         of.ended.push((told, at));
         let late = |a: &Asked| {
-            a.given && a.ended.is_none() && a.sent.is_some_and(|sent| sent > told + TAKEN_AFTER_END)
+            (a.given || a.first)
+                && a.ended.is_none()
+                && a.sent.is_some_and(|sent| sent > told + TAKEN_AFTER_END)
         };
         let found = self
             .asked
@@ -504,9 +510,11 @@
         }
         let (proxy, until) = (asked.proxy, since + asked.wait + bounds.late + stood);
         // A connection that is closed between requests, at a process that ends or that lacks descriptors, is no answer owed: its
-        // client sends the request once more. What a member has got was read.
+        // client sends the request once more. What a member has got was read, and the first request of a connection stands
+        // between no two.
         let ends = self.proxies.get(&proxy).is_some_and(|p| p.ends_within(since, at));
-        let unread = how == End::Broken && !asked.given && (ends || bounds.crowded);
+        let between = !asked.given && !asked.first;
+        let unread = how == End::Broken && between && (ends || bounds.crowded);
         let unanswered = how == End::Broken && stood < STANDSTILL || how == End::Silent && stood == 0;
         let unanswered = unanswered && !unread;
         if (unanswered || at > until) && !gone(self.proxies.get(&proxy), since, at) {
--- a/crates/standins/src/rig/checker_tests.rs
+++ b/crates/standins/src/rig/checker_tests.rs
@@ -301,7 +301,7 @@
     let play = |given: Us| {
         vec![
             (1_000, request(7)),
-            (2_000, What::Sent { id: 7 }),
+            (2_000, What::Sent { id: 7, first: false }),
             (5_000, What::Left { id: 7 }),
             (given, What::Given { member: 1, id: 7 }),
             (9_000_000, What::Fault("the end".into())),
@@ -317,7 +317,7 @@
     let play = |wait: Us| {
         vec![
             (1_000, request(7)),
-            (2_000, What::Sent { id: 7 }),
+            (2_000, What::Sent { id: 7, first: false }),
             (300_000, What::Given { member: 1, id: 7 }),
             (300_000, What::Allowed { id: 7, wait }),
             (400_000, What::Ended { id: 7, how: End::Refused, value: 0 }),
@@ -338,8 +338,10 @@
 
 #[test]
 fn what_a_proxy_has_read_is_owed_an_answer_though_it_ends_and_what_it_has_not_read_is_none() {
-    let ending =
-        sound().at(10, What::Ending { proxy: 1 }).ask(900, 1, None, Shows::Any).at(901, What::Sent { id: 1 });
+    let ending = sound()
+        .at(10, What::Ending { proxy: 1 })
+        .ask(900, 1, None, Shows::Any)
+        .at(901, What::Sent { id: 1, first: false });
     let given = ending.clone().at(905, What::Given { member: 1, id: 1 });
     assert_eq!(ending.clone().told(910, 1, End::Broken, 0).broken(), [], "closed between requests");
     assert_eq!(given.clone().told(910, 1, End::Broken, 0).broken(), [Rule::Answer]);
@@ -347,8 +349,10 @@
     let kill = |plot: &Plot| plot.clone().at(1_200, What::Down { proxy: 1, stopped: false });
     assert_eq!(kill(&given).told(1_201, 1, End::Broken, 0).broken(), [Rule::Answer], "the kill finds it");
     assert_eq!(kill(&given.clone().told(950, 1, End::Served, 1)).broken(), []);
-    let early =
-        sound().at(10, What::Ending { proxy: 1 }).ask(600, 1, None, Shows::Any).at(601, What::Sent { id: 1 });
+    let early = sound()
+        .at(10, What::Ending { proxy: 1 })
+        .ask(600, 1, None, Shows::Any)
+        .at(601, What::Sent { id: 1, first: false });
     assert_eq!(
         kill(&early.at(605, What::Given { member: 1, id: 1 })).told(1_201, 1, End::Broken, 0).broken(),
         []
@@ -363,3 +367,22 @@
     let given = asked.at(12, What::Given { member: 1, id: 1 });
     assert_eq!(given.told(20, 1, End::Broken, 0).rules(&crowded), [Rule::Answer]);
 }
+
+#[test]
+fn the_first_request_of_a_connection_is_owed_an_answer_in_a_crowd_and_at_an_end_too() {
+    let crowded = Bounds { crowded: true, ..Bounds::default() };
+    let ending = sound().at(5, What::Ending { proxy: 1 });
+    for (plot, bounds) in [(sound(), &crowded), (ending, &Bounds::default())] {
+        for (first, broken) in [(false, &[][..]), (true, &[Rule::Answer][..])] {
+            let sent = plot.clone().ask(10, 1, None, Shows::Any).at(11, What::Sent { id: 1, first });
+            assert_eq!(sent.clone().told(20, 1, End::Broken, 0).rules(bounds), broken, "first: {first}");
+            assert_eq!(sent.told(20, 1, End::Refused, 0).rules(bounds), [], "first: {first}");
+        }
+    }
+    let late = sound().at(10, What::Ending { proxy: 1 }).ask(900, 1, None, Shows::Any);
+    let killed = |first| {
+        let sent = late.clone().at(901, What::Sent { id: 1, first });
+        sent.at(1_200, What::Down { proxy: 1, stopped: false }).told(1_201, 1, End::Broken, 0).broken()
+    };
+    assert_eq!((killed(false), killed(true)), (vec![], vec![Rule::Answer]));
+}
--- a/crates/standins/src/rig/clients.rs
+++ b/crates/standins/src/rig/clients.rs
@@ -30,6 +30,14 @@
 const BAD_CLIENT_WAITS: Duration = Duration::from_secs(5);
 const BAD_CLIENT_PAUSE_MS: u64 = 400;
 
+/// Between two surges, and how long the first bytes of a client of one take to come behind its connection, in ms.
+const SURGE_PAUSE_MS: std::ops::Range<u64> = 300..1_200;
+const SURGE_WAY_MS: u64 = 16;
+/// The class of a surge's requests: reads at any age.
+const SURGE_CLASS: usize = 2;
+/// Of new connections one in so many carries the first query behind the startup, with no wait for the welcome.
+const AT_ONCE: u32 = 3;
+
 /// How often a client that rests looks whether it still can.
 const IDLE_CLIENT_LOOKS: Duration = Duration::from_millis(100);
 
@@ -77,6 +85,61 @@
     (0..script.idle_clients).map(one).collect()
 }
 
+/// Starts surges: again and again many clients come to one proxy at once, each with one request behind its startup.
+pub fn start_surges(world: &World, stop: &Arc<AtomicBool>) -> Vec<tokio::task::JoinHandle<()>> {
+    let script = world.script();
+    let surges = script.surge_clients > 0;
+    let rng = fastrand::Rng::with_seed(script.seed ^ 1 << 60);
+    surges.then(|| crate::runtime().spawn(surge(world.clone(), rng, stop.clone()))).into_iter().collect()
+}
+
+async fn surge(world: World, mut rng: fastrand::Rng, stop: Arc<AtomicBool>) {
+    let mut clients = tokio::task::JoinSet::new();
+    while !stop.load(Ordering::Relaxed) {
+        tokio::time::sleep(Duration::from_millis(rng.u64(SURGE_PAUSE_MS))).await;
+        let proxy = rng.u32(1..=world.script().proxies);
+        for n in 0..world.script().surge_clients {
+            let way = Duration::from_millis(rng.u64(0..SURGE_WAY_MS));
+            clients.spawn(surge_client(world.clone(), proxy, n, way));
+        }
+        while clients.try_join_next().is_some() {}
+    }
+    clients.join_all().await;
+}
+
+/// One request on a connection of its own; what is not accepted was not asked.
+async fn surge_client(world: World, proxy: u32, n: u32, way: Duration) {
+    let Ok(mut conn) = Pg::connect_silently(world.front(proxy)).await else { return };
+    let (name, aim, wait_ms) = CLASSES[SURGE_CLASS];
+    let key = format!("surge{n}");
+    let ask = Ask { class: name, key: key.clone(), value: None, wait_ms, after: None };
+    let (id, log) = (request_id(), world.log().clone());
+    let number = u64::from_str_radix(&id, 16).unwrap_or(0);
+    let group = n % world.script().make.groups + 1;
+    tokio::time::sleep(way).await;
+    let (aim, wait) = (aim * 1000, wait_ms * 1000);
+    log.note(What::Asked { id: number, proxy, key, writes: None, shows: Shows::Any, aim, wait });
+    log.note(What::Sent { id: number, first: true });
+    let query = wire::query(&ask.sql_for(&id, group, false));
+    let told = conn.ask_with_startup(&query);
+    let patience = Duration::from_micros(wait + world.script().bounds.late) + SILENCE;
+    let (how, value) = ending(tokio::time::timeout(patience, told).await);
+    log.note(What::Ended { id: number, how, value });
+}
+
+/// How a request has ended, and the number of the value that it brought.
+fn ending(told: Result<std::io::Result<Told>, tokio::time::error::Elapsed>) -> (End, u64) {
+    match told {
+        Ok(Ok(Told::Served(bytes))) => {
+            (End::Served, bytes.iter().take(8).fold(0, |n, b| n << 8 | u64::from(*b)))
+        }
+        Ok(Ok(Told::Refused(_))) => (End::Refused, 0),
+        Ok(Ok(Told::Failed(_))) => (End::Failed, 0),
+        Ok(Err(_)) => (End::Broken, 0),
+        Err(_) => (End::Silent, 0),
+    }
+}
+
 async fn idle_client(world: World, mut rng: fastrand::Rng, stop: Arc<AtomicBool>) {
     while !stop.load(Ordering::Relaxed) {
         tokio::time::sleep(Duration::from_millis(rng.u64(0..BAD_CLIENT_PAUSE_MS))).await;
@@ -203,15 +266,23 @@
         let number = u64::from_str_radix(&id, 16).unwrap_or(0);
         let log = self.world.log().clone();
         let leaves = self.leaves();
+        let at_once = leaves.is_none() && self.rng.u32(0..AT_ONCE) == 0;
         let (proxy, wait) = (self.home, wait_ms * 1000);
         log.note(What::Asked { id: number, proxy, key, writes: value, shows, aim: aim * 1000, wait });
         let told = async {
-            if self.conn.is_none() {
-                self.conn = Some(Pg::connect(self.world.front(proxy)).await?);
+            let first = self.conn.is_none();
+            let conn = match &mut self.conn {
+                Some(conn) => conn,
+                None if at_once => self.conn.insert(Pg::connect_silently(self.world.front(proxy)).await?),
+                None => self.conn.insert(Pg::connect(self.world.front(proxy)).await?),
+            };
+            let query = wire::query(&ask.sql_for(&id, group, again));
+            if first && at_once {
+                log.note(What::Sent { id: number, first });
+                return conn.ask_with_startup(&query).await.map(Some);
             }
-            let Some(conn) = &mut self.conn else { return Err(std::io::ErrorKind::NotConnected.into()) };
-            conn.send(&wire::query(&ask.sql_for(&id, group, again))).await?;
-            log.note(What::Sent { id: number });
+            conn.send(&query).await?;
+            log.note(What::Sent { id: number, first });
             match leaves {
                 // It goes without a word; whether it had its answer by then is all the same.
                 Some(after) => match tokio::time::timeout(after, conn.answer()).await {
@@ -223,27 +294,24 @@
         };
         let patience = Duration::from_micros(wait + self.world.script().bounds.late) + SILENCE;
         let told = tokio::time::timeout(patience, told).await;
-        let (how, shown, told) = match told {
+        let told = match told {
             Ok(Ok(None)) => {
                 self.conn = None;
                 log.note(What::Left { id: number });
                 // What becomes of it is not this client's any more; it asks on.
                 return Some(Told::Failed(String::new()));
             }
-            Ok(Ok(Some(told))) => match &told {
-                Told::Served(bytes) => {
-                    (End::Served, bytes.iter().take(8).fold(0, |n, b| n << 8 | u64::from(*b)), Some(told))
-                }
-                Told::Refused(_) => (End::Refused, 0, Some(told)),
-                Told::Failed(_) => (End::Failed, 0, Some(told)),
-            },
-            Ok(Err(_)) => (End::Broken, 0, None),
-            Err(_) => (End::Silent, 0, None),
+            Ok(Ok(Some(told))) => Ok(Ok(told)),
+            Ok(Err(e)) => Ok(Err(e)),
+            Err(late) => Err(late),
         };
-        log.note(What::Ended { id: number, how, value: shown });
-        if told.is_none() {
+        let answer = told.as_ref().ok().and_then(|told| told.as_ref().ok()).cloned();
+        let (how, value) = ending(told);
+        log.note(What::Ended { id: number, how, value });
+        // Behind a fatal error nothing more comes, which the next look at the connection tells.
+        if answer.is_none() {
             self.conn = None;
         }
-        told
+        answer
     }
 }
--- a/crates/standins/src/rig/draw.rs
+++ b/crates/standins/src/rig/draw.rs
@@ -193,11 +193,15 @@
     let at = rng.u32(FIRST..SOAK_LAST - ENDING);
     let who = format!("{}%", rng.u32(10..=60));
     faults.push(("end", vec![format!("at {at} {who} does end within {}", rng.u32(1..400))]));
-    if rng.u32(0..3) == 0 {
-        // Idle clients fill what descriptors a proxy may have.
+    let crowd = rng.u32(0..3);
+    if crowd > 0 {
+        // More clients than a proxy has permits for come at once, and in half of these runs idle ones hold them besides.
         let sockets = rng.u32(64..=128);
         world.push(format!("sockets {sockets}"));
-        world.push(format!("clients idle {}", proxies * sockets / 4));
+        world.push(format!("clients surge {}", rng.u32(sockets / 2..=sockets * 2)));
+        if crowd > 1 {
+            world.push(format!("clients idle {}", proxies * sockets / 4));
+        }
     }
     faults.push((
         "calls",
--- a/crates/standins/src/rig/events.rs
+++ b/crates/standins/src/rig/events.rs
@@ -60,10 +60,13 @@
         /// How long the client waits.
         wait: Us,
     },
-    /// The last byte of the request has been written.
+    /// The last byte of the request has been written, to a connection that the proxy's machine has accepted.
     Sent {
         /// The request's id.
         id: u64,
+        /// Nothing was answered on that connection before: a close is no answer there, whoever has read what.
+        #[serde(default)]
+        first: bool,
     },
     /// Its client has closed the connection and waits for nothing any more.
     Left {
--- a/crates/standins/src/rig/run.rs
+++ b/crates/standins/src/rig/run.rs
@@ -53,6 +53,7 @@
     let mut clients = clients::start(&world, &ends);
     clients.extend(clients::start_bad(&world, &ends));
     clients.extend(clients::start_idle(&world, &ends));
+    clients.extend(clients::start_surges(&world, &ends));
     let wait = |until: Instant| {
         while Instant::now() < until && !stop.load(Ordering::Relaxed) {
             std::thread::sleep((until - Instant::now()).min(Duration::from_millis(20)));
--- a/crates/standins/src/rig/script.rs
+++ b/crates/standins/src/rig/script.rs
@@ -159,6 +159,8 @@
     pub bad_clients: u32,
     /// Clients that connect and ask nothing.
     pub idle_clients: u32,
+    /// Clients of one request that come to a proxy at once, again and again.
+    pub surge_clients: u32,
     /// Descriptors that a proxy may have.
     pub sockets: u64,
     /// How long it runs.
@@ -197,6 +199,7 @@
             leaving: 0,
             bad_clients: 0,
             idle_clients: 0,
+            surge_clients: 0,
             sockets: 1024,
             end: ms(5_000),
             bounds: Bounds::default(),
@@ -319,7 +322,11 @@
             ["clients", "leave", percent] => self.leaving = number(percent)?,
             ["clients", "idle", n] => {
                 self.idle_clients = number(n)?;
-                self.bounds.crowded = self.idle_clients > 0;
+                self.bounds.crowded |= self.idle_clients > 0;
+            }
+            ["clients", "surge", n] => {
+                self.surge_clients = number(n)?;
+                self.bounds.crowded |= self.surge_clients > 0;
             }
             ["sockets", n] => self.sockets = number(n)?,
             ["clients", "bad", n] => self.bad_clients = number(n)?,
