Count the time of a hold-up against the requests that stood in the sockets

Change: net/held_up.rs sees two looks at the clock far apart with no rest between; fronts count from its begin. A client is accepted when the kernel gives it, not when its permit comes. A failed accept is made again after 2 ms.

--- a/src/main.rs
+++ b/src/main.rs
@@ -22,6 +22,7 @@
 use linentrail::net::budget::{Budget, Pace};
 use linentrail::net::discovery::{Discovery, Lists, Service};
 use linentrail::net::fleet::Fleet;
+use linentrail::net::held_up;
 use linentrail::net::listen::{Closing, Phase};
 use linentrail::net::momentary;
 use linentrail::net::startup::{self, ClientFront, ClientListener, StartGate};
@@ -456,7 +457,8 @@
     let former = arguments.dns_sd_records.then_some(Command::Records);
     let result = match arguments.command.or(former) {
         None | Some(Command::Serve) => {
-            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            let mut builder = tokio::runtime::Builder::new_current_thread();
+            let runtime = builder.enable_all().on_thread_unpark(held_up::rested).build();
             runtime.map_err(|e| format!("runtime: {e}")).and_then(|r| r.block_on(run(began)))
         }
         Some(Command::Check { file }) => return check(&file),
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -3,7 +3,7 @@
 use super::budget::DescriptorBudget;
 use super::client_end::{EndReport, Ended, CONNECTION};
 use super::socket::Socket;
-use crate::core::counters::{count, Count};
+use crate::core::counters::{count, counted, Count};
 use futures_util::future::FusedFuture;
 use futures_util::FutureExt;
 use listenfd::ListenFd;
@@ -12,14 +12,16 @@
 use std::future::Future;
 use std::io::{Error, ErrorKind};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit};
 
-/// After a failure to accept, such as one for want of descriptors.
-const PAUSE: Duration = Duration::from_millis(20);
+/// After a failure to accept, such as one for want of descriptors. All who stand in the queue wait for it.
+const PAUSE: Duration = Duration::from_millis(2);
 /// Failures to accept at the end before those that still wait are given up: some 3 s, as long as a bad client is owed.
-const ACCEPT_FAILURES_MAX: u32 = 150;
+const ACCEPT_FAILURES_MAX: u32 = 1_500;
+/// Of failures in a row the log tells one in so many.
+const ACCEPT_FAILURES_TOLD: u64 = 100;
 /// How long a client may wait for a permit before it is refused; sooner, where others want to be refused too.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -112,9 +114,10 @@
     /// How a connection breaks.
     type Error: Display + Send;
 
-    /// Serves one client to its end.
+    /// Serves one client to its end, who was accepted at this moment.
     fn serve(
         &self,
+        accepted: Instant,
         stream: Socket,
         closing: Closing,
     ) -> impl Future<Output = Result<Ended, Self::Error>> + Send + 'static;
@@ -200,12 +203,12 @@
 
     /// Has a client served, at once or once there is a permit, or refused.
     async fn admit(&self, stream: TcpStream, peer: SocketAddr, closing: &Closing) {
-        let client = peer.port();
+        let (accepted, client) = (Instant::now(), peer.port());
         let stream = Socket::new(stream);
         if let Some(permit) = self.clients.try_permit() {
             count(self.counter);
             log::debug!(target: CONNECTION, client; "accepted");
-            tokio::spawn(reported(client, permit, self.serves.serve(stream, closing.clone())));
+            tokio::spawn(reported(client, permit, self.serves.serve(accepted, stream, closing.clone())));
             return;
         }
         let Some(refusal_permit) = self.clients.refusal_permit().await else { return };
@@ -232,7 +235,7 @@
             drop(refusal_permit);
             count(counter);
             log::debug!(target: CONNECTION, client; "accepted, with a permit that came free");
-            reported(client, permit, serves.serve(stream, closing)).await;
+            reported(client, permit, serves.serve(accepted, stream, closing)).await;
         });
     }
 
@@ -274,8 +277,10 @@
 }
 
 async fn accept_failed(e: &Error) {
+    if counted(Count::accept_failures).is_multiple_of(ACCEPT_FAILURES_TOLD) {
+        log::warn!("a client could not be accepted: {e}");
+    }
     count(Count::accept_failures);
-    log::warn!("a client could not be accepted: {e}");
     tokio::time::sleep(PAUSE).await;
 }
 
--- a/src/net/listen_tests.rs
+++ b/src/net/listen_tests.rs
@@ -17,6 +17,7 @@
 
     fn serve(
         &self,
+        _: Instant,
         stream: Socket,
         _: Closing,
     ) -> impl Future<Output = Result<Ended, Error>> + Send + 'static {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod discovery;
 pub mod fleet;
 pub mod frames;
+pub mod held_up;
 pub mod link;
 pub mod listen;
 pub mod member_state;
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -6,6 +6,7 @@
 //! connection hangs. So a [`Socket`] forgets that its stream is ready only where the kernel says so (`EAGAIN`), or where
 //! its user knows that nothing is due ([`Socket::expects_nothing`]).
 
+use super::held_up;
 use crate::core::Presence;
 use crate::meter::{self, Cost};
 use futures_util::FutureExt;
@@ -131,7 +132,9 @@
         loop {
             ready!(self.stream.poll_write_ready(cx))?;
             meter::add(Cost::Writes, 1);
-            match write(&self.stream) {
+            let written = write(&self.stream);
+            held_up::look();
+            match written {
                 Err(e) if calls_again(&e) => {}
                 written => return Poll::Ready(written),
             }
--- a/src/net/startup.rs
+++ b/src/net/startup.rs
@@ -44,6 +44,9 @@
 /// So long after a listener's first accept whoever it accepts may have come before that.
 const QUEUE_EMPTY_AFTER: Duration = Duration::from_millis(50);
 
+/// A client that was accepted so long ago has not been read at once.
+const AT_ONCE: Duration = Duration::from_millis(5);
+
 /// Lets clients through to a front, once there is one.
 pub struct GateOpener<F>(watch::Sender<Option<Arc<F>>>);
 
@@ -90,14 +93,16 @@
 
     fn serve(
         &self,
+        accepted: Instant,
         stream: Socket,
         closing: Closing,
     ) -> impl Future<Output = Result<Ended, F::Error>> + Send + 'static {
         let (gate, bytes) = (self.gate.clone(), self.bytes.clone());
-        let accepted = Instant::now();
         // Those that come at once may have stood in the listener's queue.
         let queued = accepted < self.began + QUEUE_EMPTY_AFTER;
-        let waits_since = (queued || !gate.is_open()).then_some(if queued { self.bound } else { accepted });
+        // What is read at once has not waited; what is read later may have come right behind the connection.
+        let waited = !gate.is_open() || accepted.elapsed() >= AT_ONCE;
+        let waits_since = if queued { Some(self.bound) } else { waited.then_some(accepted) };
         async move {
             match gate.passed().await {
                 Some(front) => front.serve(waits_since, stream, closing).await,
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -13,6 +13,7 @@
 use crate::net::budget::{Budget, ByteBudget, Pace};
 use crate::net::client_end::{self, EndReason, Ended};
 use crate::net::frames::{next, next_or_end, shrink, Next, ROOM};
+use crate::net::held_up;
 use crate::net::listen::{closed, Closing, Phase, Refusal};
 use crate::net::socket::Socket;
 use crate::net::startup::ClientFront;
@@ -175,7 +176,8 @@
             let mut broken = None;
             let mut response = {
                 // What was sent before the front was there has waited since then.
-                let waited = waits_since.take().map_or(0, |since| since.elapsed().as_micros() as Time);
+                let since = waits_since.take().into_iter().chain(held_up::look()).min();
+                let waited = since.map_or(0, |since| since.elapsed().as_micros() as Time);
                 let answer = self.answer(&request, conn.get_ref().presence(), waited);
                 tokio::pin!(answer);
                 loop {
--- a/src/pg/session.rs
+++ b/src/pg/session.rs
@@ -19,6 +19,7 @@
 use crate::net::budget::QUIET_MIN;
 use crate::net::client_end::{self, EndReason, Ended, CONNECTION};
 use crate::net::frames::{next_or_end, shrink, Next, ROOM};
+use crate::net::held_up;
 use crate::net::listen::{reached, Closing, Phase, Refusal};
 use crate::net::socket::Socket;
 use bytes::{Buf, Bytes, BytesMut};
@@ -328,7 +329,8 @@
         count(Count::pg_requests);
         let front = &self.front;
         let terms = front.terms.borrow().clone();
-        let waited = self.state.waits_since.map_or(0, |since| since.elapsed().as_micros() as Time);
+        let since = self.state.waits_since.into_iter().chain(held_up::look()).min();
+        let waited = since.map_or(0, |since| since.elapsed().as_micros() as Time);
         match statement::read(text, &terms, front.clock.now().saturating_sub(waited)) {
             Ok(mut request) => {
                 self.state.sound = true;
