Take the planned end and the clients' listeners out of main.rs

Change: src/shutdown.rs (the end), src/net/accepting.rs (all listeners, early or late, and those that refuse).

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod recovery;
 pub mod reload;
 pub mod settings;
+pub mod shutdown;
 pub mod store;
 pub mod terms;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -18,34 +18,32 @@
 use linentrail::handover::{self, ControlHandle, Handover};
 use linentrail::knowledge::Held;
 use linentrail::listing::{Delivery, Listing};
+use linentrail::net::accepting::Accepting;
 use linentrail::net::answer_limit::AnswerLimit;
 use linentrail::net::budget::{Budget, Pace};
 use linentrail::net::discovery::{Discovery, Lists, Service};
 use linentrail::net::fleet::Fleet;
 use linentrail::net::held_up;
-use linentrail::net::listen::{Closing, Phase};
+use linentrail::net::listen::Phase;
 use linentrail::net::momentary;
-use linentrail::net::startup::{self, ClientFront, ClientListener, StartGate};
+use linentrail::net::startup::{self, ClientListener};
 use linentrail::operators::agreement::OnLapse;
 use linentrail::operators::{self, DnsSd, Odata};
 use linentrail::parley::{Parley, Wiring};
 use linentrail::recovery::{self, Gatherer, Start};
 use linentrail::reload::{tell_classes, Reload};
+use linentrail::shutdown::Shutdown;
 use linentrail::terms::Slots;
 use linentrail::{ask, config, fleet, logs, meter, odata, pg};
 use linentrail::{ListKind, Time};
-use std::future::Future;
-use std::net::SocketAddr;
 use std::path::Path;
-use std::pin::Pin;
 use std::process::ExitCode;
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::{mpsc, watch};
-use tokio::task::JoinSet;
 
 /// Counts what the program allocates; never in service.
 #[cfg(feature = "meter")]
@@ -59,26 +57,17 @@
 /// Names the descriptor of a listener that the platform holds for this proxy.
 const ACCEPT: &str = "BALANCER_ACCEPT_FD";
 /// For so many tries, some 5 s, a process waits for the last but one to end.
-const SEAT_TRIES: usize = 250;
-/// Time beyond the longest deadline that open requests get after new clients are no longer taken.
-const LAST_ANSWERS: Duration = Duration::from_millis(200);
-/// The platform's protocol: a process may be killed so long after SIGTERM, in us, beyond the longest deadline, which counts as
-/// three seconds at most.
-const KILL_MARGIN: Time = 700_000;
-const LONGEST_BEFORE_KILL: Time = 3_000_000;
-/// Answers are to be there so long before that, in us.
-const ANSWER_LEAD: Time = 60_000;
-/// How long those may take that are refused at the very end.
-const LAST_REFUSALS: Duration = Duration::from_millis(100);
-/// How long the last writing of the store may take.
-const LAST_WRITING: Duration = Duration::from_secs(2);
+const SLOT_TRIES: usize = 250;
+/// Count clients of each front.
+const PG: Count = Count::pg_connections;
+const ODATA: Count = Count::odata_connections;
 
 /// The folder in which the processes of this proxy meet, where the platform has what it takes for two of them to serve.
 fn meet(name: &str, handed: bool) -> Result<Option<Folder>, String> {
     let shared = std::env::var("TMPDIR").ok().filter(|v| handed && !v.is_empty());
     let Some(shared) = shared else { return Ok(None) };
     let place = handover::place(&shared, name);
-    match Folder::join(place.clone(), SEAT_TRIES) {
+    match Folder::join(place.clone(), SLOT_TRIES) {
         Ok(None) => Err(format!("two processes of this proxy live already, by {}", place.display())),
         Ok(folder) => Ok(folder),
         Err(e) => {
@@ -120,56 +109,6 @@
     tokio::task::spawn_blocking(work).await.map_err(|e| e.to_string())?
 }
 
-/// Refuses clients that come too late, up to the end of the process.
-type Late = Pin<Box<dyn Future<Output = ()> + Send>>;
-
-/// What takes clients, from the start to the end.
-struct Accepting {
-    /// When the process began: nobody has waited longer for it.
-    began: Instant,
-    closing: Closing,
-    /// Each gives its listener back for those that come too late.
-    listeners: JoinSet<Option<Late>>,
-    pg_address: Option<SocketAddr>,
-    odata_address: Option<SocketAddr>,
-}
-
-impl Accepting {
-    fn new(began: Instant, closing: Closing) -> Self {
-        let listeners = JoinSet::new();
-        Accepting { began, closing, listeners, pg_address: None, odata_address: None }
-    }
-
-    /// Takes clients who wait at the gate until the front is there; where they come.
-    fn take<F: ClientFront>(
-        &mut self,
-        listener: TcpListener,
-        counter: Count,
-        budget: &Budget,
-        gate: StartGate<F>,
-    ) -> Option<SocketAddr> {
-        let address = listener.local_addr().ok();
-        let acceptor = gate.acceptor(listener, self.began, counter, budget);
-        let closing = self.closing.clone();
-        self.listeners.spawn(async move {
-            let acceptor = acceptor.accept_all(closing.clone()).await?;
-            let late: Late = Box::pin(acceptor.refuse_all(closing));
-            Some(late)
-        });
-        address
-    }
-
-    /// Takes clients of the platform's protocol.
-    fn pg(&mut self, listener: TcpListener, budget: &Budget, gate: StartGate<pg::front::Front>) {
-        self.pg_address = self.take(listener, Count::pg_connections, budget, gate);
-    }
-
-    /// The same by OData.
-    fn odata(&mut self, listener: TcpListener, budget: &Budget, gate: StartGate<odata::front::Front>) {
-        self.odata_address = self.take(listener, Count::odata_connections, budget, gate);
-    }
-}
-
 async fn run(began: Instant) -> Result<(), String> {
     // Heard from the start: unheard, each of them would end the process, and whoever reads that it serves may send one.
     let hear = |kind| signal(kind).map_err(|e| format!("signals: {e}"));
@@ -183,6 +122,7 @@
     let loaded = config::load();
     let (phase, closing) = watch::channel(Phase::Starting);
     let mut accepting = Accepting::new(began, closing.clone());
+    let (mut pg_address, mut odata_address) = (None, None);
     let early_budget = loaded.as_ref().ok().map(|(told, ..)| Budget::new(told.sockets, told.memory));
     let odata_listener = match file.odata.enabled {
         true => Some(bind_odata(&file.odata).await?),
@@ -196,10 +136,10 @@
         if let Some(listener) =
             pg_waits.take_if(|l| loaded.as_ref().is_ok_and(|(told, ..)| l.fits(&told.listen)))
         {
-            accepting.pg(listener.into_inner(), budget, pg_gate.clone());
+            pg_address = accepting.take(listener.into_inner(), PG, budget, pg_gate.clone());
         }
         if let Some(listener) = odata_waits.take() {
-            accepting.odata(listener, budget, odata_gate.clone());
+            odata_address = accepting.take(listener, ODATA, budget, odata_gate.clone());
         }
     }
     let store_file = file.store.clone();
@@ -326,14 +266,14 @@
         pace: pace.clone(),
         answer_limit: answer_limit.clone(),
     }));
-    if accepting.pg_address.is_none() {
+    if pg_address.is_none() {
         let listener = match pg_waits.take().filter(|l| l.fits(&told.listen)) {
             Some(listener) => listener,
             None => bind_clients(handed.as_deref(), &told.listen).await?,
         };
-        accepting.pg(listener.into_inner(), &budget, pg_gate);
+        pg_address = accepting.take(listener.into_inner(), PG, &budget, pg_gate);
     }
-    log::info!("serving clients at {}", accepting.pg_address.ok_or("clients have no address")?);
+    log::info!("serving clients at {}", pg_address.ok_or("clients have no address")?);
     if file.odata.enabled {
         let Odata { repeat_span, repeat_ids, repeat_bytes, .. } = file.odata;
         // Answers that are remembered share the memory with all else.
@@ -343,12 +283,10 @@
         let front = odata::front::Front::new(core, bookings, terms, clock, (budget.clone(), pace), limit);
         open_odata.open(Arc::new(front));
         if let Some(listener) = odata_waits.take() {
-            accepting.odata(listener, &budget, odata_gate);
+            odata_address = accepting.take(listener, ODATA, &budget, odata_gate);
         }
-        log::info!("serving OData at {}", accepting.odata_address.ok_or("OData has no address")?);
+        log::info!("serving OData at {}", odata_address.ok_or("OData has no address")?);
     }
-    let mut listeners = accepting.listeners;
-
     let _ = phase.send(Phase::Serving);
     loop {
         tokio::select! {
@@ -357,45 +295,16 @@
             _ = int.recv() => break,
         }
     }
-    if folder.is_some_and(|f| f.accompanied().unwrap_or(false)) {
-        // Whoever comes from now on is the next process's, which has the same listener.
-        log::info!("told to end: connections close with their next answer, the others in a while");
-        let _ = phase.send(Phase::Leaving);
-    } else {
-        log::info!(
-            "told to end: clients are still taken for a while, then connections close between requests"
-        );
-    }
-    let told_at = clock.now();
-    tokio::time::sleep(file.still_coming).await;
-    // What was taken is owed its answer: the settings say how long the last of it may take, and days differ in that.
-    let longest = read_under.borrow().classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-    answer_limit.set(told_at + longest.min(LONGEST_BEFORE_KILL) + KILL_MARGIN - ANSWER_LEAD);
-    let _ = phase.send(Phase::Closing);
-    let ends: Time = clock.now() + longest + LAST_ANSWERS.as_micros() as Time;
-    let mut late = JoinSet::new();
-    let answered = async {
-        // Whoever the machine has accepted is taken before it counts that no connection is open.
-        while let Some(listener) = listeners.join_next().await {
-            listener.ok().flatten().into_iter().for_each(|refuses| drop(late.spawn(refuses)));
-        }
-        while !clients.all_back() {
-            tokio::time::sleep(Duration::from_millis(10)).await;
-        }
-    };
-    let _ = tokio::time::timeout_at(clock.instant(ends), answered).await;
-    if let Some(last) = last {
-        // What was learned up to now; a disk that does not answer holds no end up.
-        let _ = tokio::time::timeout(LAST_WRITING, last.write()).await;
-    }
-    let _ = phase.send(Phase::Ended);
-    let refused = async {
-        while late.join_next().await.is_some() {}
-        while !clients.all_back() {
-            tokio::time::sleep(Duration::from_millis(10)).await;
+    let accompanied = folder.is_some_and(|f| f.accompanied().unwrap_or(false));
+    let longest_deadline =
+        move || read_under.borrow().classes.iter().map(|class| class.deadline).max().unwrap_or(0);
+    let last_writing = async {
+        if let Some(last) = last {
+            last.write().await;
         }
     };
-    let _ = tokio::time::timeout(LAST_REFUSALS, refused).await;
+    let shutdown = Shutdown { clock, phase, accepting, clients, answer_limit };
+    shutdown.run(accompanied, file.still_coming, longest_deadline, last_writing).await;
     cli::say(format_args!("counters: {}{}", counters::line(), meter::line()));
     Ok(())
 }
--- /dev/null
+++ b/src/net/accepting.rs
@@ -0,0 +1,66 @@
+//! All listeners of clients, from the start of the process to its end.
+
+use super::budget::Budget;
+use super::listen::{Closing, Phase};
+use super::startup::{ClientFront, StartGate};
+use crate::core::counters::Count;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::time::Instant;
+use tokio::net::TcpListener;
+use tokio::task::JoinSet;
+
+/// Refuses clients that come too late, up to the end of the process.
+type RefusesLate = Pin<Box<dyn Future<Output = ()> + Send>>;
+
+/// What takes clients.
+pub struct Accepting {
+    /// When the process began: nobody has waited longer for it.
+    began: Instant,
+    closing: Closing,
+    /// Each has something left for those that come too late, where no other process takes them.
+    taking: JoinSet<Option<RefusesLate>>,
+    refusing: JoinSet<()>,
+}
+
+impl Accepting {
+    /// None yet. `closing` tells them how far the process is.
+    pub fn new(began: Instant, closing: Closing) -> Self {
+        Accepting { began, closing, taking: JoinSet::new(), refusing: JoinSet::new() }
+    }
+
+    /// Takes clients, who wait at the gate until the front is there and are counted by `counter`; where they come.
+    pub fn take<F: ClientFront>(
+        &mut self,
+        listener: TcpListener,
+        counter: Count,
+        budget: &Budget,
+        gate: StartGate<F>,
+    ) -> Option<SocketAddr> {
+        let address = listener.local_addr().ok();
+        let acceptor = gate.acceptor(listener, self.began, counter, budget);
+        let closing = self.closing.clone();
+        self.taking.spawn(async move {
+            let acceptor = acceptor.accept_all(closing.clone()).await?;
+            let refuses: RefusesLate = Box::pin(acceptor.refuse_all(closing));
+            Some(refuses)
+        });
+        address
+    }
+
+    /// Waits, once connections are to end ([`Phase::Closing`]), until whoever the machine has accepted by then is taken; who comes
+    /// later is refused. Cancel safe.
+    pub async fn all_taken(&mut self) {
+        while let Some(listener) = self.taking.join_next().await {
+            let refuses = listener.ok().flatten();
+            refuses.into_iter().for_each(|refuses| drop(self.refusing.spawn(refuses)));
+        }
+    }
+
+    /// Waits, once nobody is to be taken any more ([`Phase::Ended`]), until whoever the machine has accepted is being refused.
+    pub async fn all_refused(&mut self) {
+        debug_assert_eq!(*self.closing.borrow(), Phase::Ended);
+        while self.refusing.join_next().await.is_some() {}
+    }
+}
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -241,7 +241,12 @@
 
     /// Has a client refused that comes too late.
     async fn turn_away(&self, stream: TcpStream, peer: SocketAddr) {
-        let Some(permit) = self.clients.refusal_permit().await else { return };
+        // Those of clients come free at the end, and a crowd is refused sooner by many at once.
+        let permit = match self.clients.try_permit() {
+            Some(permit) => Some(permit),
+            None => self.clients.refusal_permit().await,
+        };
+        let Some(permit) = permit else { return };
         let client = peer.port();
         log::debug!(target: CONNECTION, client; "refused, as the process ends");
         let waiting = self.clients.clone();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! Sockets other than the fronts': one actor for each peer, discovery, accepting, the descriptor budget.
 
+pub mod accepting;
 pub mod answer_limit;
 pub mod budget;
 pub mod client_end;
