Test that what is asked late in the end is answered before the kill

Change: a request behind one that keeps its connection open, members that hang through the whole end.

--- a/crates/standins/src/client.rs
+++ b/crates/standins/src/client.rs
@@ -208,8 +208,14 @@
     /// Asks, and waits for the answer; a booking under a repeat id of its own.
     ///
     /// # Errors
-    /// When the connection ends first, or the answer cannot be read.
+    /// As [`Odata::answer`].
     pub async fn ask(&mut self, ask: &Ask) -> Result<Told> {
+        self.send(ask).await;
+        self.answer().await
+    }
+
+    /// Sends a request.
+    pub async fn send(&mut self, ask: &Ask) {
         let Ask { class, key, value, wait_ms, after } = ask;
         let after = after.map_or(String::new(), |a| format!("Skip-After: {a}\r\n"));
         let fields = format!(
@@ -231,10 +237,13 @@
         };
         // Where the other side has ended the connection already, its last word may still be read.
         let _ = self.stream.write_all(text.as_bytes()).await;
-        self.answer().await
     }
 
-    async fn answer(&mut self) -> Result<Told> {
+    /// The next answer.
+    ///
+    /// # Errors
+    /// When the connection ends first, or the answer cannot be read.
+    pub async fn answer(&mut self) -> Result<Told> {
         let bad = |what| Error::new(ErrorKind::InvalidData, what);
         let (mut line, mut status, mut length, mut come_back) = (String::new(), String::new(), 0, None);
         loop {
--- a/tests/crossed_ends.rs
+++ b/tests/crossed_ends.rs
@@ -6,14 +6,14 @@
 
 use linentrail_standins::client::{request_id, Ask, Odata, Pg, Told};
 use linentrail_standins::group::Group;
-use linentrail_standins::member::{Capacity, Member};
+use linentrail_standins::member::{Behaviour, Capacity, Member};
 use linentrail_standins::proxy::{self, Proxy, Setup};
 use linentrail_standins::registry::entry;
 use linentrail_standins::{runtime, wire};
 use std::io::Result;
 use std::net::TcpListener;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -29,7 +29,7 @@
 const STILL_COMING: Duration = Duration::from_millis(1_000);
 
 struct World {
-    _primary: Member,
+    primary: Member,
     setup: Setup,
 }
 
@@ -44,7 +44,7 @@
             still_coming: Some(STILL_COMING),
             ..Setup::default()
         };
-        World { _primary: primary, setup }
+        World { primary, setup }
     }
 }
 
@@ -74,6 +74,22 @@
         client
     }
 
+    /// Sends a request of a session that has begun, and waits for nothing.
+    async fn sends(&mut self, ask: &Ask) {
+        match self {
+            Client::Pg { conn, .. } => conn.send(&wire::query(&ask.sql(&request_id()))).await.unwrap(),
+            Client::Odata(conn) => conn.send(ask).await,
+        }
+    }
+
+    /// The next answer.
+    async fn hears(&mut self) -> Result<Told> {
+        match self {
+            Client::Pg { conn, .. } => conn.answer().await,
+            Client::Odata(conn) => conn.answer().await,
+        }
+    }
+
     async fn asks(&mut self, key: &str) -> Result<Told> {
         let answer = async {
             match self {
@@ -253,6 +269,35 @@
     });
 }
 
+/// The members hang through the whole end. A request that comes then on a connection which is still open would wait for 14 s, and the
+/// platform kills the process 3.7 s after it was told to end, as deadlines of over 3 s count as 3 s.
+#[test]
+fn what_is_asked_late_in_the_end_is_answered_before_the_kill() {
+    const KILLED_AFTER: Duration = Duration::from_millis(3_700);
+    const SLOW_MACHINE: Duration = Duration::from_secs(5);
+    let world = World::new(1_024);
+    runtime().block_on(async {
+        for odata in [false, true] {
+            let proxy = Proxy::start(&world.setup).unwrap();
+            let mut client = Client::served(&proxy, odata).await;
+            world.primary.does(Behaviour::Hold);
+            proxy.signal("TERM").unwrap();
+            let told = Instant::now();
+            // What is out keeps the connection open while the process ends; the late one is sent before its answer has come.
+            let late = ask("late");
+            client.sends(&Ask { wait_ms: 2_000, ..ask("early") }).await;
+            tokio::time::sleep(STILL_COMING + BEFORE).await;
+            client.sends(&late).await;
+            for what in ["early", "late"] {
+                let answer = tokio::time::timeout(PATIENCE, client.hears()).await.expect("an answer");
+                assert!(answer.is_ok(), "OData {odata}, {what}: {answer:?}");
+            }
+            assert!(told.elapsed() < KILLED_AFTER + SLOW_MACHINE, "OData {odata}: {:?}", told.elapsed());
+            world.primary.does(Behaviour::Answer);
+        }
+    });
+}
+
 /// Whoever stands in the listener's queue while one process hands over to the next is answered by one of them.
 #[test]
 fn a_full_queue_is_answered_when_another_process_takes_over() {
