Count a client's wait from when the listener was bound while the first queue is emptied

Change: the queue is emptied by asking the kernel, all of it counts from the bind; later clients count from the begin of a hold-up, where there was one (net/listen.rs, came).

--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -2,6 +2,7 @@
 
 use super::budget::DescriptorBudget;
 use super::client_end::{EndReport, Ended, CONNECTION};
+use super::held_up;
 use super::socket::Socket;
 use crate::core::counters::{count, counted, Count};
 use futures_util::future::FusedFuture;
@@ -114,10 +115,10 @@
     /// How a connection breaks.
     type Error: Display + Send;
 
-    /// Serves one client to its end, who was accepted at this moment.
+    /// Serves one client to its end, who came at this moment, at the earliest.
     fn serve(
         &self,
-        accepted: Instant,
+        came: Instant,
         stream: Socket,
         closing: Closing,
     ) -> impl Future<Output = Result<Ended, Self::Error>> + Send + 'static;
@@ -135,6 +136,8 @@
 /// permit for refusing.
 pub struct Acceptor<S> {
     listener: TcpListener,
+    /// When the listener was bound, at the earliest.
+    bound: Instant,
     counter: Count,
     clients: DescriptorBudget,
     serves: S,
@@ -142,14 +145,28 @@
 
 impl<S: Serves> Acceptor<S> {
     /// An acceptor that counts its clients by `counter`.
-    pub fn new(listener: TcpListener, counter: Count, clients: DescriptorBudget, serves: S) -> Self {
-        Acceptor { listener, counter, clients, serves }
+    pub fn new(
+        listener: TcpListener,
+        bound: Instant,
+        counter: Count,
+        clients: DescriptorBudget,
+        serves: S,
+    ) -> Self {
+        Acceptor { listener, bound, counter, clients, serves }
     }
 
     /// Accepts clients until the end begins. Those that the machine has accepted by then and nobody has taken yet are taken as
     /// well: a listener let go of resets them. What comes back is for [`Acceptor::refuse_all`], where no other process takes the
     /// clients.
     pub async fn accept_all(self, mut closing: Closing) -> Option<Self> {
+        // Those that stand in the queue already may have come as soon as the listener was bound.
+        while *closing.borrow() < Phase::Leaving {
+            match accept_now(&self.listener) {
+                Some(Ok((stream, peer))) => self.admit(self.bound, stream, peer, &closing).await,
+                Some(Err(e)) => accept_failed(&e).await,
+                None => break,
+            }
+        }
         loop {
             let accepted = tokio::select! {
                 biased;
@@ -157,7 +174,7 @@
                 accepted = self.listener.accept() => accepted,
             };
             match accepted {
-                Ok((stream, peer)) => self.admit(stream, peer, &closing).await,
+                Ok((stream, peer)) => self.admit(came(), stream, peer, &closing).await,
                 Err(e) => accept_failed(&e).await,
             }
         }
@@ -168,7 +185,7 @@
         let mut failures = 0;
         while let Some(accepted) = accept_now(&self.listener) {
             match accepted {
-                Ok((stream, peer)) => self.admit(stream, peer, &closing).await,
+                Ok((stream, peer)) => self.admit(came(), stream, peer, &closing).await,
                 // What fails for a moment ends nothing.
                 Err(e) => {
                     accept_failed(&e).await;
@@ -201,14 +218,14 @@
         }
     }
 
-    /// Has a client served, at once or once there is a permit, or refused.
-    async fn admit(&self, stream: TcpStream, peer: SocketAddr, closing: &Closing) {
-        let (accepted, client) = (Instant::now(), peer.port());
+    /// Has a client served who may have come at this moment: at once, or once there is a permit; else refused.
+    async fn admit(&self, came: Instant, stream: TcpStream, peer: SocketAddr, closing: &Closing) {
+        let client = peer.port();
         let stream = Socket::new(stream);
         if let Some(permit) = self.clients.try_permit() {
             count(self.counter);
             log::debug!(target: CONNECTION, client; "accepted");
-            tokio::spawn(reported(client, permit, self.serves.serve(accepted, stream, closing.clone())));
+            tokio::spawn(reported(client, permit, self.serves.serve(came, stream, closing.clone())));
             return;
         }
         let Some(refusal_permit) = self.clients.refusal_permit().await else { return };
@@ -235,7 +252,7 @@
             drop(refusal_permit);
             count(counter);
             log::debug!(target: CONNECTION, client; "accepted, with a permit that came free");
-            reported(client, permit, serves.serve(accepted, stream, closing)).await;
+            reported(client, permit, serves.serve(came, stream, closing)).await;
         });
     }
 
@@ -256,6 +273,11 @@
     }
 }
 
+/// When a client may have come that is accepted now: whoever came while the process was held up has stood in the queue.
+fn came() -> Instant {
+    held_up::look().unwrap_or_else(Instant::now)
+}
+
 /// Carries out what becomes of a connection, and tells its end.
 async fn reported<E: Display>(
     client: u16,
--- a/src/net/listen_tests.rs
+++ b/src/net/listen_tests.rs
@@ -54,7 +54,8 @@
         let listener = TcpListener::from_std(listener).expect("a listener");
         let (told, closing) = watch::channel(phase);
         let budget = Budget::new(1024, 64 << 20);
-        let acceptor = Acceptor::new(listener, Count::pg_connections, budget.clients.clone(), Echo);
+        let acceptor =
+            Acceptor::new(listener, Instant::now(), Count::pg_connections, budget.clients.clone(), Echo);
         drop(acceptor.accept_all(closing).await);
         while !budget.clients.all_back() {
             tokio::time::sleep(Duration::from_millis(2)).await;
--- a/src/net/startup.rs
+++ b/src/net/startup.rs
@@ -41,10 +41,7 @@
     ) -> impl Future<Output = Result<Ended, Self::Error>> + Send;
 }
 
-/// So long after a listener's first accept whoever it accepts may have come before that.
-const QUEUE_EMPTY_AFTER: Duration = Duration::from_millis(50);
-
-/// A client that was accepted so long ago has not been read at once.
+/// A client that came so long ago has not been read at once.
 const AT_ONCE: Duration = Duration::from_millis(5);
 
 /// Lets clients through to a front, once there is one.
@@ -76,15 +73,11 @@
 pub struct Gated<F> {
     gate: StartGate<F>,
     bytes: ByteBudget,
-    /// When the listener was bound, at the earliest, and when its first client could be accepted.
-    bound: Instant,
-    began: Instant,
 }
 
 impl<F> Clone for Gated<F> {
     fn clone(&self) -> Self {
-        let Gated { gate, bytes, bound, began } = self;
-        Gated { gate: gate.clone(), bytes: bytes.clone(), bound: *bound, began: *began }
+        Gated { gate: self.gate.clone(), bytes: self.bytes.clone() }
     }
 }
 
@@ -93,16 +86,14 @@
 
     fn serve(
         &self,
-        accepted: Instant,
+        came: Instant,
         stream: Socket,
         closing: Closing,
     ) -> impl Future<Output = Result<Ended, F::Error>> + Send + 'static {
         let (gate, bytes) = (self.gate.clone(), self.bytes.clone());
-        // Those that come at once may have stood in the listener's queue.
-        let queued = accepted < self.began + QUEUE_EMPTY_AFTER;
         // What is read at once has not waited; what is read later may have come right behind the connection.
-        let waited = !gate.is_open() || accepted.elapsed() >= AT_ONCE;
-        let waits_since = if queued { Some(self.bound) } else { waited.then_some(accepted) };
+        let waited = !gate.is_open() || came.elapsed() >= AT_ONCE;
+        let waits_since = waited.then_some(came);
         async move {
             match gate.passed().await {
                 Some(front) => front.serve(waits_since, stream, closing).await,
@@ -131,8 +122,8 @@
         counter: Count,
         budget: &Budget,
     ) -> Acceptor<Gated<F>> {
-        let gated = Gated { gate: self, bytes: budget.bytes.clone(), bound, began: Instant::now() };
-        Acceptor::new(listener, counter, budget.clients.clone(), gated)
+        let gated = Gated { gate: self, bytes: budget.bytes.clone() };
+        Acceptor::new(listener, bound, counter, budget.clients.clone(), gated)
     }
 }
 
--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -712,6 +712,26 @@
     );
 }
 
+#[test]
+fn sound_queries_in_front_of_what_cannot_be_read_are_answered_first() {
+    play(
+        "member p primary
+         start
+         p does hold
+         a send read k1 yard-board
+         a send write k2 01
+         a send bytes 7a00000004
+         p expect 1 write k2
+         wait 100
+         p does answer
+         a expect row -
+         a expect row 01
+         a expect error 08P01
+         a expect closed
+         counts closed_after_fault 1",
+    );
+}
+
 #[test]
 fn names_and_values_that_no_client_should_send_never_reach_a_member() {
     play(
