Give each connection of a client a module of its own, by both fronts

Need: serve_client of the OData front was one function of 112 lines, and pg/session.rs held the writing of replies besides. Change: odata/session.rs (a connection's states), pg/replies.rs (what is owed, and how it is written). No behaviour is meant to change.

--- a/src/odata/mod.rs
+++ b/src/odata/mod.rs
@@ -5,3 +5,4 @@
 pub mod front;
 pub mod reply;
 pub mod request;
+mod session;
--- /dev/null
+++ b/src/odata/session.rs
@@ -0,0 +1,250 @@
+//! One client's connection by OData: requests in, one response each, in their order.
+//!
+//! | state | ends by |
+//! | --- | --- |
+//! | never asked, or at rest | the client; `IDLE`; others who lack a permit; the end of the process; the first two of these once it was quiet |
+//! | a request is begun | its rest; `UNFINISHED` |
+//! | a response is owed | nothing but the client |
+//!
+//! All but the client's own end go through [`client_end`], which ends nothing that has no answer.
+
+use super::front::{refused, Front, LONGEST_BODY};
+use super::reply::Fault;
+use super::request::Form;
+use crate::core::counters::{count, Count};
+use crate::http::{HttpError, HttpRequest, HttpResponse, HttpServer, Incoming};
+use crate::interface::*;
+use crate::net::budget::QUIET_MIN;
+use crate::net::client_end::{self, EndReason, Ended};
+use crate::net::frames::{next, next_or_end, shrink, Next, ROOM};
+use crate::net::held_up;
+use crate::net::listen::{closed, Closing, Phase, Refusal};
+use crate::net::socket::Socket;
+use futures_util::SinkExt;
+use std::collections::VecDeque;
+use std::io::ErrorKind;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+use tokio_util::codec::Framed;
+
+/// Requests read ahead on one connection while one is carried out.
+const AHEAD: usize = 8;
+/// How long a client may hold its connection between requests, and how long a request that was begun may take to end.
+const IDLE: Duration = Duration::from_secs(4);
+const UNFINISHED: Duration = Duration::from_secs(2);
+/// How long a client may take to take in a response.
+const PATIENCE: Duration = Duration::from_secs(5);
+
+type Conn = Framed<Socket, HttpServer>;
+
+/// What comes of waiting for a request.
+enum Waited {
+    /// One, or a head whose body is held back.
+    Came(Incoming),
+    /// The first bytes of one.
+    Part,
+    /// What cannot be read.
+    Fault(HttpError),
+    /// The client has ended its connection.
+    Left,
+    /// A reason to end the connection.
+    Ends(EndReason),
+}
+
+/// What has come of a request, and of what was read behind it.
+struct Answered {
+    response: HttpResponse,
+    /// What stands behind it cannot be read.
+    broken: Option<HttpError>,
+}
+
+/// A connection while it is served.
+pub(super) struct Session {
+    front: Arc<Front>,
+    conn: Conn,
+    /// Requests that were read while another was carried out.
+    ahead: VecDeque<Incoming>,
+    /// Something was asked on it.
+    asked: bool,
+    /// A request is begun.
+    part: bool,
+    /// Since when nothing was asked and nothing answered.
+    rests: Instant,
+    /// Until when something more has to come.
+    until: Instant,
+    /// What has come until the first answer may have been sent since then.
+    waits_since: Option<std::time::Instant>,
+}
+
+impl Session {
+    /// One on a new connection. What its client has sent already may have been sent at any time since `waits_since`.
+    pub(super) fn new(front: Arc<Front>, waits_since: Option<std::time::Instant>, stream: Socket) -> Self {
+        let codec = HttpServer::new(LONGEST_BODY, front.budget.bytes.clone());
+        let conn = Framed::with_capacity(stream, codec, ROOM);
+        let rests = Instant::now();
+        let until = rests + IDLE;
+        let ahead = VecDeque::new();
+        Session { front, conn, ahead, asked: false, part: false, rests, until, waits_since }
+    }
+
+    /// Serves it to its end.
+    pub(super) async fn run(mut self, mut closing: Closing) -> Result<Ended, HttpError> {
+        loop {
+            let request = match self.wait(&mut closing).await {
+                Waited::Came(Incoming::Request(request)) => request,
+                Waited::Came(Incoming::Expects) => {
+                    self.conn.send(HttpResponse::go_on()).await?;
+                    self.begun();
+                    continue;
+                }
+                Waited::Part => {
+                    self.begun();
+                    continue;
+                }
+                Waited::Fault(fault) => return self.end_with(fault).await,
+                Waited::Left => return Ok(client_end::by_client(self.conn)),
+                Waited::Ends(reason) => match end_at_rest(&mut self.conn, reason, self.asked).await {
+                    Some(ended) => return Ok(ended),
+                    None => {
+                        if reason == EndReason::MadeRoom {
+                            self.front.budget.clients.ask_for_room();
+                        }
+                        continue;
+                    }
+                },
+            };
+            (self.part, self.asked) = (false, true);
+            let Some(Answered { mut response, broken }) = self.answer(&request).await? else {
+                return Ok(client_end::by_client(self.conn));
+            };
+            let ends = *closing.borrow() >= Phase::Leaving
+                && self.ahead.is_empty()
+                && broken.is_none()
+                && !client_end::holds_unanswered(&mut self.conn);
+            response.closes = request.closes || ends;
+            let closes = response.closes;
+            match tokio::time::timeout(PATIENCE, self.conn.send(response)).await {
+                Ok(sent) => sent?,
+                Err(_) => return Err(HttpError::Io(ErrorKind::TimedOut.into())),
+            }
+            if closes {
+                let reason = if ends { EndReason::Shutdown } else { EndReason::ClientLeft };
+                return Ok(client_end::announced(self.conn, reason).await);
+            }
+            if let Some(fault) = broken {
+                return self.end_with(fault).await;
+            }
+            shrink(&mut self.conn);
+            self.rests = Instant::now();
+            self.until = self.rests + IDLE;
+        }
+    }
+
+    /// The rest of a request has so long to come.
+    fn begun(&mut self) {
+        (self.part, self.until) = (true, Instant::now() + UNFINISHED);
+    }
+
+    /// Waits for the next request, or for a reason to end. One of which a part has been read is the proxy's to answer.
+    async fn wait(&mut self, closing: &mut Closing) -> Waited {
+        if let Some(request) = self.ahead.pop_front() {
+            return Waited::Came(request);
+        }
+        let (part, asked, rests) = (self.part, self.asked, self.rests);
+        tokio::select! {
+            biased;
+            read = next(&mut self.conn, part) => match read {
+                Next::Message(Some(Ok(request))) => Waited::Came(request),
+                Next::Message(Some(Err(fault))) => Waited::Fault(fault),
+                Next::Message(None) => Waited::Left,
+                Next::Part => Waited::Part,
+            },
+            () = closed_and_quiet(closing, asked, rests), if !part => Waited::Ends(EndReason::Shutdown),
+            () = self.front.budget.clients.client_wanted(!asked, rests), if !part => Waited::Ends(EndReason::MadeRoom),
+            () = tokio::time::sleep_until(self.until) => match part {
+                true => Waited::Fault(HttpError::Unfinished),
+                false => Waited::Ends(if asked { EndReason::Idle } else { EndReason::Silent }),
+            },
+        }
+    }
+
+    /// Has a request answered, and reads on meanwhile: this is how a client that leaves is noticed, and by a look where no more is
+    /// read. None if it has left.
+    async fn answer(&mut self, request: &HttpRequest) -> Result<Option<Answered>, HttpError> {
+        count(Count::odata_requests);
+        // What was sent before the front was there has waited since then.
+        let since = self.waits_since.take().into_iter().chain(held_up::look()).min();
+        let waited = since.map_or(0, |since| since.elapsed().as_micros() as Time);
+        let mut answer = pin!(self.front.answer(request, self.conn.get_ref().presence(), waited));
+        let mut broken = None;
+        loop {
+            let reads = self.ahead.len() < AHEAD && broken.is_none();
+            tokio::select! {
+                biased;
+                response = &mut answer => return Ok(Some(Answered { response, broken })),
+                read = next_or_end(&mut self.conn, reads, true) => match read {
+                    Next::Message(Some(Ok(next))) => self.ahead.push_back(next),
+                    Next::Message(Some(Err(e @ HttpError::Io(_)))) => return Err(e),
+                    Next::Message(Some(Err(e))) => broken = Some(e),
+                    Next::Message(None) => return Ok(None),
+                    Next::Part => {}
+                },
+            }
+        }
+    }
+
+    /// Answers what could not be read, in its turn, and ends the connection: where the next request starts is not
+    /// known.
+    async fn end_with(mut self, e: HttpError) -> Result<Ended, HttpError> {
+        let no_room = matches!(e, HttpError::NoRoom);
+        let fault = match e {
+            HttpError::Io(_) => return Err(e),
+            HttpError::TooLong => Fault::new(413, "TooLarge", "the request is too long"),
+            HttpError::Malformed(_) => Fault::new(400, "BadRequest", e.to_string()),
+            HttpError::Unfinished => Fault::new(408, "Unfinished", e.to_string()),
+            HttpError::NoRoom => Fault::come_back(None, &e.to_string()),
+        };
+        let mut response = refused(fault, Form::default());
+        response.closes = true;
+        let now = Instant::now();
+        // A sound request that finds no room is refused at once; what is none waits for its turn, unless others lack the permit.
+        if !no_room {
+            tokio::select! {
+                () = tokio::time::sleep(self.front.pace.turn(self.front.clock.now())) => {}
+                () = self.front.budget.clients.client_wanted(true, now) => {}
+            }
+        }
+        client_end::say_last(&mut self.conn, response).await;
+        Ok(tokio::select! {
+            ended = client_end::after_last_word(self.conn, EndReason::Fault) => ended,
+            () = self.front.budget.clients.client_wanted(true, now) => client_end::cut_short(EndReason::Fault),
+        })
+    }
+}
+
+/// Waits until connections are to end, and one on which nothing was asked has been quiet: its first request may be on its way.
+async fn closed_and_quiet(closing: &mut Closing, asked: bool, rests: Instant) {
+    closed(closing).await;
+    if !asked {
+        tokio::time::sleep_until(rests + QUIET_MIN).await;
+    }
+}
+
+/// Ends a connection if nothing stands on it. A client that was never answered gets a refusal, for what may cross it.
+async fn end_at_rest(conn: &mut Conn, reason: EndReason, asked: bool) -> Option<Ended> {
+    let text = match reason {
+        EndReason::MadeRoom => Refusal::NoPermit.text(),
+        EndReason::Shutdown => Refusal::Ending.text(),
+        _ => "nothing was asked in time",
+    };
+    client_end::at_rest(conn, reason, (!asked).then(|| last_refusal(text))).await
+}
+
+/// A refusal behind which the connection ends.
+pub(super) fn last_refusal(text: &str) -> HttpResponse {
+    let mut response = Fault::come_back(None, text).response(Form::default());
+    response.closes = true;
+    response
+}
--- a/src/pg/mod.rs
+++ b/src/pg/mod.rs
@@ -4,6 +4,7 @@
 mod frames;
 pub mod front;
 pub mod member;
+mod replies;
 mod session;
 pub mod statement;
 pub mod told;
--- a/src/pg/session.rs
+++ b/src/pg/session.rs
@@ -9,12 +9,11 @@
 //!
 //! All but the client's own end go through [`client_end`], which ends nothing that has no answer.
 
-use super::codec::{row_head, row_tail, After, Frontend, Reply, ServerCodec, WireError};
-use super::front::{error, reply, Front};
+use super::codec::{After, Frontend, Reply, ServerCodec, WireError};
+use super::front::{error, Front};
+use super::replies::{due, put, OwedReplies, PendingReply};
 use super::statement::{self, Fault};
-use crate::core::counters::{add, count, Count};
-use crate::core::flow::Chunk;
-use crate::core::{Pending, Value};
+use crate::core::counters::{count, Count};
 use crate::interface::*;
 use crate::net::budget::QUIET_MIN;
 use crate::net::client_end::{self, EndReason, Ended, CONNECTION};
@@ -22,17 +21,11 @@
 use crate::net::held_up;
 use crate::net::listen::{reached, Closing, Phase, Refusal};
 use crate::net::socket::Socket;
-use bytes::{Buf, Bytes, BytesMut};
-use futures_util::{FutureExt, SinkExt};
-use std::collections::VecDeque;
-use std::future::{poll_fn, Future};
-use std::io::ErrorKind;
-use std::pin::{pin, Pin};
+use bytes::Bytes;
+use std::pin::pin;
 use std::sync::Arc;
-use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
-use tokio::time::{Instant, Sleep};
+use tokio::time::Instant;
 use tokio_util::codec::Framed;
 
 /// Queries taken from one connection before their answers have gone out, and while memory is short.
@@ -46,54 +39,9 @@
 /// How long a client may hold its connection without asking anything more: its permit costs memory and a descriptor,
 /// and some never come back.
 const IDLE: Duration = Duration::from_millis(4_000);
-/// How long a client may take to take in an answer.
-const PATIENCE: Duration = Duration::from_secs(5);
 /// Kept off a client's deadline, in us: the way there and back takes time.
 const MARGIN: Time = 4_000;
 
-/// A reply that is owed on a connection.
-enum PendingReply {
-    Ready(Reply),
-    Paced(Pin<Box<Sleep>>, Reply),
-    Waiting(Pending, bool),
-}
-
-impl PendingReply {
-    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Reply> {
-        match self {
-            PendingReply::Ready(reply) => Poll::Ready(reply.clone()),
-            PendingReply::Paced(wait, reply) => wait.as_mut().poll(cx).map(|()| reply.clone()),
-            PendingReply::Waiting(pending, write) => {
-                let write = *write;
-                Pin::new(pending).poll(cx).map(|answer| reply(answer, write))
-            }
-        }
-    }
-}
-
-/// The replies that are owed on a connection, in the order of their queries. A request whose answer has not come when this
-/// ends goes without one, and is counted.
-#[derive(Default)]
-struct OwedReplies(VecDeque<PendingReply>);
-
-impl Drop for OwedReplies {
-    fn drop(&mut self) {
-        let waiting = self.0.iter().filter(|reply| matches!(reply, PendingReply::Waiting(..))).count();
-        if waiting > 0 {
-            add(Count::pg_unanswered, waiting as u64);
-            log::debug!(target: CONNECTION, requests = waiting; "ended before their answers");
-        }
-    }
-}
-
-/// The reply that is due first, once there is one. Replies go out in the order of their queries, so that only the
-/// first is asked for; nothing is lost where this is dropped.
-async fn due(owed: &mut VecDeque<PendingReply>) -> Reply {
-    let reply = poll_fn(|cx| owed.front_mut().map_or(Poll::Pending, |first| first.poll(cx))).await;
-    owed.pop_front();
-    reply
-}
-
 /// What a client has said so far.
 #[derive(Default)]
 struct SessionState {
@@ -398,60 +346,3 @@
 
 /// What a client is told whose message finds no memory.
 const NO_ROOM: &str = "no room for one more message; trying again is harmless";
-
-/// A value from this size on is written from where it lies, not copied into the connection's buffer first.
-const LARGE: usize = 16 * 1024;
-
-/// Writes a reply and those behind it that are due already, in one go.
-async fn put(conn: &mut Conn, reply: Reply, owed: &mut VecDeque<PendingReply>) -> Result<(), WireError> {
-    let mut next = Some(reply);
-    while let Some(reply) = next {
-        match reply {
-            Reply::Row(value, write) if value.bytes.as_ref().is_some_and(|b| b.len() >= LARGE) => {
-                let (mut head, mut tail) = (std::mem::take(conn.write_buffer_mut()), BytesMut::new());
-                row_head(&value, &mut head);
-                row_tail(&value, write, &mut tail);
-                let bytes = value.bytes.unwrap_or_default();
-                let mut all = (&head[..]).chain(bytes).chain(tail);
-                in_time(conn.get_mut().write_all_buf(&mut all)).await?;
-                head.clear();
-                *conn.write_buffer_mut() = head;
-            }
-            Reply::Row(value, write) if value.flow.is_some() => flow(conn, value, write).await?,
-            reply => in_time(conn.feed(reply)).await?,
-        }
-        next = if owed.is_empty() { None } else { due(owed).now_or_never() };
-    }
-    in_time(SinkExt::<Reply>::flush(conn)).await
-}
-
-/// A client that takes in nothing for so long must not hold its seat for ever.
-async fn in_time<E: Into<WireError>>(write: impl Future<Output = Result<(), E>>) -> Result<(), WireError> {
-    match tokio::time::timeout(PATIENCE, write).await {
-        Ok(written) => written.map_err(Into::into),
-        Err(_) => Err(WireError::Io(ErrorKind::TimedOut.into())),
-    }
-}
-
-/// Passes on a large value as it comes. Its length stands before it, so that a client can tell when it breaks off:
-/// all that is left then is to end the connection.
-async fn flow(conn: &mut Conn, value: Value, write: bool) -> Result<(), WireError> {
-    let Some(flow) = &value.flow else { return Ok(()) };
-    let (mut head, mut left) = (std::mem::take(conn.write_buffer_mut()), flow.length());
-    row_head(&value, &mut head);
-    in_time(conn.get_mut().write_all(&head)).await?;
-    head.clear();
-    *conn.write_buffer_mut() = head;
-    loop {
-        match flow.next().await {
-            Some(Chunk::Bytes(mut bytes)) if bytes.len() <= left => {
-                left -= bytes.len();
-                in_time(conn.get_mut().write_all_buf(&mut bytes)).await?;
-            }
-            Some(Chunk::Whole) if left == 0 => break,
-            _ => return Err(WireError::Io(ErrorKind::UnexpectedEof.into())),
-        }
-    }
-    row_tail(&value, write, conn.write_buffer_mut());
-    Ok(())
-}
