--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -45,8 +45,8 @@
 }
 
 impl Waiting {
-    fn new(most: usize) -> Arc<Self> {
-        Arc::new(Waiting { count: AtomicUsize::new(0), wanted: Notify::new(), most })
+    fn new(most: usize) -> Self {
+        Waiting { count: AtomicUsize::new(0), wanted: Notify::new(), most }
     }
 
     async fn wanted(&self) {
@@ -67,41 +67,42 @@
 /// Permits for one sort of socket. Whoever finds none asks for room: a connection on which nothing sound was ever asked
 /// gives up its own first, then the one that has waited longest for something to do.
 #[derive(Clone)]
-pub struct DescriptorBudget {
+pub struct DescriptorBudget(Arc<DescriptorState>);
+
+struct DescriptorState {
     permits: Arc<Semaphore>,
-    strangers: Arc<Waiting>,
-    idle: Arc<Waiting>,
+    strangers: Waiting,
+    idle: Waiting,
     /// Permits for connections that are refused, and those who hold them.
     refusal_permits: Arc<Semaphore>,
-    refusals: Arc<Waiting>,
+    refusals: Waiting,
     size: usize,
     refusals_size: usize,
     /// Permits that another process of this proxy has.
-    lent: Arc<AtomicUsize>,
+    lent: AtomicUsize,
 }
 
 impl DescriptorBudget {
     /// Permits for `size` sockets, of which so many may be idle; of those of clients a few are for refusing.
     fn new(size: usize, idle: usize, refuses: bool) -> Self {
-        let (strangers, idle) = (Waiting::new(usize::MAX), Waiting::new(idle));
         // Where there are few permits, the one for refusing comes from the reserve.
         let refusals = if refuses { (size / REFUSAL_PART).min(REFUSALS_MAX) } else { 0 };
         let (size, refusals_size) = (size - refusals, refusals.max(1));
-        DescriptorBudget {
+        DescriptorBudget(Arc::new(DescriptorState {
             permits: Arc::new(Semaphore::new(size)),
-            strangers,
-            idle,
+            strangers: Waiting::new(usize::MAX),
+            idle: Waiting::new(idle),
             refusal_permits: Arc::new(Semaphore::new(refusals_size)),
             refusals: Waiting::new(usize::MAX),
             size,
             refusals_size,
-            lent: Arc::default(),
-        }
+            lent: AtomicUsize::new(0),
+        }))
     }
 
     /// A permit, if one is free now.
     pub fn try_permit(&self) -> Option<OwnedSemaphorePermit> {
-        self.permits.clone().try_acquire_owned().ok()
+        self.0.permits.clone().try_acquire_owned().ok()
     }
 
     /// A permit, once there is one.
@@ -110,19 +111,19 @@
             return Some(permit);
         }
         self.ask_for_room();
-        self.permits.clone().acquire_owned().await.ok()
+        self.0.permits.clone().acquire_owned().await.ok()
     }
 
     /// Tells the next connection that could give way. Whoever was told and cannot do so passes it on by this.
     pub fn ask_for_room(&self) {
         // With none of either sort there, the next to have nothing to do is told.
-        let strangers = self.strangers.count.load(Ordering::Relaxed) > 0;
-        if strangers { &self.strangers } else { &self.idle }.wanted.notify_one();
+        let strangers = self.0.strangers.count.load(Ordering::Relaxed) > 0;
+        if strangers { &self.0.strangers } else { &self.0.idle }.wanted.notify_one();
     }
 
     /// Waits until someone lacks a permit, or too many wait; they are told in turn, the longest waiting first.
     pub async fn wanted(&self) {
-        self.idle.wanted().await;
+        self.0.idle.wanted().await;
     }
 
     /// The same for a client's connection. `stranger`: nothing sound was ever asked on it, and nothing has come since
@@ -132,36 +133,36 @@
             return self.wanted().await;
         }
         tokio::time::sleep_until(quiet_since + QUIET_MIN).await;
-        self.strangers.wanted().await;
+        self.0.strangers.wanted().await;
     }
 
     /// A permit for refusing. With none free, whoever has had one for longest is told to hurry.
     pub async fn refusal_permit(&self) -> Option<OwnedSemaphorePermit> {
-        if let Ok(permit) = self.refusal_permits.clone().try_acquire_owned() {
+        if let Ok(permit) = self.0.refusal_permits.clone().try_acquire_owned() {
             return Some(permit);
         }
-        self.refusals.wanted.notify_one();
-        self.refusal_permits.clone().acquire_owned().await.ok()
+        self.0.refusals.wanted.notify_one();
+        self.0.refusal_permits.clone().acquire_owned().await.ok()
     }
 
     /// Waits until someone lacks a permit for refusing.
     pub async fn refusal_wanted(&self) {
-        self.refusals.wanted().await;
+        self.0.refusals.wanted().await;
     }
 
     /// All permits are back.
     pub fn all_back(&self) -> bool {
-        self.permits.available_permits() + self.lent.load(Ordering::Relaxed) == self.size
-            && self.refusal_permits.available_permits() == self.refusals_size
+        self.0.permits.available_permits() + self.0.lent.load(Ordering::Relaxed) == self.0.size
+            && self.0.refusal_permits.available_permits() == self.0.refusals_size
     }
 
     /// Half of the permits, as they come free, for as long as what is returned lives.
     async fn lend(&self) -> Lent {
-        let mut lent = Lent { permits: Vec::new(), count: self.lent.clone() };
-        for _ in 0..self.size / 2 {
+        let mut lent = Lent { permits: Vec::new(), of: self.clone() };
+        for _ in 0..self.0.size / 2 {
             if let Some(permit) = self.permit().await {
                 lent.permits.push(permit);
-                self.lent.fetch_add(1, Ordering::Relaxed);
+                self.0.lent.fetch_add(1, Ordering::Relaxed);
             }
         }
         lent
@@ -171,12 +172,12 @@
 /// Permits that another process has.
 struct Lent {
     permits: Vec<OwnedSemaphorePermit>,
-    count: Arc<AtomicUsize>,
+    of: DescriptorBudget,
 }
 
 impl Drop for Lent {
     fn drop(&mut self) {
-        self.count.fetch_sub(self.permits.len(), Ordering::Relaxed);
+        self.of.0.lent.fetch_sub(self.permits.len(), Ordering::Relaxed);
     }
 }
 
