Take a live request and the completion of an attempt out of the core's actor

Change: core::live holds the request, ended() hands a usable answer to completed(). No behaviour changes.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -4,20 +4,20 @@
 use super::counters::{count, Count};
 use super::lease::Lease;
 use super::ledger::SessionLedger;
+use super::live::LiveRequest;
 use super::{
-    violated, Answer, Attempt, Beside, Ending, Input, Listed, Members, Order, Request, Taken, Work, REQUEST,
+    violated, Answer, Attempt, Beside, Ending, Input, Listed, Members, Order, Request, Taken, Value, Work,
+    REQUEST,
 };
 use crate::clock::Clock;
 use crate::interface::*;
 use crate::knowledge::evidence::Recalled;
 use crate::overlay::Overlay;
 use crate::phases::Returning;
-use crate::policy::invariants::Progress;
 use crate::policy::member_clock::MemberClock;
 use crate::Router;
 use bytes::Bytes;
 use rustc_hash::FxHashMap;
-use smallvec::SmallVec;
 use std::collections::{HashSet, VecDeque};
 use std::pin::pin;
 use std::sync::Arc;
@@ -29,32 +29,6 @@
 /// Sessions remembered.
 const SESSIONS: usize = 16_384;
 
-struct Live {
-    request: Request,
-    came: Time,
-    /// Taken by the final answer or when the client leaves.
-    reply: Option<oneshot::Sender<Answer>>,
-    /// What a session read must see beyond what members check for it; 0: nothing.
-    unseen: Position,
-    attempts: SmallVec<[MemberId; 4]>,
-    out: u32,
-    /// An attempt may have run.
-    ran: bool,
-    /// Nobody waits for its answer, which is to be had all the same once it may have run.
-    abandoned: bool,
-}
-
-impl Live {
-    fn progress(&self) -> Progress {
-        Progress {
-            repeat: self.request.terms.classes[self.request.class].repeat,
-            may_have_run: self.ran,
-            out: self.out,
-            deadline: self.request.deadline,
-        }
-    }
-}
-
 fn given_up(why: GivenUp) -> Count {
     match why {
         GivenUp::NoTime => Count::given_up_no_time,
@@ -66,6 +40,20 @@
     }
 }
 
+fn ended_count(outcome: Outcome) -> Count {
+    match outcome {
+        Outcome::Completed => Count::completed,
+        Outcome::Errored => Count::errored,
+        Outcome::Saturated => Count::saturated,
+        Outcome::Overdue => Count::overdue,
+        Outcome::Refused => Count::connect_failed,
+        Outcome::Reset => Count::severed,
+        Outcome::Cancelled => Count::recalled,
+        Outcome::Superseded => Count::superseded,
+        Outcome::Miss => Count::missed,
+    }
+}
+
 /// The actor's state.
 pub struct Actor<M> {
     pub(super) router: Router,
@@ -80,7 +68,7 @@
     pub(super) overlay: Overlay,
     /// Another process of this proxy, while one lives.
     pub(super) beside: Option<Box<dyn Beside>>,
-    live: FxHashMap<RequestId, Live>,
+    live: FxHashMap<RequestId, LiveRequest>,
     /// The names of those.
     names: HashSet<Bytes>,
     pub(super) sessions: SessionLedger,
@@ -217,9 +205,9 @@
             Input::Abandoned(id) => {
                 let live = self.live.get_mut(&id).filter(|live| live.reply.is_some())?;
                 live.abandoned = true;
-                let nothing = live.out == 0 && !live.ran;
+                let untouched = live.untouched();
                 self.withdraw(id);
-                nothing.then(|| {
+                untouched.then(|| {
                     self.answer(id, Answer::Refused(None));
                     Event::Disconnected { id }
                 })
@@ -300,29 +288,14 @@
             wait_us = request.deadline.saturating_sub(now), repeat = request.repeat;
             "taken"
         );
-        let (reply, attempts) = (Some(reply), SmallVec::new());
-        self.live.insert(
-            id,
-            Live { request, came: now, reply, unseen, attempts, out: 0, ran: false, abandoned: false },
-        );
+        self.live.insert(id, LiveRequest::new(request, now, reply, unseen));
         self.returning.asked(now);
         Some(event)
     }
 
     fn ended(&mut self, id: RequestId, attempt: u32, ending: Ending, now: Time) -> Option<Event> {
-        use Outcome::*;
-        count(match ending.outcome {
-            Completed => Count::completed,
-            Errored => Count::errored,
-            Saturated => Count::saturated,
-            Overdue => Count::overdue,
-            Refused => Count::connect_failed,
-            Reset => Count::severed,
-            Cancelled => Count::recalled,
-            Superseded => Count::superseded,
-            Miss => Count::missed,
-        });
-        let member = self.live.get(&id).and_then(|l| l.attempts.get(attempt as usize)).map_or(0, |m| m.0);
+        count(ended_count(ending.outcome));
+        let member = self.live.get(&id).and_then(|live| live.member(attempt)).map_or(0, |member| member.0);
         log::debug!(
             target: REQUEST, id = id.0, attempt, member, outcome:? = ending.outcome, us = ending.spent;
             "attempt ended"
@@ -339,36 +312,19 @@
         // A value that has only begun to come may not have told yet what it shows; what is known already must do.
         let flows = value.as_ref().is_some_and(|v| v.flow.is_some());
         let proven = flows && self.router.position(MemberId(member)) >= live.unseen;
-        if outcome == Completed && live.unseen > 0 && !proven && note.as_ref().is_none_or(old) {
+        if outcome == Outcome::Completed && live.unseen > 0 && !proven && note.as_ref().is_none_or(old) {
             count(Count::stale_caught);
-            outcome = Miss;
+            outcome = Outcome::Miss;
         }
-        if outcome == Completed {
-            let write = live.request.terms.classes[live.request.class].need == Need::Write;
-            // A write whose commit cannot be read was committed by now at the latest.
-            let told = note.and_then(|n| n.position);
-            let position = told.or_else(|| write.then(|| self.clock.now()));
-            // Remembered before the answer leaves: whoever has the answer may read at once.
-            if let (true, Some(p)) = (write, position) {
-                for session in sessions(&live.request) {
-                    self.sessions.wrote(session, p);
-                    self.beside.iter_mut().for_each(|other| other.wrote(session, self.member_clock.told(p)));
-                }
-            }
-            let aim = live.request.terms.classes[live.request.class].aim;
-            if let (Some(value), Some(reply)) = (value, live.reply.take()) {
-                count(Count::served);
-                log::debug!(target: REQUEST, id = id.0, attempt, member; "served");
-                let commit = position.map(|local| self.member_clock.told(local));
-                let _ = reply.send(Answer::Served(value, commit));
-                self.returning.ended(live.came, now <= live.came + aim);
-            }
+        if outcome == Outcome::Completed {
+            self.completed(id, attempt, value, note, now);
         }
-        if matches!(outcome, Completed | Errored | Saturated | Miss) {
+        if matches!(outcome, Outcome::Completed | Outcome::Errored | Outcome::Saturated | Outcome::Miss) {
             self.returning.heard(now);
         }
-        live.ran |= !outcome.never_ran();
-        let abandoned = live.abandoned && live.out == 0 && !live.ran;
+        let live = self.live.get_mut(&id)?;
+        live.may_have_run |= !outcome.never_ran();
+        let abandoned = live.abandoned && live.untouched();
         let complete = live.reply.is_none() || abandoned;
         if abandoned {
             self.answer(id, Answer::Refused(None));
@@ -377,6 +333,39 @@
         Some(Event::Ended { id, attempt, outcome, complete, spent, note, report })
     }
 
+    /// An attempt has brought an answer that can be used: its commit is remembered, and the client gets the first value.
+    fn completed(
+        &mut self,
+        id: RequestId,
+        attempt: u32,
+        value: Option<Value>,
+        note: Option<Note>,
+        now: Time,
+    ) {
+        let Some(live) = self.live.get_mut(&id) else { return };
+        let write = live.class().need == Need::Write;
+        // A write whose commit cannot be read was committed by now at the latest.
+        let told = note.and_then(|note| note.position);
+        let position = told.or_else(|| write.then(|| self.clock.now()));
+        // Remembered before the answer leaves: whoever has the answer may read at once.
+        if let (true, Some(commit)) = (write, position) {
+            for session in sessions(&live.request) {
+                self.sessions.wrote(session, commit);
+                let told = self.member_clock.told(commit);
+                self.beside.iter_mut().for_each(|other| other.wrote(session, told));
+            }
+        }
+        let in_time = now <= live.came + live.class().aim;
+        if let (Some(value), Some(reply)) = (value, live.reply.take()) {
+            count(Count::served);
+            let member = live.member(attempt).map_or(0, |member| member.0);
+            log::debug!(target: REQUEST, id = id.0, attempt, member; "served");
+            let commit = position.map(|local| self.member_clock.told(local));
+            let _ = reply.send(Answer::Served(value, commit));
+            self.returning.ended(live.came, in_time);
+        }
+    }
+
     /// Forgets a request that is over and has nothing out.
     fn settle(&mut self, id: RequestId) {
         if self.live.get(&id).is_some_and(|l| l.reply.is_none() && l.out == 0) {
@@ -414,8 +403,8 @@
         match action {
             Action::Send { id, member, stop_at } => self.send(now, id, member, stop_at),
             Action::Cancel { id, attempt } => {
-                if let Some(m) = self.live.get(&id).and_then(|l| l.attempts.get(attempt as usize)) {
-                    self.members.cancel(*m, id, attempt);
+                if let Some(member) = self.live.get(&id).and_then(|live| live.member(attempt)) {
+                    self.members.cancel(member, id, attempt);
                 }
             }
             Action::Refuse { id, retry_after } => {
@@ -458,7 +447,7 @@
         let number = live.attempts.len() as u32;
         live.attempts.push(member);
         let stop_at = stop_at.unwrap_or(Time::MAX).min(live.request.deadline);
-        let safe = live.request.terms.classes[live.request.class].repeat == Repeat::Safe;
+        let safe = live.class().repeat == Repeat::Safe;
         let by = self.lease.as_ref().map_or(Time::MAX, Lease::until);
         let attempt = Attempt {
             id,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -9,6 +9,7 @@
 pub mod flow;
 pub mod lease;
 pub mod ledger;
+mod live;
 mod member_times;
 mod orders;
 
