--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -1,7 +1,7 @@
 //! The module's actor. It alone owns the [`Router`]: it drains its mailbox, makes one step of what came, and carries
 //! out the actions. It never waits for anyone but its mailbox and its wake-up, so that all may wait for it.
 
-use super::counters::{count, Count};
+use super::counters::{count, counted, Count};
 use super::lease::Lease;
 use super::ledger::SessionLedger;
 use super::live::LiveRequest;
@@ -26,6 +26,8 @@
 
 /// Most messages that go into one step.
 const BATCH: usize = 256;
+/// Of answers that are not used the log tells one in so many.
+const STALE_ANSWERS_TOLD: u64 = 1_000;
 /// Sessions remembered.
 const SESSIONS: usize = 16_384;
 
@@ -284,8 +286,8 @@
         };
         let unseen = if proven { token } else { 0 };
         log::debug!(
-            target: REQUEST, id = id.0, class = request.terms.class_name(request.class), group = request.group,
-            wait_us = request.deadline.saturating_sub(now), repeat = request.repeat;
+            target: REQUEST, id = id.0, name:? = request.name, class = request.terms.class_name(request.class),
+            group = request.group, wait_us = request.deadline.saturating_sub(now), repeat = request.repeat, unseen;
             "taken"
         );
         self.live.insert(id, LiveRequest::new(request, now, reply, unseen));
@@ -313,7 +315,14 @@
         let flows = value.as_ref().is_some_and(|v| v.flow.is_some());
         let proven = flows && self.router.position(MemberId(member)) >= live.unseen;
         if outcome == Outcome::Completed && live.unseen > 0 && !proven && note.as_ref().is_none_or(old) {
+            if counted(Count::stale_caught).is_multiple_of(STALE_ANSWERS_TOLD) {
+                log::warn!(target: REQUEST, id = id.0, member; "an answer is not used: it may be older than its session");
+            }
             count(Count::stale_caught);
+            log::debug!(
+                target: REQUEST, id = id.0, attempt, member, note:?, unseen = live.unseen;
+                "answer not used, as it does not prove to be recent enough"
+            );
             outcome = Outcome::Miss;
         }
         if outcome == Outcome::Completed {
@@ -377,7 +386,11 @@
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(live) = self.live.get_mut(&id) else { return };
         let Some(reply) = live.reply.take() else { return };
-        log::debug!(target: REQUEST, id = id.0, answer:? = answer; "answered without a value");
+        log::debug!(
+            target: REQUEST, id = id.0, answer:? = answer, attempts = live.attempts.len(), out = live.out,
+            may_have_run = live.may_have_run;
+            "answered without a value"
+        );
         count(match answer {
             Answer::Refused(_) => Count::refused,
             Answer::Late => Count::late,
