Let stand-in members answer without a position, or with an error inside an answer

- Members: `mute` and `unplaced` answers tell nothing of the member, or no position; `marred PLACE CODE` puts an error into, before or behind an answer of one row; `full-behind US` sends a refusal twice.
- Scenarios: a setting in front of `start` holds from the start; `traced` follows each request in the log; `sum N read K` counts over all members; `expect no refusal` takes any answer but 53300, 57P03 and, by OData, 503.

--- a/crates/standins/src/member.rs
+++ b/crates/standins/src/member.rs
@@ -15,6 +15,21 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
 
+/// Where in a whole answer an error stands that does not belong there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ErrorPlace {
+    /// Behind the description of the row, in place of the rest.
+    AfterDescription,
+    /// Behind the row, in place of the command's end.
+    AfterRow,
+    /// Behind the command's end.
+    AfterCompletion,
+    /// As a whole answer of its own, right in front of the real one.
+    BeforeAnswer,
+    /// As a whole answer of its own, right behind the real one.
+    BehindAnswer,
+}
+
 /// What a member does with statements.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Behaviour {
@@ -53,24 +68,32 @@
     Swapped,
     /// Reports on itself what cannot be true.
     Boast,
+    /// Runs them, and its answers tell neither its role nor its position; its reports do.
+    Mute,
+    /// Runs them, and its answers tell its role without its position.
+    Unplaced,
+    /// Runs them, and an error with this SQLSTATE stands in the answer.
+    Marred(ErrorPlace, [u8; 5]),
+    /// Turns them away, unseen, and a second copy of that comes so much later, before anything else is read.
+    FullBehind(Duration),
 }
 
 impl FromStr for Behaviour {
     type Err = String;
 
     /// `answer`, `hold` and so on; `after` is a copy 30 ms later, `behind US` one after so many microseconds, `broken N`
-    /// a reset after N bytes.
+    /// a reset after N bytes, `marred PLACE CODE` an error in an answer.
     fn from_str(text: &str) -> Result<Self, String> {
         let (word, number) = text.split_once(' ').unwrap_or((text, ""));
-        let number = |what| number.parse::<u64>().map_err(|_| format!("{text}: no number of {what}"));
+        let digits = |what| number.parse::<u64>().map_err(|_| format!("{text}: no number of {what}"));
         Ok(match word {
             "answer" => Behaviour::Answer,
             "hold" => Behaviour::Hold,
             "shut" => Behaviour::Shut,
             "reset" => Behaviour::Reset,
             "half" => Behaviour::Half,
-            "broken" => Behaviour::Broken(number("bytes")? as usize),
-            "paused" => Behaviour::Paused(number("bytes")? as usize),
+            "broken" => Behaviour::Broken(digits("bytes")? as usize),
+            "paused" => Behaviour::Paused(digits("bytes")? as usize),
             "full" => Behaviour::Full,
             "unready" => Behaviour::Unready,
             "noisy" => Behaviour::Noisy,
@@ -78,15 +101,37 @@
             "miss" => Behaviour::Miss,
             "twice" => Behaviour::Twice,
             "after" => Behaviour::Behind(Duration::from_millis(30)),
-            "behind" => Behaviour::Behind(Duration::from_micros(number("us")?)),
+            "behind" => Behaviour::Behind(Duration::from_micros(digits("us")?)),
             "stall" => Behaviour::Stall,
             "swapped" => Behaviour::Swapped,
             "boast" => Behaviour::Boast,
+            "mute" => Behaviour::Mute,
+            "unplaced" => Behaviour::Unplaced,
+            "marred" => Behaviour::marred(number)?,
+            "full-behind" => Behaviour::FullBehind(Duration::from_micros(digits("us")?)),
             _ => return Err(format!("no member does '{text}'")),
         })
     }
 }
 
+impl Behaviour {
+    /// Reads `PLACE CODE`.
+    fn marred(text: &str) -> Result<Self, String> {
+        let unknown = || format!("no answer is marred as '{text}'");
+        let (place, code) = text.split_once(' ').ok_or_else(unknown)?;
+        let place = match place {
+            "after-description" => ErrorPlace::AfterDescription,
+            "after-row" => ErrorPlace::AfterRow,
+            "after-completion" => ErrorPlace::AfterCompletion,
+            "before" => ErrorPlace::BeforeAnswer,
+            "behind" => ErrorPlace::BehindAnswer,
+            _ => return Err(unknown()),
+        };
+        let code = code.as_bytes().try_into().map_err(|_| unknown())?;
+        Ok(Behaviour::Marred(place, code))
+    }
+}
+
 /// How much work a member can take.
 #[derive(Debug, Clone, Copy)]
 pub struct Capacity {
@@ -383,7 +428,7 @@
                 Behaviour::Boast => "x0=9e99,x1=1,q=0".to_string(),
                 _ => format!("x0={:.3},x1={},q=0", position as f64 / 1e3, u8::from(primary)),
             };
-            row(reply, report.as_bytes(), 25, (primary, position));
+            row(reply, report.as_bytes(), 25, Tells::All(primary, position));
             return Then::Go;
         }
         let key = sql.split('\'').nth(1).unwrap_or_default();
@@ -397,7 +442,9 @@
             self.tells(|_| What::Allowed { id: number, wait: ms * 1000 });
         }
         let refusal = match does {
-            Behaviour::Full | Behaviour::Unready | Behaviour::Noisy => Some("53300"),
+            Behaviour::Full | Behaviour::Unready | Behaviour::Noisy | Behaviour::FullBehind(_) => {
+                Some("53300")
+            }
             Behaviour::Error => Some("XX000"),
             Behaviour::Miss => Some("72000"),
             _ if write && !primary => Some("25006"),
@@ -411,6 +458,7 @@
             match does {
                 Behaviour::Unready => reply.truncate(reply.len() - 6),
                 Behaviour::Noisy => reply.extend([0xff; 40]),
+                Behaviour::FullBehind(later) => return Then::Copy(later),
                 _ => {}
             }
             return Then::Go;
@@ -429,7 +477,12 @@
         } else {
             (self.0.group.read(key, if primary { u64::MAX } else { position }), position)
         };
-        row(reply, value.as_deref().unwrap_or_default(), 17, (primary, commit));
+        let tells = match does {
+            Behaviour::Mute => Tells::Nothing,
+            Behaviour::Unplaced => Tells::Role(primary),
+            _ => Tells::All(primary, commit),
+        };
+        row(reply, value.as_deref().unwrap_or_default(), 17, tells);
         self.spoil(does, reply).await
     }
 
@@ -505,6 +558,10 @@
             }
             Behaviour::Behind(later) => Then::Copy(later),
             Behaviour::Paused(bytes) => Then::Pause(bytes),
+            Behaviour::Marred(place, code) => {
+                mar(reply, place, &code);
+                Then::Go
+            }
             Behaviour::Swapped => {
                 let row =
                     1 + reply[DESCRIPTION + 1..].first_chunk().map_or(0, |l| u32::from_be_bytes(*l)) as usize;
@@ -527,8 +584,46 @@
     }
 }
 
+/// What an answer tells of its member.
+#[derive(Debug, Clone, Copy)]
+enum Tells {
+    Nothing,
+    /// Whether it is the primary.
+    Role(bool),
+    /// That, and its position or the write's commit in Unix ms.
+    All(bool, u64),
+}
+
+/// Puts an error with this code into a whole answer of one row.
+fn mar(reply: &mut Vec<u8>, place: ErrorPlace, code: &[u8; 5]) {
+    /// Tag and length of a message.
+    const HEAD: usize = 5;
+    let code = String::from_utf8_lossy(code).into_owned();
+    let (whole, error) = (wire::error(&code), message_of_error(&code));
+    let message_end = |at: usize| {
+        let length = reply[at + 1..].first_chunk().map_or(0, |length| u32::from_be_bytes(*length));
+        at + HEAD - 4 + length as usize
+    };
+    let description_ends = message_end(0);
+    let row_ends = message_end(description_ends);
+    let command_ends = message_end(row_ends);
+    let ready = wire::message(b'Z', b"I");
+    *reply = match place {
+        ErrorPlace::AfterDescription => [&reply[..description_ends], &error, &ready].concat(),
+        ErrorPlace::AfterRow => [&reply[..row_ends], &error, &ready].concat(),
+        ErrorPlace::AfterCompletion => [&reply[..command_ends], &error, &ready].concat(),
+        ErrorPlace::BeforeAnswer => [&whole[..], reply].concat(),
+        ErrorPlace::BehindAnswer => [&reply[..], &whole].concat(),
+    };
+}
+
+/// An error that leaves the connection open, without ReadyForQuery.
+fn message_of_error(code: &str) -> Vec<u8> {
+    wire::message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes())
+}
+
 /// A whole answer of one row, with what it tells of the member.
-fn row(to: &mut Vec<u8>, value: &[u8], type_id: u32, (primary, commit): (bool, u64)) {
+fn row(to: &mut Vec<u8>, value: &[u8], type_id: u32, tells: Tells) {
     let column = [&[0, 1, b'v', 0][..], &[0; 6], &type_id.to_be_bytes(), &[0; 6], &[0, 1]].concat();
     wire::put(to, b'T', &column);
     to.push(b'D');
@@ -537,7 +632,11 @@
     to.extend((value.len() as u32).to_be_bytes());
     to.extend(value);
     wire::put(to, b'C', b"DONE 1\0");
-    wire::put(to, b'S', if primary { b"mode\0read-write\0" } else { b"mode\0read-only\0" });
-    wire::put(to, b'S', format!("wal_time\0{commit}\0").as_bytes());
+    if let Tells::Role(primary) | Tells::All(primary, _) = tells {
+        wire::put(to, b'S', if primary { b"mode\0read-write\0" } else { b"mode\0read-only\0" });
+    }
+    if let Tells::All(_, commit) = tells {
+        wire::put(to, b'S', format!("wal_time\0{commit}\0").as_bytes());
+    }
     wire::put(to, b'Z', b"I");
 }
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -3,10 +3,10 @@
 //!
 //! ```text
 //! member p primary            a member of group 1; replicas name their lag in ms: member r replica 400
-//! start [odata] [dnssd] [watching] [pushed] [small] [few] [brief] [scant] [patient]   the proxy, with the members so far as its list; for dnssd it must browse for
+//! start [odata] [dnssd] [watching] [pushed] [small] [few] [brief] [scant] [patient] [traced]   the proxy, with the members so far as its list; for dnssd it must browse for
 //!                             them, watching: it has discovery to watch, pushed: an agent of its own, and 500 ms of drain grace, small: it has 40 descriptors, few: 60,
 //!                             brief: members close what is idle for 500 ms, scant: it has 16 MiB, patient: it waits 30 s for a
-//!                             connection to a member
+//!                             connection to a member, traced: its log follows each request (printed where a test fails)
 //! dns does list p 2           a DNS server names member p with this time to live in seconds; `broken p 2`: without
 //!                             its TXT record; `drop p`: no longer; `garbage`: answers with what is no DNS message
 //! list does leaving p         discovery tells that p is `active`, `leaving` or has `left` (start watching)
@@ -19,13 +19,16 @@
 //!                             half of the file that says so, `config does whole` all of it, `hup` sends SIGHUP
 //! config adds NAME read_like any   the configuration gets another class; `config drops NAME`; `config sets limits/max_attempts 2`
 //!                             sets a value of the settings, `config lacks limits/max_attempts` leaves it out; until `config
-//!                             does whole` and `hup` nobody knows
+//!                             does whole` and `hup` nobody knows; in front of `start` a set value holds from the start
 //! counts NAME 1               one of the proxy's counters reaches this; `counts NAME under 9`: is less than that now
 //! p does hold                 answer | hold | reset | half | full | error | miss: what p does with statements from now on;
 //!                             twice: a second copy comes right behind, after: one comes 30 ms later, behind US: one comes so
 //!                             many microseconds later, broken N: a reset after N bytes of the answer, stall: half an
 //!                             answer and no more, swapped: a row before its description, unready: full without
-//!                             ReadyForQuery, noisy: full and noise; shut: new connections get no welcome; boast: a report that cannot be true
+//!                             ReadyForQuery, noisy: full and noise; shut: new connections get no welcome; boast: a report that cannot be true,
+//!                             mute: answers tell neither role nor position, unplaced: no position; full-behind US: full, and a copy so
+//!                             many microseconds later; marred PLACE CODE: an error `after-description`, `after-row`, `after-completion`
+//!                             of a row, or a whole one `before` or `behind` the answer
 //! p does replica 9000         p's role and lag from now on
 //! a send read K C [after=MS]  client a sends a read of key K in class C by PostgreSQL ...
 //! a send write K HEX          ... or a booking; `raw TEXT` sends a statement as it is, `bytes HEX` sends bytes,
@@ -33,6 +36,8 @@
 //!                             `bye` the goodbye, `wire TEXT` text to OData, with \n for line ends
 //! o send GET K C [h=v ...]    client o does so by OData; also `POST K HEX` and `http METHOD TARGET`
 //! a expect row HEX            or `row -` if empty, `error CODE [detail]`, `empty`, `closed`; for OData `STATUS [text in the response]`
+//! a expect no refusal         an answer of any sort but 53300 or 57P03 (by OData 503), which promise that trying again is harmless
+//! sum 1 read K                all members together have been given that many such statements
 //! p expect 1 write K          p has been given that many statements so far that begin so
 //! p expect 2 opened           so many connections have come to p
 //! a close                     resets the connection; `a fin` ends it in order, and a may still listen
@@ -89,6 +94,8 @@
     dns: Dns,
     registry: Registry,
     config: Value,
+    /// Values of the settings that were set before the start, by their paths.
+    preset: Vec<(String, Value)>,
     clock: Option<Instant>,
     descriptors: usize,
     proxy: Option<Proxy>,
@@ -179,6 +186,9 @@
             }
             ["config", "sets", path, ..] => {
                 let value = serde_json::from_str(rest(3)).expect(line);
+                if self.proxy.is_none() {
+                    return self.preset.push((path.to_string(), value));
+                }
                 *self.config.pointer_mut(&format!("/settings/{path}")).expect(line) = value;
             }
             ["config", "lacks", path] => {
@@ -207,6 +217,11 @@
             }
             ["dns", "does", ref what @ ..] => self.name(what),
             ["counts", name, least] => self.counts(name, least.parse().unwrap()),
+            ["sum", count, what, key] => {
+                let what = format!("{what} {key}");
+                let given: usize = self.members.iter().map(|(_, member)| member.given(&what)).sum();
+                assert_eq!(given, count.parse::<usize>().unwrap(), "{line}");
+            }
             ["console", code, ..] => self.called(self.proxy(), code, rest(2), line),
             ["silent", n] => {
                 let address = self.proxy().console.expect("start console");
@@ -351,9 +366,9 @@
     fn start(&mut self, with: &[&str]) {
         let words = [
             "odata", "dnssd", "watching", "pushed", "small", "few", "brief", "scant", "console", "handed",
-            "patient",
+            "patient", "traced",
         ];
-        let [odata, dnssd, watching, pushed, small, few, brief, scant, console, handed, patient] =
+        let [odata, dnssd, watching, pushed, small, few, brief, scant, console, handed, patient, traced] =
             words.map(|w| with.contains(&w));
         let members = self.members.iter().filter(|_| !dnssd).enumerate();
         let list: Vec<_> = members.map(|(i, (_, m))| entry(i, m.address())).collect();
@@ -364,6 +379,9 @@
         if patient {
             settings["limits"]["connect_timeout_us"] = 30_000_000.into();
         }
+        for (path, value) in self.preset.drain(..) {
+            *settings.pointer_mut(&format!("/{path}")).expect("a setting of that name") = value;
+        }
         let mut discovery = "127.0.0.1:9".to_string();
         if watching {
             settings["discovery"] = "subscribe".into();
@@ -392,7 +410,7 @@
             odata,
             browse: dnssd.then(|| self.dns.start()),
             loud: true,
-            log: None,
+            log: traced.then(|| "info,request=debug".to_string()),
             listener: handed.then(listener),
             shared: handed.then(shared),
             ..Setup::default()
@@ -494,6 +512,9 @@
 
     fn expect(&mut self, who: &str, what: &[&str], line: &str) {
         let stream = self.clients.get_mut(who).expect("a client that has sent something");
+        if what == ["no", "refusal"] {
+            return no_refusal(stream, line);
+        }
         if let Ok(status) = what[0].parse::<u16>() {
             let response = read_http(stream, line);
             assert!(response.starts_with(&format!("HTTP/1.1 {status} ")), "{line}: {response}");
@@ -530,6 +551,27 @@
     }
 }
 
+/// Reads one answer, by either front.
+fn no_refusal(stream: &mut TcpStream, line: &str) {
+    let mut first = [0];
+    stream.peek(&mut first).expect("an answer");
+    if first == *b"H" {
+        let response = read_http(stream, line);
+        return assert!(!response.starts_with("HTTP/1.1 503 "), "{line}: {response}");
+    }
+    loop {
+        match read_message(stream, true).expect("a whole answer") {
+            (b'Z', _) => return,
+            (b'E', body) => {
+                let text = String::from_utf8_lossy(&body).into_owned();
+                let refused = ["C53300", "C57P03"].iter().any(|code| text.split('\0').any(|f| f == *code));
+                assert!(!refused, "{line}: {text:?}");
+            }
+            _ => {}
+        }
+    }
+}
+
 fn read_http(stream: &mut TcpStream, line: &str) -> String {
     let mut text = Vec::new();
     let mut byte = [0];
