Keep what an attempt may have done apart from what becomes of its answer

Cause: Outcome said two things at once. core::actor, ended, does not pass on a session read's answer that may be older than its session, and gave the attempt the outcome Miss for that, 'turned away untouched'. The router (Fate), the core (live.ran) and the check at run time (policy::invariants) all read it there, so that the read was sent on and refused, and no violation was counted. Change: core::live keeps a state for each attempt, set once, from its end on the wire; refusals, repeats and the check at run time go by that. An answer that is not used has an outcome of its own (Stale), which proves nothing. The check knows keyed classes too: window, and refusals where not all members know a repeat. Why it works: nothing that is made of an answer can reach the record of what ran, and the router gets no outcome that denies the run. The test of invariants.rs moved to a file of its own, for the changed fields of Progress, with the same assertions and more.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -53,6 +53,7 @@
         Outcome::Cancelled => Count::recalled,
         Outcome::Superseded => Count::superseded,
         Outcome::Miss => Count::missed,
+        Outcome::Stale => Count::stale_caught,
     }
 }
 
@@ -239,8 +240,8 @@
 
     /// What waits for a connection would begin after its client has gone; what has begun is the module's to stop.
     fn withdraw(&mut self, id: RequestId) {
-        for (number, member) in self.live.get(&id).iter().flat_map(|live| live.attempts.iter().enumerate()) {
-            self.members.withdraw(*member, id, number as u32);
+        for (number, member) in self.live.get(&id).iter().flat_map(|live| live.numbered()) {
+            self.members.withdraw(member, id, number);
         }
     }
 
@@ -303,36 +304,19 @@
             "attempt ended"
         );
         let live = self.live.get_mut(&id)?;
-        live.out = live.out.saturating_sub(1);
-        let Ending { mut outcome, value, note, report, spent } = ending;
+        live.end_attempt(attempt, ending.outcome);
+        let Ending { outcome, value, note, report, spent } = ending;
         let note = note.map(|note| self.heard_note(note, spent, now));
         let report = report.and_then(|report| self.heard_report(report, spent, now));
-        let live = self.live.get_mut(&id)?;
-        // A member that was taken for the primary, or for further on than it is, may answer from before the
-        // session's last write. Such an answer is not passed on; the read goes elsewhere like any miss.
-        let old = |n: &Note| n.role != Some(Role::Primary) && n.position.is_none_or(|p| p < live.unseen);
-        // A value that has only begun to come may not have told yet what it shows; what is known already must do.
-        let flows = value.as_ref().is_some_and(|v| v.flow.is_some());
-        let proven = flows && self.router.position(MemberId(member)) >= live.unseen;
-        if outcome == Outcome::Completed && live.unseen > 0 && !proven && note.as_ref().is_none_or(old) {
-            if counted(Count::stale_caught).is_multiple_of(STALE_ANSWERS_TOLD) {
-                log::warn!(target: REQUEST, id = id.0, member; "an answer is not used: it may be older than its session");
-            }
-            count(Count::stale_caught);
-            log::debug!(
-                target: REQUEST, id = id.0, attempt, member, note:?, unseen = live.unseen;
-                "answer not used, as it does not prove to be recent enough"
-            );
-            outcome = Outcome::Miss;
-        }
+        let flows = value.as_ref().is_some_and(|value| value.flow.is_some());
+        let outcome = self.usable(id, attempt, outcome, note, flows);
         if outcome == Outcome::Completed {
             self.completed(id, attempt, value, note, now);
         }
-        if matches!(outcome, Outcome::Completed | Outcome::Errored | Outcome::Saturated | Outcome::Miss) {
+        if outcome.answered() {
             self.returning.heard(now);
         }
         let live = self.live.get_mut(&id)?;
-        live.may_have_run |= !outcome.never_ran();
         let abandoned = live.abandoned && live.untouched();
         let complete = live.reply.is_none() || abandoned;
         if abandoned {
@@ -342,6 +326,34 @@
         Some(Event::Ended { id, attempt, outcome, complete, spent, note, report })
     }
 
+    /// What the module is told of an attempt: a member that was taken for the primary, or for further on than it is, may serve a
+    /// session read from before the session's last write. Such an answer is not passed on; that it ran stands.
+    fn usable(
+        &self,
+        id: RequestId,
+        attempt: u32,
+        outcome: Outcome,
+        note: Option<Note>,
+        flows: bool,
+    ) -> Outcome {
+        let Some(live) = self.live.get(&id).filter(|_| outcome == Outcome::Completed) else { return outcome };
+        let member = live.member(attempt).map_or(0, |member| member.0);
+        // A value that has only begun to come may not have told yet what it shows; what is known already must do.
+        let known = flows && self.router.position(MemberId(member)) >= live.unseen;
+        if known || live.shows_session(note.as_ref()) {
+            return outcome;
+        }
+        if counted(Count::stale_caught).is_multiple_of(STALE_ANSWERS_TOLD) {
+            log::warn!(target: REQUEST, id = id.0, member; "an answer is not used: it may be older than its session");
+        }
+        count(Count::stale_caught);
+        log::debug!(
+            target: REQUEST, id = id.0, attempt, member, note:?, unseen = live.unseen;
+            "answer not used, as it does not prove to be recent enough"
+        );
+        Outcome::Stale
+    }
+
     /// An attempt has brought an answer that can be used: its commit is remembered, and the client gets the first value.
     fn completed(
         &mut self,
@@ -377,7 +389,7 @@
 
     /// Forgets a request that is over and has nothing out.
     fn settle(&mut self, id: RequestId) {
-        if self.live.get(&id).is_some_and(|l| l.reply.is_none() && l.out == 0) {
+        if self.live.get(&id).is_some_and(|l| l.reply.is_none() && l.out() == 0) {
             let name = self.live.remove(&id).and_then(|l| l.request.name);
             name.map(|name| self.names.remove(&name));
         }
@@ -387,8 +399,8 @@
         let Some(live) = self.live.get_mut(&id) else { return };
         let Some(reply) = live.reply.take() else { return };
         log::debug!(
-            target: REQUEST, id = id.0, answer:? = answer, attempts = live.attempts.len(), out = live.out,
-            may_have_run = live.may_have_run;
+            target: REQUEST, id = id.0, answer:? = answer, attempts = live.attempts(), out = live.out(),
+            may_have_run = live.may_have_run();
             "answered without a value"
         );
         count(match answer {
@@ -457,8 +469,8 @@
 
     fn send(&mut self, now: Time, id: RequestId, member: MemberId, stop_at: Option<Time>) {
         let Some(live) = self.live.get_mut(&id) else { return };
-        let number = live.attempts.len() as u32;
-        live.attempts.push(member);
+        let kept = live.progress().may_send(now);
+        let number = live.begin_attempt(member, now);
         let stop_at = stop_at.unwrap_or(Time::MAX).min(live.request.deadline);
         let safe = live.class().repeat == Repeat::Safe;
         let by = self.lease.as_ref().map_or(Time::MAX, Lease::until);
@@ -472,17 +484,16 @@
             client: live.request.client.clone().filter(|_| !live.abandoned),
             client_seen: live.came,
         };
-        let may = live.reply.is_some() && now < stop_at && live.attempts.len() <= self.max_attempts;
-        let kept = live.progress().may_send(now);
+        let may = live.reply.is_some() && now < stop_at && live.attempts() <= self.max_attempts;
         if let Err(violation) = kept {
             violated(id, Some(member), violation);
         }
         if may && kept.is_ok() && self.members.attempt(member, attempt) {
-            live.out += 1;
             count(Count::attempts);
             log::debug!(target: REQUEST, id = id.0, attempt = number, member = member.0; "sent");
             return;
         }
+        live.end_attempt(number, Outcome::Superseded);
         count(Count::superseded);
         self.local.push_back(Event::Ended {
             id,
--- a/src/core/live.rs
+++ b/src/core/live.rs
@@ -3,7 +3,7 @@
 //! | an attempt is | until | then |
 //! | --- | --- | --- |
 //! | out | its member's answer, or its end without one | without effect, or possibly run |
-//! | without effect, possibly run | | for good: what is made of the answer later changes nothing |
+//! | without effect, possibly run | | for good: whatever is made of the answer later changes nothing |
 
 use super::{Answer, Request};
 use crate::interface::*;
@@ -11,6 +11,21 @@
 use smallvec::SmallVec;
 use tokio::sync::oneshot;
 
+/// What has become of an attempt, by its end on the wire alone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum AttemptState {
+    Out,
+    WithoutEffect,
+    PossiblyRun,
+}
+
+/// One attempt.
+struct LiveAttempt {
+    member: MemberId,
+    sent: Time,
+    state: AttemptState,
+}
+
 /// One request.
 pub(super) struct LiveRequest {
     pub request: Request,
@@ -19,12 +34,7 @@
     pub reply: Option<oneshot::Sender<Answer>>,
     /// What a session read must see beyond what members check for it; 0: nothing.
     pub unseen: Position,
-    /// Members of its attempts, in their order.
-    pub attempts: SmallVec<[MemberId; 4]>,
-    /// Attempts of which the end is not known.
-    pub out: u32,
-    /// An attempt may have run.
-    pub may_have_run: bool,
+    attempts: SmallVec<[LiveAttempt; 4]>,
     /// Nobody waits for its answer, which is to be had all the same once it may have run.
     pub abandoned: bool,
 }
@@ -32,16 +42,8 @@
 impl LiveRequest {
     /// One that has just come, with nothing sent yet.
     pub fn new(request: Request, came: Time, reply: oneshot::Sender<Answer>, unseen: Position) -> Self {
-        LiveRequest {
-            request,
-            came,
-            reply: Some(reply),
-            unseen,
-            attempts: SmallVec::new(),
-            out: 0,
-            may_have_run: false,
-            abandoned: false,
-        }
+        let (reply, attempts) = (Some(reply), SmallVec::new());
+        LiveRequest { request, came, reply, unseen, attempts, abandoned: false }
     }
 
     /// Its class.
@@ -49,23 +51,71 @@
         &self.request.terms.classes[self.request.class]
     }
 
+    /// How many attempts were decided on, sent or not.
+    pub fn attempts(&self) -> usize {
+        self.attempts.len()
+    }
+
+    /// Its attempts, by number.
+    pub fn numbered(&self) -> impl Iterator<Item = (u32, MemberId)> + '_ {
+        self.attempts.iter().enumerate().map(|(number, attempt)| (number as u32, attempt.member))
+    }
+
+    /// The member that an attempt went to.
+    pub fn member(&self, attempt: u32) -> Option<MemberId> {
+        self.attempts.get(attempt as usize).map(|attempt| attempt.member)
+    }
+
+    /// Attempts of which the end is not known.
+    pub fn out(&self) -> usize {
+        self.attempts.iter().filter(|attempt| attempt.state == AttemptState::Out).count()
+    }
+
+    /// An attempt may have run.
+    pub fn may_have_run(&self) -> bool {
+        self.attempts.iter().any(|attempt| attempt.state == AttemptState::PossiblyRun)
+    }
+
+    /// Nothing of it has run, and nothing of it is out.
+    pub fn untouched(&self) -> bool {
+        self.attempts.iter().all(|attempt| attempt.state == AttemptState::WithoutEffect)
+    }
+
     /// What the rules on repeats and refusals are checked by.
     pub fn progress(&self) -> Progress {
+        let first = self.attempts.iter().find(|attempt| attempt.state != AttemptState::WithoutEffect);
         Progress {
             repeat: self.class().repeat,
-            may_have_run: self.may_have_run,
-            out: self.out,
+            first_possible_run: first.map(|attempt| attempt.sent),
             deadline: self.request.deadline,
         }
     }
 
-    /// The member that an attempt went to.
-    pub fn member(&self, attempt: u32) -> Option<MemberId> {
-        self.attempts.get(attempt as usize).copied()
+    /// An attempt is decided on; its number. It counts as out until it has ended.
+    pub fn begin_attempt(&mut self, member: MemberId, sent: Time) -> u32 {
+        self.attempts.push(LiveAttempt { member, sent, state: AttemptState::Out });
+        self.attempts.len() as u32 - 1
     }
 
-    /// Nothing of it has run, and nothing of it is out.
-    pub fn untouched(&self) -> bool {
-        self.out == 0 && !self.may_have_run
+    /// An attempt has ended so on the wire. Its first end counts.
+    pub fn end_attempt(&mut self, attempt: u32, outcome: Outcome) {
+        let attempt = self.attempts.get_mut(attempt as usize);
+        let Some(attempt) = attempt.filter(|attempt| attempt.state == AttemptState::Out) else { return };
+        attempt.state = match outcome.never_ran() {
+            true => AttemptState::WithoutEffect,
+            false => AttemptState::PossiblyRun,
+        };
+    }
+
+    /// Whether an answer that tells this shows what its session has written.
+    pub fn shows_session(&self, note: Option<&Note>) -> bool {
+        let shows = |note: &Note| {
+            note.role == Some(Role::Primary) || note.position.is_some_and(|position| position >= self.unseen)
+        };
+        self.unseen == 0 || note.is_some_and(shows)
     }
 }
+
+#[cfg(test)]
+#[path = "live_tests.rs"]
+mod tests;
--- /dev/null
+++ b/src/core/live_tests.rs
@@ -0,0 +1,79 @@
+use super::*;
+use crate::core::Work;
+use crate::policy::invariants::Violation;
+use crate::settings::Pairs;
+use crate::terms::{Slots, Terms};
+use bytes::Bytes;
+use linentrail_standins::proxy;
+use std::sync::Arc;
+
+/// Index of the class of session reads.
+const SESSION_READ: usize = 1;
+const REPLICA: MemberId = MemberId(2);
+const WRITTEN: Position = 50;
+const DEADLINE: Time = 1_000;
+
+/// The platform's terms, with session reads that may be repeated so.
+fn terms(repeat: &str) -> Arc<Terms> {
+    let mut settings = proxy::settings();
+    settings["services"][SESSION_READ]["idempotency"] = repeat.into();
+    let pairs = Pairs::from_json(&settings);
+    let classes = pairs.settings(1).expect("sound settings").classes;
+    Slots::default().change(pairs.names().expect("names"), classes)
+}
+
+/// A session read that must see a write which members do not know of.
+fn session_read(repeat: &str) -> LiveRequest {
+    let request = Request {
+        terms: terms(repeat),
+        name: None,
+        class: SESSION_READ,
+        tenant: 0,
+        group: 1,
+        session: Some("s".into()),
+        key_session: None,
+        after: None,
+        deadline: DEADLINE,
+        repeat: false,
+        work: Work::Verbatim { text: Bytes::new(), wait: 0..0 },
+        client: None,
+    };
+    LiveRequest::new(request, 0, oneshot::channel().0, WRITTEN)
+}
+
+fn note(role: Role, position: Option<Position>) -> Note {
+    Note { position, role: Some(role) }
+}
+
+#[test]
+fn a_served_read_whose_answer_is_not_used_still_counts_as_run() {
+    let mut live = session_read("non_idempotent");
+    let first = live.begin_attempt(REPLICA, 10);
+    live.end_attempt(first, Outcome::Completed);
+    assert!(!live.shows_session(Some(&note(Role::Replica, None))));
+    assert!(live.may_have_run() && !live.untouched());
+    let progress = live.progress();
+    assert_eq!(progress.may_send(20), Err(Violation::UnsafeResent));
+    assert_eq!(progress.may_refuse(), Err(Violation::UnsafeRefused));
+}
+
+#[test]
+fn the_first_end_of_an_attempt_counts() {
+    let mut live = session_read("non_idempotent");
+    let first = live.begin_attempt(REPLICA, 10);
+    live.end_attempt(first, Outcome::Reset);
+    live.end_attempt(first, Outcome::Superseded);
+    assert!(live.may_have_run());
+}
+
+#[test]
+fn what_was_turned_away_untouched_may_be_sent_again_and_refused() {
+    for outcome in [Outcome::Miss, Outcome::Saturated, Outcome::Refused, Outcome::Superseded] {
+        let mut live = session_read("non_idempotent");
+        let first = live.begin_attempt(REPLICA, 10);
+        assert_eq!(live.progress().may_refuse(), Err(Violation::UnsafeRefused), "{outcome:?}");
+        live.end_attempt(first, outcome);
+        assert!(live.untouched(), "{outcome:?}");
+        assert_eq!((live.progress().may_send(20), live.progress().may_refuse()), (Ok(()), Ok(())));
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -282,9 +282,17 @@
     Superseded,
     /// Turned away untouched for the member's role or position; it never ran.
     Miss,
+    /// Served, but perhaps from older data than the request must see: it ran, and its answer is not used.
+    Stale,
 }
 
 impl Outcome {
+    /// The member has answered, whatever it said.
+    pub fn answered(self) -> bool {
+        use Outcome::*;
+        matches!(self, Completed | Errored | Saturated | Miss | Stale)
+    }
+
     /// It proves that the attempt has not run, and will not.
     pub fn never_ran(self) -> bool {
         matches!(self, Outcome::Saturated | Outcome::Refused | Outcome::Superseded | Outcome::Miss)
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -290,9 +290,8 @@
                 (outcome, value, begun) = (Outcome::Errored, None, None);
             }
             let spent = clock.now().saturating_sub(since);
-            let told =
-                matches!(outcome, Outcome::Completed | Outcome::Errored | Outcome::Saturated | Outcome::Miss);
-            let ending = Ending { outcome, value, note: note.filter(|_| told), report, spent };
+            let note = note.filter(|_| outcome.answered());
+            let ending = Ending { outcome, value, note, report, spent };
             let _ = core.send(Input::Ended(key.0, key.1, ending)).await;
             // The value is the client's now: neither the attempt's time nor the request's ends it.
             let link = match begun {
--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -24,7 +24,7 @@
         let (class, session) = (open.class, open.session.clone());
         open.errors += u32::from(outcome == Errored);
         let write = self.set.classes[class].need == Need::Write;
-        open.missed |= outcome == Miss;
+        open.missed |= matches!(outcome, Miss | Stale);
         open.written |= !matches!(outcome, Refused | Superseded);
         if open.attempts.iter().all(|a| a.fate != Fate::Out) {
             if open.done {
@@ -67,7 +67,7 @@
             }
         }
         match outcome {
-            Completed | Errored | Saturated | Miss => self.alive(member, out),
+            _ if outcome.answered() => self.alive(member, out),
             Refused => self.suspect(member, (true, false), out),
             // One broken attempt among others that are answered was lost on the way; with none left out
             // there, the member may have died: one request at a time will tell.
--- a/src/policy/invariants.rs
+++ b/src/policy/invariants.rs
@@ -1,17 +1,15 @@
 //! Rules that hold whatever the router decides, checked at run time where its decisions are carried out. A violation is a
 //! fault of this program: it is counted and told, and what would have broken the rule is not done.
 
-use crate::interface::{Repeat, Time};
+use crate::interface::{DedupGroup, Repeat, Time};
 
 /// What has become of a request so far.
 #[derive(Debug, Clone, Copy)]
 pub struct Progress {
     /// How it may be repeated.
     pub repeat: Repeat,
-    /// An attempt of it may have run.
-    pub may_have_run: bool,
-    /// Attempts of which the end is not known.
-    pub out: u32,
+    /// When the first attempt was sent that may have run, or of which the end is not known.
+    pub first_possible_run: Option<Time>,
     /// When its client gives up.
     pub deadline: Time,
 }
@@ -23,6 +21,10 @@
     UnsafeResent,
     /// What may have run would be refused, which promises that it has not.
     UnsafeRefused,
+    /// What may have run would be sent again when members no longer know it for a repeat.
+    KeyedResentLate,
+    /// What may have run would be refused, while a repeat by its client may go where it is not known.
+    KeyedRefused,
     /// Something would be sent after its client has given up.
     SentTooLate,
     /// Something new would be sent to a member that is announced as leaving.
@@ -30,22 +32,19 @@
 }
 
 impl Progress {
-    fn unsafe_and_may_run(&self) -> bool {
-        self.repeat == Repeat::Unsafe && (self.may_have_run || self.out > 0)
-    }
-
     /// Whether one more attempt may be made.
     ///
     /// # Errors
     /// The rule that it would break.
     pub fn may_send(&self, now: Time) -> Result<(), Violation> {
-        if self.unsafe_and_may_run() {
-            return Err(Violation::UnsafeResent);
+        match (self.repeat, self.first_possible_run) {
+            (Repeat::Unsafe, Some(_)) => Err(Violation::UnsafeResent),
+            (Repeat::Keyed { window, .. }, Some(first)) if now >= first.saturating_add(window) => {
+                Err(Violation::KeyedResentLate)
+            }
+            _ if now >= self.deadline => Err(Violation::SentTooLate),
+            _ => Ok(()),
         }
-        if now >= self.deadline {
-            return Err(Violation::SentTooLate);
-        }
-        Ok(())
     }
 
     /// Whether it may be refused with the promise that trying again is harmless.
@@ -53,27 +52,16 @@
     /// # Errors
     /// The rule that it would break.
     pub fn may_refuse(&self) -> Result<(), Violation> {
-        if self.unsafe_and_may_run() {
-            return Err(Violation::UnsafeRefused);
+        match (self.repeat, self.first_possible_run) {
+            (Repeat::Unsafe, Some(_)) => Err(Violation::UnsafeRefused),
+            (Repeat::Keyed { group, .. }, Some(_)) if group != DedupGroup::All => {
+                Err(Violation::KeyedRefused)
+            }
+            _ => Ok(()),
         }
-        Ok(())
     }
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn an_unsafe_request_that_may_have_run_is_neither_sent_again_nor_refused() {
-        let fresh = Progress { repeat: Repeat::Unsafe, may_have_run: false, out: 0, deadline: 100 };
-        assert_eq!((fresh.may_send(99), fresh.may_refuse()), (Ok(()), Ok(())));
-        assert_eq!(fresh.may_send(100), Err(Violation::SentTooLate));
-        for begun in [Progress { may_have_run: true, ..fresh }, Progress { out: 1, ..fresh }] {
-            assert_eq!(begun.may_send(1), Err(Violation::UnsafeResent));
-            assert_eq!(begun.may_refuse(), Err(Violation::UnsafeRefused));
-            let safe = Progress { repeat: Repeat::Safe, ..begun };
-            assert_eq!((safe.may_send(1), safe.may_refuse()), (Ok(()), Ok(())));
-        }
-    }
-}
+#[path = "invariants_tests.rs"]
+mod tests;
--- /dev/null
+++ b/src/policy/invariants_tests.rs
@@ -0,0 +1,30 @@
+use super::*;
+
+const NOTHING_SENT: Progress = Progress { repeat: Repeat::Unsafe, first_possible_run: None, deadline: 100 };
+
+#[test]
+fn an_unsafe_request_that_may_have_run_is_neither_sent_again_nor_refused() {
+    let fresh = NOTHING_SENT;
+    assert_eq!((fresh.may_send(99), fresh.may_refuse()), (Ok(()), Ok(())));
+    assert_eq!(fresh.may_send(100), Err(Violation::SentTooLate));
+    let begun = Progress { first_possible_run: Some(0), ..fresh };
+    assert_eq!(begun.may_send(1), Err(Violation::UnsafeResent));
+    assert_eq!(begun.may_refuse(), Err(Violation::UnsafeRefused));
+    let safe = Progress { repeat: Repeat::Safe, ..begun };
+    assert_eq!((safe.may_send(1), safe.may_refuse()), (Ok(()), Ok(())));
+}
+
+#[test]
+fn a_keyed_request_that_may_have_run_is_sent_again_in_its_window_and_refused_only_where_all_know_it() {
+    for (group, refused) in [
+        (DedupGroup::Group, Err(Violation::KeyedRefused)),
+        (DedupGroup::Zone, Err(Violation::KeyedRefused)),
+        (DedupGroup::All, Ok(())),
+    ] {
+        let keyed = Progress { repeat: Repeat::Keyed { group, window: 30 }, ..NOTHING_SENT };
+        assert_eq!((keyed.may_send(99), keyed.may_refuse()), (Ok(()), Ok(())));
+        let begun = Progress { first_possible_run: Some(10), ..keyed };
+        assert_eq!((begun.may_send(39), begun.may_send(40)), (Ok(()), Err(Violation::KeyedResentLate)));
+        assert_eq!(begun.may_refuse(), refused, "{group:?}");
+    }
+}
