Judge a session read's answer by the position that its member was chosen by

Callers saw: where members' answers tell no position, each session read after a write ran on one member after the other, and was served by a primary or not at all; one that may not be repeated failed. Cause: two places worked out whether a read is recent enough, from different facts. The router chose a replica by what it was known to have reached (reports, earlier answers); the core asked the answer alone, and, for values over 64 KiB, for what was known when the answer came, which a report behind the read may have raised. Where sessions are remembered the router did not hear of the core's number at all. Change: an attempt keeps whether its member was known to be recent enough when it was sent; an answer that tells no position is judged by that (positions never go back), one that tells an older position still is not used. The position that members cannot check goes to the router as a position, not as an age that a clock behind cuts off, and counts under remembered marks too.

--- a/src/bin/linentrail-benchlink/wire.rs
+++ b/src/bin/linentrail-benchlink/wire.rs
@@ -246,7 +246,7 @@
                     deadline: line.must("client_deadline_us")?,
                     session: line.may::<String>("session")?.map(Into::into),
                     token_age: token.map(|t| (t * 1000.0) as Time),
-                    proven: false,
+                    proven: None,
                     repeat: line.flag("repeat")?,
                 }
             }
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -273,7 +273,7 @@
         let unmarked = request.after.is_none() && matches!(request.work, Work::Operation(_));
         let written = if unmarked { written.max(self.blind) } else { written };
         let token = if need == Need::Session { carried.max(written) } else { carried };
-        let proven = token > carried;
+        let unseen = if token > carried { token } else { 0 };
         let event = Event::Request {
             id,
             class: request.class,
@@ -282,10 +282,9 @@
             session: request.session.clone(),
             // An age of 0 means 'never wrote', so that a token of this very moment counts as 1 us old.
             token_age: (token > 0).then(|| now.saturating_sub(token).max(1)),
-            proven,
+            proven: (unseen > 0).then_some(unseen),
             repeat: request.repeat,
         };
-        let unseen = if proven { token } else { 0 };
         log::debug!(
             target: REQUEST, id = id.0, name:? = request.name, class = request.terms.class_name(request.class),
             group = request.group, wait_us = request.deadline.saturating_sub(now), repeat = request.repeat, unseen;
@@ -308,8 +307,7 @@
         let Ending { outcome, value, note, report, spent } = ending;
         let note = note.map(|note| self.heard_note(note, spent, now));
         let report = report.and_then(|report| self.heard_report(report, spent, now));
-        let flows = value.as_ref().is_some_and(|value| value.flow.is_some());
-        let outcome = self.usable(id, attempt, outcome, note, flows);
+        let outcome = self.usable(id, attempt, outcome, note);
         if outcome == Outcome::Completed {
             self.completed(id, attempt, value, note, now);
         }
@@ -328,21 +326,12 @@
 
     /// What the module is told of an attempt: a member that was taken for the primary, or for further on than it is, may serve a
     /// session read from before the session's last write. Such an answer is not passed on; that it ran stands.
-    fn usable(
-        &self,
-        id: RequestId,
-        attempt: u32,
-        outcome: Outcome,
-        note: Option<Note>,
-        flows: bool,
-    ) -> Outcome {
+    fn usable(&self, id: RequestId, attempt: u32, outcome: Outcome, note: Option<Note>) -> Outcome {
         let Some(live) = self.live.get(&id).filter(|_| outcome == Outcome::Completed) else { return outcome };
-        let member = live.member(attempt).map_or(0, |member| member.0);
-        // A value that has only begun to come may not have told yet what it shows; what is known already must do.
-        let known = flows && self.router.position(MemberId(member)) >= live.unseen;
-        if known || live.shows_session(note.as_ref()) {
+        if live.shows_session(attempt, note.as_ref()) {
             return outcome;
         }
+        let member = live.member(attempt).map_or(0, |member| member.0);
         if counted(Count::stale_caught).is_multiple_of(STALE_ANSWERS_TOLD) {
             log::warn!(target: REQUEST, id = id.0, member; "an answer is not used: it may be older than its session");
         }
@@ -470,7 +459,7 @@
     fn send(&mut self, now: Time, id: RequestId, member: MemberId, stop_at: Option<Time>) {
         let Some(live) = self.live.get_mut(&id) else { return };
         let kept = live.progress().may_send(now);
-        let number = live.begin_attempt(member, now);
+        let number = live.begin_attempt(member, now, self.router.position(member));
         let stop_at = stop_at.unwrap_or(Time::MAX).min(live.request.deadline);
         let safe = live.class().repeat == Repeat::Safe;
         let by = self.lease.as_ref().map_or(Time::MAX, Lease::until);
--- a/src/core/live.rs
+++ b/src/core/live.rs
@@ -24,6 +24,8 @@
     member: MemberId,
     sent: Time,
     state: AttemptState,
+    /// The member was known to be recent enough when this was sent. Positions never go back.
+    proven_recent: bool,
 }
 
 /// One request.
@@ -91,9 +93,10 @@
         }
     }
 
-    /// An attempt is decided on; its number. It counts as out until it has ended.
-    pub fn begin_attempt(&mut self, member: MemberId, sent: Time) -> u32 {
-        self.attempts.push(LiveAttempt { member, sent, state: AttemptState::Out });
+    /// An attempt is decided on, at a member that has surely reached this position; its number. It counts as out until it has ended.
+    pub fn begin_attempt(&mut self, member: MemberId, sent: Time, reached: Position) -> u32 {
+        let proven_recent = reached >= self.unseen;
+        self.attempts.push(LiveAttempt { member, sent, state: AttemptState::Out, proven_recent });
         self.attempts.len() as u32 - 1
     }
 
@@ -107,12 +110,17 @@
         };
     }
 
-    /// Whether an answer that tells this shows what its session has written.
-    pub fn shows_session(&self, note: Option<&Note>) -> bool {
-        let shows = |note: &Note| {
-            note.role == Some(Role::Primary) || note.position.is_some_and(|position| position >= self.unseen)
-        };
-        self.unseen == 0 || note.is_some_and(shows)
+    /// Whether an answer shows what its session has written. A member that tells its position is taken at its word; of one that
+    /// tells none what was known of it when the attempt was sent must do.
+    pub fn shows_session(&self, attempt: u32, note: Option<&Note>) -> bool {
+        if self.unseen == 0 || note.is_some_and(|note| note.role == Some(Role::Primary)) {
+            return true;
+        }
+        let attempt = self.attempts.get(attempt as usize);
+        match note.and_then(|note| note.position) {
+            Some(position) => position >= self.unseen,
+            None => attempt.is_some_and(|attempt| attempt.proven_recent),
+        }
     }
 }
 
--- a/src/core/live_tests.rs
+++ b/src/core/live_tests.rs
@@ -48,9 +48,9 @@
 #[test]
 fn a_served_read_whose_answer_is_not_used_still_counts_as_run() {
     let mut live = session_read("non_idempotent");
-    let first = live.begin_attempt(REPLICA, 10);
+    let first = live.begin_attempt(REPLICA, 10, 0);
     live.end_attempt(first, Outcome::Completed);
-    assert!(!live.shows_session(Some(&note(Role::Replica, None))));
+    assert!(!live.shows_session(first, Some(&note(Role::Replica, None))));
     assert!(live.may_have_run() && !live.untouched());
     let progress = live.progress();
     assert_eq!(progress.may_send(20), Err(Violation::UnsafeResent));
@@ -60,7 +60,7 @@
 #[test]
 fn the_first_end_of_an_attempt_counts() {
     let mut live = session_read("non_idempotent");
-    let first = live.begin_attempt(REPLICA, 10);
+    let first = live.begin_attempt(REPLICA, 10, 0);
     live.end_attempt(first, Outcome::Reset);
     live.end_attempt(first, Outcome::Superseded);
     assert!(live.may_have_run());
@@ -70,10 +70,31 @@
 fn what_was_turned_away_untouched_may_be_sent_again_and_refused() {
     for outcome in [Outcome::Miss, Outcome::Saturated, Outcome::Refused, Outcome::Superseded] {
         let mut live = session_read("non_idempotent");
-        let first = live.begin_attempt(REPLICA, 10);
+        let first = live.begin_attempt(REPLICA, 10, 0);
         assert_eq!(live.progress().may_refuse(), Err(Violation::UnsafeRefused), "{outcome:?}");
         live.end_attempt(first, outcome);
         assert!(live.untouched(), "{outcome:?}");
         assert_eq!((live.progress().may_send(20), live.progress().may_refuse()), (Ok(()), Ok(())));
     }
 }
+
+#[test]
+fn an_answer_that_tells_no_position_shows_what_its_member_had_reached_when_it_was_sent() {
+    let mut live = session_read("read_like");
+    let behind = live.begin_attempt(REPLICA, 10, WRITTEN - 1);
+    let recent = live.begin_attempt(REPLICA, 11, WRITTEN);
+    for told in [None, Some(note(Role::Replica, None))] {
+        assert!(!live.shows_session(behind, told.as_ref()), "{told:?}");
+        assert!(live.shows_session(recent, told.as_ref()), "{told:?}");
+    }
+}
+
+#[test]
+fn a_position_told_with_an_answer_goes_before_what_was_known_of_its_member() {
+    let mut live = session_read("read_like");
+    let behind = live.begin_attempt(REPLICA, 10, WRITTEN - 1);
+    let recent = live.begin_attempt(REPLICA, 11, WRITTEN);
+    assert!(live.shows_session(behind, Some(&note(Role::Replica, Some(WRITTEN)))));
+    assert!(live.shows_session(behind, Some(&note(Role::Primary, Some(0)))));
+    assert!(!live.shows_session(recent, Some(&note(Role::Replica, Some(WRITTEN - 1)))));
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -323,8 +323,8 @@
         session: Option<Arc<str>>,
         /// How long ago the session's last write was committed, where reads carry that.
         token_age: Option<Time>,
-        /// Members do not know what this session read must see: only a proven position will do.
-        proven: bool,
+        /// What this session read must see beyond what members can check: only a member that has surely reached it will do.
+        proven: Option<Position>,
         /// The client has tried before.
         repeat: bool,
     },
--- a/src/policy/router.rs
+++ b/src/policy/router.rs
@@ -87,6 +87,8 @@
                     (Need::Session, SessionMarks::Carried) if age > 0 => self.now.saturating_sub(age),
                     _ => 0,
                 };
+                // What the core has proof of holds whoever remembers or carries the session's writes.
+                let token = token.max(proven.unwrap_or(0));
                 self.seq += 1;
                 let current = matches!(kind.need, Need::Write | Need::Fresh);
                 let span = self.set.rules.fall_span;
@@ -96,7 +98,7 @@
                     group: *group,
                     session: session.clone(),
                     token,
-                    proven: *proven,
+                    proven: proven.is_some(),
                     seq: self.seq,
                     arrived: self.now,
                     deadline: *deadline,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -103,7 +103,7 @@
             deadline: self.now + settings().classes[class].deadline,
             session: Some("s".into()),
             token_age,
-            proven: false,
+            proven: None,
             repeat: false,
         };
         (id, self.step(&[event]))
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -560,7 +560,7 @@
             let new = |id| Member { up_since: Some(d.now - age), ..member(id, id == 1) };
             d.list(ListKind::Full, (1..8).map(new).collect());
             let (group, class, deadline) = (9, ANY, d.now + 800 * MS);
-            let (session, token_age, proven) = (None, None, false);
+            let (session, token_age, proven) = (None, None, None);
             let id = RequestId(1);
             let request = Event::Request { id, class, group, deadline, session, token_age, proven, repeat };
             sent(&d.step(&[request])).len()
@@ -870,7 +870,7 @@
             deadline: d.now + left,
             session: None,
             token_age: None,
-            proven: false,
+            proven: None,
             repeat: false,
         };
         let actions = d.step(&[event]);
@@ -1004,7 +1004,7 @@
             deadline,
             session: None,
             token_age: None,
-            proven: false,
+            proven: None,
             repeat: false,
         }]);
         assert!(refused(&d.after(100 * MS), id));
@@ -1163,3 +1163,21 @@
     d.list(ListKind::Failed, Vec::new());
     assert_eq!(sent(&d.request(ANY, None).1).len(), 1);
 }
+
+#[test]
+fn a_remembered_session_read_goes_by_proof_also_of_a_write_that_the_router_was_only_told_of() {
+    let mut d = Driver::new(Settings { session_marks: SessionMarks::Remembered, ..settings() });
+    d.list(ListKind::Full, vec![member(2, false)]);
+    d.hear(2, d.now - 100 * MS, Role::Replica);
+    let read = Event::Request {
+        id: RequestId(900),
+        class: SESSION,
+        group: 9,
+        deadline: d.now + 800 * MS,
+        session: Some("s".into()),
+        token_age: Some(50 * MS),
+        proven: Some(d.now - 50 * MS),
+        repeat: false,
+    };
+    assert_eq!(sent(&d.step(&[read])), [], "its position is 50 ms older than what the read must see");
+}
--- a/tests/unsafe_reads.rs
+++ b/tests/unsafe_reads.rs
@@ -65,6 +65,33 @@
     }
 }
 
+#[test]
+fn a_read_fails_though_the_member_that_served_it_was_known_to_be_recent_enough() {
+    // Replicas tell their positions by reports alone, as where only writes' answers tell one.
+    for (class, read, row) in [
+        (UNSAFE, "a send read k1 my-booking", "a expect row 01"),
+        ("", "a send read k1 my-booking", "a expect row 01"),
+        (UNSAFE, "o send GET k1 my-booking", "o expect 200"),
+    ] {
+        play(&format!(
+            "{class}
+             config sets family_info/session_marks \"remembered\"
+             member p primary
+             member r replica 0
+             start odata traced
+             a send write k1 01
+             a expect row 01
+             r does unplaced
+             p does unplaced
+             wait 50
+             {read}
+             {row}
+             sum 1 read k1
+             counts stale_caught under 1"
+        ));
+    }
+}
+
 #[test]
 fn a_read_that_ran_at_a_primary_without_its_role_is_refused() {
     // Its answer is from before the session's write, so that it can be neither passed on nor had again.
