Take no error behind a row or its description for a proof that nothing ran

What callers could see: an unsafe request that a member had begun to answer was sent to another member or refused. Cause: `Reply::take` lets an error follow a row description and a row, as the protocol does, and `Connection::run` went by the error's code alone; with 53300 or 25006 the attempt then counted as one that never ran. Change: `Reply::outcome` believes such a code only in an answer that has no row description; any other error may have run. Evidence: the new test failed before (Saturated for a description and 53300), and passes now.

--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -260,13 +260,12 @@
         *written = true;
         let (mut reply, end, strays) = self.answer(guard).await;
         shrink(&mut self.framed);
-        let outcome = match (end, reply.code.as_ref()) {
-            (End::Whole { .. }, None) | (End::Begun(_), _) => Outcome::Completed,
-            (End::Whole { .. }, Some(b"25006" | b"72000")) => Outcome::Miss,
-            (End::Whole { .. }, Some(b"53300")) => Outcome::Saturated,
+        let outcome = match end {
+            End::Whole { .. } => reply.outcome(),
+            End::Begun(_) => Outcome::Completed,
             // The member answered, but not with what can be passed on, and it may have run.
-            (End::Whole { .. }, Some(_)) | (End::Spoilt(_), _) => Outcome::Errored,
-            (End::Broken, _) => Outcome::Reset,
+            End::Spoilt(_) => Outcome::Errored,
+            End::Broken => Outcome::Reset,
         };
         // What proves that nothing ran must be beyond doubt, and the socket is asked whether anything came with it. A
         // value stands for itself; what comes behind it shows when the connection is used again.
@@ -378,6 +377,18 @@
         Ok(false)
     }
 
+    /// What came of a statement whose whole answer this is.
+    fn outcome(&self) -> Outcome {
+        let Some(code) = &self.code else { return Outcome::Completed };
+        match code {
+            // Rows come of a statement that has begun to run.
+            _ if self.column.is_some() => Outcome::Errored,
+            b"53300" => Outcome::Saturated,
+            b"25006" | b"72000" => Outcome::Miss,
+            _ => Outcome::Errored,
+        }
+    }
+
     fn parameter(&mut self, name: Parameter, value: &[u8]) {
         let note = self.note.unwrap_or(Note { position: None, role: None });
         let text = std::str::from_utf8(value).unwrap_or_default();
@@ -424,3 +435,7 @@
     }
     report
 }
+
+#[cfg(test)]
+#[path = "member_tests.rs"]
+mod tests;
