Take no error with a field given twice for a proof that nothing ran

What callers could see: an unsafe request whose answer was spoilt into an error of two codes, the last of them 53300, 25006 or 72000, was sent again or refused, though the first code (XX000, say) leaves open whether it ran. Cause: `told::error` kept the last value of a field that came twice; the protocol gives each field at most once. Change: such an error cannot be read; its answer is spoilt and may have run. Evidence: the first case of the new test failed before (Saturated for XX000 and 53300), and passes now with the others.

--- a/src/pg/member_tests.rs
+++ b/src/pg/member_tests.rs
@@ -119,3 +119,17 @@
         assert_eq!(outcome(WRITE, &[&description(), &row(b"v"), &error, READY]), Outcome::Errored, "{code}");
     }
 }
+
+/// An error made of these fields, each as it stands.
+fn error_of(fields: &str) -> Vec<u8> {
+    message(b'E', format!("{fields}\0\0").as_bytes())
+}
+
+#[test]
+fn an_error_with_a_field_given_twice_is_no_proof_that_nothing_ran() {
+    for fields in
+        ["SERROR\0CXX000\0C53300\0Mno", "SERROR\0C53300\0C53300\0Mno", "SERROR\0SFATAL\0C53300\0Mno"]
+    {
+        assert_eq!(outcome(WRITE, &[&error_of(fields), READY]), Outcome::Errored, "{fields:?}");
+    }
+}
--- a/src/pg/told.rs
+++ b/src/pg/told.rs
@@ -241,27 +241,30 @@
 }
 
 fn error(body: &mut Body) -> Result<Backend, WireError> {
-    let (mut fatal, mut code, mut message): (_, &[u8], &[u8]) = (false, &[], &[]);
+    let (mut severity, mut code, mut message) = (None, None, None);
     loop {
         let [field] = body.take()?;
         if field == 0 {
-            // Five digits or capital letters, or what it means cannot be known.
-            let known = code.iter().all(|b| b.is_ascii_digit() || b.is_ascii_uppercase());
-            return match code.try_into() {
-                Ok(code) if known => {
-                    Ok(Backend::Error { fatal, code, message: Bytes::copy_from_slice(message) })
-                }
-                _ => Err(WireError::Malformed("an error has no code")),
-            };
+            break;
         }
         let value = body.text()?;
-        match field {
-            b'S' => fatal = matches!(value, b"FATAL" | b"PANIC"),
-            b'C' => code = value,
-            b'M' => message = value,
-            _ => {}
+        let known = match field {
+            b'S' => &mut severity,
+            b'C' => &mut code,
+            b'M' => &mut message,
+            _ => continue,
+        };
+        if known.replace(value).is_some() {
+            return Err(WireError::Malformed("a field of an error is given twice"));
         }
     }
+    // Five digits or capital letters, or what it means cannot be known.
+    let code = code.filter(|code| code.iter().all(|b| b.is_ascii_digit() || b.is_ascii_uppercase()));
+    let Some(code) = code.and_then(|code| code.try_into().ok()) else {
+        return Err(WireError::Malformed("an error has no code"));
+    };
+    let fatal = matches!(severity, Some(b"FATAL" | b"PANIC"));
+    Ok(Backend::Error { fatal, code, message: Bytes::copy_from_slice(message.unwrap_or_default()) })
 }
 
 /// A simple query, whole.
