Take no notice in the form of an error for a proof that nothing ran

What callers could see: an unsafe request whose answer was spoilt into an ErrorResponse of severity NOTICE or WARNING with SQLSTATE 53300 was sent again or refused. A notice ends no statement, so that nothing shows whether it ran. Cause: `told::error` asked the severity only whether the connection ends. Change: an error of a notice's severity (field S, or V where S may be translated) cannot be read; its answer may have run.

--- a/src/pg/member_tests.rs
+++ b/src/pg/member_tests.rs
@@ -133,3 +133,10 @@
         assert_eq!(outcome(WRITE, &[&error_of(fields), READY]), Outcome::Errored, "{fields:?}");
     }
 }
+
+#[test]
+fn a_notice_in_the_form_of_an_error_is_no_proof_that_nothing_ran() {
+    for fields in ["SNOTICE\0C53300\0Mno", "SWARNING\0VWARNING\0C53300\0Mno", "SERROR\0VLOG\0C53300\0Mno"] {
+        assert_eq!(outcome(WRITE, &[&error_of(fields), READY]), Outcome::Errored, "{fields:?}");
+    }
+}
--- a/src/pg/told.rs
+++ b/src/pg/told.rs
@@ -240,8 +240,11 @@
     }
 }
 
+/// The severities of messages that end nothing; only notices have them.
+const NOTICE_SEVERITIES: [&[u8]; 5] = [b"WARNING", b"NOTICE", b"DEBUG", b"INFO", b"LOG"];
+
 fn error(body: &mut Body) -> Result<Backend, WireError> {
-    let (mut severity, mut code, mut message) = (None, None, None);
+    let (mut severity, mut plain_severity, mut code, mut message) = (None, None, None, None);
     loop {
         let [field] = body.take()?;
         if field == 0 {
@@ -250,6 +253,7 @@
         let value = body.text()?;
         let known = match field {
             b'S' => &mut severity,
+            b'V' => &mut plain_severity,
             b'C' => &mut code,
             b'M' => &mut message,
             _ => continue,
@@ -258,6 +262,9 @@
             return Err(WireError::Malformed("a field of an error is given twice"));
         }
     }
+    if [severity, plain_severity].iter().flatten().any(|severity| NOTICE_SEVERITIES.contains(severity)) {
+        return Err(WireError::Malformed("an error has the severity of a notice"));
+    }
     // Five digits or capital letters, or what it means cannot be known.
     let code = code.filter(|code| code.iter().all(|b| b.is_ascii_digit() || b.is_ascii_uppercase()));
     let Some(code) = code.and_then(|code| code.try_into().ok()) else {
