Take no fatal error with noise before the end for a proof that nothing ran

What callers could see: an unsafe request whose answer was a FATAL 53300 and then a part of a message, as a spoilt or torn answer has it, was sent again or refused. Cause: the codec tells an end in the middle of a message as an error of the connection, and `Connection::reply` took any such error behind a fatal error for the orderly end. Bytes behind a whole answer are looked for; behind this one they were not. Change: the end counts as orderly only where nothing is left unread; otherwise the connection broke, and the statement may have run. Evidence: the new test failed before (Saturated with the first 20 bytes of a row description behind), and passes now.

--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -156,7 +156,9 @@
                     continue;
                 }
                 Next::Message(Some(Ok(message))) => message,
-                Next::Message(Some(Err(WireError::Io(_))) | None) if reply.fatal => {
+                Next::Message(Some(Err(WireError::Io(_))) | None)
+                    if reply.fatal && self.framed.read_buffer().is_empty() =>
+                {
                     return (reply, End::Whole { ready: false })
                 }
                 Next::Message(Some(Err(WireError::Io(_))) | None) => return (reply, End::Broken),
--- a/src/pg/member_tests.rs
+++ b/src/pg/member_tests.rs
@@ -140,3 +140,14 @@
         assert_eq!(outcome(WRITE, &[&error_of(fields), READY]), Outcome::Errored, "{fields:?}");
     }
 }
+
+#[test]
+fn a_fatal_error_with_noise_before_the_end_is_no_proof_that_nothing_ran() {
+    let fatal = error("FATAL", "53300");
+    let row = [description(), row(b"v")].concat();
+    // A message that is cut off, one whose length alone has come, and a byte that begins none.
+    for noise in [&row[..20], &row[..5], &row[..1], &[0xff][..]] {
+        let outcome = outcome_where_member(Then::Ends, WRITE, &[&fatal, noise]);
+        assert!(!outcome.never_ran(), "{outcome:?} with {noise:?} behind it");
+    }
+}
