Take no code that does not fit the statement for a proof that nothing ran

What callers could see: an unsafe read answered with 25006 ('a write, and this is no primary'), or an unsafe write answered with 72000 ('too far behind'), was sent again or refused, though such an answer cannot be this statement's. Cause: `Connection::run` took both codes for a miss whatever the statement was. Change: 25006 is believed of writes, 72000 of reads; any other pair of code and statement is an error, which may have run.

--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -5,7 +5,7 @@
 //! nothing that came with it is believed.
 
 use super::frames::WireError;
-use super::statement::render;
+use super::statement::{is_write, render};
 use super::told::{statement, Backend, ClientCodec, Column, Frontend, Parameter};
 use crate::core::counters::{count, Count};
 use crate::core::flow::{Chunk, Flow, Source};
@@ -263,7 +263,7 @@
         let (mut reply, end, strays) = self.answer(guard).await;
         shrink(&mut self.framed);
         let outcome = match end {
-            End::Whole { .. } => reply.outcome(),
+            End::Whole { .. } => reply.outcome(is_write(work)),
             End::Begun(_) => Outcome::Completed,
             // The member answered, but not with what can be passed on, and it may have run.
             End::Spoilt(_) => Outcome::Errored,
@@ -379,14 +379,17 @@
         Ok(false)
     }
 
-    /// What came of a statement whose whole answer this is.
-    fn outcome(&self) -> Outcome {
+    /// What came of a statement, a write or a read, whose whole answer this is.
+    fn outcome(&self, write: bool) -> Outcome {
         let Some(code) = &self.code else { return Outcome::Completed };
-        match code {
-            // Rows come of a statement that has begun to run.
-            _ if self.column.is_some() => Outcome::Errored,
-            b"53300" => Outcome::Saturated,
-            b"25006" | b"72000" => Outcome::Miss,
+        // Rows come of a statement that has begun to run.
+        if self.column.is_some() {
+            return Outcome::Errored;
+        }
+        match (code, write) {
+            (b"53300", _) => Outcome::Saturated,
+            // Only writes need a primary, and only reads a position.
+            (b"25006", true) | (b"72000", false) => Outcome::Miss,
             _ => Outcome::Errored,
         }
     }
--- a/src/pg/member_tests.rs
+++ b/src/pg/member_tests.rs
@@ -151,3 +151,10 @@
         assert!(!outcome.never_ran(), "{outcome:?} with {noise:?} behind it");
     }
 }
+
+#[test]
+fn a_code_that_does_not_fit_the_statement_is_no_proof_that_nothing_ran() {
+    // A read needs no primary; a write carries no position that it would have to see.
+    assert_eq!(outcome(READ, &[&error("ERROR", "25006"), READY]), Outcome::Errored);
+    assert_eq!(outcome(WRITE, &[&error("ERROR", "72000"), READY]), Outcome::Errored);
+}
--- a/src/pg/statement.rs
+++ b/src/pg/statement.rs
@@ -177,6 +177,14 @@
     (text, at..at + 1)
 }
 
+/// Whether a statement creates a record rather than reads one.
+pub fn is_write(work: &Work) -> bool {
+    match work {
+        Work::Verbatim { text, .. } => text.starts_with(CREATE.as_bytes()),
+        Work::Operation(operation) => operation.value.is_some(),
+    }
+}
+
 /// Two hex digits a byte.
 pub fn hex(bytes: &[u8]) -> String {
     bytes.iter().fold(String::with_capacity(bytes.len() * 2), |mut text, b| {
