Take nothing that stands behind a member's welcome for a statement's answer

What callers could see: a member's welcome came with an error 53300 and ReadyForQuery behind it (a spoilt answer, or one sent for nobody); the first unsafe statement on the connection ran, and was sent again or refused as soon as the error was read. Cause: `Pg::open` gave the connection out with bytes in its read buffer, and a new connection is used with no fence. Change: a connection that has read anything behind its welcome is not used; nothing has been written to it. Bytes that come later still are not seen here. Evidence: the new test failed before (Saturated while the member has the statement), and passes now.

--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -99,7 +99,8 @@
             };
             match message {
                 Backend::AuthenticationOk if !known => known = true,
-                Backend::Ready if known => {
+                // What stands behind it already would pass for the first statement's answer.
+                Backend::Ready if known && !link.left_over() => {
                     link.framed.get_ref().expects_nothing();
                     return Ok(link);
                 }
--- a/src/pg/member_tests.rs
+++ b/src/pg/member_tests.rs
@@ -158,3 +158,15 @@
     assert_eq!(outcome(READ, &[&error("ERROR", "25006"), READY]), Outcome::Errored);
     assert_eq!(outcome(WRITE, &[&error("ERROR", "72000"), READY]), Outcome::Errored);
 }
+
+#[test]
+fn what_stands_behind_the_welcome_is_no_answer_to_the_first_statement() {
+    let welcome = [WELCOME, &error("ERROR", "53300"), READY].concat();
+    // The member runs the statement and is still busy with it when the proxy has read what it takes for the answer.
+    let address = member(welcome, vec![Vec::new()], Then::Waits);
+    let ran = block_on(async {
+        let mut link = opened(address).await?;
+        Ok(link.run(&work(WRITE), 1_000, Guard::Proven, &mut false).await.outcome)
+    });
+    assert_eq!(ran, Err(Outcome::Refused), "a connection on which nothing may be written");
+}
