Take no large row behind an error for a value

What callers could see: an answer that held a row description, an error and a row over 64 KiB counted as served; its reader got the start of a value that was then broken off, where another member would have been asked. Cause: the check before a value begins to flow asked for the command's end, but not for an error; `Reply::take` asks for both. Change: both ask `Reply::expects_row`. Evidence: the new test failed before (Completed behind XX000), and passes now. An unsafe request was safe from it: a value that only begins counts as an error for it.

--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -169,7 +169,7 @@
                 }
             };
             if let Backend::RowBegins(length) = message {
-                return match reply.row.is_none() && reply.column.is_some() && !reply.complete {
+                return match reply.expects_row() {
                     true => (reply, End::Begun(length)),
                     false => (reply, End::Spoilt("a message stands where it does not belong")),
                 };
@@ -356,14 +356,22 @@
 }
 
 impl Reply {
+    /// Neither the command's end nor an error has come.
+    fn is_open(&self) -> bool {
+        !self.complete && self.code.is_none()
+    }
+
+    /// Whether a row may come next.
+    fn expects_row(&self) -> bool {
+        self.is_open() && self.column.is_some() && self.row.is_none()
+    }
+
     /// Takes in the next message; true at the end.
     fn take(&mut self, message: Backend) -> Result<bool, &'static str> {
-        let open = !self.complete && self.code.is_none();
+        let open = self.is_open();
         match message {
             Backend::RowDescription(c) if open && self.column.is_none() => self.column = Some(c),
-            Backend::DataRow(value) if open && self.column.is_some() && self.row.is_none() => {
-                self.row = Some(value);
-            }
+            Backend::DataRow(value) if self.expects_row() => self.row = Some(value),
             Backend::CommandComplete if open && self.column.is_some() => self.complete = true,
             Backend::Error { fatal, code, message } if open => {
                 if &code == b"08P01" {
--- a/src/pg/member_tests.rs
+++ b/src/pg/member_tests.rs
@@ -1,5 +1,6 @@
 //! Answers of members, byte by byte, on real sockets: which of them prove that a statement never ran.
 
+use super::super::told::FLOWS_FROM;
 use super::*;
 use crate::net::budget::Budget;
 use std::future::Future;
@@ -170,3 +171,12 @@
     });
     assert_eq!(ran, Err(Outcome::Refused), "a connection on which nothing may be written");
 }
+
+#[test]
+fn a_large_row_behind_an_error_is_no_answer() {
+    // Its first bytes alone, as it stands before it has come whole.
+    let length = FLOWS_FROM as u32 + 1;
+    let large = [&b"D"[..], &(length + 10).to_be_bytes(), &[0, 1], &length.to_be_bytes()].concat();
+    assert_eq!(outcome(READ, &[&description(), &large]), Outcome::Completed);
+    assert_eq!(outcome(READ, &[&description(), &error("ERROR", "XX000"), &large]), Outcome::Errored);
+}
