Hold what is said of an attempt that ends in mid-write against what its member got

Need: an attempt that ends before its last byte is written is said to have never run, so that its request goes elsewhere or is refused. Time-outs, cancels and resets in the middle of a write, and right behind it, had no test on sockets.

--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -388,3 +388,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "peer_tests.rs"]
+mod tests;
--- /dev/null
+++ b/src/net/peer_tests.rs
@@ -0,0 +1,158 @@
+//! Attempts that end while their statement is written, on real sockets: what is said of them against what the member got.
+
+use super::*;
+use crate::core::Work;
+use crate::pg::member::Pg;
+use crate::pg::scripted_member::{self, query, WELCOME};
+use bytes::Bytes;
+use socket2::SockRef;
+use std::future::Future;
+use std::io::Read;
+use std::sync::mpsc as std_mpsc;
+use std::thread::JoinHandle;
+use tokio::sync::oneshot;
+
+const KEY: AttemptKey = (RequestId(7), 0);
+/// Longer than anything here takes on a slow machine.
+const PATIENCE: Time = 60_000_000;
+/// A statement that no socket's buffers hold.
+const LARGE: usize = 32 << 20;
+
+fn block_on<F: Future>(future: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    runtime.block_on(future)
+}
+
+/// A peer with one attempt, its orders, and what it tells the core.
+struct Stage {
+    orders: mpsc::Sender<Order>,
+    told: mpsc::Receiver<Input>,
+}
+
+impl Stage {
+    /// Gives the attempt to a peer whose member is there. Nobody waits for it from `patience` on.
+    async fn attempt(address: SocketAddr, statement: usize, patience: Time, safe: bool) -> Self {
+        let clock = Clock::start();
+        let budget = Budget::new(64, 1 << 28);
+        let state = SharedState::new(address, SocketTimes { connect: PATIENCE, keepalive: PATIENCE });
+        let (core, told) = mpsc::channel(8);
+        let (orders, mailbox) = mpsc::channel(8);
+        let wire = Pg::new(budget.bytes.clone());
+        tokio::spawn(Peer::new(MemberId(1), state.clone(), core, budget, clock, wire).run(mailbox));
+        let attempt = Attempt {
+            id: KEY.0,
+            number: KEY.1,
+            work: Work::Verbatim { text: Bytes::from(vec![b'x'; statement]), wait: 0..0 },
+            stop_at: clock.now() + patience,
+            safe,
+            by: Time::MAX,
+            client: None,
+            client_seen: clock.now(),
+        };
+        state.lock().gate.issue(KEY);
+        orders.send(Order::Attempt(attempt)).await.expect("the peer runs");
+        Stage { orders, told }
+    }
+
+    async fn cancel(&self) {
+        self.orders.send(Order::Cancel(KEY.0, KEY.1)).await.expect("the peer runs");
+    }
+
+    /// How the attempt has ended.
+    async fn outcome(&mut self) -> Outcome {
+        match self.told.recv().await {
+            Some(Input::Ended(id, number, ending)) if (id, number) == KEY => ending.outcome,
+            other => panic!("no end: {other:?}"),
+        }
+    }
+}
+
+/// A member that reads no more than it is let.
+struct SlowReader {
+    address: SocketAddr,
+    /// Told when a statement's first byte has come.
+    begun: oneshot::Receiver<()>,
+    /// Lets it read to the end of the connection.
+    reads_on: std_mpsc::Sender<()>,
+    /// Whether a whole statement came.
+    whole: JoinHandle<std::io::Result<bool>>,
+}
+
+impl SlowReader {
+    fn start() -> Self {
+        let (begins, begun) = oneshot::channel();
+        let (reads_on, may_read_on) = std_mpsc::channel::<()>();
+        let (address, whole) = scripted_member::start(WELCOME.to_vec(), move |client| {
+            client.peek(&mut [0])?;
+            let _ = begins.send(());
+            let _ = may_read_on.recv();
+            Ok(query(client).is_ok())
+        });
+        SlowReader { address, begun, reads_on, whole }
+    }
+
+    /// Whether a whole statement comes, if it reads all that does.
+    fn got_whole(self) -> bool {
+        let _ = self.reads_on.send(());
+        // In place of a client that ended before it had connected.
+        drop(std::net::TcpStream::connect(self.address));
+        matches!(self.whole.join().expect("no panic"), Ok(true))
+    }
+}
+
+#[test]
+fn an_attempt_whose_time_is_over_in_mid_write_never_arrives_whole() {
+    let (outcome, member) = block_on(async {
+        let member = SlowReader::start();
+        let outcome = Stage::attempt(member.address, LARGE, 300_000, false).await.outcome().await;
+        (outcome, member)
+    });
+    assert!(matches!(outcome, Outcome::Refused | Outcome::Superseded), "{outcome:?}");
+    assert!(!member.got_whole());
+}
+
+#[test]
+fn an_attempt_whose_time_is_over_behind_its_last_byte_is_not_said_to_have_never_run() {
+    let (outcome, member) = block_on(async {
+        let member = SlowReader::start();
+        let outcome = Stage::attempt(member.address, 64, 300_000, false).await.outcome().await;
+        (outcome, member)
+    });
+    // On a slow machine it may not even have begun.
+    assert!(!(outcome.never_ran() && member.got_whole()), "{outcome:?}");
+}
+
+#[test]
+fn an_attempt_that_is_cancelled_in_mid_write_is_not_said_to_have_never_run() {
+    let (outcome, member) = block_on(async {
+        let mut member = SlowReader::start();
+        let mut stage = Stage::attempt(member.address, LARGE, PATIENCE, false).await;
+        (&mut member.begun).await.expect("the first byte comes");
+        stage.cancel().await;
+        (stage.outcome().await, member)
+    });
+    assert_eq!(outcome, Outcome::Cancelled);
+    assert!(!member.got_whole());
+}
+
+#[test]
+fn a_reset_in_mid_write_shows_that_the_statement_never_arrived_whole() {
+    let (address, member) = scripted_member::start(WELCOME.to_vec(), |client| {
+        client.read_exact(&mut [0; 1024])?;
+        SockRef::from(&*client).set_linger(Some(Duration::ZERO))
+    });
+    let outcome = block_on(async { Stage::attempt(address, LARGE, PATIENCE, false).await.outcome().await });
+    assert_eq!(outcome, Outcome::Refused);
+    member.join().expect("no panic").expect("its client came");
+}
+
+#[test]
+fn a_reset_behind_the_last_byte_leaves_open_whether_the_statement_ran() {
+    let (address, member) = scripted_member::start(WELCOME.to_vec(), |client| {
+        query(client)?;
+        SockRef::from(&*client).set_linger(Some(Duration::ZERO))
+    });
+    let outcome = block_on(async { Stage::attempt(address, 4096, PATIENCE, false).await.outcome().await });
+    assert_eq!(outcome, Outcome::Reset);
+    member.join().expect("no panic").expect("its client came");
+}
--- a/src/pg/member_tests.rs
+++ b/src/pg/member_tests.rs
@@ -1,44 +1,16 @@
 //! Answers of members, byte by byte, on real sockets: which of them prove that a statement never ran.
 
-use super::super::told::FLOWS_FROM;
 use super::*;
 use crate::net::budget::Budget;
+use crate::pg::scripted_member::{self, description, error, error_of, query, row, row_start, READY, WELCOME};
+use crate::pg::told::FLOWS_FROM;
 use std::future::Future;
-use std::io::{Read, Write};
-use std::net::TcpListener;
+use std::io::Write;
+use std::net::TcpStream;
 
-/// A member's welcome.
-const WELCOME: &[u8] = b"R\0\0\0\x08\0\0\0\0Z\0\0\0\x05I";
-const READY: &[u8] = b"Z\0\0\0\x05I";
 const READ: &[u8] = b"SELECT v FROM records WHERE k = 'k1' /* id=01,d= */";
 const WRITE: &[u8] = b"INSERT INTO records (k, v) VALUES ('k1', '\\x01') RETURNING v /* id=01,d= */";
 
-fn message(tag: u8, body: &[u8]) -> Vec<u8> {
-    [&[tag], &(body.len() as u32 + 4).to_be_bytes()[..], body].concat()
-}
-
-fn error(severity: &str, code: &str) -> Vec<u8> {
-    message(b'E', format!("S{severity}\0C{code}\0Mno\0\0").as_bytes())
-}
-
-fn description() -> Vec<u8> {
-    message(b'T', &[&[0, 1, b'v', 0][..], &[0; 6], &17_u32.to_be_bytes(), &[0; 6], &[0, 1]].concat())
-}
-
-fn row(value: &[u8]) -> Vec<u8> {
-    message(b'D', &[&[0, 1][..], &(value.len() as u32).to_be_bytes(), value].concat())
-}
-
-/// The next message of a client, past its startup: its body.
-fn heard(client: &mut impl Read) -> Option<Vec<u8>> {
-    let mut head = [0; 5];
-    client.read_exact(&mut head).ok()?;
-    let length = u32::from_be_bytes(*head.last_chunk()?) as usize;
-    let mut body = vec![0; length.checked_sub(4)?];
-    client.read_exact(&mut body).ok()?;
-    Some(body)
-}
-
 /// What a member does behind its last answer.
 #[derive(Clone, Copy, PartialEq)]
 enum Then {
@@ -50,25 +22,17 @@
 
 /// A member that welcomes so, and answers one query after the other so.
 fn member(welcome: Vec<u8>, answers: Vec<Vec<u8>>, then: Then) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("an address");
-    std::thread::spawn(move || -> Option<()> {
-        let (mut client, _) = listener.accept().ok()?;
-        let mut startup = [0; 4];
-        client.read_exact(&mut startup).ok()?;
-        let mut rest = vec![0; u32::from_be_bytes(startup) as usize - 4];
-        client.read_exact(&mut rest).ok()?;
-        client.write_all(&welcome).ok()?;
+    let script = move |client: &mut TcpStream| {
         for answer in answers {
-            heard(&mut client)?;
-            client.write_all(&answer).ok()?;
+            query(client)?;
+            client.write_all(&answer)?;
         }
-        if then == Then::Waits {
-            heard(&mut client)?;
+        match then {
+            Then::Waits => query(client).map(drop),
+            Then::Ends => Ok(()),
         }
-        Some(())
-    });
-    address
+    };
+    scripted_member::start(welcome, script).0
 }
 
 fn work(text: &'static [u8]) -> Work {
@@ -121,11 +85,6 @@
     }
 }
 
-/// An error made of these fields, each as it stands.
-fn error_of(fields: &str) -> Vec<u8> {
-    message(b'E', format!("{fields}\0\0").as_bytes())
-}
-
 #[test]
 fn an_error_with_a_field_given_twice_is_no_proof_that_nothing_ran() {
     for fields in
@@ -175,8 +134,7 @@
 #[test]
 fn a_large_row_behind_an_error_is_no_answer() {
     // Its first bytes alone, as it stands before it has come whole.
-    let length = FLOWS_FROM as u32 + 1;
-    let large = [&b"D"[..], &(length + 10).to_be_bytes(), &[0, 1], &length.to_be_bytes()].concat();
+    let large = row_start(FLOWS_FROM as u32 + 1);
     assert_eq!(outcome(READ, &[&description(), &large]), Outcome::Completed);
     assert_eq!(outcome(READ, &[&description(), &error("ERROR", "XX000"), &large]), Outcome::Errored);
 }
--- a/src/pg/mod.rs
+++ b/src/pg/mod.rs
@@ -5,6 +5,8 @@
 pub mod front;
 pub mod member;
 mod replies;
+#[cfg(test)]
+pub(crate) mod scripted_member;
 mod session;
 pub mod statement;
 pub mod told;
