Tell one end of an attempt whose value is passed on when a cancel comes

What callers could see, by reading: a value over 64 KiB is cut off in the middle where a cancel of its attempt crosses its first bytes; the core counts the attempt's end twice, so that a request with another attempt still out counts as one with nothing out. Cause: the attempt's task told its end and then stayed to pass on the value. `Peer::stop` takes a task that is not finished for one that has told nothing, stops it and tells a second end. Change: the value is passed on by a task of its own, which nothing stops; the attempt's task is finished as soon as its end is told. Evidence: the new test failed before ([Completed, Cancelled]), and passes now; the four tests of flowing values pass. Only requests that may be sent again get a value in pieces, so that no unsafe request was refused by this.

--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -83,9 +83,19 @@
     ends: Option<mpsc::UnboundedReceiver<Done<W::Link>>>,
 }
 
+/// A task of a peer.
+enum Task {
+    /// Runs an attempt, up to where its end is told.
+    Attempt(AttemptKey),
+    /// Passes on the rest of a value whose attempt has ended.
+    Value,
+    /// Asks for a report.
+    Probe,
+}
+
 /// A task's end.
 struct Done<L> {
-    attempt: Option<(RequestId, u32)>,
+    task: Task,
     link: Option<(L, Timeout)>,
     /// The member's moves when it began.
     moves: u32,
@@ -137,10 +147,11 @@
             }
             tokio::select! {
                 biased;
-                Some(Done { attempt, link, moves }) = ends.recv() => {
-                    match attempt {
-                        Some(key) => drop((self.running.remove(&key), self.state.lock().gate.end(key))),
-                        None => self.probing -= 1,
+                Some(Done { task, link, moves }) = ends.recv() => {
+                    match task {
+                        Task::Attempt(key) => drop((self.running.remove(&key), self.state.lock().gate.end(key))),
+                        Task::Value => {}
+                        Task::Probe => self.probing -= 1,
                     }
                     self.follow();
                     if let Some(link) = link.filter(|_| moves == self.moves) {
@@ -294,13 +305,19 @@
                 matches!(outcome, Outcome::Completed | Outcome::Errored | Outcome::Saturated | Outcome::Miss);
             let ending = Ending { outcome, value, note: note.filter(|_| told), report, spent };
             let _ = core.send(Input::Ended(key.0, key.1, ending)).await;
-            // The value is the client's now: neither the attempt's time nor the request's ends it.
             let link = match begun {
-                Some(source) => Box::pin(pass_on(link, source)).await,
-                None => link,
+                // The value is the client's now: neither the attempt's time nor the request's ends it, nor a cancel.
+                Some(source) => {
+                    let done = done.clone();
+                    tokio::spawn(async move {
+                        let link = pass_on(link, source).await.map(|link| (link, timeout));
+                        let _ = done.send(Done { task: Task::Value, link, moves });
+                    });
+                    None
+                }
+                None => link.map(|link| (link, timeout)),
             };
-            let link = link.map(|link| (link, timeout));
-            let _ = done.send(Done { attempt: Some(key), link, moves });
+            let _ = done.send(Done { task: Task::Attempt(key), link, moves });
         }));
         self.running.insert(key, Running { task: task.abort_handle(), since });
     }
@@ -324,12 +341,12 @@
             };
             let _ = core.send(Input::Probed(id, report, clock.now().saturating_sub(since))).await;
             let link = link.map(|link| (link, timeout));
-            let _ = done.send(Done { attempt: None, link, moves });
+            let _ = done.send(Done { task: Task::Probe, link, moves });
         });
     }
 }
 
-/// Passes a value's rest on, in a future of its own: nearly all tasks need no room for it.
+/// Passes a value's rest on.
 async fn pass_on<L: Link>(link: Option<L>, to: Source) -> Option<L> {
     let mut link = link?;
     link.rest(to).await.then_some(link)
--- a/src/net/peer_tests.rs
+++ b/src/net/peer_tests.rs
@@ -3,11 +3,12 @@
 use super::*;
 use crate::core::Work;
 use crate::pg::member::Pg;
-use crate::pg::scripted_member::{self, query, WELCOME};
+use crate::pg::scripted_member::{self, description, query, row_start, WELCOME};
+use crate::pg::told::FLOWS_FROM;
 use bytes::Bytes;
 use socket2::SockRef;
 use std::future::Future;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::sync::mpsc as std_mpsc;
 use std::thread::JoinHandle;
 use tokio::sync::oneshot;
@@ -65,6 +66,18 @@
             other => panic!("no end: {other:?}"),
         }
     }
+
+    /// All ends of the attempt, once the peer has ended too.
+    async fn all_ends(self, first: Outcome) -> Vec<Outcome> {
+        let (mut ends, Stage { orders, mut told }) = (vec![first], self);
+        drop(orders);
+        while let Some(input) = told.recv().await {
+            if let Input::Ended(_, _, ending) = input {
+                ends.push(ending.outcome);
+            }
+        }
+        ends
+    }
 }
 
 /// A member that reads no more than it is let.
@@ -156,3 +169,29 @@
     assert_eq!(outcome, Outcome::Reset);
     member.join().expect("no panic").expect("its client came");
 }
+
+#[test]
+fn an_attempt_whose_value_is_passed_on_ends_once_though_it_is_cancelled() {
+    let (cut, is_cut) = std_mpsc::channel::<()>();
+    let (address, member) = scripted_member::start(WELCOME.to_vec(), move |client| {
+        query(client)?;
+        client.write_all(&[description(), row_start(FLOWS_FROM as u32 + 1)].concat())?;
+        let _ = is_cut.recv();
+        Ok(())
+    });
+    let ends = block_on(async {
+        let mut stage = Stage::attempt(address, 64, PATIENCE, true).await;
+        let Some(Input::Ended(_, _, ending)) = stage.told.recv().await else { panic!("no end") };
+        stage.cancel().await;
+        // The member ends the connection only behind the cancel.
+        while stage.orders.capacity() < stage.orders.max_capacity() {
+            tokio::task::yield_now().await;
+        }
+        drop(cut);
+        let ends = stage.all_ends(ending.outcome).await;
+        drop(ending.value);
+        ends
+    });
+    assert_eq!(ends, [Outcome::Completed]);
+    member.join().expect("no panic").expect("its client came");
+}
