Ask for what stands behind a refusal before an unsafe request goes elsewhere by it

What callers could see: a member's answer 53300, 25006 or 72000 was spoilt, or left over from an earlier statement, and the answer proper came later: the unsafe request had run, and was sent again or refused. Cause: `Connection::run` looks for bytes behind such an answer once, in the moment in which it is read; what comes a millisecond later is not seen, and no wait would be long enough. Change: behind an answer by which an unsafe statement never ran the peer writes an empty query, which members answer in their turn and which runs nothing. Only where nothing stands before its answer, or the connection ends, does the attempt count as never run. What may be sent again is taken at the member's word, so that it costs nothing there; an unsafe attempt that is turned away costs one more way there and back, within the attempt's own time. Evidence: two new tests failed before (Saturated, no query; a value comes behind the refusal), and pass now.

--- a/src/net/fleet_tests.rs
+++ b/src/net/fleet_tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::core::flow::Source;
 use crate::core::Work;
-use crate::net::link::{Exchange, Guard, Link};
+use crate::net::link::{Confirmation, Exchange, Guard, Link};
 use bytes::Bytes;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -50,6 +50,10 @@
         Exchange { outcome: Outcome::Completed, ..Exchange::default() }
     }
 
+    async fn confirm(&mut self) -> Confirmation {
+        Confirmation::Alone
+    }
+
     async fn rest(&mut self, _: Source) -> bool {
         false
     }
--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -47,6 +47,17 @@
     Fence,
 }
 
+/// What stands behind an answer by which a statement never ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Confirmation {
+    /// Nothing, and the connection may carry another statement.
+    Alone,
+    /// Nothing, and the member has ended the connection.
+    Ended,
+    /// Something: the statement may have run.
+    Contradicted,
+}
+
 /// A connection to a member on which statements can be run, one at a time.
 pub trait Link: Send + 'static {
     /// Nothing has come on it since its last answer, not even an end. The socket itself is asked: what the runtime
@@ -67,6 +78,9 @@
         written: &mut bool,
     ) -> impl Future<Output = Exchange> + Send;
 
+    /// Proves that a whole answer is the last word on its statement, at the price of one way there and back. Runs nothing.
+    fn confirm(&mut self) -> impl Future<Output = Confirmation> + Send;
+
     /// Passes on the rest of a value that has begun, no faster than it is taken; whether the connection may carry
     /// another statement.
     fn rest(&mut self, to: Source) -> impl Future<Output = bool> + Send;
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -5,7 +5,7 @@
 //! only in those tasks, never in its own loop, so that it always takes orders.
 
 use super::budget::Budget;
-use super::link::{Exchange, Guard, Link, Wire};
+use super::link::{Confirmation, Exchange, Guard, Link, Wire};
 use super::member_state::SharedState;
 use super::pool::{Before, Pool};
 use super::timeout::Timeout;
@@ -281,7 +281,11 @@
                     }
                     // Members are told how long this proxy waits; rounded up, as 0 would say that it is over.
                     let wait = attempt.stop_at.saturating_sub(clock.now()).div_ceil(1000).max(1);
-                    let exchange = link.run(&attempt.work, wait, guard, &mut written).await;
+                    let mut exchange = link.run(&attempt.work, wait, guard, &mut written).await;
+                    // What may be sent again needs no proof that it never ran.
+                    if !attempt.safe && exchange.reusable && exchange.outcome.never_ran() {
+                        exchange = Box::pin(confirmed(&mut link, exchange)).await;
+                    }
                     let kept = exchange.reusable || exchange.begun.is_some();
                     (kept.then_some(link), exchange)
                 });
@@ -346,6 +350,15 @@
     }
 }
 
+/// An exchange by which the statement never ran, as far as nothing behind the answer contradicts it.
+async fn confirmed<L: Link>(link: &mut L, exchange: Exchange) -> Exchange {
+    match link.confirm().await {
+        Confirmation::Alone => exchange,
+        Confirmation::Ended => Exchange { reusable: false, ..exchange },
+        Confirmation::Contradicted => Exchange { outcome: Outcome::Errored, ..Exchange::default() },
+    }
+}
+
 /// Passes a value's rest on.
 async fn pass_on<L: Link>(link: Option<L>, to: Source) -> Option<L> {
     let mut link = link?;
--- a/src/net/peer_tests.rs
+++ b/src/net/peer_tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::core::Work;
 use crate::pg::member::Pg;
-use crate::pg::scripted_member::{self, description, query, row_start, WELCOME};
+use crate::pg::scripted_member::{self, description, error, message, query, row, row_start, READY, WELCOME};
 use crate::pg::told::FLOWS_FROM;
 use bytes::Bytes;
 use socket2::SockRef;
@@ -195,3 +195,48 @@
     assert_eq!(ends, [Outcome::Completed]);
     member.join().expect("no panic").expect("its client came");
 }
+
+/// How an attempt ends whose member turns it away, and then answers the next query, if there is one, so; and whether there
+/// was one.
+fn turned_away(safe: bool, next: Option<Vec<u8>>) -> (Outcome, bool) {
+    let (address, member) = scripted_member::start(WELCOME.to_vec(), move |client| {
+        query(client)?;
+        client.write_all(&[&error("ERROR", "53300")[..], READY].concat())?;
+        let asked = query(client).is_ok();
+        if let Some(next) = next {
+            client.write_all(&next)?;
+            // It stays until its client has gone.
+            let _ = query(client);
+        }
+        Ok(asked)
+    });
+    let outcome = block_on(async {
+        let mut stage = Stage::attempt(address, 64, PATIENCE, safe).await;
+        let outcome = stage.outcome().await;
+        assert_eq!(stage.all_ends(outcome).await, [outcome]);
+        outcome
+    });
+    (outcome, member.join().expect("no panic").expect("its client came"))
+}
+
+#[test]
+fn a_value_that_comes_later_behind_a_refusal_leaves_open_whether_an_unsafe_statement_ran() {
+    let empty = [&message(b'I', &[])[..], READY].concat();
+    let value = [&description()[..], &row(b"v"), &message(b'C', b"DONE 1\0"), READY].concat();
+    for late in [[&value[..], &empty].concat(), value[..30].to_vec(), [&empty[..], &value].concat()] {
+        assert_eq!(turned_away(false, Some(late)), (Outcome::Errored, true));
+    }
+}
+
+#[test]
+fn a_refusal_with_nothing_behind_it_proves_that_an_unsafe_statement_never_ran() {
+    let empty = [&message(b'I', &[])[..], READY].concat();
+    assert_eq!(turned_away(false, Some(empty)), (Outcome::Saturated, true));
+    // The member ends the connection instead.
+    assert_eq!(turned_away(false, None), (Outcome::Saturated, true));
+}
+
+#[test]
+fn a_refusal_of_what_may_be_sent_again_is_taken_at_its_word() {
+    assert_eq!(turned_away(true, None), (Outcome::Saturated, false));
+}
--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -14,7 +14,7 @@
 use crate::meter::{self, Cost};
 use crate::net::budget::ByteBudget;
 use crate::net::frames::{next, shrink, Next, ROOM};
-use crate::net::link::{Exchange, Guard, Link, Wire};
+use crate::net::link::{Confirmation, Exchange, Guard, Link, Wire};
 use crate::net::momentary;
 use crate::net::socket::Socket;
 use bytes::Bytes;
@@ -307,6 +307,28 @@
         Exchange { outcome, value, note, report, reusable: whole && !more, begun: None }
     }
 
+    async fn confirm(&mut self) -> Confirmation {
+        // Where this cannot be written the connection has ended, which reading shows, behind all that came before.
+        let _ = self.framed.send(Frontend::Empty).await;
+        let mut confirmation = Confirmation::Alone;
+        for expected in [Backend::EmptyQuery, Backend::Ready] {
+            confirmation = match next(&mut self.framed, true).await {
+                Next::Message(Some(Ok(message))) if message == expected => continue,
+                Next::Message(Some(Err(WireError::Io(_))) | None) => Confirmation::Ended,
+                _ => Confirmation::Contradicted,
+            };
+            break;
+        }
+        self.framed.get_ref().expects_nothing();
+        if !self.framed.read_buffer().is_empty() {
+            confirmation = Confirmation::Contradicted;
+        }
+        if confirmation == Confirmation::Contradicted {
+            count(Count::member_extras);
+        }
+        confirmation
+    }
+
     async fn rest(&mut self, to: Source) -> bool {
         let Some(mut reply) = self.begun.take() else { return false };
         let whole = loop {
