--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -5,7 +5,7 @@
 //! only in those tasks, never in its own loop, so that it always takes orders.
 
 use super::budget::Budget;
-use super::link::{Exchange, Guard, Link, Wire};
+use super::link::{Confirmation, Exchange, Guard, Link, Wire};
 use super::member_state::SharedState;
 use super::pool::{Before, Pool};
 use super::timeout::Timeout;
@@ -83,9 +83,19 @@
     ends: Option<mpsc::UnboundedReceiver<Done<W::Link>>>,
 }
 
+/// A task of a peer.
+enum Task {
+    /// Runs an attempt, up to where its end is told.
+    Attempt(AttemptKey),
+    /// Passes on the rest of a value whose attempt has ended.
+    Value,
+    /// Asks for a report.
+    Probe,
+}
+
 /// A task's end.
 struct Done<L> {
-    attempt: Option<(RequestId, u32)>,
+    task: Task,
     link: Option<(L, Timeout)>,
     /// The member's moves when it began.
     moves: u32,
@@ -137,10 +147,11 @@
             }
             tokio::select! {
                 biased;
-                Some(Done { attempt, link, moves }) = ends.recv() => {
-                    match attempt {
-                        Some(key) => drop((self.running.remove(&key), self.state.lock().gate.end(key))),
-                        None => self.probing -= 1,
+                Some(Done { task, link, moves }) = ends.recv() => {
+                    match task {
+                        Task::Attempt(key) => drop((self.running.remove(&key), self.state.lock().gate.end(key))),
+                        Task::Value => {}
+                        Task::Probe => self.probing -= 1,
                     }
                     self.follow();
                     if let Some(link) = link.filter(|_| moves == self.moves) {
@@ -270,7 +281,11 @@
                     }
                     // Members are told how long this proxy waits; rounded up, as 0 would say that it is over.
                     let wait = attempt.stop_at.saturating_sub(clock.now()).div_ceil(1000).max(1);
-                    let exchange = link.run(&attempt.work, wait, guard, &mut written).await;
+                    let mut exchange = link.run(&attempt.work, wait, guard, &mut written).await;
+                    // What may be sent again needs no proof that it never ran.
+                    if !attempt.safe && exchange.reusable && exchange.outcome.never_ran() {
+                        exchange = Box::pin(confirmed(&mut link, exchange)).await;
+                    }
                     let kept = exchange.reusable || exchange.begun.is_some();
                     (kept.then_some(link), exchange)
                 });
@@ -293,13 +308,19 @@
             let note = note.filter(|_| outcome.answered());
             let ending = Ending { outcome, value, note, report, spent };
             let _ = core.send(Input::Ended(key.0, key.1, ending)).await;
-            // The value is the client's now: neither the attempt's time nor the request's ends it.
             let link = match begun {
-                Some(source) => Box::pin(pass_on(link, source)).await,
-                None => link,
+                // The value is the client's now: neither the attempt's time nor the request's ends it, nor a cancel.
+                Some(source) => {
+                    let done = done.clone();
+                    tokio::spawn(async move {
+                        let link = pass_on(link, source).await.map(|link| (link, timeout));
+                        let _ = done.send(Done { task: Task::Value, link, moves });
+                    });
+                    None
+                }
+                None => link.map(|link| (link, timeout)),
             };
-            let link = link.map(|link| (link, timeout));
-            let _ = done.send(Done { attempt: Some(key), link, moves });
+            let _ = done.send(Done { task: Task::Attempt(key), link, moves });
         }));
         self.running.insert(key, Running { task: task.abort_handle(), since });
     }
@@ -323,12 +344,21 @@
             };
             let _ = core.send(Input::Probed(id, report, clock.now().saturating_sub(since))).await;
             let link = link.map(|link| (link, timeout));
-            let _ = done.send(Done { attempt: None, link, moves });
+            let _ = done.send(Done { task: Task::Probe, link, moves });
         });
     }
 }
 
-/// Passes a value's rest on, in a future of its own: nearly all tasks need no room for it.
+/// An exchange by which the statement never ran, as far as nothing behind the answer contradicts it.
+async fn confirmed<L: Link>(link: &mut L, exchange: Exchange) -> Exchange {
+    match link.confirm().await {
+        Confirmation::Alone => exchange,
+        Confirmation::Ended => Exchange { reusable: false, ..exchange },
+        Confirmation::Contradicted => Exchange { outcome: Outcome::Errored, ..Exchange::default() },
+    }
+}
+
+/// Passes a value's rest on.
 async fn pass_on<L: Link>(link: Option<L>, to: Source) -> Option<L> {
     let mut link = link?;
     link.rest(to).await.then_some(link)
@@ -387,3 +417,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "peer_tests.rs"]
+mod tests;
--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -5,7 +5,7 @@
 //! nothing that came with it is believed.
 
 use super::frames::WireError;
-use super::statement::render;
+use super::statement::{is_write, render};
 use super::told::{statement, Backend, ClientCodec, Column, Frontend, Parameter};
 use crate::core::counters::{count, Count};
 use crate::core::flow::{Chunk, Flow, Source};
@@ -14,7 +14,7 @@
 use crate::meter::{self, Cost};
 use crate::net::budget::ByteBudget;
 use crate::net::frames::{next, shrink, Next, ROOM};
-use crate::net::link::{Exchange, Guard, Link, Wire};
+use crate::net::link::{Confirmation, Exchange, Guard, Link, Wire};
 use crate::net::momentary;
 use crate::net::socket::Socket;
 use bytes::Bytes;
@@ -99,7 +99,8 @@
             };
             match message {
                 Backend::AuthenticationOk if !known => known = true,
-                Backend::Ready if known => {
+                // What stands behind it already would pass for the first statement's answer.
+                Backend::Ready if known && !link.left_over() => {
                     link.framed.get_ref().expects_nothing();
                     return Ok(link);
                 }
@@ -156,7 +157,9 @@
                     continue;
                 }
                 Next::Message(Some(Ok(message))) => message,
-                Next::Message(Some(Err(WireError::Io(_))) | None) if reply.fatal => {
+                Next::Message(Some(Err(WireError::Io(_))) | None)
+                    if reply.fatal && self.framed.read_buffer().is_empty() =>
+                {
                     return (reply, End::Whole { ready: false })
                 }
                 Next::Message(Some(Err(WireError::Io(_))) | None) => return (reply, End::Broken),
@@ -166,7 +169,7 @@
                 }
             };
             if let Backend::RowBegins(length) = message {
-                return match reply.row.is_none() && reply.column.is_some() && !reply.complete {
+                return match reply.expects_row() {
                     true => (reply, End::Begun(length)),
                     false => (reply, End::Spoilt("a message stands where it does not belong")),
                 };
@@ -260,13 +263,12 @@
         *written = true;
         let (mut reply, end, strays) = self.answer(guard).await;
         shrink(&mut self.framed);
-        let outcome = match (end, reply.code.as_ref()) {
-            (End::Whole { .. }, None) | (End::Begun(_), _) => Outcome::Completed,
-            (End::Whole { .. }, Some(b"25006" | b"72000")) => Outcome::Miss,
-            (End::Whole { .. }, Some(b"53300")) => Outcome::Saturated,
+        let outcome = match end {
+            End::Whole { .. } => reply.outcome(is_write(work)),
+            End::Begun(_) => Outcome::Completed,
             // The member answered, but not with what can be passed on, and it may have run.
-            (End::Whole { .. }, Some(_)) | (End::Spoilt(_), _) => Outcome::Errored,
-            (End::Broken, _) => Outcome::Reset,
+            End::Spoilt(_) => Outcome::Errored,
+            End::Broken => Outcome::Reset,
         };
         // What proves that nothing ran must be beyond doubt, and the socket is asked whether anything came with it. A
         // value stands for itself; what comes behind it shows when the connection is used again.
@@ -305,6 +307,28 @@
         Exchange { outcome, value, note, report, reusable: whole && !more, begun: None }
     }
 
+    async fn confirm(&mut self) -> Confirmation {
+        // Where this cannot be written the connection has ended, which reading shows, behind all that came before.
+        let _ = self.framed.send(Frontend::Empty).await;
+        let mut confirmation = Confirmation::Alone;
+        for expected in [Backend::EmptyQuery, Backend::Ready] {
+            confirmation = match next(&mut self.framed, true).await {
+                Next::Message(Some(Ok(message))) if message == expected => continue,
+                Next::Message(Some(Err(WireError::Io(_))) | None) => Confirmation::Ended,
+                _ => Confirmation::Contradicted,
+            };
+            break;
+        }
+        self.framed.get_ref().expects_nothing();
+        if !self.framed.read_buffer().is_empty() {
+            confirmation = Confirmation::Contradicted;
+        }
+        if confirmation == Confirmation::Contradicted {
+            count(Count::member_extras);
+        }
+        confirmation
+    }
+
     async fn rest(&mut self, to: Source) -> bool {
         let Some(mut reply) = self.begun.take() else { return false };
         let whole = loop {
@@ -354,14 +378,22 @@
 }
 
 impl Reply {
+    /// Neither the command's end nor an error has come.
+    fn is_open(&self) -> bool {
+        !self.complete && self.code.is_none()
+    }
+
+    /// Whether a row may come next.
+    fn expects_row(&self) -> bool {
+        self.is_open() && self.column.is_some() && self.row.is_none()
+    }
+
     /// Takes in the next message; true at the end.
     fn take(&mut self, message: Backend) -> Result<bool, &'static str> {
-        let open = !self.complete && self.code.is_none();
+        let open = self.is_open();
         match message {
             Backend::RowDescription(c) if open && self.column.is_none() => self.column = Some(c),
-            Backend::DataRow(value) if open && self.column.is_some() && self.row.is_none() => {
-                self.row = Some(value);
-            }
+            Backend::DataRow(value) if self.expects_row() => self.row = Some(value),
             Backend::CommandComplete if open && self.column.is_some() => self.complete = true,
             Backend::Error { fatal, code, message } if open => {
                 if &code == b"08P01" {
@@ -378,6 +410,21 @@
         Ok(false)
     }
 
+    /// What came of a statement, a write or a read, whose whole answer this is.
+    fn outcome(&self, write: bool) -> Outcome {
+        let Some(code) = &self.code else { return Outcome::Completed };
+        // Rows come of a statement that has begun to run.
+        if self.column.is_some() {
+            return Outcome::Errored;
+        }
+        match (code, write) {
+            (b"53300", _) => Outcome::Saturated,
+            // Only writes need a primary, and only reads a position.
+            (b"25006", true) | (b"72000", false) => Outcome::Miss,
+            _ => Outcome::Errored,
+        }
+    }
+
     fn parameter(&mut self, name: Parameter, value: &[u8]) {
         let note = self.note.unwrap_or(Note { position: None, role: None });
         let text = std::str::from_utf8(value).unwrap_or_default();
@@ -424,3 +471,7 @@
     }
     report
 }
+
+#[cfg(test)]
+#[path = "member_tests.rs"]
+mod tests;
