Have the acceptor take any listener, so that a test can make accept fail

Need: the loops of net/listen.rs ask a TcpListener, and no test can make its accept fail in an order of its own. Change: a trait with the two ways of asking (net/client_queue.rs), which TcpListener implements as accept_now did. No behaviour is meant to change.

--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -2,6 +2,7 @@
 
 use super::budget::DescriptorBudget;
 use super::client_end::{EndReport, Ended, CONNECTION};
+use super::client_queue::Listener;
 use super::held_up;
 use super::socket::Socket;
 use crate::core::counters::{count, counted, Count};
@@ -134,8 +135,8 @@
 
 /// A listener and what its clients need. Nobody who comes waits behind another: without a permit he has a task of his own, on a
 /// permit for refusing.
-pub struct Acceptor<S> {
-    listener: TcpListener,
+pub struct Acceptor<S, L = TcpListener> {
+    listener: L,
     /// When the listener was bound, at the earliest.
     bound: Instant,
     counter: Count,
@@ -143,15 +144,9 @@
     serves: S,
 }
 
-impl<S: Serves> Acceptor<S> {
+impl<S: Serves, L: Listener> Acceptor<S, L> {
     /// An acceptor that counts its clients by `counter`.
-    pub fn new(
-        listener: TcpListener,
-        bound: Instant,
-        counter: Count,
-        clients: DescriptorBudget,
-        serves: S,
-    ) -> Self {
+    pub fn new(listener: L, bound: Instant, counter: Count, clients: DescriptorBudget, serves: S) -> Self {
         Acceptor { listener, bound, counter, clients, serves }
     }
 
@@ -161,10 +156,10 @@
     pub async fn accept_all(self, mut closing: Closing) -> Option<Self> {
         // Those that stand in the queue already may have come as soon as the listener was bound.
         while *closing.borrow() < Phase::Leaving {
-            match accept_now(&self.listener) {
-                Some(Ok((stream, peer))) => self.admit(self.bound, stream, peer, &closing).await,
-                Some(Err(e)) => accept_failed(&e).await,
-                None => break,
+            match self.listener.try_accept() {
+                Ok(Some((stream, peer))) => self.admit(self.bound, stream, peer, &closing).await,
+                Err(e) => accept_failed(&e).await,
+                Ok(None) => break,
             }
         }
         loop {
@@ -183,9 +178,10 @@
             return None;
         }
         let mut failures = 0;
-        while let Some(accepted) = accept_now(&self.listener) {
-            match accepted {
-                Ok((stream, peer)) => self.admit(came(), stream, peer, &closing).await,
+        loop {
+            match self.listener.try_accept() {
+                Ok(None) => break,
+                Ok(Some((stream, peer))) => self.admit(came(), stream, peer, &closing).await,
                 // What fails for a moment ends nothing.
                 Err(e) => {
                     accept_failed(&e).await;
@@ -213,7 +209,7 @@
                 Err(e) => accept_failed(&e).await,
             }
         }
-        while let Some(Ok((stream, peer))) = accept_now(&self.listener) {
+        while let Ok(Some((stream, peer))) = self.listener.try_accept() {
             self.turn_away(stream, peer).await;
         }
     }
@@ -289,20 +285,6 @@
     drop(permit);
 }
 
-/// A client that the machine has accepted, if there is one. The kernel is asked, not the runtime, which may not have heard of
-/// the last ones yet.
-fn accept_now(listener: &TcpListener) -> Option<std::io::Result<(TcpStream, SocketAddr)>> {
-    let accepted = SockRef::from(listener).accept().and_then(|(stream, peer)| {
-        stream.set_nonblocking(true)?;
-        let peer = peer.as_socket().ok_or(ErrorKind::AddrNotAvailable)?;
-        Ok((TcpStream::from_std(stream.into())?, peer))
-    });
-    match accepted {
-        Err(e) if e.kind() == ErrorKind::WouldBlock => None,
-        accepted => Some(accepted),
-    }
-}
-
 async fn accept_failed(e: &Error) {
     if counted(Count::accept_failures).is_multiple_of(ACCEPT_FAILURES_TOLD) {
         log::warn!("a client could not be accepted: {e}");
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod answer_limit;
 pub mod budget;
 pub mod client_end;
+pub mod client_queue;
 pub mod discovery;
 pub mod fleet;
 pub mod frames;
