Refuse who stands in the queue at the end of the process though accept fails

What callers saw: a client that came while the process ended was reset, without the refusal that it is owed. Cause: the last emptying of the listener's queue (Acceptor::refuse_all) took the first failure of accept for its end, and let go of the listener, which resets all who stand behind. ECONNABORTED, EMFILE, ENFILE and ENOBUFS pass by themselves (accept(2)). The emptying before that let go of it too once accept had failed for 3 s, so that nobody was refused although it worked again. Change: all loops take clients by two steps of net/client_queue.rs, the next until a phase and the next in the queue; each passes over failures, the second 1,500 in a row at most. What accept_all leaves behind goes to refuse_all in any case. The catching up at a start gives way to the end of the process between two failures, as before.

--- a/src/net/client_queue.rs
+++ b/src/net/client_queue.rs
@@ -1,11 +1,21 @@
-//! The queue of a listening socket, as the accept loops need it.
+//! The queue of a listening socket: its clients are taken one by one, and a failure of accept(2) passes over none of them.
 
+use super::listen::{reached, Closing, Phase};
+use crate::core::counters::{count, counted, Count};
 use socket2::SockRef;
 use std::future::Future;
-use std::io::{ErrorKind, Result};
+use std::io::{Error, ErrorKind, Result};
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 
+/// After a failure of accept, such as one for want of descriptors. All who stand in the queue wait for it.
+const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(2);
+/// Failures in a row before those that stand in the queue are left there: some 3 s, as long as a bad client is owed.
+const MAX_ACCEPT_FAILURES: u32 = 1_500;
+/// Of all failures the log tells one in so many.
+const ACCEPT_FAILURES_PER_LOG_LINE: u64 = 100;
+
 /// A listening socket.
 pub trait Listener: Send + Sync + 'static {
     /// The next client, once there is one. Cancel safe.
@@ -37,3 +47,54 @@
         Ok(Some((TcpStream::from_std(stream.into())?, peer)))
     }
 }
+
+/// Clients of a listener, in the order in which the kernel has them.
+pub struct ClientQueue<L> {
+    listener: L,
+}
+
+impl<L: Listener> ClientQueue<L> {
+    /// The queue of this listener, which is closed with it.
+    pub fn new(listener: L) -> Self {
+        ClientQueue { listener }
+    }
+
+    /// The next client, once there is one; none once the process has reached `phase`. Cancel safe.
+    pub async fn next_until(&self, closing: &mut Closing, phase: Phase) -> Option<(TcpStream, SocketAddr)> {
+        tokio::select! {
+            biased;
+            () = reached(closing, phase) => None,
+            client = self.next() => Some(client),
+        }
+    }
+
+    async fn next(&self) -> (TcpStream, SocketAddr) {
+        loop {
+            match self.listener.accept().await {
+                Ok(client) => return client,
+                Err(e) => accept_failed(&e).await,
+            }
+        }
+    }
+
+    /// The next client that stands in the queue; none if there is none, or if accept has failed too often in a row. Cancel
+    /// safe.
+    pub async fn next_queued(&self) -> Option<(TcpStream, SocketAddr)> {
+        for _ in 0..MAX_ACCEPT_FAILURES {
+            match self.listener.try_accept() {
+                Ok(client) => return client,
+                Err(e) => accept_failed(&e).await,
+            }
+        }
+        log::error!("clients that have come are left in the queue, as accept fails again and again");
+        None
+    }
+}
+
+async fn accept_failed(e: &Error) {
+    if counted(Count::accept_failures).is_multiple_of(ACCEPT_FAILURES_PER_LOG_LINE) {
+        log::warn!("a client could not be accepted: {e}");
+    }
+    count(Count::accept_failures);
+    tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
+}
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -2,10 +2,10 @@
 
 use super::budget::DescriptorBudget;
 use super::client_end::{EndReport, Ended, CONNECTION};
-use super::client_queue::Listener;
+use super::client_queue::{ClientQueue, Listener};
 use super::held_up;
 use super::socket::Socket;
-use crate::core::counters::{count, counted, Count};
+use crate::core::counters::{count, Count};
 use futures_util::future::FusedFuture;
 use futures_util::FutureExt;
 use listenfd::ListenFd;
@@ -18,12 +18,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit};
 
-/// After a failure to accept, such as one for want of descriptors. All who stand in the queue wait for it.
-const PAUSE: Duration = Duration::from_millis(2);
-/// Failures to accept at the end before those that still wait are given up: some 3 s, as long as a bad client is owed.
-const ACCEPT_FAILURES_MAX: u32 = 1_500;
-/// Of failures in a row the log tells one in so many.
-const ACCEPT_FAILURES_TOLD: u64 = 100;
 /// How long a client may wait for a permit before it is refused; sooner, where others want to be refused too.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -136,7 +130,7 @@
 /// A listener and what its clients need. Nobody who comes waits behind another: without a permit he has a task of his own, on a
 /// permit for refusing.
 pub struct Acceptor<S, L = TcpListener> {
-    listener: L,
+    queue: ClientQueue<L>,
     /// When the listener was bound, at the earliest.
     bound: Instant,
     counter: Count,
@@ -147,7 +141,7 @@
 impl<S: Serves, L: Listener> Acceptor<S, L> {
     /// An acceptor that counts its clients by `counter`.
     pub fn new(listener: L, bound: Instant, counter: Count, clients: DescriptorBudget, serves: S) -> Self {
-        Acceptor { listener, bound, counter, clients, serves }
+        Acceptor { queue: ClientQueue::new(listener), bound, counter, clients, serves }
     }
 
     /// Accepts clients until the end begins. Those that the machine has accepted by then and nobody has taken yet are taken as
@@ -155,61 +149,34 @@
     /// clients.
     pub async fn accept_all(self, mut closing: Closing) -> Option<Self> {
         // Those that stand in the queue already may have come as soon as the listener was bound.
-        while *closing.borrow() < Phase::Leaving {
-            match self.listener.try_accept() {
-                Ok(Some((stream, peer))) => self.admit(self.bound, stream, peer, &closing).await,
-                Err(e) => accept_failed(&e).await,
-                Ok(None) => break,
-            }
-        }
         loop {
-            let accepted = tokio::select! {
+            let queued = tokio::select! {
                 biased;
-                () = reached(&mut closing, Phase::Leaving) => break,
-                accepted = self.listener.accept() => accepted,
+                () = reached(&mut closing, Phase::Leaving) => None,
+                queued = self.queue.next_queued() => queued,
             };
-            match accepted {
-                Ok((stream, peer)) => self.admit(came(), stream, peer, &closing).await,
-                Err(e) => accept_failed(&e).await,
-            }
+            let Some((stream, peer)) = queued else { break };
+            self.admit(self.bound, stream, peer, &closing).await;
+        }
+        while let Some((stream, peer)) = self.queue.next_until(&mut closing, Phase::Leaving).await {
+            self.admit(came(), stream, peer, &closing).await;
         }
         // While the next process takes clients from the same listener, they are that one's.
         if *closing.borrow() < Phase::Closing {
             return None;
         }
-        let mut failures = 0;
-        loop {
-            match self.listener.try_accept() {
-                Ok(None) => break,
-                Ok(Some((stream, peer))) => self.admit(came(), stream, peer, &closing).await,
-                // What fails for a moment ends nothing.
-                Err(e) => {
-                    accept_failed(&e).await;
-                    failures += 1;
-                    if failures > ACCEPT_FAILURES_MAX {
-                        log::error!("clients that have come are left: {e}");
-                        return None;
-                    }
-                }
-            }
+        while let Some((stream, peer)) = self.queue.next_queued().await {
+            self.admit(came(), stream, peer, &closing).await;
         }
         Some(self)
     }
 
     /// Refuses whoever comes still, up to the end of the process.
     pub async fn refuse_all(self, mut closing: Closing) {
-        loop {
-            let accepted = tokio::select! {
-                biased;
-                () = reached(&mut closing, Phase::Ended) => break,
-                accepted = self.listener.accept() => accepted,
-            };
-            match accepted {
-                Ok((stream, peer)) => self.turn_away(stream, peer).await,
-                Err(e) => accept_failed(&e).await,
-            }
+        while let Some((stream, peer)) = self.queue.next_until(&mut closing, Phase::Ended).await {
+            self.turn_away(stream, peer).await;
         }
-        while let Ok(Some((stream, peer))) = self.listener.try_accept() {
+        while let Some((stream, peer)) = self.queue.next_queued().await {
             self.turn_away(stream, peer).await;
         }
     }
@@ -285,14 +252,6 @@
     drop(permit);
 }
 
-async fn accept_failed(e: &Error) {
-    if counted(Count::accept_failures).is_multiple_of(ACCEPT_FAILURES_TOLD) {
-        log::warn!("a client could not be accepted: {e}");
-    }
-    count(Count::accept_failures);
-    tokio::time::sleep(PAUSE).await;
-}
-
 #[cfg(test)]
 #[path = "listen_tests.rs"]
 mod tests;
