Look again for a client's end where a signal interrupts the look

Fault, found by reading: the last look before an attempt begins (Presence::gone) took EINTR for a client that is still there, while the same look before a connection's end (Socket::unread) looks again. An attempt could begin for a client that had left, which is a lost request. Change: both have one loop, unread_by, which a signal does not end.

--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -90,19 +90,9 @@
 
     /// Asks the kernel what stands unread, whatever the runtime has heard of it; the next read finds bytes at once.
     pub fn unread(&mut self) -> Unread {
-        loop {
-            meter::add(Cost::Peeks, 1);
-            match SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit(); 1]) {
-                Ok(0) => return Unread::End,
-                Ok(_) => {
-                    self.unread = true;
-                    return Unread::Bytes;
-                }
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return Unread::Nothing,
-                Err(_) => return Unread::End,
-            }
-        }
+        let unread = unread_by(|| peek(&self.stream));
+        self.unread |= unread == Unread::Bytes;
+        unread
     }
 
     /// A read where the runtime may take the socket for empty though it is not.
@@ -148,14 +138,31 @@
     matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted)
 }
 
+/// Looks at the first byte that stands unread, which stays there.
+fn peek(stream: &TcpStream) -> Result<usize> {
+    meter::add(Cost::Peeks, 1);
+    SockRef::from(stream).peek(&mut [MaybeUninit::uninit(); 1])
+}
+
+/// What stands unread, by as many looks as it takes until one shows it.
+fn unread_by(mut peek: impl FnMut() -> Result<usize>) -> Unread {
+    loop {
+        match peek() {
+            Ok(0) => return Unread::End,
+            Ok(_) => return Unread::Bytes,
+            Err(e) if e.kind() == ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == ErrorKind::WouldBlock => return Unread::Nothing,
+            Err(_) => return Unread::End,
+        }
+    }
+}
+
 impl Presence for TcpStream {
     fn gone(&self) -> bool {
         // The end behind unread bytes shows in what the kernel told last; with none there it is what a look brings.
         let told = self.ready(Interest::READABLE).now_or_never().and_then(Result::ok);
-        meter::add(Cost::Peeks, 1);
-        let peeked = SockRef::from(self).peek(&mut [MaybeUninit::uninit(); 1]);
-        let ended = |e: Error| !matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted);
-        told.is_some_and(|ready| ready.is_read_closed()) || peeked.map_or_else(ended, |bytes| bytes == 0)
+        let unread = unread_by(|| peek(self));
+        told.is_some_and(|ready| ready.is_read_closed()) || unread == Unread::End
     }
 }
 
--- a/src/net/socket_tests.rs
+++ b/src/net/socket_tests.rs
@@ -1,7 +1,8 @@
 //! The other side's end of connections, on real sockets, as it is seen here.
 
+use super::{unread_by, Unread};
 use crate::net::socket::Socket;
-use std::io::Write;
+use std::io::{Error, ErrorKind, Write};
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -44,3 +45,21 @@
         assert!(tokio::time::timeout(Duration::from_secs(20), server.ended()).await.is_ok());
     });
 }
+
+#[test]
+fn a_look_that_a_signal_interrupts_is_taken_again() {
+    for (shown, unread) in [(0, Unread::End), (1, Unread::Bytes)] {
+        let mut looks = 0;
+        let seen = unread_by(|| {
+            looks += 1;
+            if looks < 4 {
+                Err(ErrorKind::Interrupted.into())
+            } else {
+                Ok(shown)
+            }
+        });
+        assert_eq!((seen, looks), (unread, 4));
+    }
+    let seen = unread_by(|| Err(Error::from_raw_os_error(libc::EAGAIN)));
+    assert_eq!(seen, Unread::Nothing);
+}
