Make reads and writes again that found no memory in the kernel

What callers saw: a connection was reset, with the requests on it, where one recv, send or writev failed with ENOMEM or ENOBUFS. recv(2) and send(2) document both; they did nothing, say nothing of the connection, and pass by themselves. Members' connections and discovery's, which are the same type, broke alike. Cause: net/socket.rs took every error but EAGAIN and EINTR for the connection's end; its look at what stands unread did, too, so that a client was taken for gone. Change: such a call is made again every 2 ms, 40 times in a row at most (less than the 0.15 s of slack that a deadline has); a look without memory counts as 'something may stand there'. The shim has the fault (call_nomem).

--- a/crates/standins/shim/faults.c
+++ b/crates/standins/shim/faults.c
@@ -14,6 +14,8 @@
  *   socket_fails socket() fails with ENFILE or ENOBUFS                          socket(2)
  *   wait_intr    epoll_wait() returns EINTR                                     epoll_wait(2)
  *   call_intr    recv(), send(), writev() and connect() return EINTR            recv(2), send(2), connect(2)
+ *   call_nomem   recv() on a connection fails with ENOMEM, send() and writev() with ENOBUFS or ENOMEM, and nothing is done
+ *                                                                               recv(2), send(2)
  *   pause        a thread is held up before send()                              scheduling; any call may take so long
  *   pause_us     for so long (150000)
  *
@@ -43,13 +45,14 @@
 #include <unistd.h>
 
 enum fault {
-    RECV_SHORT, RECV_CUT, SEND_SHORT, RECV_FAILS, ACCEPT_FAILS, CONNECT_FAILS, SOCKET_FAILS, WAIT_INTR, CALL_INTR, PAUSE, PAUSE_US, SEED,
+    RECV_SHORT, RECV_CUT, SEND_SHORT, RECV_FAILS, ACCEPT_FAILS, CONNECT_FAILS, SOCKET_FAILS, WAIT_INTR, CALL_INTR, CALL_NOMEM,
+    PAUSE, PAUSE_US, SEED,
     FAULTS
 };
 
 static const char *const NAMES[FAULTS] = {
     "recv_short", "recv_cut", "send_short", "recv_fails", "accept_fails", "connect_fails", "socket_fails", "wait_intr",
-    "call_intr",
+    "call_intr", "call_nomem",
     "pause", "pause_us", "seed",
 };
 
@@ -146,17 +149,27 @@
 static const int INTERRUPTED[] = {EINTR};
 
 /* Connections alone: the runtime's own pipe for signals takes EINTR, which no read of it can bring, for its end. */
-static int interrupted(const char *call, int fd) {
+static int is_connection(int fd) {
     int kept = errno, domain = 0;
     socklen_t length = sizeof domain;
     int connection = getsockopt(fd, SOL_SOCKET, SO_DOMAIN, &domain, &length) == 0 && domain == AF_INET;
     errno = kept;
-    return connection && comes(CALL_INTR) ? fails(call, fd, INTERRUPTED, 1) : 0;
+    return connection;
+}
+
+static int interrupted(const char *call, int fd) {
+    return is_connection(fd) && comes(CALL_INTR) ? fails(call, fd, INTERRUPTED, 1) : 0;
 }
 
+static int finds_no_memory(const char *call, int fd, const int *errors, int n) {
+    return is_connection(fd) && comes(CALL_NOMEM) ? fails(call, fd, errors, n) : 0;
+}
+
+static const int NO_MEMORY[] = {ENOMEM, ENOBUFS};
+
 ssize_t recv(int fd, void *to, size_t size, int flags) {
     REAL(recv);
-    if (interrupted("recv", fd)) return -1;
+    if (interrupted("recv", fd) || finds_no_memory("recv", fd, NO_MEMORY, 1)) return -1;
     if (!(flags & MSG_PEEK)) {
         if (fd >= 0 && fd < DESCRIPTORS && outgoing[fd] && comes(RECV_FAILS)) {
             static const int errors[] = {ETIMEDOUT, EHOSTUNREACH};
@@ -190,7 +203,7 @@
 
 ssize_t send(int fd, const void *from, size_t size, int flags) {
     REAL(send);
-    if (interrupted("send", fd)) return -1;
+    if (interrupted("send", fd) || finds_no_memory("send", fd, NO_MEMORY, 2)) return -1;
     hold_up(fd);
     if (size > 1 && comes(SEND_SHORT)) {
         note("send(%d) takes 1 of %zu bytes", fd, size);
@@ -201,7 +214,7 @@
 
 ssize_t writev(int fd, const struct iovec *parts, int n) {
     REAL(writev);
-    if (interrupted("writev", fd)) return -1;
+    if (interrupted("writev", fd) || finds_no_memory("writev", fd, NO_MEMORY, 2)) return -1;
     hold_up(fd);
     if (n > 0 && parts[0].iov_len > 1 && comes(SEND_SHORT)) {
         note("writev(%d) takes 1 byte", fd);
--- a/crates/standins/src/shim.rs
+++ b/crates/standins/src/shim.rs
@@ -35,13 +35,15 @@
     WaitInterrupted,
     /// A read, a write or a connect ends with EINTR.
     CallInterrupted,
+    /// A read or a write finds no memory.
+    CallNoMemory,
     /// The process is held up for 150 ms before it writes.
     Pause,
 }
 
 impl Call {
     /// All of them.
-    pub const ALL: [Call; 10] = [
+    pub const ALL: [Call; 11] = [
         Call::RecvShort,
         Call::RecvCut,
         Call::SendShort,
@@ -51,6 +53,7 @@
         Call::SocketFails,
         Call::WaitInterrupted,
         Call::CallInterrupted,
+        Call::CallNoMemory,
         Call::Pause,
     ];
 
@@ -66,6 +69,7 @@
             Call::SocketFails => "socket_fails",
             Call::WaitInterrupted => "wait_intr",
             Call::CallInterrupted => "call_intr",
+            Call::CallNoMemory => "call_nomem",
             Call::Pause => "pause",
         }
     }
--- a/src/net/momentary.rs
+++ b/src/net/momentary.rs
@@ -1,10 +1,14 @@
-//! Sockets that are not to be had for the moment: errors of this machine, not of the other side, which Linux documents for
-//! `socket(2)`, `bind(2)` and `connect(2)` and which pass by themselves.
+//! Sockets, and memory for them, that are not to be had for the moment: errors of this machine, not of the other side, which
+//! Linux documents for `socket(2)`, `bind(2)`, `connect(2)`, `recv(2)` and `send(2)` and which pass by themselves.
 
 use crate::core::counters::{count, Count};
+use std::future::Future;
 use std::io::{Error, Result};
+use std::pin::Pin;
+use std::task::{ready, Context, Poll};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream, ToSocketAddrs};
+use tokio::time::Sleep;
 
 /// Between two tries to listen, and for so many of them (5 s): a start is owed within 10 s.
 const LISTEN_PAUSE: Duration = Duration::from_millis(50);
@@ -12,6 +16,44 @@
 /// Before each further try to connect; after the last the connection counts as refused.
 const CONNECT_PAUSES: [Duration; 3] =
     [Duration::from_millis(2), Duration::from_millis(5), Duration::from_millis(15)];
+/// Before a call on a connection that found no memory is made again, and how often in a row it is: in all less than the slack
+/// that a deadline has on its way to a server.
+const MEMORY_PAUSE: Duration = Duration::from_millis(2);
+const MEMORY_RETRIES_MAX: u32 = 40;
+
+/// The kernel has no memory for a call on a connection. It did nothing, and says nothing of the connection.
+pub fn no_memory(e: &Error) -> bool {
+    matches!(e.raw_os_error(), Some(libc::ENOBUFS | libc::ENOMEM))
+}
+
+/// Calls of one sort on one connection, which are made again where they found no memory.
+#[derive(Debug, Default)]
+pub struct MemoryRetry {
+    pause: Option<Pin<Box<Sleep>>>,
+    failures: u32,
+}
+
+impl MemoryRetry {
+    /// Waits until the next call may be made. Cancel safe.
+    pub fn poll_pause(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if let Some(pause) = &mut self.pause {
+            ready!(pause.as_mut().poll(cx));
+            self.pause = None;
+        }
+        Poll::Ready(())
+    }
+
+    /// Whether the call that brought this is to be made again, after the pause.
+    pub fn again<T>(&mut self, done: &Result<T>) -> bool {
+        let again = done.as_ref().is_err_and(no_memory) && self.failures < MEMORY_RETRIES_MAX;
+        self.failures = if again { self.failures + 1 } else { 0 };
+        if again {
+            count(Count::local_failures);
+            self.pause = Some(Box::pin(tokio::time::sleep(MEMORY_PAUSE)));
+        }
+        again
+    }
+}
 
 /// No descriptor or memory for a socket.
 fn no_socket(e: &Error) -> bool {
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -7,6 +7,7 @@
 //! its user knows that nothing is due ([`Socket::expects_nothing`]).
 
 use super::held_up;
+use super::momentary::{no_memory, MemoryRetry};
 use crate::core::Presence;
 use crate::meter::{self, Cost};
 use futures_util::FutureExt;
@@ -24,7 +25,7 @@
 pub enum Unread {
     /// Nothing, as of now.
     Nothing,
-    /// Bytes.
+    /// Bytes; or the kernel had no memory for a look.
     Bytes,
     /// The end of the connection, or a fault that ended it.
     End,
@@ -36,13 +37,20 @@
     stream: Arc<TcpStream>,
     /// What the runtime knows of unread bytes was given up, to hear of an end behind them.
     unread: bool,
+    read_retry: MemoryRetry,
+    write_retry: MemoryRetry,
 }
 
 impl Socket {
     /// Takes a connected stream. Small writes go out at once.
     pub fn new(stream: TcpStream) -> Self {
         let _ = stream.set_nodelay(true);
-        Socket { stream: Arc::new(stream), unread: false }
+        Socket {
+            stream: Arc::new(stream),
+            unread: false,
+            read_retry: MemoryRetry::default(),
+            write_retry: MemoryRetry::default(),
+        }
     }
 
     /// The stream itself.
@@ -115,17 +123,19 @@
     }
 
     fn poll_write_with(
-        &self,
+        &mut self,
         cx: &mut Context<'_>,
         write: impl Fn(&TcpStream) -> Result<usize>,
     ) -> Poll<Result<usize>> {
         loop {
+            ready!(self.write_retry.poll_pause(cx));
             ready!(self.stream.poll_write_ready(cx))?;
             meter::add(Cost::Writes, 1);
             let written = write(&self.stream);
             held_up::look();
             match written {
                 Err(e) if calls_again(&e) => {}
+                written if self.write_retry.again(&written) => {}
                 written => return Poll::Ready(written),
             }
         }
@@ -152,6 +162,7 @@
             Ok(_) => return Unread::Bytes,
             Err(e) if e.kind() == ErrorKind::Interrupted => {}
             Err(e) if e.kind() == ErrorKind::WouldBlock => return Unread::Nothing,
+            Err(e) if no_memory(&e) => return Unread::Bytes,
             Err(_) => return Unread::End,
         }
     }
@@ -168,27 +179,32 @@
 
 impl AsyncRead for Socket {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<Result<()>> {
-        if let Some(read) = self.read_unheard(buf) {
-            return Poll::Ready(read);
-        }
         loop {
-            ready!(self.stream.poll_read_ready(cx))?;
-            meter::add(Cost::Reads, 1);
-            match self.stream.try_read_buf(buf) {
+            ready!(self.read_retry.poll_pause(cx));
+            let read = match self.read_unheard(buf) {
+                Some(read) => read,
+                None => {
+                    ready!(self.stream.poll_read_ready(cx))?;
+                    meter::add(Cost::Reads, 1);
+                    self.stream.try_read_buf(buf).map(drop)
+                }
+            };
+            match read {
                 Err(e) if calls_again(&e) => meter::add(Cost::EmptyReads, 1),
-                read => return Poll::Ready(read.map(drop)),
+                read if self.read_retry.again(&read) => self.unread = true,
+                read => return Poll::Ready(read),
             }
         }
     }
 }
 
 impl AsyncWrite for Socket {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<Result<usize>> {
         self.poll_write_with(cx, |stream| stream.try_write(buf))
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<Result<usize>> {
--- a/tests/system_faults.rs
+++ b/tests/system_faults.rs
@@ -152,6 +152,14 @@
     all_are_served(&world, &proxy);
 }
 
+#[test]
+fn calls_that_find_no_memory_for_a_moment_lose_nothing() {
+    let world = World::new(&[(Call::CallNoMemory, 10)]);
+    let proxy = world.start();
+    world.shim.calls_fail(true).unwrap();
+    all_are_served(&world, &proxy);
+}
+
 #[test]
 fn a_start_outlasts_sockets_that_are_not_to_be_had_for_a_moment() {
     let world = World::new(&[(Call::SocketFails, 2)]);
