Have a start outlast an agreement address that is held for a moment

What operators and clients saw: a process whose address for the agreement was still held by the one before it, or that found no socket for a moment, ended at its start with an error; early clients were reset. Cause: parley bound its two sockets by itself, and took the first failure for the last word; the clients', the console's and OData's listeners are tried for 5 s (net/momentary.rs). Change: the same for the agreement's TCP and UDP sockets.

--- a/src/net/momentary.rs
+++ b/src/net/momentary.rs
@@ -7,7 +7,7 @@
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream, ToSocketAddrs};
+use tokio::net::{TcpListener, TcpStream, ToSocketAddrs, UdpSocket};
 use tokio::time::Sleep;
 
 /// Between two tries to listen, and for so many of them (5 s): a start is owed within 10 s.
@@ -76,9 +76,21 @@
 /// # Errors
 /// When the address cannot be listened on, or not for seconds.
 pub async fn listen(address: impl ToSocketAddrs + Copy) -> Result<TcpListener> {
+    once_free(|| TcpListener::bind(address)).await
+}
+
+/// The same for datagrams.
+///
+/// # Errors
+/// As [`listen`].
+pub async fn listen_datagrams(address: impl ToSocketAddrs + Copy) -> Result<UdpSocket> {
+    once_free(|| UdpSocket::bind(address)).await
+}
+
+async fn once_free<T, F: Future<Output = Result<T>>>(bind: impl Fn() -> F) -> Result<T> {
     let mut tries = 1;
     loop {
-        match TcpListener::bind(address).await {
+        match bind().await {
             Err(e) if no_listener(&e) && tries < LISTEN_TRIES => {
                 count(Count::local_failures);
                 log::warn!("cannot listen yet: {e}");
--- a/src/parley/mod.rs
+++ b/src/parley/mod.rs
@@ -19,6 +19,7 @@
 use crate::handover::ControlHandle;
 use crate::interface::{ListKind, Time};
 use crate::net::discovery::{self, Lists};
+use crate::net::momentary;
 use crate::operators::agreement::{Agreement, OnLapse};
 use crate::store::actor::Scribe;
 use crate::store::state::Finding;
@@ -27,7 +28,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, watch};
 
 /// Calls of the operators that may wait, and results of tasks.
@@ -196,8 +197,8 @@
         let file = &with.file;
         let at = file.proxies.get(&file.me).copied().ok_or("agreement.me is none of agreement.proxies")?;
         let bad = |e: std::io::Error| format!("agreement: {at}: {e}");
-        let socket = Arc::new(UdpSocket::bind(at).await.map_err(bad)?);
-        let listener = TcpListener::bind(at).await.map_err(bad)?;
+        let socket = Arc::new(momentary::listen_datagrams(at).await.map_err(bad)?);
+        let listener = momentary::listen(at).await.map_err(bad)?;
         let now = with.clock.now();
         let fleet = Fleet {
             me: file.me,
--- a/tests/starting.rs
+++ b/tests/starting.rs
@@ -9,7 +9,7 @@
 use linentrail_standins::registry::entry;
 use linentrail_standins::wire;
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -21,6 +21,7 @@
 const PORT: u16 = 6_543;
 const CONSOLE_PORT: u16 = 6_544;
 const ODATA_PORT: u16 = 6_545;
+const AGREEMENT_PORT: u16 = 6_546;
 
 /// A loopback address that no other test has, so that its ports are known before anybody listens there.
 fn own_address() -> Ipv4Addr {
@@ -194,6 +195,35 @@
     std::fs::remove_file(file).unwrap();
 }
 
+/// The process that this one takes over from may still hold the address at which proxies agree.
+#[test]
+fn a_start_outlasts_an_agreement_address_that_is_held_for_a_moment() {
+    for tcp in [false, true] {
+        let mut world = World::new();
+        let address = SocketAddr::from((world.address, AGREEMENT_PORT));
+        let key = std::env::temp_dir().join(format!("linentrail-start-key-{}-{tcp}", std::process::id()));
+        std::fs::write(&key, "a key that all of the fleet have").unwrap();
+        // The others vote.
+        world.setup.operators = format!(
+            "agreement {{\n enabled = true\n me = 1\n proxies = [\"1 {address}\", \"2 127.0.0.1:9\"]\n \
+             voters = [2]\n keys = [\"1 {}\"]\n}}\n",
+            key.display()
+        );
+        let held: Box<dyn std::any::Any> = match tcp {
+            true => Box::new(TcpListener::bind(address).unwrap()),
+            false => Box::new(UdpSocket::bind(address).unwrap()),
+        };
+        let mut launched = Launched::new(&world.setup).unwrap();
+        let mut client = connect(world.clients(), &mut launched);
+        ask(&mut client, "early");
+        let told = answer(&mut client);
+        assert!(matches!(told, Told::Refused(_)), "TCP {tcp}: {told:?}");
+        drop(held);
+        drop(launched.serving(&world.setup).unwrap());
+        std::fs::remove_file(key).unwrap();
+    }
+}
+
 /// From the first connection on, nobody is refused at connect, and all that is asked gets a final answer: once the kernel
 /// has a listener for this proxy, it keeps it.
 #[test]
