--- a/crates/standins/shim/faults.c
+++ b/crates/standins/shim/faults.c
@@ -18,6 +18,7 @@
  *                                                                               recv(2), send(2)
  *   pause        a thread is held up before send()                              scheduling; any call may take so long
  *   pause_us     for so long (150000)
+ *   at_most      so many faults come, and then no more
  *
  * LINENTRAIL_FAULT_CONTROL names a file of at least 24 bytes, mapped shared, through which a running process is
  * controlled: int64 step of CLOCK_REALTIME in us (clock_settime(2): steps it, CLOCK_MONOTONIC goes on); int64 errno
@@ -46,14 +47,14 @@
 
 enum fault {
     RECV_SHORT, RECV_CUT, SEND_SHORT, RECV_FAILS, ACCEPT_FAILS, CONNECT_FAILS, SOCKET_FAILS, WAIT_INTR, CALL_INTR, CALL_NOMEM,
-    PAUSE, PAUSE_US, SEED,
+    PAUSE, PAUSE_US, AT_MOST, SEED,
     FAULTS
 };
 
 static const char *const NAMES[FAULTS] = {
     "recv_short", "recv_cut", "send_short", "recv_fails", "accept_fails", "connect_fails", "socket_fails", "wait_intr",
     "call_intr", "call_nomem",
-    "pause", "pause_us", "seed",
+    "pause", "pause_us", "at_most", "seed",
 };
 
 struct control {
@@ -118,7 +119,9 @@
 
 static int comes(enum fault fault) {
     if (!rate[fault] || (control && !control->on)) return 0;
-    return draw() % rate[fault] == 0;
+    if (draw() % rate[fault] != 0) return 0;
+    static uint64_t come;
+    return !rate[AT_MOST] || __atomic_fetch_add(&come, 1, __ATOMIC_RELAXED) < rate[AT_MOST];
 }
 
 /* One line for each fault, without touching errno. */
--- a/crates/standins/src/shim.rs
+++ b/crates/standins/src/shim.rs
@@ -8,6 +8,8 @@
 
 /// The library, as the build made it.
 const LIBRARY: &str = env!("LINENTRAIL_FAULT_SHIM");
+/// The variable that names the calls that fail.
+const FAULTS: &str = "LINENTRAIL_FAULTS";
 /// Where the control file holds each of its three numbers.
 const CLOCK_STEP_AT: u64 = 0;
 const DISK_ERROR_AT: u64 = 8;
@@ -117,7 +119,7 @@
         let text = |path: PathBuf| path.to_string_lossy().into_owned();
         let environment = [
             ("LD_PRELOAD", LIBRARY.to_string()),
-            ("LINENTRAIL_FAULTS", faults),
+            (FAULTS, faults),
             ("LINENTRAIL_FAULT_CONTROL", text(path)),
             ("LINENTRAIL_FAULT_FOLDER", text(disk.to_path_buf())),
             ("LINENTRAIL_FAULT_LOG", text(folder.join("fault-log"))),
@@ -126,6 +128,17 @@
         Ok(Shim { control, environment })
     }
 
+    /// The same, but no more than so many calls fail.
+    #[must_use]
+    pub fn at_most(mut self, faults: u32) -> Self {
+        for (name, value) in &mut self.environment {
+            if name == FAULTS {
+                *value += &format!(",at_most={faults}");
+            }
+        }
+        self
+    }
+
     /// What the proxy's environment must say.
     pub fn environment(&self) -> Vec<(String, String)> {
         self.environment.clone()
--- a/src/dnssd/browse.rs
+++ b/src/dnssd/browse.rs
@@ -10,6 +10,7 @@
 use crate::core::{Input, Listed};
 use crate::interface::*;
 use crate::net::discovery::{Follow, Lists, Numbers};
+use crate::net::momentary;
 use crate::net::socket::Socket;
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
@@ -17,7 +18,6 @@
 use hickory_proto::rr::{Name, RecordType};
 use std::net::SocketAddr;
 use std::time::Duration;
-use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
@@ -165,7 +165,7 @@
         let mut link = match self.link.take() {
             Some(link) => link,
             None => {
-                let stream = TcpStream::connect(self.server).await.ok()?;
+                let stream = momentary::connect(self.server).await.ok()?;
                 // Each message follows its length in two bytes.
                 LengthDelimitedCodec::builder().length_field_type::<u16>().new_framed(Socket::new(stream))
             }
--- a/tests/system_faults.rs
+++ b/tests/system_faults.rs
@@ -3,6 +3,7 @@
 #![allow(missing_docs)]
 
 use linentrail_standins::client::{request_id, Ask, Pg, Told};
+use linentrail_standins::dns::Dns;
 use linentrail_standins::group::Group;
 use linentrail_standins::member::{Behaviour, Capacity, Member};
 use linentrail_standins::proxy::{self, Proxy, Setup};
@@ -176,6 +177,29 @@
     assert!(faults > 0, "no call has failed");
 }
 
+/// The first calls of connect() fail, all of them for the name server: the members are not known yet.
+#[test]
+fn browsing_for_members_outlasts_connects_that_fail_for_a_moment() {
+    let mut world = World::new(&[]);
+    let names = Dns::default();
+    for (n, member) in world.members.iter().enumerate() {
+        names.name(&format!("n{n}-0000000{n}"), member.address().port(), 4, true);
+    }
+    world.setup.config["known"]["instances"] = Vec::<String>::new().into();
+    world.setup.browse = Some(names.start());
+    let shim = Shim::new(&world.folder.0, &world.folder.0, 7, &[(Call::ConnectFails, 1)]).unwrap().at_most(3);
+    shim.calls_fail(true).unwrap();
+    world.setup.environment = shim.environment();
+    let proxy = world.start();
+    runtime().block_on(async {
+        let mut client = Pg::connect(proxy.pg).await.unwrap();
+        client.send(&wire::query(&read("k").sql(&request_id()))).await.unwrap();
+        answer(&mut client, "a read").await;
+    });
+    assert_eq!(world.faults(), 3);
+    assert_eq!(proxy.counters().unwrap().get("list_failures").copied().unwrap_or_default(), 0);
+}
+
 #[test]
 fn connections_accepted_by_the_machine_are_taken_at_the_end_though_accept_fails_for_a_moment() {
     const CLIENTS: usize = 16;
