Refuse clients, and end them after a fault, by one function for both fronts

Need: `refuse` of the two fronts and the end of both sessions' `end_with` were the same steps with other words. Change: client_end::refuse and client_end::after_fault have the last word as an argument; cut_short, at_once_after_last_word and say_last are that module's own now. No behaviour is meant to change.

--- a/src/net/client_end.rs
+++ b/src/net/client_end.rs
@@ -7,17 +7,21 @@
 //! | --- | --- | --- |
 //! | [`at_rest`], answered before | a request that comes behind the look | left unread: its client sends it again elsewhere |
 //! | [`at_rest`], never answered | its first request | the last word, a refusal, stands for the answer |
-//! | [`after_last_word`] | what comes behind an error that ends all | that error |
+//! | [`after_last_word`], [`after_fault`], [`refuse`] | what comes behind an error that ends all | that error |
 //! | [`announced`] | a request behind a response that said so | left unread |
 //! | [`by_client`] | nothing: the client has gone | |
 
+use super::budget::DescriptorBudget;
 use super::frames::Holds;
 use super::socket::{Socket, Unread};
 use crate::core::counters::{count, Count};
 use futures_util::{FutureExt, SinkExt};
 use std::fmt::{Debug, Display};
+use std::future::Future;
+use std::pin::pin;
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::time::Instant;
 use tokio_util::codec::{Decoder, Encoder, Framed};
 
 /// The log's target for what becomes of clients' connections; `client` is the client's port.
@@ -121,7 +125,7 @@
 }
 
 /// The same at once: what has come is still read, and nothing is waited for.
-pub fn at_once_after_last_word<C>(conn: Framed<Socket, C>, reason: EndReason) -> Ended {
+fn at_once_after_last_word<C>(conn: Framed<Socket, C>, reason: EndReason) -> Ended {
     let mut socket = conn.into_inner();
     let _ = socket.shutdown().now_or_never();
     let (mut rest, mut read) = ([0; 4 * 1024], 0);
@@ -140,11 +144,6 @@
     Ended(reason)
 }
 
-/// The reading behind a last word was given up, as others lack the permit.
-pub fn cut_short(reason: EndReason) -> Ended {
-    Ended(reason)
-}
-
 /// The client has ended its connection.
 pub fn by_client<C>(conn: Framed<Socket, C>) -> Ended {
     drop(conn);
@@ -152,13 +151,67 @@
 }
 
 /// Says a last word to a client that may take in nothing.
-pub async fn say_last<C, M>(conn: &mut Framed<Socket, C>, last_word: M)
+async fn say_last<C, M>(conn: &mut Framed<Socket, C>, last_word: M)
 where
     C: Encoder<M>,
 {
     let _ = tokio::time::timeout(LAST_WORD_TIMEOUT, conn.send(last_word)).await;
 }
 
+/// Refuses a client: its first message is waited for, for `first_timeout` at most, and the last word answers that. Once `hurried`
+/// nothing is waited for any more.
+pub async fn refuse<C, M>(
+    mut conn: Framed<Socket, C>,
+    first_message: impl AsyncFnOnce(&mut Framed<Socket, C>),
+    first_timeout: Duration,
+    last_word: M,
+    hurried: impl Future<Output = ()>,
+) -> Ended
+where
+    C: Encoder<M>,
+{
+    let mut hurried = pin!(hurried);
+    let first = tokio::time::timeout(first_timeout, first_message(&mut conn));
+    let hurry = tokio::select! {
+        biased;
+        _ = first => false,
+        () = &mut hurried => true,
+    };
+    say_last(&mut conn, last_word).await;
+    if hurry {
+        return at_once_after_last_word(conn, EndReason::Refused);
+    }
+    tokio::select! {
+        ended = after_last_word(conn, EndReason::Refused) => ended,
+        () = hurried => Ended(EndReason::Refused),
+    }
+}
+
+/// Ends a connection on which something came that is no request, or finds no memory, with an error as the last word. That waits
+/// for its turn, if it has one, and the client is left alone sooner where others lack its permit.
+pub async fn after_fault<C, M>(
+    mut conn: Framed<Socket, C>,
+    last_word: M,
+    turn: Option<Duration>,
+    clients: &DescriptorBudget,
+) -> Ended
+where
+    C: Encoder<M>,
+{
+    let now = Instant::now();
+    if let Some(turn) = turn {
+        tokio::select! {
+            () = tokio::time::sleep(turn) => {}
+            () = clients.client_wanted(true, now) => {}
+        }
+    }
+    say_last(&mut conn, last_word).await;
+    tokio::select! {
+        ended = after_last_word(conn, EndReason::Fault) => ended,
+        () = clients.client_wanted(true, now) => Ended(EndReason::Fault),
+    }
+}
+
 /// Nothing is said any more, and nothing read: what comes is the client's to send again.
 async fn linger(socket: &mut Socket) {
     let _ = socket.shutdown().await;
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -2,7 +2,7 @@
 
 use super::reply::{self, Asked, Fault};
 use super::request::{self, Call, Facts, Form, Repeatable};
-use super::session::{last_refusal, Session};
+use super::session::{last_refusal, Conn, Session};
 use crate::clock::Clock;
 use crate::core::bookings::{Booked, Bookings, Try};
 use crate::core::counters::{count, Count};
@@ -11,7 +11,7 @@
 use crate::interface::*;
 use crate::net::answer_limit::AnswerLimit;
 use crate::net::budget::{Budget, ByteBudget, Pace};
-use crate::net::client_end::{self, EndReason, Ended};
+use crate::net::client_end::{self, Ended};
 use crate::net::frames::{next, ROOM};
 use crate::net::listen::{Closing, Refusal};
 use crate::net::socket::Socket;
@@ -20,7 +20,6 @@
 use bytes::Bytes;
 use std::future::Future;
 use std::hash::{BuildHasher, DefaultHasher, Hash, Hasher, RandomState};
-use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::Duration;
@@ -69,25 +68,17 @@
         hurried: impl Future<Output = ()> + Send,
     ) -> Result<Ended, HttpError> {
         why.count();
-        let mut conn = Framed::with_capacity(stream, HttpServer::new(LONGEST_BODY, bytes), ROOM);
-        let mut hurried = pin!(hurried);
-        let request = tokio::time::timeout(REFUSED_REQUEST_TIMEOUT, next(&mut conn, true));
-        let hurry = tokio::select! {
-            biased;
-            _ = request => false,
-            () = &mut hurried => true,
-        };
-        client_end::say_last(&mut conn, last_refusal(why.text())).await;
-        if hurry {
-            return Ok(client_end::at_once_after_last_word(conn, EndReason::Refused));
-        }
-        Ok(tokio::select! {
-            ended = client_end::after_last_word(conn, EndReason::Refused) => ended,
-            () = hurried => client_end::cut_short(EndReason::Refused),
-        })
+        let conn = Framed::with_capacity(stream, HttpServer::new(LONGEST_BODY, bytes), ROOM);
+        let last_word = last_refusal(why.text());
+        Ok(client_end::refuse(conn, first_request, REFUSED_REQUEST_TIMEOUT, last_word, hurried).await)
     }
 }
 
+/// Reads up to the first request, which a refusal answers.
+async fn first_request(conn: &mut Conn) {
+    let _ = next(conn, true).await;
+}
+
 impl Front {
     /// A front on the core.
     pub fn new(
--- a/src/odata/session.rs
+++ b/src/odata/session.rs
@@ -37,7 +37,7 @@
 /// How long a client may take to take in a response.
 const PATIENCE: Duration = Duration::from_secs(5);
 
-type Conn = Framed<Socket, HttpServer>;
+pub(super) type Conn = Framed<Socket, HttpServer>;
 
 /// What comes of waiting for a request.
 enum Waited {
@@ -197,7 +197,7 @@
 
     /// Answers what could not be read, in its turn, and ends the connection: where the next request starts is not
     /// known.
-    async fn end_with(mut self, e: HttpError) -> Result<Ended, HttpError> {
+    async fn end_with(self, e: HttpError) -> Result<Ended, HttpError> {
         let no_room = matches!(e, HttpError::NoRoom);
         let fault = match e {
             HttpError::Io(_) => return Err(e),
@@ -208,19 +208,10 @@
         };
         let mut response = refused(fault, Form::default());
         response.closes = true;
-        let now = Instant::now();
-        // A sound request that finds no room is refused at once; what is none waits for its turn, unless others lack the permit.
-        if !no_room {
-            tokio::select! {
-                () = tokio::time::sleep(self.front.pace.turn(self.front.clock.now())) => {}
-                () = self.front.budget.clients.client_wanted(true, now) => {}
-            }
-        }
-        client_end::say_last(&mut self.conn, response).await;
-        Ok(tokio::select! {
-            ended = client_end::after_last_word(self.conn, EndReason::Fault) => ended,
-            () = self.front.budget.clients.client_wanted(true, now) => client_end::cut_short(EndReason::Fault),
-        })
+        let Front { budget, pace, clock, .. } = &*self.front;
+        // A sound request that finds no room is refused at once.
+        let turn = (!no_room).then(|| pace.turn(clock.now()));
+        Ok(client_end::after_fault(self.conn, response, turn, &budget.clients).await)
     }
 }
 
--- a/src/pg/front.rs
+++ b/src/pg/front.rs
@@ -6,7 +6,7 @@
 use crate::core::{Answer, Handle};
 use crate::net::answer_limit::AnswerLimit;
 use crate::net::budget::{ByteBudget, DescriptorBudget, Pace};
-use crate::net::client_end::{self, EndReason, Ended};
+use crate::net::client_end::{self, Ended};
 use crate::net::frames::ROOM;
 use crate::net::listen::{Closing, Refusal};
 use crate::net::socket::Socket;
@@ -15,7 +15,6 @@
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use std::future::Future;
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::watch;
@@ -61,23 +60,10 @@
         hurried: impl Future<Output = ()> + Send,
     ) -> Result<Ended, WireError> {
         why.count();
-        let mut conn = Framed::with_capacity(stream, ServerCodec::new(bytes), ROOM);
-        let mut hurried = pin!(hurried);
-        let startup = tokio::time::timeout(REFUSED_STARTUP_TIMEOUT, startup(&mut conn));
-        let hurry = tokio::select! {
-            biased;
-            _ = startup => false,
-            () = &mut hurried => true,
-        };
+        let conn = Framed::with_capacity(stream, ServerCodec::new(bytes), ROOM);
         let code = if why == Refusal::NoPermit { "53300" } else { "57P03" };
-        client_end::say_last(&mut conn, error(code, why.text(), After::End)).await;
-        if hurry {
-            return Ok(client_end::at_once_after_last_word(conn, EndReason::Refused));
-        }
-        Ok(tokio::select! {
-            ended = client_end::after_last_word(conn, EndReason::Refused) => ended,
-            () = hurried => client_end::cut_short(EndReason::Refused),
-        })
+        let last_word = error(code, why.text(), After::End);
+        Ok(client_end::refuse(conn, startup, REFUSED_STARTUP_TIMEOUT, last_word, hurried).await)
     }
 }
 
--- a/src/pg/session.rs
+++ b/src/pg/session.rs
@@ -326,21 +326,11 @@
         };
         count(counter);
         log::debug!(target: CONNECTION, "closed with an error: {fault}");
-        let (message, now) = (Bytes::from(fault.to_string()), Instant::now());
-        let front = self.front.clone();
-        // A sound request that finds no room is refused at once; what is none waits for its turn, unless others lack the permit.
-        if !matches!(fault, WireError::NoRoom) {
-            tokio::select! {
-                () = tokio::time::sleep(self.turn()) => {}
-                () = front.clients.client_wanted(true, now) => {}
-            }
-        }
+        let message = Bytes::from(fault.to_string());
         let last_word = Reply::Error { after: After::End, code, message, detail: None };
-        client_end::say_last(&mut self.conn, last_word).await;
-        Ok(tokio::select! {
-            ended = client_end::after_last_word(self.conn, EndReason::Fault) => ended,
-            () = front.clients.client_wanted(true, now) => client_end::cut_short(EndReason::Fault),
-        })
+        // A sound request that finds no room is refused at once.
+        let turn = (!matches!(fault, WireError::NoRoom)).then(|| self.turn());
+        Ok(client_end::after_fault(self.conn, last_word, turn, &self.front.clients).await)
     }
 }
 
