--- a/crates/standins/src/shim.rs
+++ b/crates/standins/src/shim.rs
@@ -8,6 +8,8 @@
 
 /// The library, as the build made it.
 const LIBRARY: &str = env!("LINENTRAIL_FAULT_SHIM");
+/// The variable that names the calls that fail.
+const FAULTS: &str = "LINENTRAIL_FAULTS";
 /// Where the control file holds each of its three numbers.
 const CLOCK_STEP_AT: u64 = 0;
 const DISK_ERROR_AT: u64 = 8;
@@ -35,13 +37,15 @@
     WaitInterrupted,
     /// A read, a write or a connect ends with EINTR.
     CallInterrupted,
+    /// A read or a write finds no memory.
+    CallNoMemory,
     /// The process is held up for 150 ms before it writes.
     Pause,
 }
 
 impl Call {
     /// All of them.
-    pub const ALL: [Call; 10] = [
+    pub const ALL: [Call; 11] = [
         Call::RecvShort,
         Call::RecvCut,
         Call::SendShort,
@@ -51,6 +55,7 @@
         Call::SocketFails,
         Call::WaitInterrupted,
         Call::CallInterrupted,
+        Call::CallNoMemory,
         Call::Pause,
     ];
 
@@ -66,6 +71,7 @@
             Call::SocketFails => "socket_fails",
             Call::WaitInterrupted => "wait_intr",
             Call::CallInterrupted => "call_intr",
+            Call::CallNoMemory => "call_nomem",
             Call::Pause => "pause",
         }
     }
@@ -113,7 +119,7 @@
         let text = |path: PathBuf| path.to_string_lossy().into_owned();
         let environment = [
             ("LD_PRELOAD", LIBRARY.to_string()),
-            ("LINENTRAIL_FAULTS", faults),
+            (FAULTS, faults),
             ("LINENTRAIL_FAULT_CONTROL", text(path)),
             ("LINENTRAIL_FAULT_FOLDER", text(disk.to_path_buf())),
             ("LINENTRAIL_FAULT_LOG", text(folder.join("fault-log"))),
@@ -122,6 +128,17 @@
         Ok(Shim { control, environment })
     }
 
+    /// The same, but no more than so many calls fail.
+    #[must_use]
+    pub fn at_most(mut self, faults: u32) -> Self {
+        for (name, value) in &mut self.environment {
+            if name == FAULTS {
+                *value += &format!(",at_most={faults}");
+            }
+        }
+        self
+    }
+
     /// What the proxy's environment must say.
     pub fn environment(&self) -> Vec<(String, String)> {
         self.environment.clone()
