Take a late copy of a refusal for no contradiction of it

Callers saw: an unsafe request that a member had turned away failed (XX000) where the refusal came twice, the copy 30 ms later. Cause: the question behind a refusal took whatever came before its answer for a sign that the statement may have run. Change: copies of errors by which a member turns away say nothing else; the connection is not used again. Anything else still contradicts.

--- a/src/net/link.rs
+++ b/src/net/link.rs
@@ -52,8 +52,8 @@
 pub enum Confirmation {
     /// Nothing, and the connection may carry another statement.
     Alone,
-    /// Nothing, and the member has ended the connection.
-    Ended,
+    /// Nothing but copies of it, and the connection may carry no other statement, or has ended.
+    Last,
     /// Something: the statement may have run.
     Contradicted,
 }
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -353,7 +353,7 @@
 async fn confirmed<L: Link>(link: &mut L, exchange: Exchange) -> Exchange {
     match link.confirm().await {
         Confirmation::Alone => exchange,
-        Confirmation::Ended => Exchange { reusable: false, ..exchange },
+        Confirmation::Last => Exchange { reusable: false, ..exchange },
         Confirmation::Contradicted => Exchange { outcome: Outcome::Errored, ..Exchange::default() },
     }
 }
--- a/src/net/peer_tests.rs
+++ b/src/net/peer_tests.rs
@@ -236,6 +236,15 @@
     assert_eq!(turned_away(false, None), (Outcome::Saturated, true));
 }
 
+#[test]
+fn a_copy_of_a_refusal_that_comes_later_does_not_contradict_it() {
+    let empty = [&message(b'I', &[])[..], READY].concat();
+    let copy = [&error("ERROR", "53300")[..], READY].concat();
+    assert_eq!(turned_away(false, Some([&copy[..], &empty].concat())), (Outcome::Saturated, true));
+    let failure = [&error("ERROR", "XX000")[..], READY].concat();
+    assert_eq!(turned_away(false, Some([&failure[..], &empty].concat())), (Outcome::Errored, true));
+}
+
 #[test]
 fn a_refusal_of_what_may_be_sent_again_is_taken_at_its_word() {
     assert_eq!(turned_away(true, None), (Outcome::Saturated, false));
--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -37,6 +37,11 @@
 /// Most messages that are passed over before the fence's answer.
 const STRAYS: usize = 16;
 
+/// Whether a member that answers with this code has turned the statement away untouched.
+fn turns_away(code: &[u8; 5]) -> bool {
+    matches!(code, b"53300" | b"25006" | b"72000")
+}
+
 /// The members' side of the platform's protocol.
 #[derive(Clone)]
 pub struct Pg {
@@ -310,23 +315,34 @@
     async fn confirm(&mut self) -> Confirmation {
         // Where this cannot be written the connection has ended, which reading shows, behind all that came before.
         let _ = self.framed.send(Frontend::Empty).await;
-        let mut confirmation = Confirmation::Alone;
-        for expected in [Backend::EmptyQuery, Backend::Ready] {
-            confirmation = match next(&mut self.framed, true).await {
-                Next::Message(Some(Ok(message))) if message == expected => continue,
-                Next::Message(Some(Err(WireError::Io(_))) | None) => Confirmation::Ended,
-                _ => Confirmation::Contradicted,
-            };
-            break;
-        }
+        let mut copies = 0;
+        let mut answered = false;
+        let confirmation = loop {
+            match next(&mut self.framed, true).await {
+                Next::Message(Some(Ok(Backend::EmptyQuery))) if !answered => answered = true,
+                Next::Message(Some(Ok(Backend::Ready))) if answered && copies == 0 => {
+                    break Confirmation::Alone
+                }
+                Next::Message(Some(Ok(Backend::Ready))) if answered => break Confirmation::Last,
+                // A copy of the refusal says nothing else.
+                Next::Message(Some(Ok(Backend::Error { code, .. })))
+                    if copies < STRAYS && turns_away(&code) =>
+                {
+                    copies += 1;
+                }
+                Next::Message(Some(Ok(Backend::Ready))) if copies > 0 => {}
+                Next::Message(Some(Err(WireError::Io(_))) | None) => break Confirmation::Last,
+                _ => break Confirmation::Contradicted,
+            }
+        };
         self.framed.get_ref().expects_nothing();
-        if !self.framed.read_buffer().is_empty() {
-            confirmation = Confirmation::Contradicted;
-        }
-        if confirmation == Confirmation::Contradicted {
+        if copies > 0 || confirmation == Confirmation::Contradicted {
             count(Count::member_extras);
         }
-        confirmation
+        match self.framed.read_buffer().is_empty() {
+            true => confirmation,
+            false => Confirmation::Contradicted,
+        }
     }
 
     async fn rest(&mut self, to: Source) -> bool {
