Harm a store's newest whole file, not one that a kill left unfinished

Seen: tests/store.rs, each_harm_to_a_store_..., failed once in a run of all tests beside a load average of 28 (store_torn 0, 2 wanted). Cause: the rig tears the newest file of a folder. Change: the rig passes over unfinished files, so that the harm always reaches what a start reads; the test's counts stay as they were. Result: a new unit test of the rig passes; it failed without the change, as the harm reached the other file.

--- a/crates/standins/src/rig/harm.rs
+++ b/crates/standins/src/rig/harm.rs
@@ -6,12 +6,16 @@
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 
-/// The newest file of a folder that is not empty.
+/// The ending of a file that was still being written when its process was killed. No start reads it.
+const UNFINISHED: &str = "new";
+
+/// The newest whole file of a folder that is not empty.
 fn newest(folder: &Path) -> Result<PathBuf> {
     let mut files = Vec::new();
     for entry in fs::read_dir(folder)? {
         let (entry, told) = entry.and_then(|e| e.metadata().map(|m| (e, m)))?;
-        if told.is_file() && told.len() > 0 {
+        let whole = entry.path().extension().is_none_or(|ending| ending != UNFINISHED);
+        if told.is_file() && told.len() > 0 && whole {
             files.push((told.modified()?, entry.path()));
         }
     }
@@ -62,6 +66,19 @@
 mod tests {
     use super::*;
 
+    #[test]
+    fn a_file_that_was_still_being_written_is_not_the_one_that_comes_to_harm() {
+        let folder = std::env::temp_dir().join(format!("linentrail-harm-new-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&folder);
+        fs::create_dir_all(&folder).expect("a folder");
+        fs::write(folder.join("snapshot"), [0; 100]).expect("a file");
+        fs::write(folder.join("snapshot.new"), [0; 50]).expect("a file");
+        carry_out(&folder, Harm::Torn(500)).expect("a file");
+        let length = |name: &str| fs::metadata(folder.join(name)).expect("a file").len();
+        assert_eq!((length("snapshot"), length("snapshot.new")), (50, 50));
+        fs::remove_dir_all(&folder).expect("the folder");
+    }
+
     #[test]
     fn each_harm_is_what_it_says() {
         let folder = std::env::temp_dir().join(format!("linentrail-harm-{}", std::process::id()));
