Ask whether a member may get a repeat also for reads and for members tried as primary

Callers saw: a read of a class that only the first member's zone knows again (idempotency_key, group zone) could run twice. After an attempt that may have run it went to a member of another zone, which cannot discard the repeat. A write of such a class did so too where no primary was known and members of unknown role were tried. Cause: `allows` was asked for a certain member only where a known primary takes the request; `pick_read` and the search for a primary asked for no member in particular, and then the zone does not count. Evidence: both tests failed before: the read went on to zone 1 (need `Any` came first), the write to member 2 of zone 1. Now each request fails with nothing more sent than its own zone may get.

--- a/src/policy/primary.rs
+++ b/src/policy/primary.rs
@@ -81,7 +81,7 @@
             return;
         }
         let mut ids = self.chosen(group, |m| m.replica_at == 0 || self.now >= m.replica_at + SCOUT_GAP);
-        ids.retain(|m| self.takes_writes(*m, open));
+        ids.retain(|m| self.takes_writes(*m, open) && self.allows(open, Some(*m)).0);
         let spare = need == Need::Write && open.attempts.len() + 2 <= self.set.max_attempts as usize;
         let next = ids.into_iter().min_by_key(|m| self.members[m].replica_at);
         self.seek_primary(group, out);
--- a/src/policy/reads.rs
+++ b/src/policy/reads.rs
@@ -38,7 +38,8 @@
         let (primary, faulty) = (self.primary(open.group), self.idle_fault());
         let fits = move |id, m: &Seen| self.usable(m) && self.room((id, m), open, (m.reads, MEMBER_READS));
         let sound = move |id, m| {
-            Some(id) != primary && !open.tried(id) && fits(id, m) && self.may_open((id, m), open, primary)
+            let untried = Some(id) != primary && !open.tried(id);
+            untried && fits(id, m) && self.may_open((id, m), open, primary) && self.allows(open, Some(id)).0
         };
         self.of_group(open.group).filter(move |(id, m)| sound(*id, m)).map(move |(id, m)| {
             let dead = faulty && m.idle(self.now, IDLE_LEAST);
@@ -101,7 +102,7 @@
         let id = self.primary(group).filter(|id| {
             let m = &self.members[id];
             let turn = m.last_sent > 0 || self.now >= m.quiet_since + self.turns(TURN_MOST);
-            let fits = (late || turn) && self.usable(m) && !open.tried(*id);
+            let fits = (late || turn) && self.usable(m) && !open.tried(*id) && self.allows(open, Some(*id)).0;
             fits && self.room((*id, m), open, (m.out, PRIMARY_READS))
         });
         let asked = |m: &Seen| m.probe_out && m.probed.is_some_and(|t| self.now < t + ASK_PATIENCE);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -159,6 +159,73 @@
     assert!(sent(&actions).is_empty() && failed(&actions, id));
 }
 
+/// A class of requests that only members of one zone know again.
+fn known_in_its_zone(need: Need) -> Settings {
+    let mut settings = settings();
+    let keyed = Repeat::Keyed { group: DedupGroup::Zone, window: 2_000 * MS };
+    settings.classes[KEYED] = Class { need, repeat: keyed, ..settings.classes[KEYED].clone() };
+    settings
+}
+
+/// A member of another zone than `member` makes.
+fn elsewhere(id: u32, primary: bool) -> Member {
+    Member { zone: 1, ..member(id, primary) }
+}
+
+/// The members that a request goes to first from these actions on; none where it fails before.
+fn sent_again(d: &mut Driver, id: RequestId, mut actions: Vec<Action>) -> Vec<u32> {
+    let mut members = Vec::new();
+    let deadline = d.now + settings().classes[KEYED].deadline;
+    loop {
+        members.extend(sent(&actions).into_iter().map(|(_, member)| member));
+        assert!(!refused(&actions, id), "it may have run");
+        if failed(&actions, id) || !members.is_empty() {
+            return members;
+        }
+        assert!(d.now < deadline, "nobody has answered it");
+        actions = d.after(10 * MS);
+    }
+}
+
+#[test]
+fn a_keyed_read_is_sent_again_to_a_zone_that_does_not_know_it() {
+    for need in [Need::Any, Need::Bounded(500 * MS), Need::Session, Need::Fresh] {
+        let mut d = Driver::new(known_in_its_zone(need));
+        let primary_is_near = need == Need::Fresh;
+        d.list(
+            ListKind::Full,
+            vec![
+                Member { zone: u32::from(!primary_is_near), ..member(1, true) },
+                member(2, false),
+                elsewhere(3, false),
+            ],
+        );
+        d.hear(2, d.now, Role::Replica);
+        d.hear(3, d.now, Role::Replica);
+        let (id, actions) = d.request(KEYED, None);
+        let first = if primary_is_near { 1 } else { 2 };
+        assert_eq!(sent(&actions), vec![(id, first)], "{need:?}");
+        if primary_is_near {
+            // The role moves to another zone before the first attempt ends.
+            d.hear(3, d.now + MS, Role::Primary);
+        }
+        let actions = d.ended(id, 0, Outcome::Reset, None);
+        assert!(sent_again(&mut d, id, actions).is_empty(), "{need:?}");
+    }
+}
+
+#[test]
+fn a_keyed_write_looks_for_the_primary_in_a_zone_that_does_not_know_it() {
+    let mut d = Driver::new(known_in_its_zone(Need::Write));
+    d.list(ListKind::Full, vec![member(1, true), elsewhere(2, false), elsewhere(3, false)]);
+    let (id, actions) = d.request(KEYED, None);
+    assert_eq!(sent(&actions), vec![(id, 1)]);
+    d.hear(1, d.now + MS, Role::Replica);
+    let actions = d.ended(id, 0, Outcome::Reset, None);
+    let again = sent_again(&mut d, id, actions);
+    assert!(again.iter().all(|member| *member == 1), "{again:?}");
+}
+
 #[test]
 fn a_keyed_write_at_a_replaced_primary_is_taken_back_and_sent_to_the_new_one() {
     let mut d = Driver::new(settings());
