Look at a keyed repeat's window again right before its first byte

Callers saw: a repeat of a keyed request could begin behind its class's window, when members may have forgotten the first attempt, and so run twice. The window was looked at when the repeat was decided on; the repeat then waits for room, a descriptor and a connection, up to the time for connecting, and the gate that is asked right before the first byte knew the lease, the request's time and its client, but no window. Change: the end of the window is worked out once, in `Progress`, by which a send is judged and which goes with the attempt to the gate. An attempt that comes too late is withheld (`withheld_forgotten`) and counts as never sent.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -458,7 +458,8 @@
 
     fn send(&mut self, now: Time, id: RequestId, member: MemberId, stop_at: Option<Time>) {
         let Some(live) = self.live.get_mut(&id) else { return };
-        let kept = live.progress().may_send(now);
+        let progress = live.progress();
+        let kept = progress.may_send(now);
         let number = live.begin_attempt(member, now, self.router.position(member));
         let stop_at = stop_at.unwrap_or(Time::MAX).min(live.request.deadline);
         let safe = live.class().repeat == Repeat::Safe;
@@ -470,6 +471,7 @@
             stop_at,
             safe,
             by,
+            known_until: progress.known_until(),
             client: live.request.client.clone().filter(|_| !live.abandoned),
             client_seen: live.came,
         };
--- a/src/core/actor_tests.rs
+++ b/src/core/actor_tests.rs
@@ -2,13 +2,18 @@
 
 use super::*;
 use crate::knowledge::{Knowledge, Known, MemberFacts};
+use crate::terms::{Slots, Terms};
 use std::net::SocketAddr;
 
-/// Members that only stand there.
-struct Still;
+/// Members that only stand there, and what they were given.
+#[derive(Default)]
+struct Still {
+    attempts: Vec<Attempt>,
+}
 
 impl Members for Still {
-    fn attempt(&mut self, _: MemberId, _: Attempt) -> bool {
+    fn attempt(&mut self, _: MemberId, attempt: Attempt) -> bool {
+        self.attempts.push(attempt);
         true
     }
     fn cancel(&mut self, _: MemberId, _: RequestId, _: u32) {}
@@ -37,8 +42,13 @@
 
 /// An actor that has heard a list of these.
 fn actor(members: Vec<Listed>) -> Actor<Still> {
+    actor_with(settings(), members)
+}
+
+/// The same with settings of its own.
+fn actor_with(settings: Settings, members: Vec<Listed>) -> Actor<Still> {
     let (clock, inbox, orders) = (Clock::start(), mpsc::channel(1).1, mpsc::channel(1).1);
-    let mut actor = Actor::new(settings(), Still, clock, (inbox, orders)).expect("sound settings");
+    let mut actor = Actor::new(settings, Still::default(), clock, (inbox, orders)).expect("sound settings");
     let now = actor.clock.now();
     let event = actor.take(Input::List(ListKind::Full, members), now).expect("the module hears of it");
     actor.step(now, &[event]);
@@ -134,3 +144,48 @@
         assert_eq!((of(1), of(2)), (Some(Condition::Draining), Some(Condition::In)));
     });
 }
+
+/// Index of the class of session reads.
+const SESSION_READ: usize = 1;
+
+/// A read of that class, under these terms.
+fn session_read(terms: Arc<Terms>, deadline: Time) -> Request {
+    Request {
+        terms,
+        name: None,
+        class: SESSION_READ,
+        tenant: 0,
+        group: 1,
+        session: Some("s".into()),
+        key_session: None,
+        after: None,
+        deadline,
+        repeat: false,
+        work: Work::Verbatim { text: Bytes::new(), wait: 0..0 },
+        client: None,
+    }
+}
+
+#[test]
+fn a_keyed_repeat_that_waits_for_its_connection_begins_behind_its_window() {
+    in_runtime(|| {
+        const WINDOW: Time = 400_000;
+        let mut json = linentrail_standins::proxy::settings();
+        json["services"][SESSION_READ]["idempotency"] = "idempotency_key".into();
+        json["services"][SESSION_READ]["window_us"] = WINDOW.into();
+        let pairs = crate::settings::Pairs::from_json(&json);
+        let settings = pairs.settings(1).expect("sound settings");
+        let terms = Slots::default().change(pairs.names().expect("names"), settings.classes.clone());
+        let mut actor = actor_with(settings, vec![listed(1, None), listed(2, None)]);
+        let (id, came) = (RequestId(1), actor.clock.now());
+        let submit = Input::Submit(id, session_read(terms, came + 1_000_000), oneshot::channel().0);
+        actor.take(submit, came).expect("it is taken");
+        let send = |member| Action::Send { id, member: MemberId(member), stop_at: None };
+        actor.act(came, send(1));
+        let ended = Ending { outcome: Outcome::Reset, value: None, note: None, report: None, spent: 1 };
+        actor.take(Input::Ended(id, 0, ended), came + 1).expect("the module hears of it");
+        actor.act(came + 1, send(2));
+        let known_until: Vec<Time> = actor.members.attempts.iter().map(|a| a.known_until).collect();
+        assert_eq!(known_until, [Time::MAX, came + WINDOW]);
+    });
+}
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -66,6 +66,7 @@
     withdrawn,
     withheld_withdrawn,
     withheld_rules_lapsed,
+    withheld_forgotten,
     withheld_late,
     withheld_client_gone,
     orders_dropped,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -168,6 +168,8 @@
     pub safe: bool,
     /// Nothing may be written to a member from then on: the rules that it was decided by no longer hold here.
     pub by: Time,
+    /// Nothing may be written to a member from then on: it may not know the request for a repeat.
+    pub known_until: Time,
     /// The request's client, where it has one that may leave.
     pub client: Option<Weak<dyn Presence>>,
     /// When that was surely there.
--- a/src/net/fleet_tests.rs
+++ b/src/net/fleet_tests.rs
@@ -80,6 +80,7 @@
         stop_at: clock.now() + 60_000_000,
         safe: true,
         by: Time::MAX,
+        known_until: Time::MAX,
         client: None,
         client_seen: clock.now(),
     }
--- a/src/net/member_state.rs
+++ b/src/net/member_state.rs
@@ -61,6 +61,7 @@
         let moment = Moment {
             now,
             rules_until: attempt.by,
+            known_until: attempt.known_until,
             stop_at: attempt.stop_at,
             client_gone: client_look_due(now, attempt.client_seen) && attempt.client_gone(),
         };
@@ -85,6 +86,7 @@
     match why {
         Withheld::Withdrawn => Count::withheld_withdrawn,
         Withheld::RulesLapsed => Count::withheld_rules_lapsed,
+        Withheld::Forgotten => Count::withheld_forgotten,
         Withheld::Late => Count::withheld_late,
         Withheld::ClientGone => Count::withheld_client_gone,
     }
--- a/src/net/peer_tests.rs
+++ b/src/net/peer_tests.rs
@@ -47,6 +47,7 @@
             stop_at: clock.now() + patience,
             safe,
             by: Time::MAX,
+            known_until: Time::MAX,
             client: None,
             client_seen: clock.now(),
         };
--- a/src/policy/begin.rs
+++ b/src/policy/begin.rs
@@ -27,6 +27,8 @@
     pub now: Time,
     /// The rules by which it was decided hold until then.
     pub rules_until: Time,
+    /// Members may not know it for a repeat from then on.
+    pub known_until: Time,
     /// Nobody waits for its answer from then on.
     pub stop_at: Time,
     /// Its client has closed its connection.
@@ -40,6 +42,8 @@
     Withdrawn,
     /// The rules that it was decided by no longer hold.
     RulesLapsed,
+    /// It repeats what may have run, and its member may no longer know it for a repeat.
+    Forgotten,
     /// Its time is over.
     Late,
     /// Its client has gone.
@@ -85,6 +89,9 @@
         if moment.now >= moment.rules_until {
             return Err(Withheld::RulesLapsed);
         }
+        if moment.now >= moment.known_until {
+            return Err(Withheld::Forgotten);
+        }
         if moment.now >= moment.stop_at {
             return Err(Withheld::Late);
         }
--- a/src/policy/invariants.rs
+++ b/src/policy/invariants.rs
@@ -39,14 +39,20 @@
     pub fn may_send(&self, now: Time) -> Result<(), Violation> {
         match (self.repeat, self.first_possible_run) {
             (Repeat::Unsafe, Some(_)) => Err(Violation::UnsafeResent),
-            (Repeat::Keyed { window, .. }, Some(first)) if now >= first.saturating_add(window) => {
-                Err(Violation::KeyedResentLate)
-            }
+            _ if now >= self.known_until() => Err(Violation::KeyedResentLate),
             _ if now >= self.deadline => Err(Violation::SentTooLate),
             _ => Ok(()),
         }
     }
 
+    /// From then on members may not know one more attempt for a repeat: it must not even begin.
+    pub fn known_until(&self) -> Time {
+        match (self.repeat, self.first_possible_run) {
+            (Repeat::Keyed { window, .. }, Some(first)) => first.saturating_add(window),
+            _ => Time::MAX,
+        }
+    }
+
     /// Whether it may be refused with the promise that trying again is harmless.
     ///
     /// # Errors
