Tell a client of OData no keyed request as refused that may have run

Callers saw: a create or read by OData, of a class with an idempotency key that all members know (group all), was answered 503 "trying again is harmless" after an attempt that may have run. The client's next try, also one with the same Repeatability-Request-ID, ran again. Cause: for such a class a refusal does not say that nothing ran, but that members discard the repeat by its id. The OData front gives each try an id of its own, and the repeat ledger forgets an id at a refusal, as it takes the word for "nothing ran". One word stood for both. Change: what may have run of a keyed request is told as failed (502, or 504 at its deadline) where its work was put into this program's own words; the ledger then keeps the id. By the PostgreSQL protocol, where tries share the id that the client gave them, it is refused as before.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -28,6 +28,8 @@
 const BATCH: usize = 256;
 /// Of answers that are not used the log tells one in so many.
 const STALE_ANSWERS_TOLD: u64 = 1_000;
+/// What fails no earlier than this before its deadline, in us, is told as late.
+const LATE_LEAD: Time = 20_000;
 /// Sessions remembered.
 const SESSIONS: usize = 16_384;
 
@@ -402,6 +404,11 @@
         self.settle(id);
     }
 
+    fn fail(&mut self, id: RequestId, now: Time) {
+        let late = self.live.get(&id).is_some_and(|live| now + LATE_LEAD >= live.request.deadline);
+        self.answer(id, if late { Answer::Late } else { Answer::Failed });
+    }
+
     fn step(&mut self, now: Time, events: &[Event]) {
         let mut actions = std::mem::take(&mut self.actions);
         // Looked at before each step: a process that has stood still decides nothing by rules that ran out meanwhile.
@@ -421,6 +428,9 @@
                     self.members.cancel(member, id, attempt);
                 }
             }
+            Action::Refuse { id, .. } if self.live.get(&id).is_some_and(LiveRequest::repeat_would_be_new) => {
+                self.fail(id, now);
+            }
             Action::Refuse { id, retry_after } => {
                 let kept = self.live.get(&id).map_or(Ok(()), |live| live.progress().may_refuse());
                 if let Err(violation) = kept {
@@ -433,10 +443,7 @@
                 count(given_up(why));
                 log::debug!(target: REQUEST, id = id.0, why:? = why; "given up");
             }
-            Action::Fail { id } => {
-                let late = self.live.get(&id).is_some_and(|l| now + 20_000 >= l.request.deadline);
-                self.answer(id, if late { Answer::Late } else { Answer::Failed });
-            }
+            Action::Fail { id } => self.fail(id, now),
             Action::Probe { member } => {
                 if !self.members.probe(member) {
                     self.local.push_back(Event::Probed { member, ok: false, report: None });
--- a/src/core/live.rs
+++ b/src/core/live.rs
@@ -5,7 +5,7 @@
 //! | out | its member's answer, or its end without one | without effect, or possibly run |
 //! | without effect, possibly run | | for good: whatever is made of the answer later changes nothing |
 
-use super::{Answer, Request};
+use super::{Answer, Request, Work};
 use crate::interface::*;
 use crate::policy::invariants::Progress;
 use smallvec::SmallVec;
@@ -93,6 +93,13 @@
         }
     }
 
+    /// Whether a refusal would have its client repeat what may have run as something new: members discard the repeats of a
+    /// keyed request by its id, and a front that puts the work into its own words gives each try another.
+    pub fn repeat_would_be_new(&self) -> bool {
+        let keyed = matches!(self.class().repeat, Repeat::Keyed { .. });
+        keyed && matches!(self.request.work, Work::Operation(_)) && !self.untouched()
+    }
+
     /// An attempt is decided on, at a member that has surely reached this position; its number. It counts as out until it has ended.
     pub fn begin_attempt(&mut self, member: MemberId, sent: Time, reached: Position) -> u32 {
         let proven_recent = reached >= self.unseen;
--- a/tests/unsafe_reads.rs
+++ b/tests/unsafe_reads.rs
@@ -294,3 +294,32 @@
         ));
     }
 }
+
+#[test]
+fn a_client_is_told_to_repeat_what_members_cannot_know_again() {
+    // Each try by OData has an id of its own at members; by the other protocol tries share their client's.
+    play(
+        "config sets services/1/idempotency \"idempotency_key\"
+         config sets services/1/group \"all\"
+         config sets services/1/window_us 1
+         config sets services/3/idempotency \"idempotency_key\"
+         config sets services/3/group \"all\"
+         config sets services/3/window_us 1
+         member p primary
+         start odata traced
+         p does reset
+         a send write k0 01
+         a expect error 53300 500
+         o send POST k1 01
+         o expect 502
+         o send GET k2 my-booking
+         o expect 502
+         o send POST k3 01 id=x sent=0
+         o expect 502
+         o send POST k3 01 id=x sent=0
+         o expect 502
+         p expect 1 write k1
+         p expect 1 read k2
+         p expect 1 write k3",
+    );
+}
