Let go of a connection on which the rest of a value that is not passed on still comes

Callers saw: after an answer of more than 64 KiB to a request that may not simply be repeated, the next request to that member could end as an error, though nothing was wrong with it. Cause: such a value is not passed on in pieces, and its attempt ends as an error. Whether the connection may be kept was decided before that, by `begun`: "the value's rest is to be passed on, then the connection rests". Once `begun` had been taken back the connection went to the pool at once, in the middle of the value. Change: the connection is let go of where the value is.

--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -291,7 +291,7 @@
                 });
                 timeout.within(stop, run).await
             };
-            let (link, exchange) = match end {
+            let (mut link, exchange) = match end {
                 Some(end) => end,
                 // Before the last byte was written, nothing can have run.
                 None => {
@@ -300,9 +300,9 @@
                 }
             };
             let Exchange { mut outcome, mut value, note, report, mut begun, .. } = exchange;
-            // Whoever asks again for a write's answer needs the whole of it.
+            // Whoever asks again for a write's answer needs the whole of it. The rest still comes on the connection.
             if begun.is_some() && !attempt.safe {
-                (outcome, value, begun) = (Outcome::Errored, None, None);
+                (outcome, value, begun, link) = (Outcome::Errored, None, None, None);
             }
             let spent = clock.now().saturating_sub(since);
             let note = note.filter(|_| outcome.answered());
--- a/src/net/peer_tests.rs
+++ b/src/net/peer_tests.rs
@@ -28,6 +28,8 @@
 struct Stage {
     orders: mpsc::Sender<Order>,
     told: mpsc::Receiver<Input>,
+    state: SharedState,
+    clock: Clock,
 }
 
 impl Stage {
@@ -40,20 +42,26 @@
         let (orders, mailbox) = mpsc::channel(8);
         let wire = Pg::new(budget.bytes.clone());
         tokio::spawn(Peer::new(MemberId(1), state.clone(), core, budget, clock, wire).run(mailbox));
+        let stage = Stage { orders, told, state, clock };
+        stage.give(KEY, statement, patience, safe).await;
+        stage
+    }
+
+    /// Gives the peer an attempt.
+    async fn give(&self, key: AttemptKey, statement: usize, patience: Time, safe: bool) {
         let attempt = Attempt {
-            id: KEY.0,
-            number: KEY.1,
+            id: key.0,
+            number: key.1,
             work: Work::Verbatim { text: Bytes::from(vec![b'x'; statement]), wait: 0..0 },
-            stop_at: clock.now() + patience,
+            stop_at: self.clock.now() + patience,
             safe,
             by: Time::MAX,
             known_until: Time::MAX,
             client: None,
-            client_seen: clock.now(),
+            client_seen: self.clock.now(),
         };
-        state.lock().gate.issue(KEY);
-        orders.send(Order::Attempt(attempt)).await.expect("the peer runs");
-        Stage { orders, told }
+        self.state.lock().gate.issue(key);
+        self.orders.send(Order::Attempt(attempt)).await.expect("the peer runs");
     }
 
     async fn cancel(&self) {
@@ -70,7 +78,7 @@
 
     /// All ends of the attempt, once the peer has ended too.
     async fn all_ends(self, first: Outcome) -> Vec<Outcome> {
-        let (mut ends, Stage { orders, mut told }) = (vec![first], self);
+        let (mut ends, Stage { orders, mut told, .. }) = (vec![first], self);
         drop(orders);
         while let Some(input) = told.recv().await {
             if let Input::Ended(_, _, ending) = input {
@@ -197,6 +205,22 @@
     member.join().expect("no panic").expect("its client came");
 }
 
+#[test]
+fn a_connection_in_the_middle_of_a_value_that_is_not_passed_on_carries_the_next_statement() {
+    let (address, member) = scripted_member::start(WELCOME.to_vec(), |client| {
+        query(client)?;
+        client.write_all(&[description(), row_start(FLOWS_FROM as u32 + 1)].concat())?;
+        Ok(query(client).is_ok())
+    });
+    let asked_again = block_on(async {
+        let mut stage = Stage::attempt(address, 64, PATIENCE, false).await;
+        assert_eq!(stage.outcome().await, Outcome::Errored);
+        stage.give((RequestId(8), 0), 64, PATIENCE, true).await;
+        tokio::task::spawn_blocking(|| member.join()).await.expect("it is waited for")
+    });
+    assert!(!asked_again.expect("no panic").expect("its client came"));
+}
+
 /// How an attempt ends whose member turns it away, and then answers the next query, if there is one, so; and whether there
 /// was one.
 fn turned_away(safe: bool, next: Option<Vec<u8>>) -> (Outcome, bool) {
