Make the reason of an end a refusal in one place

Need: what a client that was never answered is told at the end of its connection, and its SQLSTATE, stood in both sessions and in pg/front.rs. Change: Refusal::at_end gives the refusal of a reason, last_refusal of each front its words. No behaviour is meant to change.

--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -1,7 +1,7 @@
 //! Accepting clients, for whichever front, and how far the process is with its start and its end.
 
 use super::budget::DescriptorBudget;
-use super::client_end::{EndReport, Ended, CONNECTION};
+use super::client_end::{EndReason, EndReport, Ended, CONNECTION};
 use super::client_queue::{ClientQueue, Listener};
 use super::held_up;
 use super::socket::Socket;
@@ -74,24 +74,37 @@
     TcpListener::from_std(listener)
 }
 
-/// Why a client is refused before its request has reached a front.
+/// Why a client is refused of which no request has reached a front.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Refusal {
     /// The front is not there yet.
     Starting,
-    /// No permit came free.
+    /// No permit came free, or others lacked this client's.
     NoPermit,
+    /// The client has asked nothing in time.
+    Silent,
     /// The process ends.
     Ending,
 }
 
 impl Refusal {
-    /// Counts one more.
+    /// What a client is told that was never answered when its connection ends for this reason.
+    pub fn at_end(reason: EndReason) -> Self {
+        match reason {
+            EndReason::MadeRoom => Refusal::NoPermit,
+            EndReason::Shutdown => Refusal::Ending,
+            _ => Refusal::Silent,
+        }
+    }
+
+    /// Counts one more that no front has served.
     pub fn count(self) {
         count(match self {
             Refusal::Starting => Count::refused_starting,
             Refusal::NoPermit => Count::refused_no_permit,
             Refusal::Ending => Count::refused_ending,
+            // A front had it, and the end of its connection counts.
+            Refusal::Silent => return,
         });
     }
 
@@ -100,6 +113,7 @@
         match self {
             Refusal::Starting => "the proxy is starting",
             Refusal::NoPermit => "no connection is free; trying again is harmless",
+            Refusal::Silent => "nothing was asked in time",
             Refusal::Ending => "the proxy is shutting down",
         }
     }
--- a/src/net/listen_tests.rs
+++ b/src/net/listen_tests.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 use crate::net::budget::Budget;
-use crate::net::client_end::{self, EndReason};
+use crate::net::client_end;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use std::io::{Read, Write};
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -69,8 +69,7 @@
     ) -> Result<Ended, HttpError> {
         why.count();
         let conn = Framed::with_capacity(stream, HttpServer::new(LONGEST_BODY, bytes), ROOM);
-        let last_word = last_refusal(why.text());
-        Ok(client_end::refuse(conn, first_request, REFUSED_REQUEST_TIMEOUT, last_word, hurried).await)
+        Ok(client_end::refuse(conn, first_request, REFUSED_REQUEST_TIMEOUT, last_refusal(why), hurried).await)
     }
 }
 
--- a/src/odata/session.rs
+++ b/src/odata/session.rs
@@ -225,17 +225,13 @@
 
 /// Ends a connection if nothing stands on it. A client that was never answered gets a refusal, for what may cross it.
 async fn end_at_rest(conn: &mut Conn, reason: EndReason, asked: bool) -> Option<Ended> {
-    let text = match reason {
-        EndReason::MadeRoom => Refusal::NoPermit.text(),
-        EndReason::Shutdown => Refusal::Ending.text(),
-        _ => "nothing was asked in time",
-    };
-    client_end::at_rest(conn, reason, (!asked).then(|| last_refusal(text))).await
+    let last_word = (!asked).then(|| last_refusal(Refusal::at_end(reason)));
+    client_end::at_rest(conn, reason, last_word).await
 }
 
 /// A refusal behind which the connection ends.
-pub(super) fn last_refusal(text: &str) -> HttpResponse {
-    let mut response = Fault::come_back(None, text).response(Form::default());
+pub(super) fn last_refusal(why: Refusal) -> HttpResponse {
+    let mut response = Fault::come_back(None, why.text()).response(Form::default());
     response.closes = true;
     response
 }
--- a/src/pg/front.rs
+++ b/src/pg/front.rs
@@ -20,6 +20,9 @@
 use tokio::sync::watch;
 use tokio_util::codec::Framed;
 
+/// SQLSTATEs of refusals.
+const TOO_MANY_CONNECTIONS: &str = "53300";
+const CANNOT_CONNECT_NOW: &str = "57P03";
 /// How long the startup of a client that is refused is waited for.
 const REFUSED_STARTUP_TIMEOUT: Duration = Duration::from_millis(200);
 
@@ -61,9 +64,7 @@
     ) -> Result<Ended, WireError> {
         why.count();
         let conn = Framed::with_capacity(stream, ServerCodec::new(bytes), ROOM);
-        let code = if why == Refusal::NoPermit { "53300" } else { "57P03" };
-        let last_word = error(code, why.text(), After::End);
-        Ok(client_end::refuse(conn, startup, REFUSED_STARTUP_TIMEOUT, last_word, hurried).await)
+        Ok(client_end::refuse(conn, startup, REFUSED_STARTUP_TIMEOUT, last_refusal(why), hurried).await)
     }
 }
 
@@ -76,6 +77,15 @@
     }
 }
 
+/// A refusal behind which the connection ends.
+pub(super) fn last_refusal(why: Refusal) -> Reply {
+    let code = match why {
+        Refusal::NoPermit => TOO_MANY_CONNECTIONS,
+        Refusal::Starting | Refusal::Silent | Refusal::Ending => CANNOT_CONNECT_NOW,
+    };
+    error(code, why.text(), After::End)
+}
+
 /// An error with a text of ours.
 pub(super) fn error(code: &'static str, message: &'static str, after: After) -> Reply {
     Reply::Error { after, code, message: Bytes::from_static(message.as_bytes()), detail: None }
--- a/src/pg/session.rs
+++ b/src/pg/session.rs
@@ -10,7 +10,7 @@
 //! All but the client's own end go through [`client_end`], which ends nothing that has no answer.
 
 use super::codec::{After, Frontend, Reply, ServerCodec, WireError};
-use super::front::{error, Front};
+use super::front::{error, last_refusal, Front};
 use super::replies::{due, put, OwedReplies, PendingReply};
 use super::statement::{self, Fault};
 use crate::core::counters::{count, Count};
@@ -200,11 +200,7 @@
 
     /// Ends the connection if nothing stands on it. A client that was never answered gets a refusal, for what may cross it.
     async fn end_at_rest(&mut self, reason: EndReason) -> Option<Ended> {
-        let last_word = (!self.state.asked).then(|| match reason {
-            EndReason::MadeRoom => error("53300", Refusal::NoPermit.text(), After::End),
-            EndReason::Shutdown => error("57P03", Refusal::Ending.text(), After::End),
-            _ => error("57P03", "nothing was asked in time", After::End),
-        });
+        let last_word = (!self.state.asked).then(|| last_refusal(Refusal::at_end(reason)));
         client_end::at_rest(&mut self.conn, reason, last_word).await
     }
 
