Work out the time that a request has waited in one place

Need: both sessions took the earlier of their first queue and of a hold-up, and made microseconds of it, by the same two lines. Change: held_up::waited. No behaviour is meant to change.

--- a/src/net/held_up.rs
+++ b/src/net/held_up.rs
@@ -5,6 +5,7 @@
 //! hold-up; one soon behind another is the same one, as what came in the first may not have been read before the second. While
 //! the thread rests nothing can be told: it is woken by what comes.
 
+use crate::interface::Time;
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
@@ -72,6 +73,13 @@
     looks.hold_up.map(|hold_up| hold_up.began)
 }
 
+/// How long, in us, a request that is read now may have waited for that: since a hold-up began, and since `waits_since`, where its
+/// connection was not read from then on.
+pub fn waited(waits_since: Option<Instant>) -> Time {
+    let since = waits_since.into_iter().chain(look()).min();
+    since.map_or(0, |since| since.elapsed().as_micros() as Time)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/odata/session.rs
+++ b/src/odata/session.rs
@@ -13,7 +13,6 @@
 use super::request::Form;
 use crate::core::counters::{count, Count};
 use crate::http::{HttpError, HttpRequest, HttpResponse, HttpServer, Incoming};
-use crate::interface::*;
 use crate::net::budget::QUIET_MIN;
 use crate::net::client_end::{self, EndReason, Ended};
 use crate::net::frames::{next, next_or_end, shrink, Next, ROOM};
@@ -175,8 +174,7 @@
     async fn answer(&mut self, request: &HttpRequest) -> Result<Option<Answered>, HttpError> {
         count(Count::odata_requests);
         // What was sent before the front was there has waited since then.
-        let since = self.waits_since.take().into_iter().chain(held_up::look()).min();
-        let waited = since.map_or(0, |since| since.elapsed().as_micros() as Time);
+        let waited = held_up::waited(self.waits_since.take());
         let mut answer = pin!(self.front.answer(request, self.conn.get_ref().presence(), waited));
         let mut broken = None;
         loop {
--- a/src/pg/session.rs
+++ b/src/pg/session.rs
@@ -273,8 +273,7 @@
         count(Count::pg_requests);
         let front = &self.front;
         let terms = front.terms.borrow().clone();
-        let since = self.state.waits_since.into_iter().chain(held_up::look()).min();
-        let waited = since.map_or(0, |since| since.elapsed().as_micros() as Time);
+        let waited = held_up::waited(self.state.waits_since);
         match statement::read(text, &terms, front.clock.now().saturating_sub(waited)) {
             Ok(mut request) => {
                 self.state.sound = true;
