Set up the connection of socket tests in one place

Need: net/client_end_tests.rs and net/socket_tests.rs made the same pair of sockets. Change: net/test_sockets.rs.

--- a/src/net/client_end_tests.rs
+++ b/src/net/client_end_tests.rs
@@ -3,10 +3,10 @@
 
 use super::*;
 use crate::net::frames::{next, Next};
+use crate::net::test_sockets::with_connection;
 use bytes::{Bytes, BytesMut};
 use std::io::{Read, Write};
 use std::net::Shutdown;
-use tokio::net::TcpStream;
 
 /// Lines of bytes that end in a full stop.
 #[derive(Default)]
@@ -37,18 +37,8 @@
 /// No last word.
 const NONE: Option<Bytes> = None;
 
-fn run<F: std::future::Future>(test: impl FnOnce(std::net::TcpStream, Conn) -> F) -> F::Output {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let client =
-        std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("it listens");
-    client.set_read_timeout(Some(Duration::from_secs(20))).expect("a time");
-    let (server, _) = listener.accept().expect("a client");
-    server.set_nonblocking(true).expect("a socket that does not block");
-    runtime.block_on(async {
-        let server = TcpStream::from_std(server).expect("a stream");
-        test(client, Framed::new(Socket::new(server), Sentences)).await
-    })
+fn run<F: Future>(test: impl FnOnce(std::net::TcpStream, Conn) -> F) -> F::Output {
+    with_connection(|client, server| test(client, Framed::new(Socket::new(server), Sentences)))
 }
 
 /// All that the client gets, and how that ends.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,4 +17,6 @@
 pub mod pool;
 pub mod socket;
 pub mod startup;
+#[cfg(test)]
+mod test_sockets;
 pub mod timeout;
--- a/src/net/socket_tests.rs
+++ b/src/net/socket_tests.rs
@@ -2,28 +2,17 @@
 
 use super::{unread_by, Unread};
 use crate::net::socket::Socket;
+use crate::net::test_sockets::with_connection;
 use std::io::{Error, ErrorKind, Write};
 use std::time::Duration;
-use tokio::net::TcpStream;
 
 /// No end is seen for so long where there is none.
 const STILL_THERE: Duration = Duration::from_millis(120);
 
-fn run<F: std::future::Future>(test: impl FnOnce(std::net::TcpStream, TcpStream) -> F) -> F::Output {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let client =
-        std::net::TcpStream::connect(listener.local_addr().expect("an address")).expect("it listens");
-    client.set_read_timeout(Some(Duration::from_secs(20))).expect("a time");
-    let (server, _) = listener.accept().expect("a client");
-    server.set_nonblocking(true).expect("a socket that does not block");
-    runtime.block_on(async { test(client, TcpStream::from_std(server).expect("a stream")).await })
-}
-
 #[test]
 fn an_end_is_seen_behind_bytes_that_are_not_read_and_no_sooner() {
     for unread in [0, 9000] {
-        run(|mut client, server| async move {
+        with_connection(|mut client, server| async move {
             let mut server = Socket::new(server);
             client.write_all(&vec![7; unread]).expect("sent");
             let soon = tokio::time::timeout(STILL_THERE, server.ended()).await;
@@ -37,7 +26,7 @@
 
 #[test]
 fn a_reset_is_an_end() {
-    run(|mut client, server| async move {
+    with_connection(|mut client, server| async move {
         let mut server = Socket::new(server);
         client.write_all(&[7; 64]).expect("sent");
         socket2::SockRef::from(&client).set_linger(Some(Duration::ZERO)).expect("set");
