Take commits that cannot be read for a moment for unknown, not for none

What callers saw (none did; found by reading): while two processes of a proxy live, a session's read could miss its own write by the other process, where the other's file of commits could not be opened at the first looks (EMFILE, ENFILE, EIO). Cause: any failure before the file was opened once counted as 'the other writes none'. Change: only a file that is not there and never was does; all else leaves the news incomplete, as when a file that was read is lost.

--- a/src/handover/commits.rs
+++ b/src/handover/commits.rs
@@ -125,7 +125,7 @@
     other: PathBuf,
     /// The other's file, as far as it was read; another process there has another file.
     file: Option<(File, u64)>,
-    /// The other had a file, and has none now: it cannot tell what it commits.
+    /// The other had a file that is gone now, or has one that cannot be read: it cannot tell what it commits.
     lost: bool,
     at: u64,
     rest: Vec<u8>,
@@ -169,10 +169,13 @@
     }
 
     fn news(&mut self) -> PeerCommits {
-        // Where there never was such a file the other process does not write one.
-        if self.read().is_err() && (self.lost || self.file.take().is_some()) {
-            self.lost = true;
-            return PeerCommits { commits: Vec::new(), complete: false };
+        if let Err(e) = self.read() {
+            // Where there never was such a file the other process does not write one.
+            let never = e.kind() == io::ErrorKind::NotFound && self.file.is_none() && !self.lost;
+            if !never {
+                (self.file, self.lost) = (None, true);
+                return PeerCommits { commits: Vec::new(), complete: false };
+            }
         }
         PeerCommits { commits: records(&mut self.rest), complete: true }
     }
@@ -256,6 +259,22 @@
         let _ = std::fs::remove_dir_all(dir);
     }
 
+    #[test]
+    fn commits_that_cannot_be_read_for_a_moment_are_not_taken_for_none() {
+        let dir = std::env::temp_dir().join(format!("linentrail-commits-unread-{}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("a folder");
+        let (a, b) = (dir.join("a"), dir.join("b"));
+        // A link to itself cannot be opened, and is no file that is not there.
+        std::os::unix::fs::symlink(&b, &b).expect("a link");
+        let mut here = Log::open(&a, b.clone()).expect("fine");
+        assert!(!here.news().complete, "it may have committed");
+        std::fs::remove_file(&b).expect("it was there");
+        assert!(!here.news().complete, "nor is it known what stood there");
+        Log::open(&b, a).expect("fine").wrote("k", 5);
+        assert_eq!(here.news(), PeerCommits { commits: vec![("k".into(), 5)], complete: true });
+        let _ = std::fs::remove_dir_all(dir);
+    }
+
     #[test]
     fn what_was_not_read_yet_of_a_file_that_is_begun_anew_still_counts() {
         let dir = std::env::temp_dir().join(format!("linentrail-commits-anew-{}", std::process::id()));
