Refuse an operators' call where what was said before cannot be read

What operators could see (found by reading): a call at one of two processes wrote over what was said at the other a moment before, if the file of what was said could not be read just then (EMFILE, ENFILE, EIO). Cause: a failed read counted as a file of no use, which the call then replaced. Change: only a file that is too long or unsound is passed over; any other failure refuses the call ('cannot be recorded'), which its caller may repeat.

--- a/src/handover/files.rs
+++ b/src/handover/files.rs
@@ -99,7 +99,7 @@
     pub fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
         let path = self.path.join(name);
         match fs::metadata(&path) {
-            Ok(told) if told.len() > LONGEST => Err(io::Error::other("it is too long")),
+            Ok(told) if told.len() > LONGEST => Err(ErrorKind::FileTooLarge.into()),
             Ok(_) => fs::read(&path).map(Some),
             Err(e) if e.kind() == ErrorKind::NotFound => Ok(None),
             Err(e) => Err(e),
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -16,7 +16,7 @@
 use crate::store::actor::Scribe;
 use commits::Log;
 use files::{Folder, Mark};
-use std::io;
+use std::io::{self, ErrorKind};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -124,7 +124,12 @@
         let fault = |e: io::Error| format!("the call cannot be recorded: {e}");
         // Held until the end: another call, here or there, must neither be lost nor undo this one.
         let _lock = self.lock(folder).await.map_err(fault)?;
-        if let Some(hands) = usable(HANDS, folder.read(HANDS), format::read_hands) {
+        let read = match folder.read(HANDS) {
+            // It may say more than this process has heard, and must not be written over.
+            Err(e) if e.kind() != ErrorKind::FileTooLarge => return Err(fault(e)),
+            read => read,
+        };
+        if let Some(hands) = usable(HANDS, read, format::read_hands) {
             self.request(|reply| Order::Adopt(hands, reply)).await.ok_or_else(ending)?;
         }
         self.request(order).await.ok_or_else(ending)?.map_err(said)?;
@@ -287,3 +292,7 @@
         self.control.request(|reply| Order::Learn(known, reply)).await
     }
 }
+
+#[cfg(test)]
+#[path = "handover_tests.rs"]
+mod tests;
