Read what the operators said again where a first look could not

What operators could see (found by reading): one of two processes went on without what was said at the other, until the next call of theirs, if the file could not be read at the one look that saw it change (EMFILE, ENFILE, EIO). Cause: Handover::follow took the file's mark for read before it had been read. Change: FollowedFile keeps the mark once the file was read, and tells a failure once for each change; what the other has learned is followed in the same way. Evidence: the former code has no step that a test could fail alone; in a trial with the mark taken before the reading, as it had it, the new test fails; it passes now. 10 unit tests of handover and tests/operations.rs passed.

--- a/src/handover/files.rs
+++ b/src/handover/files.rs
@@ -16,6 +16,41 @@
 /// What shows that a file has changed.
 pub type Mark = Option<(SystemTime, u64)>;
 
+/// A file that others write, as far as it was read.
+#[derive(Debug, Default)]
+pub struct FollowedFile {
+    read: Mark,
+    /// The one that could not be read, and was told.
+    failed: Mark,
+}
+
+impl FollowedFile {
+    /// One that is followed from here on: what has this mark has been read.
+    pub fn since(mark: Mark) -> Self {
+        FollowedFile { read: mark, failed: None }
+    }
+
+    /// What it holds, if it has changed since it was read. A failure is told once for each change, and reading tried again.
+    pub fn news(
+        &mut self,
+        mark: Mark,
+        read: impl FnOnce() -> io::Result<Option<Vec<u8>>>,
+    ) -> Option<io::Result<Option<Vec<u8>>>> {
+        if mark == self.read {
+            return None;
+        }
+        let news = read();
+        if news.is_ok() {
+            self.read = mark;
+        } else if self.failed == mark {
+            return None;
+        } else {
+            self.failed = mark;
+        }
+        Some(news)
+    }
+}
+
 /// The folder, with the seat held in it. The seat is free again when this is dropped, or its process ends in any way.
 #[derive(Debug)]
 pub struct Folder {
@@ -148,6 +183,18 @@
         let _ = fs::remove_dir_all(path);
     }
 
+    #[test]
+    fn a_file_that_cannot_be_read_for_a_moment_is_read_once_it_can_be() {
+        let mark = Some((SystemTime::UNIX_EPOCH, 1));
+        let mut file = FollowedFile::default();
+        let fails = || Err(ErrorKind::Other.into());
+        assert!(file.news(mark, fails).is_some_and(|news| news.is_err()));
+        assert!(file.news(mark, fails).is_none(), "it was told");
+        let news = file.news(mark, || Ok(Some(vec![7])));
+        assert_eq!(news.expect("news").expect("fine"), Some(vec![7]));
+        assert!(file.news(mark, || panic!("it was read")).is_none());
+    }
+
     #[test]
     fn one_at_a_time_has_the_lock_and_a_write_shows_in_the_mark() {
         let path = folder("lock");
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -15,7 +15,7 @@
 use crate::overlay::{Hands, No};
 use crate::store::actor::Scribe;
 use commits::Log;
-use files::{Folder, Mark};
+use files::{Folder, FollowedFile};
 use std::io::{self, ErrorKind};
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -163,9 +163,8 @@
     control: ControlHandle,
     budget: Budget,
     clock: Clock,
-    /// What the files were like when they were last read.
-    hands: Mark,
-    known: Mark,
+    hands: FollowedFile,
+    known: FollowedFile,
     /// Holds what the other may use, while it lives.
     lent: Option<AbortHandle>,
 }
@@ -173,14 +172,15 @@
 impl Handover {
     /// One for a folder in which a seat is held.
     pub fn new(folder: Arc<Folder>, control: ControlHandle, budget: Budget, clock: Clock) -> Self {
-        Handover { folder, control, budget, clock, hands: None, known: None, lent: None }
+        let (hands, known) = (FollowedFile::default(), FollowedFile::default());
+        Handover { folder, control, budget, clock, hands, known, lent: None }
     }
 
     /// Takes over what there is to take over, before the first client comes.
     pub async fn begin(&mut self) {
         // What another process has left, or wrote before this one began, is not what the one that lives knows now. Told by
         // the file itself: the clocks of two processes may differ.
-        self.known = self.folder.mark(&known_of(self.folder.other()));
+        self.known = FollowedFile::since(self.folder.mark(&known_of(self.folder.other())));
         self.follow().await;
         // A file of this process's own, whatever the last one in this seat has left.
         if let Err(e) = self.folder.write(&commits_of(self.folder.seat), &[]) {
@@ -262,11 +262,8 @@
     /// Takes up what the operators said, here or there.
     async fn follow(&mut self) -> Option<()> {
         let mark = self.folder.mark(HANDS);
-        if mark == self.hands {
-            return Some(());
-        }
-        self.hands = mark;
-        let hands: Hands = usable(HANDS, self.folder.read(HANDS), format::read_hands)?;
+        let Some(news) = self.hands.news(mark, || self.folder.read(HANDS)) else { return Some(()) };
+        let hands: Hands = usable(HANDS, news, format::read_hands)?;
         self.control.request(|reply| Order::Adopt(hands, reply)).await
     }
 
@@ -284,11 +281,8 @@
     async fn learn(&mut self) -> Option<()> {
         let name = known_of(self.folder.other());
         let mark = self.folder.mark(&name);
-        if mark == self.known {
-            return None;
-        }
-        self.known = mark;
-        let (known, _) = usable(&name, self.folder.read(&name), format::read_known)?;
+        let news = self.known.news(mark, || self.folder.read(&name))?;
+        let (known, _) = usable(&name, news, format::read_known)?;
         self.control.request(|reply| Order::Learn(known, reply)).await
     }
 }
