Do not take another process for gone where its seat cannot be looked at

What callers would see (found by reading): a process that is told to end while another of its proxy serves from the same listener refused clients that were the other's, and took them up to the end, if the look at the other's seat failed just then (EMFILE, ENFILE, EIO). Cause: main.rs read a look that failed as 'nobody else lives'; the handover read it as 'as before'. Change: the folder keeps what the last look showed, and both go by that. Evidence: the former look gave an error in the state that the new test makes, and main.rs had unwrap_or(false) for it; no run of the former program shows it.

--- a/src/handover/files.rs
+++ b/src/handover/files.rs
@@ -3,6 +3,7 @@
 use std::fs::{self, File, TryLockError};
 use std::io::{self, ErrorKind, Write};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime};
 
 /// Processes of one proxy that may live at a time.
@@ -58,6 +59,8 @@
     /// Which seat it is.
     pub seat: usize,
     _seat: File,
+    /// Another process lived at the last look.
+    accompanied: AtomicBool,
 }
 
 fn locked(file: &File) -> io::Result<bool> {
@@ -84,7 +87,7 @@
             for seat in 0..SEATS {
                 let file = made(&path.join(format!("seat-{seat}")))?;
                 if locked(&file)? {
-                    return Ok(Some(Folder { path, seat, _seat: file }));
+                    return Ok(Some(Folder { path, seat, _seat: file, accompanied: AtomicBool::new(false) }));
                 }
             }
             std::thread::sleep(PAUSE);
@@ -97,11 +100,16 @@
         1 - self.seat
     }
 
-    /// Whether another process lives.
-    ///
-    /// # Errors
-    /// When the folder cannot be used.
-    pub fn accompanied(&self) -> io::Result<bool> {
+    /// Whether another process lives, as of the last look at its seat that could be taken.
+    pub fn accompanied(&self) -> bool {
+        match self.other_lives() {
+            Ok(lives) => self.accompanied.store(lives, Ordering::Relaxed),
+            Err(e) => log::warn!("the folder of the handover cannot be used: {e}"),
+        }
+        self.accompanied.load(Ordering::Relaxed)
+    }
+
+    fn other_lives(&self) -> io::Result<bool> {
         let file = made(&self.path.join(format!("seat-{}", self.other())))?;
         match file.try_lock_shared() {
             Ok(()) => Ok(false),
@@ -173,16 +181,34 @@
     fn two_have_a_seat_each_and_a_third_none_until_one_goes() {
         let path = folder("seats");
         let a = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
-        assert!(!a.accompanied().expect("fine"));
+        assert!(!a.accompanied());
         let b = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
-        assert!(a.seat != b.seat && a.accompanied().expect("fine") && b.accompanied().expect("fine"));
+        assert!(a.seat != b.seat && a.accompanied() && b.accompanied());
         assert!(Folder::join(path.clone(), 3).expect("fine").is_none());
         drop(a);
-        assert!(!b.accompanied().expect("fine"));
+        assert!(!b.accompanied());
         assert!(Folder::join(path.clone(), 3).expect("fine").is_some());
         let _ = fs::remove_dir_all(path);
     }
 
+    #[test]
+    fn another_process_has_not_gone_where_its_seat_cannot_be_looked_at() {
+        let path = folder("unseen");
+        let a = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
+        let b = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
+        assert!(a.accompanied());
+        // A folder in its place cannot be opened for the look.
+        let seat = a.place(&format!("seat-{}", b.seat));
+        fs::rename(&seat, a.place("aside")).expect("fine");
+        fs::create_dir(&seat).expect("fine");
+        assert!(a.accompanied(), "it lives as far as is known");
+        fs::remove_dir(&seat).expect("fine");
+        fs::rename(a.place("aside"), &seat).expect("fine");
+        drop(b);
+        assert!(!a.accompanied());
+        let _ = fs::remove_dir_all(path);
+    }
+
     #[test]
     fn a_file_that_cannot_be_read_for_a_moment_is_read_once_it_can_be() {
         let mark = Some((SystemTime::UNIX_EPOCH, 1));
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -186,7 +186,7 @@
         if let Err(e) = self.folder.write(&commits_of(self.folder.seat), &[]) {
             log::warn!("the folder of the handover cannot be used: {e}");
         }
-        if !self.accompanied() {
+        if !self.folder.accompanied() {
             return;
         }
         self.share().await;
@@ -208,7 +208,7 @@
         loop {
             tokio::time::sleep(LOOK).await;
             self.follow().await;
-            let with = self.accompanied();
+            let with = self.folder.accompanied();
             if with != self.lent.is_some() {
                 if with {
                     log::info!("another process of this proxy has begun; each keeps to half of the limits");
@@ -228,13 +228,6 @@
         }
     }
 
-    fn accompanied(&self) -> bool {
-        self.folder.accompanied().unwrap_or_else(|e| {
-            log::warn!("the folder of the handover cannot be used: {e}");
-            self.lent.is_some()
-        })
-    }
-
     /// Half of the limits is the other's from now on; what is in use beyond that goes as it comes free.
     async fn share(&mut self) {
         count(Count::handovers);
--- a/src/main.rs
+++ b/src/main.rs
@@ -295,7 +295,7 @@
             _ = int.recv() => break,
         }
     }
-    let accompanied = folder.is_some_and(|f| f.accompanied().unwrap_or(false));
+    let accompanied = folder.is_some_and(|folder| folder.accompanied());
     let longest_deadline =
         move || read_under.borrow().classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let last_writing = async {
