--- a/src/handover/files.rs
+++ b/src/handover/files.rs
@@ -3,6 +3,7 @@
 use std::fs::{self, File, TryLockError};
 use std::io::{self, ErrorKind, Write};
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, SystemTime};
 
 /// Processes of one proxy that may live at a time.
@@ -16,6 +17,41 @@
 /// What shows that a file has changed.
 pub type Mark = Option<(SystemTime, u64)>;
 
+/// A file that others write, as far as it was read.
+#[derive(Debug, Default)]
+pub struct FollowedFile {
+    read: Mark,
+    /// The one that could not be read, and was told.
+    failed: Mark,
+}
+
+impl FollowedFile {
+    /// One that is followed from here on: what has this mark has been read.
+    pub fn since(mark: Mark) -> Self {
+        FollowedFile { read: mark, failed: None }
+    }
+
+    /// What it holds, if it has changed since it was read. A failure is told once for each change, and reading tried again.
+    pub fn news(
+        &mut self,
+        mark: Mark,
+        read: impl FnOnce() -> io::Result<Option<Vec<u8>>>,
+    ) -> Option<io::Result<Option<Vec<u8>>>> {
+        if mark == self.read {
+            return None;
+        }
+        let news = read();
+        if news.is_ok() {
+            self.read = mark;
+        } else if self.failed == mark {
+            return None;
+        } else {
+            self.failed = mark;
+        }
+        Some(news)
+    }
+}
+
 /// The folder, with the seat held in it. The seat is free again when this is dropped, or its process ends in any way.
 #[derive(Debug)]
 pub struct Folder {
@@ -23,6 +59,8 @@
     /// Which seat it is.
     pub seat: usize,
     _seat: File,
+    /// Another process lived at the last look.
+    accompanied: AtomicBool,
 }
 
 fn locked(file: &File) -> io::Result<bool> {
@@ -49,7 +87,7 @@
             for seat in 0..SEATS {
                 let file = made(&path.join(format!("seat-{seat}")))?;
                 if locked(&file)? {
-                    return Ok(Some(Folder { path, seat, _seat: file }));
+                    return Ok(Some(Folder { path, seat, _seat: file, accompanied: AtomicBool::new(false) }));
                 }
             }
             std::thread::sleep(PAUSE);
@@ -62,11 +100,16 @@
         1 - self.seat
     }
 
-    /// Whether another process lives.
-    ///
-    /// # Errors
-    /// When the folder cannot be used.
-    pub fn accompanied(&self) -> io::Result<bool> {
+    /// Whether another process lives, as of the last look at its seat that could be taken.
+    pub fn accompanied(&self) -> bool {
+        match self.other_lives() {
+            Ok(lives) => self.accompanied.store(lives, Ordering::Relaxed),
+            Err(e) => log::warn!("the folder of the handover cannot be used: {e}"),
+        }
+        self.accompanied.load(Ordering::Relaxed)
+    }
+
+    fn other_lives(&self) -> io::Result<bool> {
         let file = made(&self.path.join(format!("seat-{}", self.other())))?;
         match file.try_lock_shared() {
             Ok(()) => Ok(false),
@@ -99,7 +142,7 @@
     pub fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
         let path = self.path.join(name);
         match fs::metadata(&path) {
-            Ok(told) if told.len() > LONGEST => Err(io::Error::other("it is too long")),
+            Ok(told) if told.len() > LONGEST => Err(ErrorKind::FileTooLarge.into()),
             Ok(_) => fs::read(&path).map(Some),
             Err(e) if e.kind() == ErrorKind::NotFound => Ok(None),
             Err(e) => Err(e),
@@ -138,16 +181,46 @@
     fn two_have_a_seat_each_and_a_third_none_until_one_goes() {
         let path = folder("seats");
         let a = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
-        assert!(!a.accompanied().expect("fine"));
+        assert!(!a.accompanied());
         let b = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
-        assert!(a.seat != b.seat && a.accompanied().expect("fine") && b.accompanied().expect("fine"));
+        assert!(a.seat != b.seat && a.accompanied() && b.accompanied());
         assert!(Folder::join(path.clone(), 3).expect("fine").is_none());
         drop(a);
-        assert!(!b.accompanied().expect("fine"));
+        assert!(!b.accompanied());
         assert!(Folder::join(path.clone(), 3).expect("fine").is_some());
         let _ = fs::remove_dir_all(path);
     }
 
+    #[test]
+    fn another_process_has_not_gone_where_its_seat_cannot_be_looked_at() {
+        let path = folder("unseen");
+        let a = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
+        let b = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
+        assert!(a.accompanied());
+        // A folder in its place cannot be opened for the look.
+        let seat = a.place(&format!("seat-{}", b.seat));
+        fs::rename(&seat, a.place("aside")).expect("fine");
+        fs::create_dir(&seat).expect("fine");
+        assert!(a.accompanied(), "it lives as far as is known");
+        fs::remove_dir(&seat).expect("fine");
+        fs::rename(a.place("aside"), &seat).expect("fine");
+        drop(b);
+        assert!(!a.accompanied());
+        let _ = fs::remove_dir_all(path);
+    }
+
+    #[test]
+    fn a_file_that_cannot_be_read_for_a_moment_is_read_once_it_can_be() {
+        let mark = Some((SystemTime::UNIX_EPOCH, 1));
+        let mut file = FollowedFile::default();
+        let fails = || Err(ErrorKind::Other.into());
+        assert!(file.news(mark, fails).is_some_and(|news| news.is_err()));
+        assert!(file.news(mark, fails).is_none(), "it was told");
+        let news = file.news(mark, || Ok(Some(vec![7])));
+        assert_eq!(news.expect("news").expect("fine"), Some(vec![7]));
+        assert!(file.news(mark, || panic!("it was read")).is_none());
+    }
+
     #[test]
     fn one_at_a_time_has_the_lock_and_a_write_shows_in_the_mark() {
         let path = folder("lock");
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -15,8 +15,8 @@
 use crate::overlay::{Hands, No};
 use crate::store::actor::Scribe;
 use commits::Log;
-use files::{Folder, Mark};
-use std::io;
+use files::{Folder, FollowedFile};
+use std::io::{self, ErrorKind};
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -124,7 +124,12 @@
         let fault = |e: io::Error| format!("the call cannot be recorded: {e}");
         // Held until the end: another call, here or there, must neither be lost nor undo this one.
         let _lock = self.lock(folder).await.map_err(fault)?;
-        if let Some(hands) = usable(HANDS, folder.read(HANDS), format::read_hands) {
+        let read = match folder.read(HANDS) {
+            // It may say more than this process has heard, and must not be written over.
+            Err(e) if e.kind() != ErrorKind::FileTooLarge => return Err(fault(e)),
+            read => read,
+        };
+        if let Some(hands) = usable(HANDS, read, format::read_hands) {
             self.request(|reply| Order::Adopt(hands, reply)).await.ok_or_else(ending)?;
         }
         self.request(order).await.ok_or_else(ending)?.map_err(said)?;
@@ -158,9 +163,8 @@
     control: ControlHandle,
     budget: Budget,
     clock: Clock,
-    /// What the files were like when they were last read.
-    hands: Mark,
-    known: Mark,
+    hands: FollowedFile,
+    known: FollowedFile,
     /// Holds what the other may use, while it lives.
     lent: Option<AbortHandle>,
 }
@@ -168,20 +172,21 @@
 impl Handover {
     /// One for a folder in which a seat is held.
     pub fn new(folder: Arc<Folder>, control: ControlHandle, budget: Budget, clock: Clock) -> Self {
-        Handover { folder, control, budget, clock, hands: None, known: None, lent: None }
+        let (hands, known) = (FollowedFile::default(), FollowedFile::default());
+        Handover { folder, control, budget, clock, hands, known, lent: None }
     }
 
     /// Takes over what there is to take over, before the first client comes.
     pub async fn begin(&mut self) {
         // What another process has left, or wrote before this one began, is not what the one that lives knows now. Told by
         // the file itself: the clocks of two processes may differ.
-        self.known = self.folder.mark(&known_of(self.folder.other()));
+        self.known = FollowedFile::since(self.folder.mark(&known_of(self.folder.other())));
         self.follow().await;
         // A file of this process's own, whatever the last one in this seat has left.
         if let Err(e) = self.folder.write(&commits_of(self.folder.seat), &[]) {
             log::warn!("the folder of the handover cannot be used: {e}");
         }
-        if !self.accompanied() {
+        if !self.folder.accompanied() {
             return;
         }
         self.share().await;
@@ -203,7 +208,7 @@
         loop {
             tokio::time::sleep(LOOK).await;
             self.follow().await;
-            let with = self.accompanied();
+            let with = self.folder.accompanied();
             if with != self.lent.is_some() {
                 if with {
                     log::info!("another process of this proxy has begun; each keeps to half of the limits");
@@ -223,13 +228,6 @@
         }
     }
 
-    fn accompanied(&self) -> bool {
-        self.folder.accompanied().unwrap_or_else(|e| {
-            log::warn!("the folder of the handover cannot be used: {e}");
-            self.lent.is_some()
-        })
-    }
-
     /// Half of the limits is the other's from now on; what is in use beyond that goes as it comes free.
     async fn share(&mut self) {
         count(Count::handovers);
@@ -257,11 +255,8 @@
     /// Takes up what the operators said, here or there.
     async fn follow(&mut self) -> Option<()> {
         let mark = self.folder.mark(HANDS);
-        if mark == self.hands {
-            return Some(());
-        }
-        self.hands = mark;
-        let hands: Hands = usable(HANDS, self.folder.read(HANDS), format::read_hands)?;
+        let Some(news) = self.hands.news(mark, || self.folder.read(HANDS)) else { return Some(()) };
+        let hands: Hands = usable(HANDS, news, format::read_hands)?;
         self.control.request(|reply| Order::Adopt(hands, reply)).await
     }
 
@@ -279,11 +274,12 @@
     async fn learn(&mut self) -> Option<()> {
         let name = known_of(self.folder.other());
         let mark = self.folder.mark(&name);
-        if mark == self.known {
-            return None;
-        }
-        self.known = mark;
-        let (known, _) = usable(&name, self.folder.read(&name), format::read_known)?;
+        let news = self.known.news(mark, || self.folder.read(&name))?;
+        let (known, _) = usable(&name, news, format::read_known)?;
         self.control.request(|reply| Order::Learn(known, reply)).await
     }
 }
+
+#[cfg(test)]
+#[path = "handover_tests.rs"]
+mod tests;
--- a/src/odata/session.rs
+++ b/src/odata/session.rs
@@ -13,7 +13,6 @@
 use super::request::Form;
 use crate::core::counters::{count, Count};
 use crate::http::{HttpError, HttpRequest, HttpResponse, HttpServer, Incoming};
-use crate::interface::*;
 use crate::net::budget::QUIET_MIN;
 use crate::net::client_end::{self, EndReason, Ended};
 use crate::net::frames::{next, next_or_end, shrink, Next, ROOM};
@@ -175,8 +174,7 @@
     async fn answer(&mut self, request: &HttpRequest) -> Result<Option<Answered>, HttpError> {
         count(Count::odata_requests);
         // What was sent before the front was there has waited since then.
-        let since = self.waits_since.take().into_iter().chain(held_up::look()).min();
-        let waited = since.map_or(0, |since| since.elapsed().as_micros() as Time);
+        let waited = held_up::waited(self.waits_since.take());
         let mut answer = pin!(self.front.answer(request, self.conn.get_ref().presence(), waited));
         let mut broken = None;
         loop {
@@ -225,17 +223,13 @@
 
 /// Ends a connection if nothing stands on it. A client that was never answered gets a refusal, for what may cross it.
 async fn end_at_rest(conn: &mut Conn, reason: EndReason, asked: bool) -> Option<Ended> {
-    let text = match reason {
-        EndReason::MadeRoom => Refusal::NoPermit.text(),
-        EndReason::Shutdown => Refusal::Ending.text(),
-        _ => "nothing was asked in time",
-    };
-    client_end::at_rest(conn, reason, (!asked).then(|| last_refusal(text))).await
+    let last_word = (!asked).then(|| last_refusal(Refusal::at_end(reason)));
+    client_end::at_rest(conn, reason, last_word).await
 }
 
 /// A refusal behind which the connection ends.
-pub(super) fn last_refusal(text: &str) -> HttpResponse {
-    let mut response = Fault::come_back(None, text).response(Form::default());
+pub(super) fn last_refusal(why: Refusal) -> HttpResponse {
+    let mut response = Fault::come_back(None, why.text()).response(Form::default());
     response.closes = true;
     response
 }
