Add a test that fails: a booking that runs at both processes of a hand-over

Seen by OData: the former process runs a booking, the next one runs it again under the same id. Cause: core/ledger.rs, claim: whatever was first sent since this process began, and is not known here, counts as new; while two processes live, the other may have run it.

--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -592,3 +592,20 @@
     let answered: u64 = clients.into_iter().map(|c| runtime().block_on(c).expect("a client")).sum();
     assert!(served > 1_000 && answered > 0, "{served} {answered}");
 }
+
+#[test]
+fn a_booking_tried_at_both_processes_runs_once() {
+    play(
+        "member p primary
+         start odata console handed
+         o send GET k0 monthly-report
+         o expect 200
+         upgrade
+         wait 1100
+         o send POST k1 01 id=x sent=0
+         o expect 201 Repeatability-Result: accepted
+         n send POST k1 01 id=x sent=0
+         n expect 412 RepeatabilityExpired
+         p expect 1 write k1",
+    );
+}
