--- a/src/net/client_queue.rs
+++ b/src/net/client_queue.rs
@@ -72,7 +72,7 @@
         loop {
             match self.listener.accept().await {
                 Ok(client) => return client,
-                Err(e) => accept_failed(&e).await,
+                Err(error) => accept_failed(&error).await,
             }
         }
     }
@@ -83,7 +83,7 @@
         for _ in 0..MAX_ACCEPT_FAILURES {
             match self.listener.try_accept() {
                 Ok(client) => return client,
-                Err(e) => accept_failed(&e).await,
+                Err(error) => accept_failed(&error).await,
             }
         }
         log::error!("clients that have come are left in the queue, as accept fails again and again");
@@ -91,9 +91,9 @@
     }
 }
 
-async fn accept_failed(e: &Error) {
+async fn accept_failed(error: &Error) {
     if counted(Count::accept_failures).is_multiple_of(ACCEPT_FAILURES_PER_LOG_LINE) {
-        log::warn!("a client could not be accepted: {e}");
+        log::warn!("a client could not be accepted: {error}");
     }
     count(Count::accept_failures);
     tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -209,8 +209,8 @@
         let (clients, counter, serves) = (self.clients.clone(), self.counter, self.serves.clone());
         let closing = closing.clone();
         tokio::spawn(async move {
-            let waiting = clients.clone();
-            let mut hurried = Box::pin(async move { waiting.refusal_wanted().await }.fuse());
+            let budget = clients.clone();
+            let mut hurried = Box::pin(async move { budget.refusal_wanted().await }.fuse());
             let permit = tokio::select! {
                 biased;
                 permit = tokio::time::timeout(PERMIT_TIMEOUT, clients.permit()) => permit.ok().flatten(),
@@ -243,8 +243,8 @@
         let Some(permit) = permit else { return };
         let client = peer.port();
         log::debug!(target: CONNECTION, client; "refused, as the process ends");
-        let waiting = self.clients.clone();
-        let hurried = async move { waiting.refusal_wanted().await };
+        let budget = self.clients.clone();
+        let hurried = async move { budget.refusal_wanted().await };
         let refused = self.serves.refuse(Socket::new(stream), Refusal::Ending, hurried);
         tokio::spawn(reported(client, permit, refused));
     }
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -27,7 +27,7 @@
 use tokio_util::codec::Framed;
 
 /// A value in base64url with room for the rest of its JSON.
-pub(super) const LONGEST_BODY: usize = 128 * 1024;
+pub(super) const MAX_BODY_LEN: usize = 128 * 1024;
 /// The module's last word comes no earlier than this before a deadline, in us.
 const LEAD: Time = 25_000;
 /// How long the bytes of a value that flows may take to come.
@@ -68,7 +68,7 @@
         hurried: impl Future<Output = ()> + Send,
     ) -> Result<Ended, HttpError> {
         why.count();
-        let conn = Framed::with_capacity(stream, HttpServer::new(LONGEST_BODY, bytes), ROOM);
+        let conn = Framed::with_capacity(stream, HttpServer::new(MAX_BODY_LEN, bytes), ROOM);
         Ok(client_end::refuse(conn, first_request, REFUSED_REQUEST_TIMEOUT, last_refusal(why), hurried).await)
     }
 }
--- a/src/odata/session.rs
+++ b/src/odata/session.rs
@@ -2,13 +2,13 @@
 //!
 //! | state | ends by |
 //! | --- | --- |
-//! | never asked, or at rest | the client; `IDLE`; others who lack a permit; the end of the process; the first two of these once it was quiet |
-//! | a request is begun | its rest; `UNFINISHED` |
+//! | never asked, or at rest | the client; `IDLE_TIMEOUT`; others who lack a permit; the end of the process; the first two of these once it was quiet |
+//! | a request is begun | its rest; `UNFINISHED_REQUEST_TIMEOUT` |
 //! | a response is owed | nothing but the client |
 //!
 //! All but the client's own end go through [`client_end`], which ends nothing that has no answer.
 
-use super::front::{refused, Front, LONGEST_BODY};
+use super::front::{refused, Front, MAX_BODY_LEN};
 use super::reply::Fault;
 use super::request::Form;
 use crate::core::counters::{count, Count};
@@ -29,12 +29,12 @@
 use tokio_util::codec::Framed;
 
 /// Requests read ahead on one connection while one is carried out.
-const AHEAD: usize = 8;
+const MAX_READ_AHEAD: usize = 8;
 /// How long a client may hold its connection between requests, and how long a request that was begun may take to end.
-const IDLE: Duration = Duration::from_secs(4);
-const UNFINISHED: Duration = Duration::from_secs(2);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+const UNFINISHED_REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
 /// How long a client may take to take in a response.
-const PATIENCE: Duration = Duration::from_secs(5);
+const RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
 
 pub(super) type Conn = Framed<Socket, HttpServer>;
 
@@ -80,10 +80,10 @@
 impl Session {
     /// One on a new connection. What its client has sent already may have been sent at any time since `waits_since`.
     pub(super) fn new(front: Arc<Front>, waits_since: Option<std::time::Instant>, stream: Socket) -> Self {
-        let codec = HttpServer::new(LONGEST_BODY, front.budget.bytes.clone());
+        let codec = HttpServer::new(MAX_BODY_LEN, front.budget.bytes.clone());
         let conn = Framed::with_capacity(stream, codec, ROOM);
         let rests = Instant::now();
-        let until = rests + IDLE;
+        let until = rests + IDLE_TIMEOUT;
         let ahead = VecDeque::new();
         Session { front, conn, ahead, asked: false, part: false, rests, until, waits_since }
     }
@@ -124,7 +124,7 @@
                 && !client_end::holds_unanswered(&mut self.conn);
             response.closes = request.closes || ends;
             let closes = response.closes;
-            match tokio::time::timeout(PATIENCE, self.conn.send(response)).await {
+            match tokio::time::timeout(RESPONSE_TIMEOUT, self.conn.send(response)).await {
                 Ok(sent) => sent?,
                 Err(_) => return Err(HttpError::Io(ErrorKind::TimedOut.into())),
             }
@@ -137,13 +137,13 @@
             }
             shrink(&mut self.conn);
             self.rests = Instant::now();
-            self.until = self.rests + IDLE;
+            self.until = self.rests + IDLE_TIMEOUT;
         }
     }
 
     /// The rest of a request has so long to come.
     fn begun(&mut self) {
-        (self.part, self.until) = (true, Instant::now() + UNFINISHED);
+        (self.part, self.until) = (true, Instant::now() + UNFINISHED_REQUEST_TIMEOUT);
     }
 
     /// Waits for the next request, or for a reason to end. One of which a part has been read is the proxy's to answer.
@@ -178,7 +178,7 @@
         let mut answer = pin!(self.front.answer(request, self.conn.get_ref().presence(), waited));
         let mut broken = None;
         loop {
-            let reads = self.ahead.len() < AHEAD && broken.is_none();
+            let reads = self.ahead.len() < MAX_READ_AHEAD && broken.is_none();
             tokio::select! {
                 biased;
                 response = &mut answer => return Ok(Some(Answered { response, broken })),
@@ -195,14 +195,14 @@
 
     /// Answers what could not be read, in its turn, and ends the connection: where the next request starts is not
     /// known.
-    async fn end_with(self, e: HttpError) -> Result<Ended, HttpError> {
-        let no_room = matches!(e, HttpError::NoRoom);
-        let fault = match e {
-            HttpError::Io(_) => return Err(e),
+    async fn end_with(self, error: HttpError) -> Result<Ended, HttpError> {
+        let no_room = matches!(error, HttpError::NoRoom);
+        let fault = match error {
+            HttpError::Io(_) => return Err(error),
             HttpError::TooLong => Fault::new(413, "TooLarge", "the request is too long"),
-            HttpError::Malformed(_) => Fault::new(400, "BadRequest", e.to_string()),
-            HttpError::Unfinished => Fault::new(408, "Unfinished", e.to_string()),
-            HttpError::NoRoom => Fault::come_back(None, &e.to_string()),
+            HttpError::Malformed(_) => Fault::new(400, "BadRequest", error.to_string()),
+            HttpError::Unfinished => Fault::new(408, "Unfinished", error.to_string()),
+            HttpError::NoRoom => Fault::come_back(None, &error.to_string()),
         };
         let mut response = refused(fault, Form::default());
         response.closes = true;
--- a/src/pg/replies.rs
+++ b/src/pg/replies.rs
@@ -19,7 +19,7 @@
 use tokio::time::Sleep;
 
 /// How long a client may take to take in an answer.
-const PATIENCE: Duration = Duration::from_secs(5);
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A reply that is owed on a connection.
 pub(super) enum PendingReply {
@@ -65,7 +65,7 @@
 }
 
 /// A value from this size on is written from where it lies, not copied into the connection's buffer first.
-const LARGE: usize = 16 * 1024;
+const MIN_UNBUFFERED_LEN: usize = 16 * 1024;
 
 /// Writes a reply and those behind it that are due already, in one go.
 pub(super) async fn put(
@@ -76,7 +76,9 @@
     let mut next = Some(reply);
     while let Some(reply) = next {
         match reply {
-            Reply::Row(value, write) if value.bytes.as_ref().is_some_and(|b| b.len() >= LARGE) => {
+            Reply::Row(value, write)
+                if value.bytes.as_ref().is_some_and(|b| b.len() >= MIN_UNBUFFERED_LEN) =>
+            {
                 let (mut head, mut tail) = (std::mem::take(conn.write_buffer_mut()), BytesMut::new());
                 row_head(&value, &mut head);
                 row_tail(&value, write, &mut tail);
@@ -94,9 +96,9 @@
     in_time(SinkExt::<Reply>::flush(conn)).await
 }
 
-/// A client that takes in nothing for so long must not hold its seat for ever.
+/// A client that takes in nothing for so long must not hold its permit for ever.
 async fn in_time<E: Into<WireError>>(write: impl Future<Output = Result<(), E>>) -> Result<(), WireError> {
-    match tokio::time::timeout(PATIENCE, write).await {
+    match tokio::time::timeout(ANSWER_TIMEOUT, write).await {
         Ok(written) => written.map_err(Into::into),
         Err(_) => Err(WireError::Io(ErrorKind::TimedOut.into())),
     }
--- a/src/pg/session.rs
+++ b/src/pg/session.rs
@@ -2,10 +2,10 @@
 //!
 //! | state | ends by |
 //! | --- | --- |
-//! | never asked | the client; `FIRST`; others who lack a permit, once it was quiet; the end of the process, once it was quiet |
-//! | a message is begun | its rest; `UNFINISHED` |
+//! | never asked | the client; `FIRST_MESSAGE_TIMEOUT`; others who lack a permit, once it was quiet; the end of the process, once it was quiet |
+//! | a message is begun | its rest; `UNFINISHED_MESSAGE_TIMEOUT` |
 //! | answers are owed | nothing but the client |
-//! | at rest | the client; `IDLE`; others who lack a permit; the end of the process |
+//! | at rest | the client; `IDLE_TIMEOUT`; others who lack a permit; the end of the process |
 //!
 //! All but the client's own end go through [`client_end`], which ends nothing that has no answer.
 
@@ -29,18 +29,18 @@
 use tokio_util::codec::Framed;
 
 /// Queries taken from one connection before their answers have gone out, and while memory is short.
-const PIPELINE: usize = 16;
-const PIPELINE_TIGHT: usize = 1;
+const MAX_PIPELINED: usize = 16;
+const MAX_PIPELINED_TIGHT: usize = 1;
 /// From a connection's start to the end of its first message after the startup: a client that says nothing, or
 /// begins and does not end, is owed a close within 3 s.
-const FIRST: Duration = Duration::from_millis(2_500);
+const FIRST_MESSAGE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// How long a message that was begun may take to end.
-const UNFINISHED: Duration = Duration::from_millis(2_400);
+const UNFINISHED_MESSAGE_TIMEOUT: Duration = Duration::from_millis(2_400);
 /// How long a client may hold its connection without asking anything more: its permit costs memory and a descriptor,
 /// and some never come back.
-const IDLE: Duration = Duration::from_millis(4_000);
+const IDLE_TIMEOUT: Duration = Duration::from_millis(4_000);
 /// Kept off a client's deadline, in us: the way there and back takes time.
-const MARGIN: Time = 4_000;
+const DEADLINE_MARGIN: Time = 4_000;
 
 /// What a client has said so far.
 #[derive(Default)]
@@ -103,7 +103,7 @@
         let mut begun = pin!(reached(&mut begun, Phase::Leaving));
         let mut closed = pin!(reached(&mut closing, Phase::Closing));
         // Set anew only when it rings too early: nearly every wait ends long before its limit.
-        let mut timer = pin!(tokio::time::sleep_until(self.opened + FIRST));
+        let mut timer = pin!(tokio::time::sleep_until(self.opened + FIRST_MESSAGE_TIMEOUT));
         loop {
             if let Some(reason) = self.ends_now() {
                 if self.goodbye {
@@ -118,7 +118,7 @@
             self.part = self.part.filter(|_| reads);
             let until = self.limit();
             if until.is_some_and(|until| until < timer.deadline()) {
-                timer.as_mut().reset(until.unwrap_or(self.opened + FIRST));
+                timer.as_mut().reset(until.unwrap_or(self.opened + FIRST_MESSAGE_TIMEOUT));
             }
             let at_rest = self.at_rest();
             tokio::select! {
@@ -128,7 +128,7 @@
                     match read {
                         Next::Part => self.part = Some(Instant::now()),
                         Next::Message(None) => return Ok(client_end::by_client(self.conn)),
-                        Next::Message(Some(Ok(message))) => self.take(message).await,
+                        Next::Message(Some(Ok(message))) => self.dispatch(message).await,
                         Next::Message(Some(Err(fault))) => return self.end_with(fault).await,
                     }
                 }
@@ -145,7 +145,7 @@
                 }
                 () = timer.as_mut() => match self.part {
                     _ if until.is_none_or(|until| Instant::now() < until) => {
-                        timer.as_mut().reset(until.unwrap_or_else(|| Instant::now() + IDLE));
+                        timer.as_mut().reset(until.unwrap_or_else(|| Instant::now() + IDLE_TIMEOUT));
                     }
                     Some(_) => return self.end_with(WireError::Unfinished).await,
                     None if self.ends_now().is_some() => {}
@@ -167,7 +167,7 @@
 
     /// Whether more is read now.
     fn reads(&self) -> bool {
-        let depth = if self.front.bytes.tight() { PIPELINE_TIGHT } else { PIPELINE };
+        let depth = if self.front.bytes.tight() { MAX_PIPELINED_TIGHT } else { MAX_PIPELINED };
         self.owed.0.len() < depth && !self.goodbye
     }
 
@@ -186,13 +186,13 @@
 
     /// Until when the client has to say something more; none while it waits itself.
     fn limit(&self) -> Option<Instant> {
-        let first = self.opened + FIRST;
+        let first = self.opened + FIRST_MESSAGE_TIMEOUT;
         match self.part {
             // The first message has no longer than a client that says nothing.
-            Some(since) if self.state.asked => Some(since + UNFINISHED),
+            Some(since) if self.state.asked => Some(since + UNFINISHED_MESSAGE_TIMEOUT),
             Some(_) => Some(first),
             None if !self.owed.0.is_empty() => None,
-            None if self.state.asked => Some(self.rests + IDLE),
+            None if self.state.asked => Some(self.rests + IDLE_TIMEOUT),
             None if self.leaving => Some(first.min(self.rests + QUIET_MIN)),
             None => Some(first),
         }
@@ -218,7 +218,7 @@
     }
 
     /// Takes in a message; what it is owed is owed from now on.
-    async fn take(&mut self, message: Frontend) {
+    async fn dispatch(&mut self, message: Frontend) {
         (self.part, self.rests) = (None, Instant::now());
         let reply = match message {
             Frontend::Encrypt => Some(PendingReply::Ready(Reply::NoEncryption)),
@@ -278,7 +278,7 @@
             Ok(mut request) => {
                 self.state.sound = true;
                 let client = self.conn.get_ref();
-                request.deadline = front.answer_limit.cap(request.deadline.saturating_sub(MARGIN));
+                request.deadline = front.answer_limit.cap(request.deadline.saturating_sub(DEADLINE_MARGIN));
                 request.client = Some(client.presence());
                 log::debug!(target: CONNECTION, client = client.port(), name:? = request.name; "request read");
                 let write = request.terms.classes[request.class].need == Need::Write;
