Serve large values also of reads that may not simply be repeated

Callers saw: a read of more than 64 KiB in a class that is non_idempotent or keyed always failed, after it had run; a keyed one could run at a second member first and fail there too. Cause: "may not be repeated" stood for "is a write, whose answer is kept for whoever asks again": only the latter must be had whole before any of it is passed on. By OData, where a value is gathered, a want of memory was told as a refusal, whatever the class; that was right only as long as no other values got so far. Change: an attempt says whether its answer must be whole (writes that may not simply be repeated, as before); a value for which there is no memory is refused only where the read may safely run again, and has failed otherwise.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -470,6 +470,7 @@
         let number = live.begin_attempt(member, now, self.router.position(member));
         let stop_at = stop_at.unwrap_or(Time::MAX).min(live.request.deadline);
         let safe = live.class().repeat == Repeat::Safe;
+        let whole = !safe && live.class().need == Need::Write;
         let by = self.lease.as_ref().map_or(Time::MAX, Lease::until);
         let attempt = Attempt {
             id,
@@ -477,6 +478,7 @@
             work: live.request.work.clone(),
             stop_at,
             safe,
+            whole,
             by,
             known_until: progress.known_until(),
             client: live.request.client.clone().filter(|_| !live.abandoned),
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -166,6 +166,8 @@
     pub stop_at: Time,
     /// What may have run may be sent again.
     pub safe: bool,
+    /// Whoever asks again gets the same answer, so that it must be had whole before it is passed on.
+    pub whole: bool,
     /// Nothing may be written to a member from then on: the rules that it was decided by no longer hold here.
     pub by: Time,
     /// Nothing may be written to a member from then on: it may not know the request for a repeat.
--- a/src/net/fleet_tests.rs
+++ b/src/net/fleet_tests.rs
@@ -79,6 +79,7 @@
         work: Work::Verbatim { text: Bytes::from_static(b"x"), wait: 0..0 },
         stop_at: clock.now() + 60_000_000,
         safe: true,
+        whole: false,
         by: Time::MAX,
         known_until: Time::MAX,
         client: None,
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -300,8 +300,8 @@
                 }
             };
             let Exchange { mut outcome, mut value, note, report, mut begun, .. } = exchange;
-            // Whoever asks again for a write's answer needs the whole of it. The rest still comes on the connection.
-            if begun.is_some() && !attempt.safe {
+            // The rest still comes on the connection.
+            if begun.is_some() && attempt.whole {
                 (outcome, value, begun, link) = (Outcome::Errored, None, None, None);
             }
             let spent = clock.now().saturating_sub(since);
--- a/src/net/peer_tests.rs
+++ b/src/net/peer_tests.rs
@@ -55,6 +55,7 @@
             work: Work::Verbatim { text: Bytes::from(vec![b'x'; statement]), wait: 0..0 },
             stop_at: self.clock.now() + patience,
             safe,
+            whole: !safe,
             by: Time::MAX,
             known_until: Time::MAX,
             client: None,
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -116,7 +116,8 @@
                 let mut request = self.request(&terms, facts, &key, None);
                 request.client = Some(client);
                 let deadline = request.deadline;
-                let answer = self.gathered(self.core.submit(request).await.await).await;
+                let safe = terms.classes[request.class].repeat == Repeat::Safe;
+                let answer = self.gathered(self.core.submit(request).await.await, safe).await;
                 reply::answer(form, Asked::Read(&key), answer, self.late(deadline))
             }
             Ok(Call::Create { facts, key, value, repeatable, minimal }) => {
@@ -153,13 +154,14 @@
         }
     }
 
-    /// An answer whose value is whole: this wire's form of it cannot be begun before it ends.
-    async fn gathered(&self, answer: Answer) -> Answer {
+    /// An answer whose value is whole: this wire's form of it cannot be begun before it ends. The request has run; without
+    /// memory for its value it is refused only if it may safely run again.
+    async fn gathered(&self, answer: Answer, safe: bool) -> Answer {
         let Answer::Served(mut value, position) = answer else { return answer };
         let Some(flow) = value.flow.take() else { return Answer::Served(value, position) };
         // As it is, and in base64 in its response.
         let Some(_share) = self.budget.bytes.take(flow.length().saturating_mul(3)) else {
-            return Answer::Refused(None);
+            return if safe { Answer::Refused(None) } else { Answer::Failed };
         };
         match tokio::time::timeout(GATHER_TIMEOUT, flow.gather()).await {
             Ok(Some(bytes)) => {
--- a/tests/flows.rs
+++ b/tests/flows.rs
@@ -16,6 +16,8 @@
 /// Longer than anything here takes on a slow machine: only a failure waits so long.
 const PATIENCE: Duration = Duration::from_secs(20);
 const MIB: usize = 1024 * 1024;
+/// Index of the class that the reads here are of.
+const LARGE_READ: usize = 2;
 
 struct World {
     member: Member,
@@ -27,14 +29,21 @@
 }
 
 fn world(size: usize, memory_mb: u64) -> World {
+    world_of(size, memory_mb, "read_like")
+}
+
+/// The same with reads of this effect.
+fn world_of(size: usize, memory_mb: u64, effect: &str) -> World {
     let group = Group::default();
     let member = Member::start(&group, true, 0, Capacity::default());
     group.preset("big", Bytes::from(value(size)));
     group.preset("small", Bytes::from_static(b"small"));
     let known = [entry(0, member.address())];
+    let mut settings = settings();
+    settings["services"][LARGE_READ]["idempotency"] = effect.into();
     let setup = Setup {
         program: env!("CARGO_BIN_EXE_linentrail").into(),
-        config: config("127.0.0.1:9", &known, settings(), 1024, memory_mb),
+        config: config("127.0.0.1:9", &known, settings, 1024, memory_mb),
         odata: true,
         loud: true,
         ..Setup::default()
@@ -120,13 +129,39 @@
     assert_eq!(counted(&world, "flows_broken"), 1);
     assert_eq!(world.member.given("read big"), 1);
     // By OData it has not begun, and fails as a whole.
+    assert_eq!(status_by_odata(&world), "502");
+}
+
+/// The status by which a read of the large value is answered by OData.
+fn status_by_odata(world: &World) -> String {
     let mut http = TcpStream::connect(world.proxy.odata.expect("it serves OData")).expect("it listens");
     http.set_read_timeout(Some(PATIENCE)).expect("a time");
     let fields = "Skip-Class: monthly-report\r\nSkip-Tenant: acme\r\nSkip-Group: 1\r\nConnection: close\r\n";
     write!(http, "GET /records('big') HTTP/1.1\r\nHost: t\r\n{fields}\r\n").expect("it reads");
-    let mut text = String::new();
-    http.read_to_string(&mut text).expect("a response");
-    assert!(text.starts_with("HTTP/1.1 502 "), "{text}");
+    let mut text = Vec::new();
+    http.read_to_end(&mut text).expect("a response");
+    String::from_utf8_lossy(&text).split(' ').nth(1).expect("a status").to_string()
+}
+
+#[test]
+fn a_large_value_of_a_read_that_may_not_be_repeated_is_thrown_away() {
+    for effect in ["non_idempotent", "idempotency_key"] {
+        let world = world_of(2 * MIB, 64, effect);
+        let mut client = connect(world.proxy.pg);
+        client.write_all(&query("big")).expect("it reads");
+        assert!(answer(&mut client) == Some(value(2 * MIB)), "{effect}");
+        assert_eq!(status_by_odata(&world), "200", "{effect}");
+        assert_eq!(world.member.given("read big"), 2, "{effect}");
+    }
+}
+
+#[test]
+fn a_read_that_ran_is_refused_for_want_of_memory_for_its_value() {
+    for (effect, status) in [("read_like", "503"), ("non_idempotent", "502"), ("idempotency_key", "502")] {
+        let world = world_of(4 * MIB, 16, effect);
+        assert_eq!(status_by_odata(&world), status, "{effect}");
+        assert_eq!(world.member.given("read big"), 1, "{effect}");
+    }
 }
 
 #[test]
