Reproduce a booking that runs by both processes of a proxy, as a failing test

Cause: an id that the repeat ledger does not know counts as provably new where it was first sent since this process began (`RepeatLedger::claim`). "Sent here" stands for "sent": from the start of the new process to the end of the old one's last connection the other process enters ids, too, and only commits of sessions are told from one to the other. What a fix needs: an id is told to the other process before its request is handed to the core, as commits are (`handover::commits`), and an unknown id is claimed only after a look at what the other has told; where that cannot be read, ids first sent before the other's end are unprovable (412).

--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -592,3 +592,24 @@
     let answered: u64 = clients.into_iter().map(|c| runtime().block_on(c).expect("a client")).sum();
     assert!(served > 1_000 && answered > 0, "{served} {answered}");
 }
+
+#[test]
+fn a_booking_that_ran_by_one_process_runs_again_by_the_other() {
+    play(
+        "member p primary
+         start console handed odata
+         b send GET k0 monthly-report
+         b expect 200
+         upgrade
+         console 200 STATUS
+         wait 1200
+         former stop
+         p does reset
+         b send POST k1 01 id=x sent=0
+         b expect 502
+         p does answer
+         c send POST k1 01 id=x sent=0
+         c expect no refusal
+         p expect 1 write k1",
+    );
+}
