Take a keyed request back from a member only where another may get it

Callers saw: a request of a class that only one zone knows again failed though its member would have answered. When the role moved to another zone, or its member fell silent, its attempt was cancelled, and then nobody else was allowed to get it. Cause: `rescue` asked `allows` for no member in particular, by which the zone does not count, and went by the primary also for reads, which do not need it. Change: it looks for a member that could answer and may get the request: the primary for what needs it, else any that was not tried.

--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -142,6 +142,15 @@
         }
     }
 
+    /// Whether a request that may have run at this member may go to another that could answer it.
+    fn another_may_take(&self, open: &Open, member: MemberId) -> bool {
+        let allowed = |id| id != member && self.allows(open, Some(id)).0;
+        match self.set.classes[open.class].need {
+            Need::Write | Need::Fresh => self.primary(open.group).is_some_and(allowed),
+            _ => self.of_group(open.group).any(|(id, m)| !open.tried(id) && self.usable(m) && allowed(id)),
+        }
+    }
+
     /// A member has gone silent or lost its role: what waits there goes elsewhere where that is of use.
     pub(super) fn rescue(&mut self, member: MemberId, out: &mut Vec<Action>) {
         let fits = |(_, o): &(&RequestId, &Open)| !o.done && !o.streaming && self.set.cancelling;
@@ -149,10 +158,9 @@
         open.sort_unstable_by_key(|(id, _)| **id);
         for (id, open) in open {
             let class = &self.set.classes[open.class];
-            let moved = self.primary(open.group).is_some_and(|p| p != member);
             let useful = match class.repeat {
                 Repeat::Safe => self.now < open.arrived + class.aim || class.late_value > 0.0,
-                _ => moved && self.allows(open, None).0,
+                _ => self.another_may_take(open, member),
             };
             for (n, a) in open.attempts.iter().enumerate() {
                 if useful && a.member == member && a.fate == Fate::Out {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -214,6 +214,34 @@
     }
 }
 
+#[test]
+fn a_keyed_write_is_taken_back_for_a_new_primary_that_does_not_know_it() {
+    let mut d = Driver::new(known_in_its_zone(Need::Write));
+    d.list(ListKind::Full, vec![member(1, true), member(2, false), elsewhere(3, false)]);
+    let (id, actions) = d.request(KEYED, None);
+    assert_eq!(sent(&actions), vec![(id, 1)]);
+    d.now += 500 * MS;
+    let actions = d.hear(3, d.now, Role::Primary);
+    assert!(!actions.contains(&Action::Cancel { id, attempt: 0 }), "it can be answered nowhere else");
+    // The role comes back to a member of its zone.
+    let actions = d.hear(2, d.now + 10 * MS, Role::Primary);
+    assert!(!actions.contains(&Action::Cancel { id, attempt: 0 }), "member 3 lost the role, not member 1");
+    assert!(d.ended(id, 0, Outcome::Completed, None).iter().all(|a| !matches!(a, Action::Fail { .. })));
+}
+
+#[test]
+fn a_keyed_read_at_a_quiet_member_is_taken_back_where_no_other_knows_it() {
+    for (zone, taken_back) in [(0, true), (1, false)] {
+        let mut d = Driver::new(known_in_its_zone(Need::Any));
+        let other = Member { zone, ..member(3, false) };
+        d.list(ListKind::Full, vec![elsewhere(1, true), member(2, false), other]);
+        let (id, actions) = d.request(KEYED, None);
+        assert_eq!(sent(&actions).len(), 1);
+        let actions: Vec<Action> = (0..150).flat_map(|_| d.after(10 * MS)).collect();
+        assert_eq!(actions.contains(&Action::Cancel { id, attempt: 0 }), taken_back, "zone {zone}");
+    }
+}
+
 #[test]
 fn a_keyed_write_looks_for_the_primary_in_a_zone_that_does_not_know_it() {
     let mut d = Driver::new(known_in_its_zone(Need::Write));
