--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -609,3 +609,24 @@
          p expect 1 write k1",
     );
 }
+
+#[test]
+fn a_booking_that_ran_by_one_process_runs_again_by_the_other() {
+    play(
+        "member p primary
+         start console handed odata
+         b send GET k0 monthly-report
+         b expect 200
+         upgrade
+         console 200 STATUS
+         wait 1200
+         former stop
+         p does reset
+         b send POST k1 01 id=x sent=0
+         b expect 502
+         p does answer
+         c send POST k1 01 id=x sent=0
+         c expect no refusal
+         p expect 1 write k1",
+    );
+}
