Have stand-in members that need not wait for a read take no timer

Need: a member that refuses reads which it lags behind for slept for no time, and a timer takes a millisecond at least. Change: it sleeps only where it has to wait.

--- a/crates/standins/src/member.rs
+++ b/crates/standins/src/member.rs
@@ -550,7 +550,11 @@
             WhenBehind::Refuses => Duration::ZERO,
             WhenBehind::Waits(patience) => patience,
         };
-        tokio::time::sleep(behind.min(patience)).await;
+        let wait = behind.min(patience);
+        // A timer takes a millisecond at least, which nothing that need not wait may take.
+        if !wait.is_zero() {
+            tokio::time::sleep(wait).await;
+        }
         (behind > patience).then_some("72000")
     }
 
