Let the rig log reads that ran, and scenarios say what repeats may do

The rig could play one set of settings only: all reads were repeatable, every answer told its member's role and position, and no log said whether a member had run a read or had turned a statement away.

- The log has ReadRan (a member has run a read) and TurnedAway (it never ran).
Asked tells what a repeat may do; logs of earlier builds lack it and are still read.
- Scenarios: 'class my-booking unsafe' or 'keyed cell 400', 'sessions remembered', and for members 'behind off|refuse|wait', 'tells role' and 'mute', each with the settings that name it (idempotency, group, window_us, session_marks, when_behind, catch_up_wait_us, tells_position).
Unknown words stay errors.
- A session that its proxy remembers is judged by what that process has told.

Defaults are as before.

--- a/crates/standins/src/rig/events.rs
+++ b/crates/standins/src/rig/events.rs
@@ -36,10 +36,46 @@
     Any,
     /// What its session has written.
     Session,
+    /// What its session has written at the same process.
+    SessionAtProcess,
     /// All that was committed so many us before it was asked.
     Within(Us),
 }
 
+/// Which members discard repeats of a keyed request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum KeyScope {
+    /// All of them.
+    All,
+    /// Those of the zone in which it ran first.
+    Zone,
+    /// Those of its group.
+    Cell,
+}
+
+/// What running a request once more may do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Effect {
+    /// Nothing.
+    Safe,
+    /// Harm: it may run once at most.
+    Unsafe,
+    /// Nothing, while members remember its key.
+    Keyed {
+        /// Which members do.
+        scope: KeyScope,
+        /// For how long since the first attempt that may have run.
+        window: Us,
+    },
+}
+
+impl Effect {
+    /// Whether a client may be told to try again although an attempt may have run.
+    pub fn may_be_refused_after_a_run(self) -> bool {
+        matches!(self, Effect::Safe | Effect::Keyed { scope: KeyScope::All, .. })
+    }
+}
+
 /// What happened.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum What {
@@ -55,6 +91,9 @@
         writes: Option<u64>,
         /// What a read must show.
         shows: Shows,
+        /// What a repeat may do; none, as in logs of earlier builds: only runs of writes are judged.
+        #[serde(default)]
+        effect: Option<Effect>,
         /// An answer is good within this.
         aim: Us,
         /// How long the client waits.
@@ -119,6 +158,20 @@
         /// The value's number.
         value: u64,
     },
+    /// A member has run a read.
+    ReadRan {
+        /// The member.
+        member: u32,
+        /// The request's id.
+        id: u64,
+    },
+    /// A member has turned a statement away before it ran, and is about to say so.
+    TurnedAway {
+        /// The member.
+        member: u32,
+        /// The request's id.
+        id: u64,
+    },
     /// A new connection at a member.
     Opened {
         /// The member.
@@ -400,4 +453,13 @@
         let cut = &text[..text.len() - 5];
         assert!(read(cut).expect_err("cut off").starts_with("line 2: "));
     }
+
+    #[test]
+    fn a_log_of_an_earlier_build_that_tells_no_effect_of_repeats_can_be_read() {
+        let text = r#"{"at":1,"what":{"Asked":{"id":7,"proxy":1,"key":"k","writes":null,"shows":"Any","aim":2,"wait":3}}}"#;
+        let (shows, effect) = (Shows::Any, None);
+        let what =
+            What::Asked { id: 7, proxy: 1, key: "k".into(), writes: None, shows, effect, aim: 2, wait: 3 };
+        assert_eq!(read(text.as_bytes()), Ok(vec![Event { at: 1, what }]));
+    }
 }
--- a/crates/standins/src/rig/measure.rs
+++ b/crates/standins/src/rig/measure.rs
@@ -156,7 +156,8 @@
             for k in 0..10 {
                 let (id, key) = (n as u64 * 10 + k, "k".to_string());
                 let (shows, aim) = (Shows::Any, 50_000);
-                let what = What::Asked { id, proxy: 1, key, writes: None, shows, aim, wait: aim };
+                let effect = None;
+                let what = What::Asked { id, proxy: 1, key, writes: None, shows, effect, aim, wait: aim };
                 events.push(Event { at: at + 1, what });
                 let late = if k < *good { 1_000 } else { 60_000 };
                 let what = What::Ended { id, how: End::Served, value: 0 };
--- a/crates/standins/src/rig/script.rs
+++ b/crates/standins/src/rig/script.rs
@@ -2,8 +2,10 @@
 //! the first `at` describes the world; each `at MS` is a step on the time line. `docs/rig.md` lists all of it.
 
 use super::checker::Bounds;
+use super::events::{Effect, KeyScope};
 use super::relay::Fault;
-use crate::member::Behaviour;
+use crate::member::{Behaviour, Positions, Tells, WhenBehind};
+use crate::proxy::CLASSES;
 use crate::registry::Ill;
 use crate::shim::{Call, DiskError};
 use std::fmt::{self, Display};
@@ -128,6 +130,8 @@
     pub cold: Option<(f64, Duration)>,
     /// Lag of replicas.
     pub lag: Duration,
+    /// How they treat positions.
+    pub positions: Positions,
 }
 
 /// A whole scenario.
@@ -151,6 +155,10 @@
     pub voters: u32,
     /// System calls of the proxies that fail, each once in so many.
     pub calls: Vec<(Call, u32)>,
+    /// What a repeat of a request may do, by class.
+    pub effects: [Effect; CLASSES.len()],
+    /// Session reads carry the last commit of their session; else the proxies remember it.
+    pub sessions_carried: bool,
     /// Requests a second, and clients that ask them.
     pub load: (f64, u32),
     /// Of a hundred requests so many whose clients leave before the answer.
@@ -189,12 +197,15 @@
                 most: 0,
                 cold: None,
                 lag: ms(5),
+                positions: Positions::default(),
             },
             list: (0.0, 64),
             known: true,
             store: None,
             voters: 0,
             calls: Vec::new(),
+            effects: [Effect::Safe, Effect::Safe, Effect::Safe, Effect::Unsafe],
+            sessions_carried: true,
             load: (60.0, 24),
             leaving: 0,
             bad_clients: 0,
@@ -317,6 +328,9 @@
             ["known", "lost"] => self.known = false,
             ["store", "every", span] => self.store = Some(ms(span)?),
             ["agree", "voters", n] => self.voters = number(n)?,
+            ["class", name, effect @ ..] => self.effects[read_class(name)?] = self::effect(effect)?,
+            ["sessions", "carried"] => self.sessions_carried = true,
+            ["sessions", "remembered"] => self.sessions_carried = false,
             ["load", rate, "clients", n] => self.load = (number(rate)?, number(n)?),
             ["calls", name, "1", "in", every] => self.calls.push((call(name)?, number(every)?)),
             ["clients", "leave", percent] => self.leaving = number(percent)?,
@@ -435,6 +449,26 @@
                 self.lag = ms(span)?;
                 rest
             }
+            ["mute", rest @ ..] => {
+                self.positions.tells = Tells::Nothing;
+                rest
+            }
+            ["tells", "role", rest @ ..] => {
+                self.positions.tells = Tells::Role;
+                rest
+            }
+            ["behind", "off", rest @ ..] => {
+                self.positions.when_behind = WhenBehind::Answers;
+                rest
+            }
+            ["behind", "refuse", rest @ ..] => {
+                self.positions.when_behind = WhenBehind::Refuses;
+                rest
+            }
+            ["behind", "wait", span, rest @ ..] => {
+                self.positions.when_behind = WhenBehind::Waits(ms(span)?);
+                rest
+            }
             _ => return Err(format!("members have no '{}'", words.join(" "))),
         };
         self.describe(rest)
@@ -486,6 +520,27 @@
     })
 }
 
+/// The number of a class of reads: repeats of writes do harm always.
+fn read_class(name: &str) -> Result<usize, String> {
+    let reads = &CLASSES[..CLASSES.len() - 1];
+    reads.iter().position(|(class, ..)| *class == name).ok_or_else(|| format!("no reads are '{name}'"))
+}
+
+fn effect(words: &[&str]) -> Result<Effect, String> {
+    let scope = |word: &str| match word {
+        "all" => Ok(KeyScope::All),
+        "zone" => Ok(KeyScope::Zone),
+        "cell" => Ok(KeyScope::Cell),
+        _ => Err(format!("no key holds in '{word}'")),
+    };
+    Ok(match words {
+        ["safe"] => Effect::Safe,
+        ["unsafe"] => Effect::Unsafe,
+        ["keyed", word, span] => Effect::Keyed { scope: scope(word)?, window: ms(span)?.as_micros() as u64 },
+        _ => return Err(format!("no repeat is '{}'", words.join(" "))),
+    })
+}
+
 fn call(name: &str) -> Result<Call, String> {
     Call::ALL.into_iter().find(|call| call.name() == name).ok_or_else(|| format!("there is no call '{name}'"))
 }
@@ -560,6 +615,33 @@
         assert_eq!(script.steps[10].1, Step::Start(Who::All, ms(20)));
     }
 
+    #[test]
+    fn what_repeats_may_do_and_how_positions_are_treated_is_read_and_unknown_words_are_errors() {
+        let text = "members 4 lag 20 mute behind wait 30\nsessions remembered\nclass my-booking unsafe\n\
+            class yard-board keyed cell 400";
+        let script = Script::read(text).expect("it is sound");
+        let waits = WhenBehind::Waits(Duration::from_millis(30));
+        assert_eq!(script.make.positions, Positions { when_behind: waits, tells: Tells::Nothing });
+        let tells_role = Script::read("members 4 tells role behind off").expect("it is sound").make.positions;
+        assert_eq!(tells_role, Positions { when_behind: WhenBehind::Answers, tells: Tells::Role });
+        let keyed = Effect::Keyed { scope: KeyScope::Cell, window: 400_000 };
+        assert_eq!(script.effects, [keyed, Effect::Unsafe, Effect::Safe, Effect::Unsafe]);
+        assert!(!script.sessions_carried);
+        for wrong in [
+            "class my-booking twice",
+            "class my-booking keyed town 400",
+            "class my-booking keyed cell",
+            "class no-class unsafe",
+            "class place-order safe",
+            "members 4 behind never",
+            "members 4 behind wait",
+            "members 4 tells little",
+            "sessions lost",
+        ] {
+            assert!(Script::read(wrong).is_err(), "{wrong}");
+        }
+    }
+
     #[test]
     fn all_that_is_wrong_is_said_by_its_line() {
         let text = "proxies 3\nproxies many\nbound tea 3\nat 10 p9 does kill\nat x proxies does kill\n\
--- a/crates/standins/src/rig/world.rs
+++ b/crates/standins/src/rig/world.rs
@@ -1,11 +1,11 @@
 //! The world of a scenario: members, discovery, the real proxies as processes, and relays where the scenario puts faults
 //! between them. It carries out the steps of the time line; what it does and sees goes into the log.
 
-use super::events::{Log, What};
+use super::events::{Effect, KeyScope, Log, What};
 use super::relay::{Fault, Relay};
 use super::script::{Harm, Script, Step, Who};
 use crate::group::Group;
-use crate::member::{Capacity, Member};
+use crate::member::{Capacity, Member, Tells, WhenBehind};
 use crate::proxy::{self, signal_all, Proxy, Setup};
 use crate::registry::{entry, show, Registry};
 use crate::shim::Shim;
@@ -95,6 +95,20 @@
     settings["discovery"] = "subscribe".into();
     settings["instances"] = script.told.into();
     settings["services"] = proxy::classes(1);
+    for (n, effect) in script.effects.iter().enumerate() {
+        repeats(&mut settings["services"][n], *effect);
+    }
+    let family = &mut settings["family_info"];
+    let positions = script.make.positions;
+    let (when_behind, patience) = match positions.when_behind {
+        WhenBehind::Answers => ("off", Duration::ZERO),
+        WhenBehind::Refuses => ("refuse", Duration::ZERO),
+        WhenBehind::Waits(patience) => ("wait", patience),
+    };
+    family["when_behind"] = when_behind.into();
+    family["catch_up_wait_us"] = (patience.as_micros() as u64).into();
+    family["tells_position"] = (positions.tells == Tells::All).into();
+    family["session_marks"] = if script.sessions_carried { "carried" } else { "remembered" }.into();
     if let Some((share, warm)) = script.make.cold {
         settings["rules"]["cold_share"] = share.into();
         settings["rules"]["warm_after_us"] = (warm.as_micros() as u64).into();
@@ -102,6 +116,25 @@
     settings
 }
 
+/// Tells a class of the settings what its repeats may do.
+fn repeats(class: &mut Value, effect: Effect) {
+    class["idempotency"] = match effect {
+        Effect::Safe => "read_like",
+        Effect::Unsafe => "non_idempotent",
+        Effect::Keyed { .. } => "idempotency_key",
+    }
+    .into();
+    if let Effect::Keyed { scope, window } = effect {
+        class["group"] = match scope {
+            KeyScope::All => "all",
+            KeyScope::Zone => "zone",
+            KeyScope::Cell => "cell",
+        }
+        .into();
+        class["window_us"] = window.into();
+    }
+}
+
 impl World {
     /// Starts all of it, the proxies last; `program` is what they run, `more` what each is told beside that.
     ///
@@ -127,14 +160,16 @@
         let lag = make.lag.as_millis() as u64;
         let member = |n: u32| {
             let group = &groups[(n % make.groups) as usize];
-            Member::start_at(
+            let started = Member::start_at(
                 members_at(world),
                 group,
                 n < make.groups,
                 lag,
                 capacity,
                 Some((n + 1, log.clone())),
-            )
+            );
+            started.treats_positions(make.positions);
+            started
         };
         let members: Vec<Member> = (0..make.members).map(member).collect();
         let list: Vec<Value> = members.iter().enumerate().map(|(n, m)| listed(n, m, make.groups)).collect();
