Judge by the rule Once what becomes of every request by the effect of its class

For each request the checker now holds the attempts that members have got and not turned away. An unsafe request with such an attempt may neither reach a member again nor be told as refused; a keyed one only within its window, counted from the first such attempt with 0.15 s on its way and 0.15 s for a proxy that is held up, and as refused only where its key holds everywhere. What reaches a member after it was told as refused is a breach, too. Logs that do not tell the effect are judged as before.

Planted breaches are found and the allowed cases beside them are not: checker_tests, four new tests.

--- a/crates/standins/src/rig/checker.rs
+++ b/crates/standins/src/rig/checker.rs
@@ -1,7 +1,7 @@
 //! Judges a run by its log alone: whatever the proxies are made of, these rules hold or they do not. One pass over the
 //! events in their order; what is measured on the way is told beside the breaches.
 
-use super::events::{End, Event, Shows, Us, What};
+use super::events::{Effect, End, Event, Shows, Us, What};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 
 /// Span in which new connections at one member are counted.
@@ -78,7 +78,7 @@
 pub enum Rule {
     /// One final answer each, in time.
     Answer,
-    /// No write runs twice.
+    /// Nothing runs more often than its class allows, or is told as refused when that promises too much.
     Once,
     /// No read older than its class allows.
     Stale,
@@ -184,6 +184,39 @@
     ended: Option<Us>,
     /// A member has got it, so that its proxy has read it.
     given: bool,
+    /// What a repeat may do; none where the log does not tell.
+    effect: Option<Effect>,
+    /// Attempts that members have got and not turned away, in their order.
+    may_have_run: Vec<Attempt>,
+    /// Its client was told to try again.
+    refused: bool,
+}
+
+/// An attempt that a member has got.
+#[derive(Clone, Copy)]
+struct Attempt {
+    member: u32,
+    at: Us,
+    /// The member has run it.
+    ran: bool,
+}
+
+impl Asked {
+    /// What the first attempt that may have run has done, for a breach.
+    fn first_run(&self) -> Option<String> {
+        let Attempt { member, at, ran } = *self.may_have_run.first()?;
+        let what = if ran { "ran" } else { "may have run" };
+        let ms = at.saturating_sub(self.at) / 1000;
+        Some(format!("{} {what} at member {member}, given {ms} ms after it was asked", self.described()))
+    }
+
+    fn described(&self) -> &'static str {
+        match self.effect {
+            Some(Effect::Unsafe) => "an unsafe request that",
+            Some(Effect::Keyed { .. }) => "a keyed request that",
+            _ => "a safe request that",
+        }
+    }
 }
 
 /// A span in which a proxy was not there.
@@ -322,7 +355,7 @@
 impl Judge {
     fn take(&mut self, at: Us, what: &What, bounds: &Bounds) {
         match what {
-            What::Asked { id, proxy, key, writes, shows, wait, .. } => {
+            What::Asked { id, proxy, key, writes, shows, effect, wait, .. } => {
                 self.verdict.asked += 1;
                 let asked = Asked {
                     at,
@@ -336,6 +369,9 @@
                     left: None,
                     ended: None,
                     given: false,
+                    effect: *effect,
+                    may_have_run: Vec::new(),
+                    refused: false,
                 };
                 if self.asked.insert(*id, asked).is_some() {
                     self.verdict.breach(Rule::Log, at, format!("request {id} is asked twice"));
@@ -357,6 +393,7 @@
             What::Ended { id, how, value } => self.ended(at, *id, *how, *value, bounds),
             What::Given { member, id } => self.given(at, *member, *id, bounds),
             What::Ran { member, id, key, value } => {
+                self.ran_at(*member, *id);
                 let runs = self.ran.entry(*id).or_default();
                 *runs += 1;
                 if *runs > 1 {
@@ -365,7 +402,8 @@
                 }
                 self.keys.entry(key.clone()).or_default().ran.push((at, *value));
             }
-            What::ReadRan { .. } | What::TurnedAway { .. } => {}
+            What::ReadRan { member, id } => self.ran_at(*member, *id),
+            What::TurnedAway { member, id } => self.turned_away(*member, *id),
             What::Opened { member } => {
                 let seen = self.opened.entry(*member).or_default().see(at, OPENED_SPAN);
                 let peak = &mut self.verdict.peaks[usize::from(self.faulted)].opened;
@@ -530,6 +568,12 @@
             return;
         }
         let (proxy, until) = (asked.proxy, since + asked.wait + bounds.late + stood);
+        asked.refused = how == End::Refused;
+        let harmless = asked.effect.is_none_or(Effect::may_be_refused_after_a_run);
+        if let Some(run) = asked.first_run().filter(|_| asked.refused && !harmless) {
+            let what = format!("request {id} at proxy {proxy} is told as refused: {run}");
+            self.verdict.breach(Rule::Once, at, what);
+        }
         // A connection that is closed between requests, at a process that ends or that lacks descriptors, is no answer owed: its
         // client sends the request once more. What a member has got was read, and the first request of a connection stands
         // between no two.
@@ -627,6 +671,7 @@
             return;
         };
         self.asked.get_mut(&id).into_iter().for_each(|asked| asked.given = true);
+        self.attempted(at, member, id, bounds.patience);
         self.for_nobody(at, member, id, bounds.patience);
         let stood = self.stood(at.saturating_sub(bounds.drain), at);
         let of = self.proxies.entry(proxy).or_default();
@@ -668,6 +713,49 @@
         cold.told = over;
     }
 
+    /// A member has got a request: whether what became of it before allows that.
+    fn attempted(&mut self, at: Us, member: u32, id: u64, patience: Us) {
+        let Some(asked) = self.asked.get(&id) else { return };
+        let (Some(effect), proxy) = (asked.effect, asked.proxy) else { return };
+        if asked.refused && !effect.may_be_refused_after_a_run() {
+            let what = format!(
+                "member {member} got request {id} from proxy {proxy}, {} it had told as refused",
+                asked.described()
+            );
+            self.verdict.breach(Rule::Once, at, what);
+        }
+        let late = match (effect, asked.may_have_run.first()) {
+            (Effect::Safe, _) | (_, None) => false,
+            (Effect::Unsafe, Some(_)) => true,
+            (Effect::Keyed { window, .. }, Some(first)) => {
+                // The window counts from the sending of the first, and each may be on its way for a while.
+                let slack = DEADLINE_SLACK + ON_THE_WAY + patience + self.stood(first.at, at);
+                at > first.at + window + slack && !self.holds_back(proxy, member, first.at)
+            }
+        };
+        if let Some(run) = asked.first_run().filter(|_| late) {
+            let what = format!("member {member} got request {id} from proxy {proxy} again: {run}");
+            self.verdict.breach(Rule::Once, at, what);
+        }
+        let attempt = Attempt { member, at, ran: false };
+        self.asked.get_mut(&id).into_iter().for_each(|asked| asked.may_have_run.push(attempt));
+    }
+
+    /// A member has run an attempt that it got.
+    fn ran_at(&mut self, member: u32, id: u64) {
+        let attempts = self.asked.get_mut(&id).map(|asked| &mut asked.may_have_run);
+        let its = attempts.and_then(|all| all.iter_mut().find(|a| a.member == member && !a.ran));
+        its.into_iter().for_each(|attempt| attempt.ran = true);
+    }
+
+    /// A member has turned an attempt away: that one never ran.
+    fn turned_away(&mut self, member: u32, id: u64) {
+        let Some(asked) = self.asked.get_mut(&id) else { return };
+        if let Some(n) = asked.may_have_run.iter().rposition(|a| a.member == member && !a.ran) {
+            asked.may_have_run.remove(n);
+        }
+    }
+
     /// Whether something began for a client that had gone.
     fn for_nobody(&mut self, at: Us, member: u32, id: u64, patience: Us) {
         let Some((proxy, Some(left))) = self.asked.get(&id).map(|a| (a.proxy, a.left)) else { return };
--- a/crates/standins/src/rig/checker_tests.rs
+++ b/crates/standins/src/rig/checker_tests.rs
@@ -1,6 +1,7 @@
 //! Each rule's breach planted in a log that is sound without it.
 
 use super::*;
+use crate::rig::events::KeyScope;
 
 const MS: Us = 1_000;
 
@@ -110,6 +111,83 @@
     assert_eq!(told.broken(), [Rule::Once]);
 }
 
+/// A read whose repeats may do this, asked at 10 ms.
+fn asked_with(effect: Effect) -> Plot {
+    let (key, shows, aim, wait) = ("k".to_string(), Shows::Any, 200 * MS, 500 * MS);
+    let effect = Some(effect);
+    sound().at(10, What::Asked { id: 1, proxy: 1, key, writes: None, shows, effect, aim, wait })
+}
+
+const KEYED_IN_CELL: Effect = Effect::Keyed { scope: KeyScope::Cell, window: 100 * MS };
+const KEYED_EVERYWHERE: Effect = Effect::Keyed { scope: KeyScope::All, window: 100 * MS };
+
+#[test]
+fn an_unsafe_read_that_a_member_ran_and_whose_client_is_told_that_it_was_refused_is_a_breach() {
+    let given = |effect| asked_with(effect).at(12, What::Given { member: 1, id: 1 });
+    let ran = |effect| given(effect).at(14, What::ReadRan { member: 1, id: 1 });
+    for (effect, broken) in [
+        (Effect::Unsafe, &[Rule::Once][..]),
+        (KEYED_IN_CELL, &[Rule::Once][..]),
+        (KEYED_EVERYWHERE, &[][..]),
+        (Effect::Safe, &[][..]),
+    ] {
+        assert_eq!(ran(effect).told(15, 1, End::Refused, 0).broken(), broken, "{effect:?}: it ran");
+        assert_eq!(given(effect).told(15, 1, End::Refused, 0).broken(), broken, "{effect:?}: it may have");
+        assert_eq!(ran(effect).told(15, 1, End::Failed, 0).broken(), [], "{effect:?}: no word on its effect");
+        let turned_away = given(effect).at(13, What::TurnedAway { member: 1, id: 1 });
+        assert_eq!(turned_away.told(15, 1, End::Refused, 0).broken(), [], "{effect:?}: it never ran");
+        let refused = asked_with(effect).told(11, 1, End::Refused, 0);
+        assert_eq!(refused.clone().broken(), [], "{effect:?}: no member got it");
+        assert_eq!(
+            refused.at(12, What::Given { member: 1, id: 1 }).broken(),
+            broken,
+            "{effect:?}: after that"
+        );
+    }
+}
+
+#[test]
+fn an_unsafe_read_that_a_member_may_have_run_and_that_is_given_to_a_member_again_is_a_breach() {
+    let given = asked_with(Effect::Unsafe).at(12, What::Given { member: 1, id: 1 });
+    let again =
+        |plot: Plot| plot.at(20, What::Given { member: 2, id: 1 }).told(30, 1, End::Served, 1).broken();
+    assert_eq!(again(given.clone()), [Rule::Once], "it may yet run");
+    assert_eq!(again(given.clone().at(14, What::ReadRan { member: 1, id: 1 })), [Rule::Once], "it ran");
+    assert_eq!(again(given.clone().at(14, What::TurnedAway { member: 1, id: 1 })), [], "it never ran");
+    // The word of another member says nothing of the first one's attempt.
+    let other = given.at(13, What::Given { member: 2, id: 1 }).at(14, What::TurnedAway { member: 2, id: 1 });
+    let twice = judge(&other.at(20, What::Given { member: 2, id: 1 }).0, 0, &Bounds::default());
+    assert_eq!(twice.counts.get(&Rule::Once), Some(&2));
+    let safe = asked_with(Effect::Safe).at(12, What::Given { member: 1, id: 1 });
+    assert_eq!(again(safe), []);
+}
+
+#[test]
+fn a_keyed_read_that_is_given_to_a_member_again_behind_its_window_is_a_breach() {
+    let again = |effect, ms| {
+        let given = asked_with(effect).at(12, What::Given { member: 1, id: 1 });
+        given.at(ms, What::Given { member: 2, id: 1 }).told(ms + 1, 1, End::Served, 1).broken()
+    };
+    for effect in [KEYED_IN_CELL, KEYED_EVERYWHERE] {
+        assert_eq!(again(effect, 112), [], "within its window");
+        // 150 ms on its way, and 150 ms for a proxy that is held up.
+        assert_eq!(again(effect, 412), []);
+        assert_eq!(again(effect, 413), [Rule::Once]);
+        // An attempt that was turned away opens no window.
+        let two = asked_with(effect).at(12, What::Given { member: 1, id: 1 });
+        let two = two.at(60, What::Given { member: 2, id: 1 }).at(61, What::TurnedAway { member: 1, id: 1 });
+        let third =
+            |ms| two.clone().at(ms, What::Given { member: 3, id: 1 }).told(ms, 1, End::Served, 1).broken();
+        assert_eq!((third(460), third(461)), (vec![], vec![Rule::Once]));
+    }
+}
+
+#[test]
+fn logs_that_do_not_tell_what_repeats_may_do_are_judged_by_runs_of_writes_alone() {
+    let read = sound().ask(10, 1, None, Shows::Any).at(12, What::Given { member: 1, id: 1 });
+    assert_eq!(read.told(15, 1, End::Refused, 0).broken(), []);
+}
+
 #[test]
 fn a_session_that_its_proxy_remembers_counts_what_that_process_has_told_and_no_more() {
     let two = sound().write(10, 101, 2);
