Draw unsafe and keyed reads and members that tell little for half of the soaks

In half of the seeds each class of reads is now repeatable, unsafe or keyed; answers tell all, the role or nothing; members answer, refuse or wait where they lag; sessions are carried or remembered. This is drawn apart from all else: the text of 500 seeds, less the new words, is what it was before.

--- a/crates/standins/src/rig/draw.rs
+++ b/crates/standins/src/rig/draw.rs
@@ -157,13 +157,15 @@
     let groups = rng.u32(1..=3);
     let (proxies, members) = (rng.u32(10..=40), groups * rng.u32(2..=4));
     let places = Places { proxies, members, groups, last: SOAK_LAST };
+    let reads = draw_reads(seed);
     let mut world = vec![
         format!("seed {seed}"),
         format!("proxies {proxies}"),
         format!(
-            "members {members} groups {groups} slots 16 work 4 12 handshake {} lag {} cold 0.3 4000",
+            "members {members} groups {groups} slots 16 work 4 12 handshake {} lag {} cold 0.3 4000{}",
             rng.u32(0..=10),
-            rng.u32(0..=20)
+            rng.u32(0..=20),
+            reads.members
         ),
         format!("list rate {} queue 200", [0, 60, 120][rng.usize(0..3)]),
         format!("store every {}", rng.u32(200..=1_000)),
@@ -188,6 +190,7 @@
             world.push(format!("calls {call} 1 in {}", rng.u32(every)));
         }
     }
+    world.extend(reads.world);
     let mut faults: Vec<_> = (0..rng.u32(3..=6)).map(|_| fault(&mut rng, &places)).collect();
     faults.extend((0..rng.u32(1..=3)).map(|_| machine_fault(&mut rng, &places)));
     let at = rng.u32(FIRST..SOAK_LAST - ENDING);
@@ -210,6 +213,42 @@
     Drawn { world, faults }
 }
 
+/// Drawn apart from all else, so that the other draws of a seed stay as they are.
+const READS_DRAW: u64 = 0x7265_6164;
+
+/// What of a soak is drawn of its reads and of the members' positions.
+struct Reads {
+    /// How members treat positions, behind their other words.
+    members: String,
+    /// Lines that describe the world.
+    world: Vec<String>,
+}
+
+/// In half of the runs repeats of some reads do harm, members tell less in their answers or treat reads otherwise for which they
+/// lag, and proxies remember what sessions have written.
+fn draw_reads(seed: u64) -> Reads {
+    let mut rng = Rng::with_seed(seed ^ READS_DRAW);
+    if rng.bool() {
+        return Reads { members: String::new(), world: Vec::new() };
+    }
+    let behind = match rng.u32(0..3) {
+        0 => "off".to_string(),
+        1 => "refuse".to_string(),
+        _ => format!("wait {}", rng.u32(5..=60)),
+    };
+    let tells = ["", "", " tells role", " mute"][rng.usize(0..4)];
+    let mut world = vec![format!("sessions {}", ["carried", "remembered"][rng.usize(0..2)])];
+    for class in ["yard-board", "my-booking", "monthly-report"] {
+        let scope = ["all", "zone", "cell"][rng.usize(0..3)];
+        match rng.u32(0..3) {
+            0 => {}
+            1 => world.push(format!("class {class} unsafe")),
+            _ => world.push(format!("class {class} keyed {scope} {}", rng.u32(100..=1_000))),
+        }
+    }
+    Reads { members: format!(" behind {behind}{tells}"), world }
+}
+
 /// A fault of the proxies' own machines, or of those who run them.
 fn machine_fault(rng: &mut Rng, places: &Places) -> (&'static str, Vec<String>) {
     let from = rng.u32(FIRST..places.last - 1_000);
@@ -397,6 +436,36 @@
         assert!(calls > 1_000, "{calls} calls that fail");
     }
 
+    #[test]
+    fn a_part_of_the_soaks_has_reads_whose_repeats_do_harm_and_members_that_tell_less() {
+        let mut plain = 0;
+        let mut words = BTreeMap::new();
+        for seed in 0..500 {
+            let drawn = draw_soak(seed);
+            let text = drawn.text();
+            plain += u32::from(!text.contains("sessions "));
+            for word in [
+                " mute",
+                " tells role",
+                " behind off",
+                " behind refuse",
+                " behind wait",
+                "sessions carried",
+                "sessions remembered",
+                "class my-booking unsafe",
+                "class my-booking keyed all",
+                "class my-booking keyed zone",
+                "class my-booking keyed cell",
+                "class yard-board unsafe",
+                "class monthly-report unsafe",
+            ] {
+                *words.entry(word).or_insert(0) += u32::from(text.contains(word));
+            }
+        }
+        assert!((200..300).contains(&plain), "{plain} runs as before");
+        assert!(words.values().all(|n| *n > 15), "{words:?}");
+    }
+
     #[test]
     fn all_that_is_drawn_for_proxies_that_agree_can_be_read_too() {
         let mut kinds = BTreeMap::new();
