Check at run time too that a keyed repeat goes only to members that know it

Change: an attempt of what may have run is held back, counted and told (`KeyedResentElsewhere`) where its member stands elsewhere: by zone, in another than that of the first that may have run; by group, in another than the request's. Evidence: without the check the actor hands a zone-keyed repeat to a member of another zone (3 attempts in place of 2), by which the test fails.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -466,7 +466,10 @@
     fn send(&mut self, now: Time, id: RequestId, member: MemberId, stop_at: Option<Time>) {
         let Some(live) = self.live.get_mut(&id) else { return };
         let progress = live.progress();
-        let kept = progress.may_send(now);
+        let first = live.first_possible_member().and_then(|first| self.router.place(first));
+        let to = self.router.place(member);
+        let kept =
+            progress.may_send(now).and_then(|()| progress.may_go_to(to, first.map(|first| first.zone)));
         let number = live.begin_attempt(member, now, self.router.position(member));
         let stop_at = stop_at.unwrap_or(Time::MAX).min(live.request.deadline);
         let safe = live.class().repeat == Repeat::Safe;
--- a/src/core/actor_tests.rs
+++ b/src/core/actor_tests.rs
@@ -166,26 +166,50 @@
     }
 }
 
+/// How long members know a keyed read for a repeat here.
+const WINDOW: Time = 400_000;
+
+/// An actor that is to send a keyed session read to each of these, of which the first breaks the connection; and when.
+fn sent_by_turns(scope: &str, members: &[Listed]) -> (Actor<Still>, Time) {
+    let mut json = linentrail_standins::proxy::settings();
+    json["services"][SESSION_READ]["idempotency"] = "idempotency_key".into();
+    json["services"][SESSION_READ]["group"] = scope.into();
+    json["services"][SESSION_READ]["window_us"] = WINDOW.into();
+    let pairs = crate::settings::Pairs::from_json(&json);
+    let settings = pairs.settings(1).expect("sound settings");
+    let terms = Slots::default().change(pairs.names().expect("names"), settings.classes.clone());
+    let mut actor = actor_with(settings, members.to_vec());
+    let (id, came) = (RequestId(1), actor.clock.now());
+    let submit = Input::Submit(id, session_read(terms, came + 1_000_000), oneshot::channel().0);
+    actor.take(submit, came).expect("it is taken");
+    for listed in members {
+        actor.act(came, Action::Send { id, member: listed.member.id, stop_at: None });
+        let ended = Ending { outcome: Outcome::Reset, value: None, note: None, report: None, spent: 1 };
+        actor.take(Input::Ended(id, 0, ended), came).expect("the module hears of it");
+    }
+    (actor, came)
+}
+
 #[test]
 fn a_keyed_repeat_that_waits_for_its_connection_begins_behind_its_window() {
     in_runtime(|| {
-        const WINDOW: Time = 400_000;
-        let mut json = linentrail_standins::proxy::settings();
-        json["services"][SESSION_READ]["idempotency"] = "idempotency_key".into();
-        json["services"][SESSION_READ]["window_us"] = WINDOW.into();
-        let pairs = crate::settings::Pairs::from_json(&json);
-        let settings = pairs.settings(1).expect("sound settings");
-        let terms = Slots::default().change(pairs.names().expect("names"), settings.classes.clone());
-        let mut actor = actor_with(settings, vec![listed(1, None), listed(2, None)]);
-        let (id, came) = (RequestId(1), actor.clock.now());
-        let submit = Input::Submit(id, session_read(terms, came + 1_000_000), oneshot::channel().0);
-        actor.take(submit, came).expect("it is taken");
-        let send = |member| Action::Send { id, member: MemberId(member), stop_at: None };
-        actor.act(came, send(1));
-        let ended = Ending { outcome: Outcome::Reset, value: None, note: None, report: None, spent: 1 };
-        actor.take(Input::Ended(id, 0, ended), came + 1).expect("the module hears of it");
-        actor.act(came + 1, send(2));
+        let (actor, came) = sent_by_turns("all", &[listed(1, None), listed(2, None)]);
         let known_until: Vec<Time> = actor.members.attempts.iter().map(|a| a.known_until).collect();
         assert_eq!(known_until, [Time::MAX, came + WINDOW]);
     });
 }
+
+#[test]
+fn a_keyed_repeat_is_handed_to_a_member_that_does_not_know_it() {
+    in_runtime(|| {
+        let place = |id, zone, group| {
+            let near = listed(id, None);
+            Listed { member: Member { zone, group, ..near.member.clone() }, ..near }
+        };
+        for (scope, allowed) in [("all", 3), ("zone", 2), ("cell", 2)] {
+            let (other_zone, other_group) = (place(2, 1, 1), place(3, 0, 2));
+            let (actor, _) = sent_by_turns(scope, &[place(1, 0, 1), other_zone, other_group]);
+            assert_eq!(actor.members.attempts.len(), allowed, "{scope}");
+        }
+    });
+}
--- a/src/core/live.rs
+++ b/src/core/live.rs
@@ -83,12 +83,21 @@
         self.attempts.iter().all(|attempt| attempt.state == AttemptState::WithoutEffect)
     }
 
+    /// The member that the first attempt went to that may have run, or of which the end is not known.
+    pub fn first_possible_member(&self) -> Option<MemberId> {
+        self.first_possible().map(|attempt| attempt.member)
+    }
+
+    fn first_possible(&self) -> Option<&LiveAttempt> {
+        self.attempts.iter().find(|attempt| attempt.state != AttemptState::WithoutEffect)
+    }
+
     /// What the rules on repeats and refusals are checked by.
     pub fn progress(&self) -> Progress {
-        let first = self.attempts.iter().find(|attempt| attempt.state != AttemptState::WithoutEffect);
         Progress {
             repeat: self.class().repeat,
-            first_possible_run: first.map(|attempt| attempt.sent),
+            group: self.request.group,
+            first_possible_run: self.first_possible().map(|attempt| attempt.sent),
             deadline: self.request.deadline,
         }
     }
--- a/src/known.rs
+++ b/src/known.rs
@@ -3,6 +3,7 @@
 
 use crate::interface::{MemberId, Position};
 use crate::knowledge::MemberFacts;
+use crate::policy::invariants::Place;
 use crate::policy::Router;
 
 /// What a router knows of a member, by its number.
@@ -25,6 +26,11 @@
         self.members.get(&member).map_or(0, |m| m.position)
     }
 
+    /// Where a member stands; none where it is not known any more.
+    pub fn place(&self, member: MemberId) -> Option<Place> {
+        self.members.get(&member).map(|m| Place { zone: m.zone, group: m.group })
+    }
+
     /// What is known of each member.
     pub fn learned(&self) -> impl Iterator<Item = Learned> + '_ {
         self.members.iter().map(|(id, m)| {
--- a/src/policy/invariants.rs
+++ b/src/policy/invariants.rs
@@ -1,19 +1,30 @@
 //! Rules that hold whatever the router decides, checked at run time where its decisions are carried out. A violation is a
 //! fault of this program: it is counted and told, and what would have broken the rule is not done.
 
-use crate::interface::{DedupGroup, Repeat, Time};
+use crate::interface::{DedupGroup, GroupId, Repeat, Time};
 
 /// What has become of a request so far.
 #[derive(Debug, Clone, Copy)]
 pub struct Progress {
     /// How it may be repeated.
     pub repeat: Repeat,
+    /// The group that it is for, to whose members alone it goes.
+    pub group: GroupId,
     /// When the first attempt was sent that may have run, or of which the end is not known.
     pub first_possible_run: Option<Time>,
     /// When its client gives up.
     pub deadline: Time,
 }
 
+/// Where a member stands, by which it may know a request for a repeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place {
+    /// Its zone.
+    pub zone: u32,
+    /// Its group.
+    pub group: GroupId,
+}
+
 /// A rule that a decision would break.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Violation {
@@ -23,6 +34,8 @@
     UnsafeRefused,
     /// What may have run would be sent again when members no longer know it for a repeat.
     KeyedResentLate,
+    /// What may have run would be sent to a member that does not know it for a repeat.
+    KeyedResentElsewhere,
     /// What may have run would be refused, while a repeat by its client may go where it is not known.
     KeyedRefused,
     /// Something would be sent after its client has given up.
@@ -45,6 +58,27 @@
         }
     }
 
+    /// Whether a member that stands there may get one more attempt, where the first that may have run went to one of
+    /// `first_zone`. A member of which nothing is known any more shares its zone with no other.
+    ///
+    /// # Errors
+    /// The rule that it would break.
+    pub fn may_go_to(&self, to: Option<Place>, first_zone: Option<u32>) -> Result<(), Violation> {
+        let (Repeat::Keyed { group, .. }, Some(_)) = (self.repeat, self.first_possible_run) else {
+            return Ok(());
+        };
+        let known = match group {
+            DedupGroup::All => true,
+            DedupGroup::Zone => to.is_some_and(|to| Some(to.zone) == first_zone),
+            DedupGroup::Group => to.is_some_and(|to| to.group == self.group),
+        };
+        if known {
+            Ok(())
+        } else {
+            Err(Violation::KeyedResentElsewhere)
+        }
+    }
+
     /// From then on members may not know one more attempt for a repeat: it must not even begin.
     pub fn known_until(&self) -> Time {
         match (self.repeat, self.first_possible_run) {
--- a/src/policy/invariants_tests.rs
+++ b/src/policy/invariants_tests.rs
@@ -1,6 +1,7 @@
 use super::*;
 
-const NOTHING_SENT: Progress = Progress { repeat: Repeat::Unsafe, first_possible_run: None, deadline: 100 };
+const NOTHING_SENT: Progress =
+    Progress { repeat: Repeat::Unsafe, group: 1, first_possible_run: None, deadline: 100 };
 
 #[test]
 fn an_unsafe_request_that_may_have_run_is_neither_sent_again_nor_refused() {
@@ -28,3 +29,21 @@
         assert_eq!(begun.may_refuse(), refused, "{group:?}");
     }
 }
+
+#[test]
+fn a_keyed_request_that_may_have_run_goes_only_to_members_that_know_it() {
+    let (same_zone, same_group) = (Some(Place { zone: 0, group: 2 }), Some(Place { zone: 1, group: 1 }));
+    let elsewhere = Err(Violation::KeyedResentElsewhere);
+    for (group, in_zone, in_group, first_gone) in [
+        (DedupGroup::All, Ok(()), Ok(()), Ok(())),
+        (DedupGroup::Zone, Ok(()), elsewhere, elsewhere),
+        (DedupGroup::Group, elsewhere, Ok(()), Ok(())),
+    ] {
+        let keyed = Progress { repeat: Repeat::Keyed { group, window: 30 }, ..NOTHING_SENT };
+        assert_eq!(keyed.may_go_to(same_zone, None), Ok(()), "{group:?}");
+        let begun = Progress { first_possible_run: Some(10), ..keyed };
+        assert_eq!(begun.may_go_to(same_zone, Some(0)), in_zone, "{group:?}");
+        assert_eq!(begun.may_go_to(same_group, Some(0)), in_group, "{group:?}");
+        assert_eq!(begun.may_go_to(same_group, None), first_gone, "{group:?}");
+    }
+}
