Don't take a former primary for the primary by a report from before it lost the role

Callers saw writes sent to a member that had just told that it is a replica; where members answer from old data (when_behind off) fresh and session reads could go there, too, and be answered too old. Cause: that a member is a replica cleared its group's primary, but nothing kept the position as of which it was. A load report refreshed before the election was still newer than the last evidence of the primary, and gave the role back. The turned-away write itself makes the router ask that member. Change: a member's own word on being a replica keeps its position, and a report of the opposite must be as recent. An answer still says what holds now, and a new primary stands at the present, so that neither waits for anything. Evidence: the test sent the session read to the former primary before; with the change module (61) and lib (192) pass.

--- a/src/policy/primary.rs
+++ b/src/policy/primary.rs
@@ -25,10 +25,11 @@
             }
         }
         let g = self.groups.entry(m.group).or_default();
+        let as_of = position.unwrap_or(if exact { self.now } else { 0 });
         match role {
             Some(Role::Primary) => {
-                let as_of = position.unwrap_or(if exact { self.now } else { 0 });
-                if as_of >= g.as_of || g.primary.is_none() && exact {
+                let newest = as_of >= g.as_of.max(m.replica_as_of);
+                if newest || g.primary.is_none() && exact {
                     g.as_of = as_of;
                     m.replica_at = 0;
                     let old = g.last.replace(id).filter(|o| *o != id);
@@ -41,6 +42,7 @@
             }
             Some(Role::Replica) if exact || position.is_some_and(|p| p > g.as_of) => {
                 m.replica_at = self.now;
+                m.replica_as_of = m.replica_as_of.max(as_of);
                 g.primary = g.primary.filter(|p| *p != id);
             }
             _ => {}
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -246,6 +246,8 @@
     pub heard: Time,
     /// When it last showed itself to be a replica; 0: never.
     pub replica_at: Time,
+    /// Position that came with the newest evidence of that.
+    pub replica_as_of: Position,
     /// Own reads out.
     pub reads: u32,
     /// All own attempts out.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1248,3 +1248,19 @@
     };
     assert_eq!(sent(&d.step(&[read])), [], "its position is 50 ms older than what the read must see");
 }
+
+#[test]
+fn a_report_from_before_a_member_lost_its_role_does_not_give_the_role_back() {
+    let mut d = Driver::new(settings());
+    d.hear(1, d.now, Role::Primary);
+    d.now += 1_000 * MS;
+    let (write, actions) = d.request(UNSAFE, None);
+    assert_eq!(sent(&actions), [(write, 1)]);
+    d.ended(write, 0, Outcome::Miss, note(d.now, Role::Replica));
+    // Reports are refreshed a few times a second; this one is from before the election.
+    d.now += 100 * MS;
+    d.hear(1, d.now - 300 * MS, Role::Primary);
+    let (read, actions) = d.request(SESSION, Some(10 * MS));
+    let actions = [actions, d.after(100 * MS)].concat();
+    assert!(!sent(&actions).contains(&(read, 1)), "it has told that it is a replica, and behind");
+}
