Hand the position that a session read carries to the router as a position

Callers could get session reads that lack their own last write where the proxy's clock was up to 1 s behind the members' (within which clocks count as the same) and members answer from what they have (when_behind off). Cause: the core turned the position into an age of at least 1 us, so that one ahead of this clock became 'now', and any replica that had told a later position than that would do. Change: the event carries the position itself, as what members cannot check already did; the simulator's wire, which tells an age, works the position out where the line is read. How far a replica is now is estimated from the position it told last in the same way: a lag was cut off at 0, too, and would have kept reads from replicas that are up to date.

--- a/src/bin/linentrail-benchlink/wire.rs
+++ b/src/bin/linentrail-benchlink/wire.rs
@@ -239,13 +239,16 @@
                 if token.is_some_and(|t| !t.is_finite() || t < 0.0) {
                     return Err(line.wrong("token_ms", line.fields["token_ms"]));
                 }
+                let now = self.clock.unwrap_or_default();
+                // An age of 0 says that the session has never written.
+                let age = token.map(|ms| (ms * 1000.0) as Time).filter(|age| *age > 0);
                 Event::Request {
                     id: line.id()?,
                     class: line.must("priority")?,
                     group: line.must("cluster")?,
                     deadline: line.must("client_deadline_us")?,
                     session: line.may::<String>("session")?.map(Into::into),
-                    token_age: token.map(|t| (t * 1000.0) as Time),
+                    carried: age.map(|age| now.saturating_sub(age)),
                     proven: None,
                     repeat: line.flag("repeat")?,
                 }
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -274,16 +274,15 @@
         // Where the protocol has no mark for 'never wrote', none carried may mean one that only the last process knew.
         let unmarked = request.after.is_none() && matches!(request.work, Work::Operation(_));
         let written = if unmarked { written.max(self.blind) } else { written };
-        let token = if need == Need::Session { carried.max(written) } else { carried };
-        let unseen = if token > carried { token } else { 0 };
+        let unseen = if need == Need::Session && written > carried { written } else { 0 };
         let event = Event::Request {
             id,
             class: request.class,
             group: request.group,
             deadline: request.deadline,
             session: request.session.clone(),
-            // An age of 0 means 'never wrote', so that a token of this very moment counts as 1 us old.
-            token_age: (token > 0).then(|| now.saturating_sub(token).max(1)),
+            // A position, as an age would be cut off at 0 where this clock is behind the members'.
+            carried: (carried > 0).then_some(carried),
             proven: (unseen > 0).then_some(unseen),
             repeat: request.repeat,
         };
--- a/src/core/actor_tests.rs
+++ b/src/core/actor_tests.rs
@@ -189,3 +189,31 @@
         assert_eq!(known_until, [Time::MAX, came + WINDOW]);
     });
 }
+
+#[test]
+fn a_session_read_goes_by_the_position_it_carries_also_where_this_clock_is_behind() {
+    in_runtime(|| {
+        const MS: Time = 1_000;
+        let pairs = crate::settings::Pairs::from_json(&linentrail_standins::proxy::settings());
+        let settings = Settings { when_behind: WhenBehind::Answers, ..settings() };
+        let terms = Slots::default().change(pairs.names().expect("names"), settings.classes.clone());
+        let mut actor = actor_with(settings, vec![listed(2, None)]);
+        // Late enough that nothing waits for its turn.
+        let now = actor.clock.now() + 4_000 * MS;
+        let report = Report { position: Some(now + 100 * MS), primary: Some(false), busy: None };
+        let heard = actor.take(Input::Probed(MemberId(2), Some(report), 0), now).expect("it is heard");
+        actor.step(now, &[heard]);
+        let (reply, mut answer) = oneshot::channel();
+        let deadline = now + 1_000 * MS;
+        let read = Request { after: Some(now + 600 * MS), ..session_read(terms, deadline) };
+        let asked = actor.take(Input::Submit(RequestId(1), read, reply), now).expect("it is taken");
+        actor.step(now, &[asked]);
+        for at in (now..=deadline).step_by(10 * MS as usize) {
+            actor.step(at, &[Event::Wake { tag: 0 }]);
+        }
+        let sent = actor.members.attempts.len();
+        assert_eq!(sent, 0, "the replica is 500 ms behind what the read must see");
+        let answer = answer.try_recv();
+        assert!(matches!(answer, Ok(Answer::Refused(_))), "{answer:?}");
+    });
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -107,7 +107,7 @@
 /// What tells the driver of a session's writes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum SessionMarks {
-    /// Each session read carries the age of its session's last write.
+    /// Each session read carries the position of its session's last write.
     #[default]
     Carried,
     /// The router must remember the writes that it has seen through.
@@ -321,8 +321,8 @@
         deadline: Time,
         /// The session, for writes and session reads.
         session: Option<Arc<str>>,
-        /// How long ago the session's last write was committed, where reads carry that.
-        token_age: Option<Time>,
+        /// The commit of the session's last write, where reads carry that; members see it, and can check it.
+        carried: Option<Position>,
         /// What this session read must see beyond what members can check: only a member that has surely reached it will do.
         proven: Option<Position>,
         /// The client has tried before.
--- a/src/policy/primary.rs
+++ b/src/policy/primary.rs
@@ -20,7 +20,7 @@
         if let Some(p) = position {
             m.position = m.position.max(p);
             if exact {
-                m.lag = Some(self.now.saturating_sub(p));
+                m.told = Some(p);
                 m.heard = self.now;
             }
         }
--- a/src/policy/reads.rs
+++ b/src/policy/reads.rs
@@ -26,9 +26,13 @@
             return true;
         }
         let checked = self.set.when_behind != WhenBehind::Answers && !open.missed && !open.proven;
-        let fresh = self.now.saturating_sub(m.heard) <= ESTIMATE_TRUST;
-        let lag = m.lag.map_or(Some(UNHEARD_LAG), |lag| fresh.then_some(lag));
-        checked && lag.is_some_and(|lag| self.now.saturating_sub(lag) >= required)
+        let since = self.now.saturating_sub(m.heard);
+        let estimate = match m.told {
+            Some(told) if since <= ESTIMATE_TRUST => told.saturating_add(since),
+            Some(_) => return false,
+            None => self.now.saturating_sub(UNHEARD_LAG),
+        };
+        checked && estimate >= required
     }
 
     /// Replicas with room for this read that it has not tried, each with its rank: the fewest own reads out
--- a/src/policy/router.rs
+++ b/src/policy/router.rs
@@ -73,18 +73,17 @@
     pub(super) fn absorb(&mut self, event: &Event, out: &mut Vec<Action>) {
         match event {
             Event::List { kind, members } => self.list(*kind, members),
-            Event::Request { id, class, group, deadline, session, token_age, proven, repeat } => {
+            Event::Request { id, class, group, deadline, session, carried, proven, repeat } => {
                 let Some(kind) = self.set.classes.get(*class) else {
                     return out.push(Action::Fail { id: *id });
                 };
                 if self.open.contains_key(id) {
                     return;
                 }
-                // Where writes are remembered, an age on the request means nothing, 0 included.
-                let (name, age) = (session.as_deref().unwrap_or_default(), token_age.unwrap_or(0));
+                let name = session.as_deref().unwrap_or_default();
                 let token = match (kind.need, self.set.session_marks) {
                     (Need::Session, SessionMarks::Remembered) => self.sessions.written(name),
-                    (Need::Session, SessionMarks::Carried) if age > 0 => self.now.saturating_sub(age),
+                    (Need::Session, SessionMarks::Carried) => carried.unwrap_or(0),
                     _ => 0,
                 };
                 // What the core has proof of holds whoever remembers or carries the session's writes.
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -241,8 +241,8 @@
     pub up_since: Option<Time>,
     /// Highest position heard.
     pub position: Position,
-    /// How far it lay behind when an answer last told, and when that was.
-    pub lag: Option<Time>,
+    /// The position that an answer last told, and when that was.
+    pub told: Option<Position>,
     pub heard: Time,
     /// When it last showed itself to be a replica; 0: never.
     pub replica_at: Time,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -96,13 +96,15 @@
     pub fn request(&mut self, class: usize, token_age: Option<Time>) -> (RequestId, Vec<Action>) {
         self.next += 1;
         let id = RequestId(self.next);
+        // An age of 0 says that the session has never written.
+        let carried = token_age.filter(|age| *age > 0).map(|age| self.now.saturating_sub(age));
         let event = Event::Request {
             id,
             class,
             group: 9,
             deadline: self.now + settings().classes[class].deadline,
             session: Some("s".into()),
-            token_age,
+            carried,
             proven: None,
             repeat: false,
         };
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -627,9 +627,9 @@
             let new = |id| Member { up_since: Some(d.now - age), ..member(id, id == 1) };
             d.list(ListKind::Full, (1..8).map(new).collect());
             let (group, class, deadline) = (9, ANY, d.now + 800 * MS);
-            let (session, token_age, proven) = (None, None, None);
+            let (session, carried, proven) = (None, None, None);
             let id = RequestId(1);
-            let request = Event::Request { id, class, group, deadline, session, token_age, proven, repeat };
+            let request = Event::Request { id, class, group, deadline, session, carried, proven, repeat };
             sent(&d.step(&[request])).len()
         };
         (0..300).map(one).sum::<usize>()
@@ -936,7 +936,7 @@
             group: 9,
             deadline: d.now + left,
             session: None,
-            token_age: None,
+            carried: None,
             proven: None,
             repeat: false,
         };
@@ -1070,7 +1070,7 @@
             group: u64::from(i),
             deadline,
             session: None,
-            token_age: None,
+            carried: None,
             proven: None,
             repeat: false,
         }]);
@@ -1242,7 +1242,7 @@
         group: 9,
         deadline: d.now + 800 * MS,
         session: Some("s".into()),
-        token_age: Some(50 * MS),
+        carried: Some(d.now - 50 * MS),
         proven: Some(d.now - 50 * MS),
         repeat: false,
     };
--- a/tests/slow_start.rs
+++ b/tests/slow_start.rs
@@ -219,10 +219,10 @@
         let id = RequestId(self.ids);
         self.open[router].insert(id, Attempts { class, sent: 0, tries });
         let deadline = self.now + self.settings.classes[class].deadline;
-        let (session, token_age, proven, repeat) = (None, None, None, tries > 0);
+        let (session, carried, proven, repeat) = (None, None, None, tries > 0);
         self.step(
             router,
-            Event::Request { id, class, group: GROUP, deadline, session, token_age, proven, repeat },
+            Event::Request { id, class, group: GROUP, deadline, session, carried, proven, repeat },
         );
     }
 
@@ -233,8 +233,8 @@
                 self.ids += 1;
                 let id = RequestId(self.ids);
                 let (class, group, deadline) = (ANY, OTHER_GROUP, self.now + SECOND);
-                let (session, token_age, proven, repeat) = (None, None, None, false);
-                let event = Event::Request { id, class, group, deadline, session, token_age, proven, repeat };
+                let (session, carried, proven, repeat) = (None, None, None, false);
+                let event = Event::Request { id, class, group, deadline, session, carried, proven, repeat };
                 self.step(router, event);
                 self.step(router, Event::Disconnected { id });
             }
