Begin no bounded read by a position that is too old by then

Callers could get data older than their bound, where members answer from what they have (when_behind off). Cause: a bound was counted from the decision alone. The rule counts it from the send, and an attempt may wait for its connection in between. Change: an attempt of a bounded read keeps until when its member's known position will do, and the gate that is asked right before the first byte withholds it from then on; nothing was written, so that it may go elsewhere. Members that check the age themselves and the primary need none of this. Counted as withheld_too_old. Not covered: an attempt goes by what was known when it was decided on; a newer position heard while it waits does not let it begin, which costs a choice and no promise.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -478,6 +478,7 @@
             safe,
             by,
             known_until: progress.known_until(),
+            recent_until: self.router.recent_until(live.request.group, member, live.class().need),
             client: live.request.client.clone().filter(|_| !live.abandoned),
             client_seen: live.came,
         };
--- a/src/core/actor_tests.rs
+++ b/src/core/actor_tests.rs
@@ -2,6 +2,7 @@
 
 use super::*;
 use crate::knowledge::{Knowledge, Known, MemberFacts};
+use crate::net::member_state::SharedState;
 use crate::terms::{Slots, Terms};
 use std::net::SocketAddr;
 
@@ -148,7 +149,10 @@
 /// Index of the class of session reads.
 const SESSION_READ: usize = 1;
 
-/// A read of that class, under these terms.
+/// Index of the class of reads of data up to an age.
+const BOUNDED_READ: usize = 0;
+
+/// A read of the class of session reads, under these terms.
 fn session_read(terms: Arc<Terms>, deadline: Time) -> Request {
     Request {
         terms,
@@ -217,3 +221,34 @@
         assert!(matches!(answer, Ok(Answer::Refused(_))), "{answer:?}");
     });
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_bounded_read_does_not_begin_once_the_position_it_was_chosen_by_is_too_old() {
+    const MS: Time = 1_000;
+    let pairs = crate::settings::Pairs::from_json(&linentrail_standins::proxy::settings());
+    let settings = Settings { when_behind: WhenBehind::Answers, ..settings() };
+    let Need::Bounded(age) = settings.classes[BOUNDED_READ].need else { panic!("another class") };
+    let terms = Slots::default().change(pairs.names().expect("names"), settings.classes.clone());
+    let mut actor = actor_with(settings, vec![listed(2, None)]);
+    // Late enough that nothing waits for its turn.
+    tokio::time::advance(std::time::Duration::from_secs(4)).await;
+    let now = actor.clock.now();
+    let position = now - age + 100 * MS;
+    let report = Report { position: Some(position), primary: Some(false), busy: None };
+    let heard = actor.take(Input::Probed(MemberId(2), Some(report), 0), now).expect("it is heard");
+    actor.step(now, &[heard]);
+    let read = Request { class: BOUNDED_READ, session: None, ..session_read(terms, now + 1_000 * MS) };
+    let asked =
+        actor.take(Input::Submit(RequestId(1), read, oneshot::channel().0), now).expect("it is taken");
+    actor.step(now, &[asked]);
+    let [attempt] = &actor.members.attempts[..] else { panic!("one attempt is sent") };
+    let begins = || {
+        let times = crate::settings::SocketTimes { keepalive: Time::MAX, connect: Time::MAX };
+        let state = SharedState::new(SocketAddr::from(([127, 0, 0, 1], 9)), times);
+        state.lock().gate.issue(attempt.key());
+        state.begin(attempt, &actor.clock).is_ok()
+    };
+    assert!(begins(), "its member is recent enough");
+    tokio::time::advance(std::time::Duration::from_millis(100)).await;
+    assert!(!begins(), "nothing newer was heard of it");
+}
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -67,6 +67,7 @@
     withheld_withdrawn,
     withheld_rules_lapsed,
     withheld_forgotten,
+    withheld_too_old,
     withheld_late,
     withheld_client_gone,
     orders_dropped,
--- a/src/net/fleet_tests.rs
+++ b/src/net/fleet_tests.rs
@@ -81,6 +81,7 @@
         safe: true,
         by: Time::MAX,
         known_until: Time::MAX,
+        recent_until: Time::MAX,
         client: None,
         client_seen: clock.now(),
     }
--- a/src/net/member_state.rs
+++ b/src/net/member_state.rs
@@ -62,6 +62,7 @@
             now,
             rules_until: attempt.by,
             known_until: attempt.known_until,
+            recent_until: attempt.recent_until,
             stop_at: attempt.stop_at,
             client_gone: client_look_due(now, attempt.client_seen) && attempt.client_gone(),
         };
@@ -87,6 +88,7 @@
         Withheld::Withdrawn => Count::withheld_withdrawn,
         Withheld::RulesLapsed => Count::withheld_rules_lapsed,
         Withheld::Forgotten => Count::withheld_forgotten,
+        Withheld::TooOld => Count::withheld_too_old,
         Withheld::Late => Count::withheld_late,
         Withheld::ClientGone => Count::withheld_client_gone,
     }
--- a/src/net/peer_tests.rs
+++ b/src/net/peer_tests.rs
@@ -57,6 +57,7 @@
             safe,
             by: Time::MAX,
             known_until: Time::MAX,
+            recent_until: Time::MAX,
             client: None,
             client_seen: self.clock.now(),
         };
--- a/src/policy/begin.rs
+++ b/src/policy/begin.rs
@@ -29,6 +29,8 @@
     pub rules_until: Time,
     /// Members may not know it for a repeat from then on.
     pub known_until: Time,
+    /// What is known of its member's data is too old for it from then on.
+    pub recent_until: Time,
     /// Nobody waits for its answer from then on.
     pub stop_at: Time,
     /// Its client has closed its connection.
@@ -44,6 +46,8 @@
     RulesLapsed,
     /// It repeats what may have run, and its member may no longer know it for a repeat.
     Forgotten,
+    /// Its member's data may be older than it allows.
+    TooOld,
     /// Its time is over.
     Late,
     /// Its client has gone.
@@ -92,6 +96,9 @@
         if moment.now >= moment.known_until {
             return Err(Withheld::Forgotten);
         }
+        if moment.now >= moment.recent_until {
+            return Err(Withheld::TooOld);
+        }
         if moment.now >= moment.stop_at {
             return Err(Withheld::Late);
         }
--- a/src/policy/begin_tests.rs
+++ b/src/policy/begin_tests.rs
@@ -3,8 +3,14 @@
 use super::*;
 
 const KEY: AttemptKey = (RequestId(7), 0);
-const FINE: Moment =
-    Moment { now: 100, rules_until: Time::MAX, known_until: Time::MAX, stop_at: 200, client_gone: false };
+const FINE: Moment = Moment {
+    now: 100,
+    rules_until: Time::MAX,
+    known_until: Time::MAX,
+    recent_until: Time::MAX,
+    stop_at: 200,
+    client_gone: false,
+};
 
 #[test]
 fn an_attempt_begins_once_and_only_while_it_waits() {
@@ -40,6 +46,7 @@
     for (moment, why) in [
         (Moment { rules_until: 100, ..FINE }, Withheld::RulesLapsed),
         (Moment { known_until: 100, ..FINE }, Withheld::Forgotten),
+        (Moment { recent_until: 100, ..FINE }, Withheld::TooOld),
         (Moment { now: 200, ..FINE }, Withheld::Late),
         (Moment { client_gone: true, ..FINE }, Withheld::ClientGone),
     ] {
--- a/src/policy/reads.rs
+++ b/src/policy/reads.rs
@@ -16,6 +16,18 @@
         }
     }
 
+    /// From then on a read of this need must not begin at this member by what is known of it now: what waits for a
+    /// connection meanwhile would be served from data older than its bound. Members that check turn it away themselves.
+    pub fn recent_until(&self, group: GroupId, member: MemberId, need: Need) -> Time {
+        let checked = self.set.when_behind != WhenBehind::Answers;
+        match need {
+            Need::Bounded(age) if !checked && self.primary(group) != Some(member) => {
+                self.position(member).saturating_add(age)
+            }
+            _ => Time::MAX,
+        }
+    }
+
     /// The freshness gate. A position heard is a proven lower bound; where members check for themselves, one
     /// whose last known lag says that it should have got there is good for a try until it has missed. One
     /// never heard of is tried on a usual lag: a miss costs it nothing and tells its position, as a probe
