--- a/src/net/fleet_tests.rs
+++ b/src/net/fleet_tests.rs
@@ -82,6 +82,7 @@
         whole: false,
         by: Time::MAX,
         known_until: Time::MAX,
+        recent_until: Time::MAX,
         client: None,
         client_seen: clock.now(),
     }
--- a/src/net/peer_tests.rs
+++ b/src/net/peer_tests.rs
@@ -58,6 +58,7 @@
             whole: !safe,
             by: Time::MAX,
             known_until: Time::MAX,
+            recent_until: Time::MAX,
             client: None,
             client_seen: self.clock.now(),
         };
--- a/src/policy/reads.rs
+++ b/src/policy/reads.rs
@@ -16,6 +16,18 @@
         }
     }
 
+    /// From then on a read of this need must not begin at this member by what is known of it now: what waits for a
+    /// connection meanwhile would be served from data older than its bound. Members that check turn it away themselves.
+    pub fn recent_until(&self, group: GroupId, member: MemberId, need: Need) -> Time {
+        let checked = self.set.when_behind != WhenBehind::Answers;
+        match need {
+            Need::Bounded(age) if !checked && self.primary(group) != Some(member) => {
+                self.position(member).saturating_add(age)
+            }
+            _ => Time::MAX,
+        }
+    }
+
     /// The freshness gate. A position heard is a proven lower bound; where members check for themselves, one
     /// whose last known lag says that it should have got there is good for a try until it has missed. One
     /// never heard of is tried on a usual lag: a miss costs it nothing and tells its position, as a probe
@@ -26,9 +38,13 @@
             return true;
         }
         let checked = self.set.when_behind != WhenBehind::Answers && !open.missed && !open.proven;
-        let fresh = self.now.saturating_sub(m.heard) <= ESTIMATE_TRUST;
-        let lag = m.lag.map_or(Some(UNHEARD_LAG), |lag| fresh.then_some(lag));
-        checked && lag.is_some_and(|lag| self.now.saturating_sub(lag) >= required)
+        let since = self.now.saturating_sub(m.heard);
+        let estimate = match m.told {
+            Some(told) if since <= ESTIMATE_TRUST => told.saturating_add(since),
+            Some(_) => return false,
+            None => self.now.saturating_sub(UNHEARD_LAG),
+        };
+        checked && estimate >= required
     }
 
     /// Replicas with room for this read that it has not tried, each with its rank: the fewest own reads out
@@ -76,7 +92,7 @@
     /// Rank by slow answers lately. A cold member, new to it, ranks no better than all do together, or it
     /// would be everyone's first choice when the others are slow.
     pub(super) fn slow(&self, m: &Seen) -> u8 {
-        let common = if m.cold_from.is_some() { self.signs.pool.now(self.now, POOL_TIME) } else { 1.0 };
+        let common = if self.cold(m) { self.signs.pool.now(self.now, POOL_TIME) } else { 1.0 };
         ((1.0 - m.ease.now(self.now, EASE_TIME).min(common)) * SLOW_STEPS) as u8
     }
 
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -655,9 +655,9 @@
             let new = |id| Member { up_since: Some(d.now - age), ..member(id, id == 1) };
             d.list(ListKind::Full, (1..8).map(new).collect());
             let (group, class, deadline) = (9, ANY, d.now + 800 * MS);
-            let (session, token_age, proven) = (None, None, None);
+            let (session, carried, proven) = (None, None, None);
             let id = RequestId(1);
-            let request = Event::Request { id, class, group, deadline, session, token_age, proven, repeat };
+            let request = Event::Request { id, class, group, deadline, session, carried, proven, repeat };
             sent(&d.step(&[request])).len()
         };
         (0..300).map(one).sum::<usize>()
@@ -964,7 +964,7 @@
             group: 9,
             deadline: d.now + left,
             session: None,
-            token_age: None,
+            carried: None,
             proven: None,
             repeat: false,
         };
@@ -1098,7 +1098,7 @@
             group: u64::from(i),
             deadline,
             session: None,
-            token_age: None,
+            carried: None,
             proven: None,
             repeat: false,
         }]);
@@ -1270,9 +1270,42 @@
         group: 9,
         deadline: d.now + 800 * MS,
         session: Some("s".into()),
-        token_age: Some(50 * MS),
+        carried: Some(d.now - 50 * MS),
         proven: Some(d.now - 50 * MS),
         repeat: false,
     };
     assert_eq!(sent(&d.step(&[read])), [], "its position is 50 ms older than what the read must see");
 }
+
+#[test]
+fn a_report_from_before_a_member_lost_its_role_does_not_give_the_role_back() {
+    let mut d = Driver::new(settings());
+    d.hear(1, d.now, Role::Primary);
+    d.now += 1_000 * MS;
+    let (write, actions) = d.request(UNSAFE, None);
+    assert_eq!(sent(&actions), [(write, 1)]);
+    d.ended(write, 0, Outcome::Miss, note(d.now, Role::Replica));
+    // Reports are refreshed a few times a second; this one is from before the election.
+    d.now += 100 * MS;
+    d.hear(1, d.now - 300 * MS, Role::Primary);
+    let (read, actions) = d.request(SESSION, Some(10 * MS));
+    let actions = [actions, d.after(100 * MS)].concat();
+    assert!(!sent(&actions).contains(&(read, 1)), "it has told that it is a replica, and behind");
+}
+
+#[test]
+fn a_member_that_new_settings_let_warm_up_for_longer_is_in_slow_start_again() {
+    let started = |before: Time, after: Time| {
+        let with = |warm_after| {
+            let rules = Rules { warm_after, ..settings().rules };
+            Settings { rules, ..settings() }
+        };
+        let mut d = Driver::new(with(before));
+        let fresh = Member { up_since: Some(d.now - 2_000 * MS), ..member(2, false) };
+        d.list(ListKind::Full, vec![fresh]);
+        d.step(&[Event::Settings(Box::new(with(after)))]);
+        (0..40).filter(|_| !sent(&d.request(ANY, None).1).is_empty()).count()
+    };
+    let long = 20_000 * MS;
+    assert_eq!(started(1_000 * MS, long), started(long, long));
+}
