Box the rare ends of a session, so that its task stays small

Cause: sharing the ends of both fronts put the futures of a fault's end into each session's task, which grew from 5.9 to 6.9 KB. Tasks are allocated aligned to 128 bytes; of a freed one of that size the rest is taken by the names of sessions that have written, which stay, and it then fits no further task. Change: an end by a fault, by a goodbye and by an announcement is in a box of its own; a session's task takes 6.1 KB.

--- a/src/odata/session.rs
+++ b/src/odata/session.rs
@@ -102,7 +102,7 @@
                     self.begun();
                     continue;
                 }
-                Waited::Fault(fault) => return self.end_with(fault).await,
+                Waited::Fault(fault) => return Box::pin(self.end_with(fault)).await,
                 Waited::Left => return Ok(client_end::by_client(self.conn)),
                 Waited::Ends(reason) => match end_at_rest(&mut self.conn, reason, self.asked).await {
                     Some(ended) => return Ok(ended),
@@ -130,10 +130,10 @@
             }
             if closes {
                 let reason = if ends { EndReason::Shutdown } else { EndReason::ClientLeft };
-                return Ok(client_end::announced(self.conn, reason).await);
+                return Ok(Box::pin(client_end::announced(self.conn, reason)).await);
             }
             if let Some(fault) = broken {
-                return self.end_with(fault).await;
+                return Box::pin(self.end_with(fault)).await;
             }
             shrink(&mut self.conn);
             self.rests = Instant::now();
--- a/src/pg/session.rs
+++ b/src/pg/session.rs
@@ -107,7 +107,7 @@
         loop {
             if let Some(reason) = self.ends_now() {
                 if self.goodbye {
-                    return Ok(client_end::after_last_word(self.conn, reason).await);
+                    return Ok(Box::pin(client_end::after_last_word(self.conn, reason)).await);
                 }
                 if let Some(ended) = self.end_at_rest(reason).await {
                     return Ok(ended);
@@ -129,7 +129,7 @@
                         Next::Part => self.part = Some(Instant::now()),
                         Next::Message(None) => return Ok(client_end::by_client(self.conn)),
                         Next::Message(Some(Ok(message))) => self.dispatch(message).await,
-                        Next::Message(Some(Err(fault))) => return self.end_with(fault).await,
+                        Next::Message(Some(Err(fault))) => return Box::pin(self.end_with(fault)).await,
                     }
                 }
                 () = begun.as_mut(), if self.phase < Phase::Leaving => self.phase = Phase::Leaving,
@@ -147,7 +147,7 @@
                     _ if until.is_none_or(|until| Instant::now() < until) => {
                         timer.as_mut().reset(until.unwrap_or_else(|| Instant::now() + IDLE_TIMEOUT));
                     }
-                    Some(_) => return self.end_with(WireError::Unfinished).await,
+                    Some(_) => return Box::pin(self.end_with(WireError::Unfinished)).await,
                     None if self.ends_now().is_some() => {}
                     None => {
                         let reason = if self.state.asked { EndReason::Idle } else { EndReason::Silent };
