--- /dev/null
+++ b/tests/repeat_ids.rs
@@ -0,0 +1,199 @@
+//! Bookings that are tried at both processes of a proxy, while a new version takes over: at most one run for each id.
+#![allow(missing_docs)]
+
+mod scenario;
+use scenario::play;
+
+#[test]
+fn a_booking_tried_at_both_processes_at_once_runs_once_and_is_refused_by_neither() {
+    for _ in 0..4 {
+        play(
+            "member p primary
+             start odata console handed
+             o send GET k0 monthly-report
+             o expect 200
+             upgrade
+             n send GET k0 monthly-report
+             n expect 200
+             wait 1100
+             p does hold
+             o,n race POST k1 01 id=x sent=0
+             p expect 1 write k1
+             wait 50
+             p does answer
+             o,n expect one 201 and 412
+             p expect 1 write k1",
+        );
+    }
+}
+
+#[test]
+fn a_booking_whose_process_was_killed_in_the_middle_does_not_run_again_by_the_other() {
+    play(
+        "member p primary
+         start odata console handed
+         o send GET k0 monthly-report
+         o expect 200
+         upgrade
+         wait 1100
+         p does hold
+         o send POST k1 01 id=x sent=0
+         p expect 1 write k1
+         former kill
+         p does answer
+         n send POST k1 01 id=x sent=0
+         n expect 412 RepeatabilityExpired
+         wait 300
+         n send POST k1 01 id=x sent=0
+         n expect 412 RepeatabilityExpired
+         p expect 1 write k1",
+    );
+}
+
+#[test]
+fn an_id_that_stands_for_another_booking_at_the_other_process_is_a_conflict() {
+    play(
+        "member p primary
+         start odata console handed
+         o send GET k0 monthly-report
+         o expect 200
+         upgrade
+         wait 1100
+         o send POST k1 01 id=x sent=0
+         o expect 201
+         n send POST k1 02 id=x sent=0
+         n expect 412 RepeatabilityConflict
+         n send POST k1 02 id=y sent=0
+         n expect 201
+         o send POST k1 03 id=y sent=0
+         o expect 412 RepeatabilityConflict
+         p expect 2 write k1",
+    );
+}
+
+#[test]
+fn a_booking_of_a_client_whose_clock_runs_ahead_does_not_run_again_by_the_next_process() {
+    play(
+        "member p primary
+         start odata console handed
+         o send POST k1 01 id=x sent=-30
+         o expect 201
+         upgrade
+         n send POST k1 01 id=x sent=-30
+         n expect 412 RepeatabilityExpired
+         p expect 1 write k1",
+    );
+}
+
+#[test]
+fn a_booking_that_the_last_process_but_one_ran_does_not_run_again() {
+    play(
+        "member p primary
+         start odata console handed
+         o send POST k1 01 id=x sent=-30
+         o expect 201
+         upgrade
+         former stop
+         former gone
+         upgrade
+         n send POST k1 01 id=x sent=-30
+         n expect 412 RepeatabilityExpired
+         former kill
+         wait 300
+         upgrade
+         m send POST k1 01 id=x sent=-30
+         m expect 412 RepeatabilityExpired
+         p expect 1 write k1",
+    );
+}
+
+#[test]
+fn a_booking_does_not_run_again_where_ids_cannot_be_shared() {
+    // A file where the folder of the ids should be: the former can tell nothing, and what is not told proves nothing.
+    play(
+        "member p primary
+         start odata console handed
+         o send GET k0 monthly-report
+         o expect 200
+         shared repeat-ids is a file
+         upgrade
+         wait 1100
+         o send POST k1 01 id=x sent=0
+         n send POST k1 01 id=x sent=0
+         n expect 412 RepeatabilityExpired
+         p expect under 2 write k1",
+    );
+}
+
+#[test]
+fn a_booking_does_not_run_again_where_the_former_process_hangs() {
+    play(
+        "member p primary
+         start odata console handed
+         o send POST k1 01 id=x sent=-30
+         o expect 201
+         former hangs
+         upgrade
+         n send POST k1 01 id=x sent=-30
+         n expect 412 RepeatabilityExpired
+         former resumes
+         wait 500
+         n send POST k1 01 id=x sent=-30
+         n expect 412 RepeatabilityExpired
+         n send POST k2 01 id=y sent=0
+         n expect 201
+         p expect 1 write k1",
+    );
+}
+
+#[test]
+fn both_processes_go_on_with_new_bookings_and_with_those_that_never_ran() {
+    play(
+        "member p primary
+         start odata console handed
+         o send GET k0 monthly-report
+         o expect 200
+         upgrade
+         o send POST k1 01 id=a sent=0
+         o expect 201
+         n send POST k1 02 id=b sent=0
+         n expect 201
+         o send POST k1 03 id=c sent=0
+         o expect 201
+         former 200 SUSPEND p
+         wait 1100
+         o send POST k2 01 id=d sent=0 Skip-Wait=700
+         o expect 503
+         former 200 RESTORE p
+         wait 1100
+         n send POST k2 01 id=d sent=3
+         n expect 201
+         o send POST k2 01 id=d sent=3
+         o expect 412
+         p expect 1 write k2
+         former stop
+         former gone
+         n send POST k3 01 id=e sent=0
+         n expect 201
+         n send POST k3 01 id=e sent=0
+         n expect 201
+         p expect 1 write k3",
+    );
+}
+
+#[test]
+fn without_odata_no_ids_are_shared() {
+    play(
+        "member p primary
+         start console handed
+         a send write k1 01
+         a expect row 01
+         upgrade
+         wait 300
+         shared repeat-ids missing
+         shared ids-wanted-0 missing
+         shared ids-wanted-1 missing
+         shared ids-told-0 missing
+         shared ids-told-1 missing",
+    );
+}
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -49,9 +49,12 @@
 //!                             \n for a line's end within
 //! silent 40                   so many callers connect to the console and say nothing
 //! upgrade                     a second process takes over from the first, which lives on as the `former` one
+//! o,n race POST K HEX ...     the requests of two OData clients at the same moment; `o,n expect one 201 and 412`: their answers, in either order
+//! p expect under 2 write k    p has been given fewer such statements so far
 //! both SUSPEND a b            calls about these at once, in turn at the one and the other process
+//! former hangs                the process that is to be the former one stands still (SIGSTOP); `former resumes` behind `upgrade`
 //! back out                    the next process is killed, and the former one goes on alone; `shared NAME is TEXT` writes a file
-//!                             of theirs
+//!                             of theirs, `shared NAME missing`: there is no such file
 //! former 200 RESTORE p        the same on the former one's console; `former stop`, `former gone` and `former kill`
 //! wait 50                     milliseconds; `clock` begins a span that must not have passed `within 3000`
 //! ```
@@ -233,6 +236,10 @@
                 self.former = self.proxy.replace(next);
             }
             ["back", "out"] => self.proxy = self.former.take(),
+            ["shared", name, "missing"] => {
+                let shared = self.setup.shared.as_ref().expect("start handed");
+                assert!(!shared.join("linentrail-t").join(name).exists(), "{line}");
+            }
             ["shared", name, "is", ..] => {
                 let shared = self.setup.shared.as_ref().expect("start handed");
                 std::fs::write(shared.join("linentrail-t").join(name), rest(3)).unwrap();
@@ -247,6 +254,8 @@
                     }
                 });
             }
+            ["former", "hangs"] => self.proxy().signal("STOP").unwrap(),
+            ["former", "resumes"] => self.former.as_ref().unwrap().signal("CONT").unwrap(),
             ["former", "stop"] => self.former.as_ref().unwrap().signal("TERM").unwrap(),
             ["former", "gone"] => assert!(self.former.take().unwrap().wait().unwrap().success(), "{line}"),
             ["former", "kill"] => drop(self.former.take()),
@@ -268,6 +277,12 @@
             }
             [who, "close"] => reset(&self.clients.remove(who).expect("a client")),
             [who, "send", ref what @ ..] => self.send(who, what, rest(3)),
+            [who, "race", ref what @ ..] => self.race(who, what),
+            [who, "expect", "one", one, "and", other] => self.expect_both(who, [one, other], line),
+            [who, "expect", "under", most, what, key] => {
+                let given = self.standin(who).given(&format!("{what} {key}"));
+                assert!(given < most.parse().unwrap(), "{line}: {given}");
+            }
             [who, "expect", count, what, key] if self.members.iter().any(|(n, _)| n == who) => {
                 self.seen(who, count.parse().unwrap(), &format!("{what} {key}"), line)
             }
@@ -474,6 +489,33 @@
         self.client(who, false, true).write_all(&query(&sql)).unwrap();
     }
 
+    /// Sends one request on the connections of two clients at the same moment.
+    fn race(&mut self, who: &str, what: &[&str]) {
+        let text = self.http(what);
+        let pair: Vec<&TcpStream> = who.split(',').map(|one| &self.clients[one]).collect();
+        let start = std::sync::Barrier::new(pair.len());
+        thread::scope(|scope| {
+            for mut stream in pair {
+                let (start, text) = (&start, &text);
+                scope.spawn(move || {
+                    start.wait();
+                    stream.write_all(text.as_bytes()).unwrap();
+                });
+            }
+        });
+    }
+
+    /// One of two clients gets the one status, the other the other.
+    fn expect_both(&mut self, who: &str, wanted: [&str; 2], line: &str) {
+        let read = |one| {
+            let response = read_http(self.clients.get_mut(one).expect("a client"), line);
+            response.split(' ').nth(1).unwrap_or_default().to_string()
+        };
+        let mut got: Vec<String> = who.split(',').map(read).collect();
+        got.sort_unstable();
+        assert_eq!(got, wanted, "{line}");
+    }
+
     /// `id=` and `sent=` (seconds ago) stand for the Repeatable Requests fields; any other `name=value` is a field.
     fn http(&self, what: &[&str]) -> String {
         use base64::Engine;
@@ -499,7 +541,9 @@
             match name {
                 "id" => text.push_str(&format!("Repeatability-Request-ID: {value}\r\n")),
                 "sent" => {
-                    let at = SystemTime::now() - Duration::from_secs(value.parse().unwrap());
+                    let ago: i64 = value.parse().unwrap();
+                    let (now, span) = (SystemTime::now(), Duration::from_secs(ago.unsigned_abs()));
+                    let at = if ago < 0 { now + span } else { now - span };
                     text.push_str(&format!("Repeatability-First-Sent: {}\r\n", httpdate::fmt_http_date(at)));
                 }
                 _ if value.is_empty() => {}
