--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -3,8 +3,8 @@
 
 use super::counters::{count, counted, Count};
 use super::lease::Lease;
-use super::ledger::SessionLedger;
 use super::live::LiveRequest;
+use super::session_ledger::SessionLedger;
 use super::{
     violated, Answer, Attempt, Beside, Ending, Input, Listed, Members, Order, Request, Taken, Value, Work,
     REQUEST,
--- a/src/core/bookings.rs
+++ b/src/core/bookings.rs
@@ -5,7 +5,7 @@
 //! answer. Where all have left before anything was sent, the booking is dropped and its id free again.
 
 use super::counters::{count, Count};
-use super::ledger::{Claim, RepeatLedger};
+use super::repeat_ledger::{Claim, RepeatLedger};
 use super::{Answer, Handle, Request};
 use crate::clock::Clock;
 use crate::interface::Time;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -8,10 +8,11 @@
 pub mod counters;
 pub mod flow;
 pub mod lease;
-pub mod ledger;
 mod live;
 mod member_times;
 mod orders;
+pub mod repeat_ledger;
+pub mod session_ledger;
 
 use crate::interface::*;
 use crate::knowledge::{Knowledge, Known};
