Share the repeat ids of bookings between the two processes of an upgrade

What callers saw: by OData a booking tried at the former process and then, under the same id, at the next ran a second time (201, 201); so it did when both were tried at once, after a kill, with another body, two upgrades later; and in the next process's first second new bookings got 412 though nothing had run.

An absence proves something only where whoever could have entered the id was heard.

Change: a process that begins beside another asks for its ids and takes none for new until it has them (handover::id_exchange). The one that is asked claims all its ids in a directory that both see, and from then on each new one before it goes to the core; a claim is a symbolic link (handover::claims), which the kernel makes for one process alone, whole or not at all, and which outlives a kill. What the other process holds is 412, never 503 and never a second run; what cannot be read or looked up is 412 and counted (repeat_ids_unshared). The next process goes by what the former knows since when, so that its first second refuses nothing. When the other has ended its claims are taken in and the directory is emptied. Limits hold for both together (each takes half of what is left), the shorter span binds both, and ids are judged by the later of both clocks. Alone, and without OData, nothing is written and no system call is added.

--- a/src/core/bookings.rs
+++ b/src/core/bookings.rs
@@ -5,12 +5,12 @@
 //! answer. Where all have left before anything was sent, the booking is dropped and its id free again.
 
 use super::counters::{count, Count};
-use super::repeat_ledger::{Claim, RepeatLedger};
+use super::repeat_ids::RepeatIds;
+use super::repeat_ledger::{Candidate, Claim};
 use super::{Answer, Handle, Request};
 use crate::clock::Clock;
-use crate::interface::Time;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use tokio::sync::{watch, Notify};
 
 /// A try of a booking.
@@ -18,12 +18,8 @@
 pub struct Try {
     /// The id that all tries of the booking share.
     pub id: String,
-    /// Fingerprint of what it asks for.
-    pub print: u64,
-    /// Bytes that its answer may take.
-    pub weight: usize,
-    /// When the client first sent it, by its own word.
-    pub first_sent: Time,
+    /// What the ledger needs to know of it.
+    pub candidate: Candidate,
 }
 
 /// What a try comes to.
@@ -35,13 +31,15 @@
     Differs,
     /// It cannot be proved that it has not run already.
     Unprovable,
+    /// Another process of this proxy has taken the id, and its answer is not known here.
+    Elsewhere,
     /// No room for new ids.
     Full,
 }
 
 /// What tries of one booking share.
 #[derive(Clone)]
-struct Ticket {
+pub(super) struct Ticket {
     answer: watch::Receiver<Option<Answer>>,
     waiters: Arc<Waiters>,
 }
@@ -75,26 +73,15 @@
 /// All bookings under way and remembered.
 #[derive(Clone)]
 pub struct Bookings {
-    ledger: Arc<Mutex<RepeatLedger<Ticket>>>,
+    ids: RepeatIds,
     core: Handle,
     clock: Clock,
-    span: Time,
 }
 
 impl Bookings {
-    /// No bookings yet; remembers `most` ids with answers of `room` bytes, each for `span`.
-    pub fn new(core: Handle, clock: Clock, most: usize, room: usize, span: Time) -> Self {
-        let ledger = Arc::new(Mutex::new(RepeatLedger::new(most, room, span, clock.now())));
-        Bookings { ledger, core, clock, span }
-    }
-
-    /// How long ids are remembered.
-    pub fn span(&self) -> Time {
-        self.span
-    }
-
-    fn with<R>(&self, f: impl FnOnce(&mut RepeatLedger<Ticket>) -> R) -> R {
-        f(&mut self.ledger.lock().unwrap_or_else(PoisonError::into_inner))
+    /// Bookings whose ids are entered there.
+    pub fn new(core: Handle, clock: Clock, ids: RepeatIds) -> Self {
+        Bookings { ids, core, clock }
     }
 
     /// Runs a booking, or joins the run of its id.
@@ -102,9 +89,12 @@
         let deadline = self.clock.instant(request.deadline);
         let (tell, answer) = watch::channel(None);
         let ticket = Ticket { answer, waiters: Arc::default() };
-        let Try { id, print, weight, first_sent } = attempt;
-        let now = self.clock.now();
-        let claim = self.with(|l| l.claim(&id, (print, weight), first_sent, now, ticket.clone()));
+        let id = RepeatIds::name(&attempt.id);
+        if !self.ids.heard(deadline).await {
+            count(Count::repeat_ids_unshared);
+            return Booked::Unprovable;
+        }
+        let claim = self.ids.claim(&id, attempt.candidate, ticket.clone());
         let mut ticket = match claim {
             Claim::New => {
                 self.run(id, request, tell, ticket.waiters.clone());
@@ -120,6 +110,7 @@
             }
             Claim::Differs => return Booked::Differs,
             Claim::Unprovable => return Booked::Unprovable,
+            Claim::Elsewhere => return Booked::Elsewhere,
             Claim::Full => return Booked::Full,
         };
         let _waits = ticket.waiters.come();
@@ -145,11 +136,11 @@
                     },
                 }
             };
-            this.with(|l| match answer {
+            match answer {
                 // Refused means that nothing ran: the next try may run it.
-                Answer::Refused(_) => l.forget(&id),
-                _ => l.ended(&id),
-            });
+                Answer::Refused(_) => this.ids.forget(&id),
+                _ => this.ids.ended(&id),
+            }
             let _ = tell.send(Some(answer));
         });
     }
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -42,6 +42,8 @@
     odata_replayed,
     odata_conflicts,
     odata_unprovable,
+    odata_elsewhere,
+    repeat_ids_unshared,
     stale_caught,
     served,
     refused,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -11,6 +11,7 @@
 mod live;
 mod member_times;
 mod orders;
+pub mod repeat_ids;
 pub mod repeat_ledger;
 pub mod session_ledger;
 
--- a/src/core/repeat_ledger.rs
+++ b/src/core/repeat_ledger.rs
@@ -3,6 +3,9 @@
 use crate::interface::Time;
 use std::collections::HashMap;
 
+/// Expired entries that one call removes at most: a full ledger is emptied over several requests.
+const EXPIRED_PER_CALL_MAX: usize = 64;
+
 /// What the ledger says to one more use of an id.
 #[derive(Debug, PartialEq)]
 pub enum Claim<T> {
@@ -10,78 +13,132 @@
     New,
     /// The same request, known, with what was entered for it.
     Known(T),
+    /// The same request, entered by another process, which alone knows its answer.
+    Elsewhere,
     /// Another request used this id.
     Differs,
-    /// Too old or from before this process: it cannot be proved that it has not run.
+    /// Too old or from before all that is known: it cannot be proved that it has not run.
     Unprovable,
     /// No room; nothing within its span may be forgotten.
     Full,
 }
 
+/// How much a ledger may hold, and how much it holds.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Ids.
+    pub ids: usize,
+    /// Bytes of all remembered answers together, and those that are spoken for.
+    pub bytes: usize,
+}
+
+impl Load {
+    /// What is left of this beside what is held.
+    pub fn minus(self, held: Load) -> Load {
+        Load { ids: self.ids.saturating_sub(held.ids), bytes: self.bytes.saturating_sub(held.bytes) }
+    }
+
+    /// Both together.
+    pub fn plus(self, more: Load) -> Load {
+        Load { ids: self.ids + more.ids, bytes: self.bytes + more.bytes }
+    }
+
+    /// One of two equal shares.
+    pub fn half(self) -> Load {
+        Load { ids: self.ids / 2, bytes: self.bytes / 2 }
+    }
+}
+
+/// A request that names a repeat id.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Candidate {
+    /// Fingerprint of what it asks for.
+    pub fingerprint: u64,
+    /// Bytes that its answer may take.
+    pub weight: usize,
+    /// When its client first sent it, by the client's clock.
+    pub first_sent: Time,
+}
+
+/// An entry as other processes need to know it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SharedEntry {
+    /// Fingerprint of what it asks for; none where it could not be read.
+    pub fingerprint: Option<u64>,
+    /// When its client first sent it.
+    pub first_sent: Time,
+    /// How much longer it has to be remembered, in us.
+    pub remaining: Time,
+}
+
 struct Kept<T> {
-    print: u64,
+    fingerprint: Option<u64>,
+    first_sent: Time,
     weight: usize,
     until: Time,
     running: bool,
-    ticket: T,
+    /// None for one that another process entered.
+    ticket: Option<T>,
 }
 
 /// Ids of charging bookings and what became of them. An id is entered before the first send and kept for `span`
 /// after it was entered; what is still within its span is never evicted.
 pub struct RepeatLedger<T> {
-    most: usize,
-    /// Bytes that all kept answers may take together, and those that are spoken for.
-    room: usize,
-    taken: usize,
+    capacity: Load,
+    held: Load,
     span: Time,
-    began: Time,
+    /// All ids that were first sent since then, by the clock of this ledger, are known.
+    complete_since: Time,
     kept: HashMap<String, Kept<T>>,
 }
 
 impl<T: Clone> RepeatLedger<T> {
-    /// A ledger that began at `began`, holds `most` ids and answers of `room` bytes, and keeps each for `span`.
-    pub fn new(most: usize, room: usize, span: Time, began: Time) -> Self {
-        RepeatLedger { most, room, taken: 0, span, began, kept: HashMap::new() }
-    }
-
-    /// Claims an id for the request with fingerprint `print`, first sent by its client at `first_sent`, whose
-    /// answer may take `weight` bytes. A new one is entered as running, with `ticket`.
-    pub fn claim(
-        &mut self,
-        id: &str,
-        (print, weight): (u64, usize),
-        first_sent: Time,
-        now: Time,
-        ticket: T,
-    ) -> Claim<T> {
+    /// A ledger that began at `began` and keeps each id for `span`.
+    pub fn new(capacity: Load, span: Time, began: Time) -> Self {
+        RepeatLedger { capacity, held: Load::default(), span, complete_since: began, kept: HashMap::new() }
+    }
+
+    /// Claims an id for a request. A new one is entered as running, with `ticket`.
+    pub fn claim(&mut self, id: &str, request: Candidate, now: Time, ticket: T) -> Claim<T> {
+        let Candidate { fingerprint, weight, first_sent } = request;
         if let Some(kept) = self.kept.get(id) {
-            return if kept.print == print { Claim::Known(kept.ticket.clone()) } else { Claim::Differs };
+            return match (&kept.ticket, kept.fingerprint) {
+                (_, Some(other)) if other != fingerprint => Claim::Differs,
+                (Some(ticket), _) => Claim::Known(ticket.clone()),
+                (None, _) => Claim::Elsewhere,
+            };
         }
         // An id is kept for `span` from its arrival, or from its first send should that lie ahead by the client's
-        // clock: one that is unknown, and was first sent within the span and since the start, is provably new.
-        if first_sent < self.began || now > first_sent.saturating_add(self.span) {
+        // clock: one that is unknown, and was first sent within the span and since all is known, is provably new.
+        if first_sent < self.complete_since || now > first_sent.saturating_add(self.span) {
             return Claim::Unprovable;
         }
-        if self.full(weight) {
-            let mut freed = 0;
-            self.kept.retain(|_, k| {
-                let keep = k.running || now <= k.until;
-                freed += if keep { 0 } else { k.weight };
-                keep
-            });
-            self.taken -= freed;
-        }
-        if self.full(weight) {
+        if self.is_full(weight) {
             return Claim::Full;
         }
-        self.taken += weight;
         let until = now.max(first_sent).saturating_add(self.span);
-        self.kept.insert(id.to_string(), Kept { print, weight, until, running: true, ticket });
+        let fingerprint = Some(fingerprint);
+        let kept = Kept { fingerprint, first_sent, weight, until, running: true, ticket: Some(ticket) };
+        self.enter(id.to_string(), kept);
         Claim::New
     }
 
-    fn full(&self, weight: usize) -> bool {
-        self.kept.len() >= self.most || self.taken.saturating_add(weight) > self.room
+    fn enter(&mut self, id: String, kept: Kept<T>) {
+        self.held = self.held.plus(Load { ids: 1, bytes: kept.weight });
+        self.kept.insert(id, kept);
+    }
+
+    /// Whether there is no room for one more answer of `weight` bytes.
+    pub fn is_full(&self, weight: usize) -> bool {
+        self.held.ids >= self.capacity.ids || self.held.bytes.saturating_add(weight) > self.capacity.bytes
+    }
+
+    /// Removes some of the entries whose span is over, and returns their ids.
+    pub fn remove_expired(&mut self, now: Time) -> Vec<String> {
+        let expired = self.kept.iter().filter(|(_, kept)| !kept.running && now > kept.until);
+        let expired: Vec<String> = expired.take(EXPIRED_PER_CALL_MAX).map(|(id, _)| id.clone()).collect();
+        expired.iter().for_each(|id| self.forget(id));
+        expired
     }
 
     /// The request of an id has ended; its answer is kept.
@@ -93,6 +150,65 @@
 
     /// Takes an id back whose request provably never ran, so that a retry may run it.
     pub fn forget(&mut self, id: &str) {
-        self.taken -= self.kept.remove(id).map_or(0, |k| k.weight);
+        if let Some(kept) = self.kept.remove(id) {
+            self.held = self.held.minus(Load { ids: 1, bytes: kept.weight });
+        }
+    }
+
+    /// Enters an id that another process has entered; one that is known stays as it is.
+    pub fn admit(&mut self, id: String, entry: SharedEntry, now: Time) {
+        if self.kept.contains_key(&id) {
+            return;
+        }
+        let SharedEntry { fingerprint, first_sent, remaining } = entry;
+        let until = now.saturating_add(remaining).max(first_sent.saturating_add(self.span));
+        let kept = Kept { fingerprint, first_sent, weight: 0, until, running: false, ticket: None };
+        self.enter(id, kept);
+    }
+
+    /// All ids.
+    pub fn ids(&self) -> Vec<String> {
+        self.kept.keys().cloned().collect()
+    }
+
+    /// An entry as other processes need to know it.
+    pub fn shared(&self, id: &str, now: Time) -> Option<SharedEntry> {
+        let kept = self.kept.get(id)?;
+        let remaining = kept.until.saturating_sub(now);
+        Some(SharedEntry { fingerprint: kept.fingerprint, first_sent: kept.first_sent, remaining })
+    }
+
+    /// How much it holds.
+    pub fn held(&self) -> Load {
+        self.held
+    }
+
+    /// How much it may hold.
+    pub fn capacity(&self) -> Load {
+        self.capacity
+    }
+
+    /// How much it may hold from now on; what it holds beyond that stays until its span is over.
+    pub fn set_capacity(&mut self, capacity: Load) {
+        self.capacity = capacity;
+    }
+
+    /// How long ids count as remembered from now on.
+    pub fn set_span(&mut self, span: Time) {
+        self.span = span;
+    }
+
+    /// All ids that were first sent since then are known.
+    pub fn complete_since(&self) -> Time {
+        self.complete_since
+    }
+
+    /// Ids that were first sent before that may be missing.
+    pub fn set_complete_since(&mut self, since: Time) {
+        self.complete_since = since;
     }
 }
+
+#[cfg(test)]
+#[path = "repeat_ledger_tests.rs"]
+mod tests;
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -4,18 +4,22 @@
 //! writes down what it has learned for the other to take in, and keeps to half of what the proxy may hold. The core
 //! and the module never see a file: what comes from there reaches them as orders, and as events.
 
+pub mod claims;
 pub mod commits;
 pub mod files;
+pub mod id_exchange;
 
 use crate::clock::Clock;
 use crate::core::counters::{count, Count};
+use crate::core::repeat_ids::RepeatIds;
 use crate::core::{Beside, Order, Taken};
-use crate::knowledge::format::{self, Unusable};
+use crate::knowledge::format;
 use crate::net::budget::Budget;
 use crate::overlay::{Hands, No};
 use crate::store::actor::Scribe;
 use commits::Log;
 use files::{Folder, FollowedFile};
+use id_exchange::IdExchange;
 use std::io::{self, ErrorKind};
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -52,10 +56,10 @@
     log::warn!("the file '{name}' of the handover is passed over: {why}");
 }
 
-fn usable<T>(
+fn usable<T, E: std::fmt::Display>(
     name: &str,
     read: io::Result<Option<Vec<u8>>>,
-    sound: impl Fn(&[u8]) -> Result<T, Unusable>,
+    sound: impl Fn(&[u8]) -> Result<T, E>,
 ) -> Option<T> {
     match read {
         Ok(bytes) => sound(&bytes?).map_err(|why| passed_over(name, &why)).ok(),
@@ -165,15 +169,23 @@
     clock: Clock,
     hands: FollowedFile,
     known: FollowedFile,
+    id_exchange: IdExchange,
     /// Holds what the other may use, while it lives.
     lent: Option<AbortHandle>,
 }
 
 impl Handover {
-    /// One for a folder in which a seat is held.
-    pub fn new(folder: Arc<Folder>, control: ControlHandle, budget: Budget, clock: Clock) -> Self {
+    /// One for a folder in which a seat is held; `ids` are those of the bookings that this process takes, if it does.
+    pub fn new(
+        folder: Arc<Folder>,
+        control: ControlHandle,
+        budget: Budget,
+        clock: Clock,
+        ids: Option<RepeatIds>,
+    ) -> Self {
         let (hands, known) = (FollowedFile::default(), FollowedFile::default());
-        Handover { folder, control, budget, clock, hands, known, lent: None }
+        let id_exchange = IdExchange::new(folder.clone(), ids);
+        Handover { folder, control, budget, clock, hands, known, id_exchange, lent: None }
     }
 
     /// Takes over what there is to take over, before the first client comes.
@@ -186,7 +198,9 @@
         if let Err(e) = self.folder.write(&commits_of(self.folder.seat), &[]) {
             log::warn!("the folder of the handover cannot be used: {e}");
         }
-        if !self.folder.accompanied() {
+        let accompanied = self.folder.accompanied();
+        self.id_exchange.begin(accompanied).await;
+        if !accompanied {
             return;
         }
         self.share().await;
@@ -194,6 +208,10 @@
             while self.learn().await.is_none() {
                 tokio::time::sleep(PAUSE).await;
             }
+            while self.id_exchange.is_waiting() {
+                tokio::time::sleep(PAUSE).await;
+                self.id_exchange.look(self.folder.accompanied()).await;
+            }
         };
         match tokio::time::timeout(FIRST_WORD, word).await {
             Ok(()) => log::info!("another process of this proxy serves; what it has learned is taken over"),
@@ -219,6 +237,7 @@
                     self.control.request(|reply| Order::Beside(None, reply)).await;
                 }
             }
+            self.id_exchange.look(with).await;
             if with && self.tell().await.is_none() {
                 return;
             }
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,6 +11,8 @@
 use linentrail::core::actor::Actor;
 use linentrail::core::bookings::Bookings;
 use linentrail::core::counters::{self, Count};
+use linentrail::core::repeat_ids::RepeatIds;
+use linentrail::core::repeat_ledger::Load;
 use linentrail::core::{Handle, Input, Order};
 use linentrail::dnssd::browse::Browser;
 use linentrail::dnssd::records;
@@ -97,6 +99,12 @@
     momentary::listen(address).await.map_err(|e| format!("{address}: {e}"))
 }
 
+/// No ids of bookings yet. Answers that are remembered share the memory with all else.
+fn repeat_ids(odata: &Odata, memory: usize, clock: Clock) -> RepeatIds {
+    let limits = Load { ids: odata.repeat_ids, bytes: odata.repeat_bytes.min(memory / 8) };
+    RepeatIds::new(limits, odata.repeat_span, clock)
+}
+
 /// Does a part of the start that may wait for others; where it can, beside the clients that come meanwhile, on a thread that
 /// an ordinary start does not need.
 async fn beside<T: Send + 'static>(
@@ -247,8 +255,10 @@
         log::info!("operators call at {}", listener.local_addr().map_err(|e| e.to_string())?);
         tokio::spawn(Console::new(control.clone(), closing.clone(), stored, fleet).run(listener));
     }
+    let repeat_ids = file.odata.enabled.then(|| repeat_ids(&file.odata, told.memory, clock));
     if let Some(folder) = folder.clone() {
-        let mut handover = Handover::new(folder, control.clone(), budget.clone(), clock);
+        let ids = repeat_ids.clone();
+        let mut handover = Handover::new(folder, control.clone(), budget.clone(), clock, ids);
         handover.begin().await;
         tokio::spawn(handover.run());
     }
@@ -274,11 +284,8 @@
         pg_address = accepting.take(listener.into_inner(), PG, &budget, pg_gate);
     }
     log::info!("serving clients at {}", pg_address.ok_or("clients have no address")?);
-    if file.odata.enabled {
-        let Odata { repeat_span, repeat_ids, repeat_bytes, .. } = file.odata;
-        // Answers that are remembered share the memory with all else.
-        let repeat_bytes = repeat_bytes.min(told.memory / 8);
-        let bookings = Bookings::new(core.clone(), clock, repeat_ids, repeat_bytes, repeat_span);
+    if let Some(repeat_ids) = repeat_ids {
+        let bookings = Bookings::new(core.clone(), clock, repeat_ids);
         let (terms, limit) = (read_under.clone(), answer_limit.clone());
         let front = odata::front::Front::new(core, bookings, terms, clock, (budget.clone(), pace), limit);
         open_odata.open(Arc::new(front));
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -6,6 +6,7 @@
 use crate::clock::Clock;
 use crate::core::bookings::{Booked, Bookings, Try};
 use crate::core::counters::{count, Count};
+use crate::core::repeat_ledger::Candidate;
 use crate::core::{Answer, Handle, Operation, Presence, Request, Work};
 use crate::http::{HttpError, HttpRequest, HttpResponse, HttpServer};
 use crate::interface::*;
@@ -18,8 +19,9 @@
 use crate::net::startup::ClientFront;
 use crate::terms::Terms;
 use bytes::Bytes;
+use sha2::{Digest, Sha256};
 use std::future::Future;
-use std::hash::{BuildHasher, DefaultHasher, Hash, Hasher, RandomState};
+use std::hash::{BuildHasher, RandomState};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::Duration;
@@ -121,7 +123,7 @@
             }
             Ok(Call::Create { facts, key, value, repeatable, minimal }) => {
                 let asked = Asked::Create { key: &key, minimal, repeatable: repeatable.is_some() };
-                let print = print(&terms, &facts, &key, &value);
+                let fingerprint = fingerprint(&terms, &facts, &key, &value);
                 let weight = value.len() + 512;
                 let mut request = self.request(&terms, facts, &key, Some(value));
                 let deadline = request.deadline;
@@ -130,8 +132,8 @@
                     let answer = self.core.submit(request).await.await;
                     return reply::answer(form, asked, answer, self.late(deadline));
                 };
-                let attempt = Try { id, print, weight, first_sent };
-                match self.bookings.book(attempt, request).await {
+                let candidate = Candidate { fingerprint, weight, first_sent };
+                match self.bookings.book(Try { id, candidate }, request).await {
                     Booked::Answer(answer) => reply::answer(form, asked, answer, self.late(deadline)),
                     Booked::Differs => {
                         count(Count::odata_conflicts);
@@ -140,7 +142,12 @@
                     }
                     Booked::Unprovable => {
                         count(Count::odata_unprovable);
-                        let text = "first sent too long ago: it cannot be proved that it has not run";
+                        let text = "it cannot be proved that it has not run: first sent too long ago, or its id cannot be looked up";
+                        refused(Fault::new(412, "RepeatabilityExpired", text).rejected(), form)
+                    }
+                    Booked::Elsewhere => {
+                        count(Count::odata_elsewhere);
+                        let text = "another process of this proxy has taken this id: it may have run there";
                         refused(Fault::new(412, "RepeatabilityExpired", text).rejected(), form)
                     }
                     Booked::Full => {
@@ -203,12 +210,19 @@
     }
 }
 
-/// Fingerprint of what a booking asks for; how long a try waits is not part of it.
-fn print(terms: &Terms, facts: &Facts, key: &str, value: &[u8]) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    // By its name, as a reload may give a class another number.
-    (terms.class_name(facts.class), facts.tenant, facts.group, &facts.session, key, value).hash(&mut hasher);
-    hasher.finish()
+/// Fingerprint of what a booking asks for; how long a try waits is not part of it. By names, as a reload may give a class
+/// another number, and by a hash that every version of the program works out alike.
+fn fingerprint(terms: &Terms, facts: &Facts, key: &str, value: &[u8]) -> u64 {
+    let group = facts.group.to_be_bytes();
+    let session = facts.session.as_deref().unwrap_or_default();
+    let class = terms.class_name(facts.class);
+    let tenant = terms.names.tenants.get(facts.tenant).map_or("", |name| name);
+    let mut hash = Sha256::new();
+    for field in [class.as_bytes(), tenant.as_bytes(), &group, session.as_bytes(), key.as_bytes(), value] {
+        hash.update((field.len() as u64).to_be_bytes());
+        hash.update(field);
+    }
+    hash.finalize().first_chunk().map_or(0, |first| u64::from_be_bytes(*first))
 }
 
 pub(super) fn refused(fault: Fault, form: Form) -> HttpResponse {
