Take another process for alive until a first look has succeeded

Where the first look at the other process's slot failed, it counted as gone: since ids are shared, a start that could not look would go on alone, and take for new what the other has entered. Unknown is alive. The test fails before (the first look that cannot be made said 'gone'); the limits are halved meanwhile, which harms nobody.

--- a/src/handover/files.rs
+++ b/src/handover/files.rs
@@ -59,7 +59,7 @@
     /// Which seat it is.
     pub seat: usize,
     _seat: File,
-    /// Another process lived at the last look.
+    /// Another process lived at the last look; until one has succeeded it may.
     accompanied: AtomicBool,
 }
 
@@ -87,7 +87,7 @@
             for seat in 0..SEATS {
                 let file = made(&path.join(format!("seat-{seat}")))?;
                 if locked(&file)? {
-                    return Ok(Some(Folder { path, seat, _seat: file, accompanied: AtomicBool::new(false) }));
+                    return Ok(Some(Folder { path, seat, _seat: file, accompanied: AtomicBool::new(true) }));
                 }
             }
             std::thread::sleep(PAUSE);
@@ -209,6 +209,19 @@
         let _ = fs::remove_dir_all(path);
     }
 
+    #[test]
+    fn another_process_that_could_not_be_looked_for_yet_may_live() {
+        let path = folder("unlooked");
+        let a = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
+        // A folder in its place cannot be opened for the look.
+        let seat = a.place(&format!("seat-{}", a.other()));
+        fs::create_dir(&seat).expect("fine");
+        assert!(a.accompanied());
+        fs::remove_dir(&seat).expect("fine");
+        assert!(!a.accompanied());
+        let _ = fs::remove_dir_all(path);
+    }
+
     #[test]
     fn a_file_that_cannot_be_read_for_a_moment_is_read_once_it_can_be() {
         let mark = Some((SystemTime::UNIX_EPOCH, 1));
