Hear signals that came before a call of STATUS before it is answered

What callers saw: 'serving' from a process that had been sent SIGTERM before the call, so that a platform that stops a process and asks how it is could not go by the answer (both_told_to_end_answer_what_they_have_taken failed at times, each time at this line).

Cause: the kernel hands the process the call's connection and the signal at once, and the signal reaches the runtime only with its next look at the kernel; the console answered in the turn before. Both logs 'told to end' stood in each failed run.

Change: STATUS waits for a timer of 1 ms first. Timers fire only behind such a look, so that the task that handles the signal runs first.

--- a/src/console/mod.rs
+++ b/src/console/mod.rs
@@ -32,6 +32,8 @@
 const LAST_WORD: Duration = Duration::from_secs(2);
 /// By then a caller is told that its call was not done: an answer is owed within a second.
 const DONE: Duration = Duration::from_millis(800);
+/// A timer fires only behind a look at what the kernel has to tell: whatever signal came before a call is heard by then.
+const SIGNALS_HEARD: Duration = Duration::from_millis(1);
 /// After a failure to accept.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -174,6 +176,7 @@
 
     /// Yes only where a client would really be served.
     async fn status(&self) -> Reply {
+        tokio::time::sleep(SIGNALS_HEARD).await;
         let phase = *self.phase.borrow();
         match phase {
             Phase::Starting => return Reply::No("starting: clients are not taken yet".to_string()),
