Join the folder of a hand-over later where it cannot be used at the start

What callers saw: a process that could not open the shared folder at its start, for a moment, went on for its whole life as if it were the only one of its proxy: a booking that the former process had run ran again, and SUSPEND was answered 200 though the other process never heard of it.

Cause: Folder::join gave up at the first error, and main took 'no folder' for 'no other process'.

Change: joining is tried for the same 5 s as a taken slot; after that the process serves, no repeat id counts as new, the operators' calls get 'cannot be recorded', and it is tried on every 200 ms (SharedFolder, Handover::join_late).

--- a/src/handover/files.rs
+++ b/src/handover/files.rs
@@ -76,22 +76,32 @@
 }
 
 impl Folder {
-    /// Takes a seat in the folder, which is made where it is not there; none while others hold all seats, after so
-    /// many tries.
+    /// Takes a seat in the folder, which is made where it is not there; none while others hold all seats. What cannot be done
+    /// is tried so many times.
     ///
     /// # Errors
-    /// When the folder cannot be used.
+    /// When the folder cannot be used, by the last try.
     pub fn join(path: PathBuf, tries: usize) -> io::Result<Option<Self>> {
-        fs::create_dir_all(&path)?;
+        let mut outcome = Ok(None);
         for _ in 0..tries {
-            for seat in 0..SEATS {
-                let file = made(&path.join(format!("seat-{seat}")))?;
-                if locked(&file)? {
-                    return Ok(Some(Folder { path, seat, _seat: file, accompanied: AtomicBool::new(true) }));
-                }
+            outcome = Self::try_join(&path);
+            if matches!(outcome, Ok(Some(_))) {
+                break;
             }
             std::thread::sleep(PAUSE);
         }
+        outcome
+    }
+
+    fn try_join(path: &Path) -> io::Result<Option<Self>> {
+        fs::create_dir_all(path)?;
+        for seat in 0..SEATS {
+            let file = made(&path.join(format!("seat-{seat}")))?;
+            if locked(&file)? {
+                let accompanied = AtomicBool::new(true);
+                return Ok(Some(Folder { path: path.to_path_buf(), seat, _seat: file, accompanied }));
+            }
+        }
         Ok(None)
     }
 
--- a/src/handover/handover_tests.rs
+++ b/src/handover/handover_tests.rs
@@ -31,7 +31,7 @@
         std::os::unix::fs::symlink(&hands, &hands).expect("a link");
         let (orders, ordered) = mpsc::channel(4);
         tokio::spawn(agrees(ordered));
-        let control = ControlHandle::new(orders, Some(folder.clone()));
+        let control = ControlHandle::new(orders, SharedFolder::joined(folder.clone()));
         let change = || control.change("a", |reply| Order::Suspend("a".into(), reply));
         let refused = change().await.expect_err("it cannot be recorded");
         assert!(refused.starts_with("the call cannot be recorded"), "{refused}");
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -8,6 +8,7 @@
 pub mod commits;
 pub mod files;
 pub mod id_exchange;
+pub mod shared_folder;
 
 use crate::clock::Clock;
 use crate::core::counters::{count, Count};
@@ -20,6 +21,7 @@
 use commits::Log;
 use files::{Folder, FollowedFile};
 use id_exchange::IdExchange;
+use shared_folder::SharedFolder;
 use std::io::{self, ErrorKind};
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -33,6 +35,8 @@
 const FIRST_WORD: Duration = Duration::from_millis(800);
 const LOCK: Duration = Duration::from_millis(500);
 const PAUSE: Duration = Duration::from_millis(5);
+/// Between two tries to join a folder that could not be used at the start.
+const JOIN_INTERVAL: Duration = Duration::from_millis(200);
 /// The file of what the operators said.
 const HANDS: &str = "hands";
 
@@ -74,14 +78,14 @@
 #[derive(Clone)]
 pub struct ControlHandle {
     orders: mpsc::Sender<Order>,
-    folder: Option<Arc<Folder>>,
+    folder: SharedFolder,
     /// Where the operators' word is written down for later starts.
     scribe: Option<Scribe>,
 }
 
 impl ControlHandle {
     /// One that hands orders to the core, and records them where the proxy has a folder.
-    pub fn new(orders: mpsc::Sender<Order>, folder: Option<Arc<Folder>>) -> Self {
+    pub fn new(orders: mpsc::Sender<Order>, folder: SharedFolder) -> Self {
         ControlHandle { orders, folder, scribe: None }
     }
 
@@ -122,10 +126,13 @@
     /// Has it done, and recorded for the other process.
     async fn record(&self, order: impl FnOnce(oneshot::Sender<Taken>) -> Order) -> Result<(), String> {
         let ending = || "the process ends".to_string();
-        let Some(folder) = &self.folder else {
+        let fault = |e: io::Error| format!("the call cannot be recorded: {e}");
+        if self.folder.is_missing() {
+            return Err(fault(io::Error::other("the folder of the handover cannot be used yet")));
+        }
+        let Some(folder) = self.folder.get() else {
             return self.request(order).await.ok_or_else(ending)?.map_err(said);
         };
-        let fault = |e: io::Error| format!("the call cannot be recorded: {e}");
         // Held until the end: another call, here or there, must neither be lost nor undo this one.
         let _lock = self.lock(folder).await.map_err(fault)?;
         let read = match folder.read(HANDS) {
@@ -188,6 +195,29 @@
         Handover { folder, control, budget, clock, hands, known, id_exchange, lent: None }
     }
 
+    /// Joins a folder that could not be used at the start, once it can be, and follows it until the core has ended.
+    pub async fn join_late(
+        shared: SharedFolder,
+        place: PathBuf,
+        control: ControlHandle,
+        budget: Budget,
+        clock: Clock,
+        ids: Option<RepeatIds>,
+    ) {
+        let folder = loop {
+            tokio::time::sleep(JOIN_INTERVAL).await;
+            let place = place.clone();
+            if let Ok(Ok(Some(folder))) = tokio::task::spawn_blocking(|| Folder::join(place, 1)).await {
+                break Arc::new(folder);
+            }
+        };
+        log::info!("the folder of the handover can be used now");
+        shared.join(folder.clone());
+        let mut handover = Handover::new(folder, control, budget, clock, ids);
+        handover.begin().await;
+        handover.run().await;
+    }
+
     /// Takes over what there is to take over, before the first client comes.
     pub async fn begin(&mut self) {
         // What another process has left, or wrote before this one began, is not what the one that lives knows now. Told by
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,6 +17,7 @@
 use linentrail::dnssd::browse::Browser;
 use linentrail::dnssd::records;
 use linentrail::handover::files::Folder;
+use linentrail::handover::shared_folder::SharedFolder;
 use linentrail::handover::{self, ControlHandle, Handover};
 use linentrail::knowledge::Held;
 use linentrail::listing::{Delivery, Listing};
@@ -38,7 +39,7 @@
 use linentrail::terms::Slots;
 use linentrail::{ask, config, fleet, logs, meter, odata, pg};
 use linentrail::{ListKind, Time};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::atomic::AtomicBool;
 use std::sync::Arc;
@@ -64,17 +65,23 @@
 const PG: Count = Count::pg_connections;
 const ODATA: Count = Count::odata_connections;
 
-/// The folder in which the processes of this proxy meet, where the platform has what it takes for two of them to serve.
-fn meet(name: &str, handed: bool) -> Result<Option<Folder>, String> {
-    let shared = std::env::var("TMPDIR").ok().filter(|v| handed && !v.is_empty());
-    let Some(shared) = shared else { return Ok(None) };
-    let place = handover::place(&shared, name);
-    match Folder::join(place.clone(), SLOT_TRIES) {
+/// Where the processes of this proxy meet, if the platform has what it takes for two of them to serve.
+fn meeting_place(name: &str, shares_listener: bool) -> Option<PathBuf> {
+    let shared = std::env::var("TMPDIR").ok().filter(|v| shares_listener && !v.is_empty());
+    shared.map(|shared| handover::place(&shared, name))
+}
+
+/// The folder there; where it cannot be used yet it is joined later.
+fn join_folder(place: &Path) -> Result<SharedFolder, String> {
+    match Folder::join(place.to_path_buf(), SLOT_TRIES) {
+        Ok(Some(folder)) => Ok(SharedFolder::joined(Arc::new(folder))),
         Ok(None) => Err(format!("two processes of this proxy live already, by {}", place.display())),
-        Ok(folder) => Ok(folder),
         Err(e) => {
-            log::error!("{}: {e}; nothing is shared with another process of this proxy", place.display());
-            Ok(None)
+            log::error!(
+                "{}: {e}; nothing is shared with another process of this proxy for now",
+                place.display()
+            );
+            Ok(SharedFolder::expected())
         }
     }
 }
@@ -163,8 +170,11 @@
         "limits: {} descriptors, {memory} MiB; members close what is idle for {idle} ms",
         told.sockets
     );
-    let (name, shares_listener) = (told.name.clone(), handed.is_some());
-    let folder = beside(shares_listener, move || meet(&name, shares_listener)).await?.map(Arc::new);
+    let place = meeting_place(&told.name, handed.is_some());
+    let shared_folder = match place.clone() {
+        Some(place) => beside(true, move || join_folder(&place)).await?,
+        None => SharedFolder::default(),
+    };
     let clock = Clock::start();
     let budget = early_budget.unwrap_or_else(|| Budget::new(told.sockets, told.memory));
     let (mailbox, inbox) = mpsc::channel(MAILBOX);
@@ -195,7 +205,7 @@
     }
 
     let scribe = store.as_ref().map(|(scribe, ..)| scribe.clone());
-    let control = ControlHandle::new(orders, folder.clone()).writing(scribe.clone());
+    let control = ControlHandle::new(orders, shared_folder.clone()).writing(scribe.clone());
     let (stored, mut held, mut last) = (Arc::new(AtomicBool::new(stored)), None, None);
     if let Some((scribe, found, text)) = store {
         recovery::recall(&file.store, found, &control, clock.now()).await;
@@ -256,11 +266,22 @@
         tokio::spawn(Console::new(control.clone(), closing.clone(), stored, fleet).run(listener));
     }
     let repeat_ids = file.odata.enabled.then(|| repeat_ids(&file.odata, told.memory, clock));
-    if let Some(folder) = folder.clone() {
-        let ids = repeat_ids.clone();
-        let mut handover = Handover::new(folder, control.clone(), budget.clone(), clock, ids);
-        handover.begin().await;
-        tokio::spawn(handover.run());
+    match (shared_folder.get(), place) {
+        (Some(folder), _) => {
+            let folder = folder.clone();
+            let mut handover =
+                Handover::new(folder, control.clone(), budget.clone(), clock, repeat_ids.clone());
+            handover.begin().await;
+            tokio::spawn(handover.run());
+        }
+        (None, Some(place)) => {
+            // Another process may live that this one cannot see.
+            repeat_ids.iter().for_each(RepeatIds::expect_peer);
+            let (shared, control, budget) = (shared_folder.clone(), control.clone(), budget.clone());
+            let joined = Handover::join_late(shared, place, control, budget, clock, repeat_ids.clone());
+            tokio::spawn(joined);
+        }
+        (None, None) => {}
     }
     let began = clock.now().saturating_sub(began.elapsed().as_micros() as Time);
     control.request(|reply| Order::Serves(began, reply)).await;
@@ -302,7 +323,7 @@
             _ = int.recv() => break,
         }
     }
-    let accompanied = folder.is_some_and(|folder| folder.accompanied());
+    let accompanied = shared_folder.get().is_some_and(|folder| folder.accompanied());
     let longest_deadline =
         move || read_under.borrow().classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let last_writing = async {
--- a/tests/repeat_ids.rs
+++ b/tests/repeat_ids.rs
@@ -169,6 +169,29 @@
     );
 }
 
+#[test]
+fn a_booking_does_not_run_again_where_the_shared_folder_cannot_be_joined_at_the_start() {
+    // A folder where its lock should be: the next process can neither see the former nor be seen by it.
+    play(
+        "member p primary
+         start odata console handed
+         o send POST k1 01 id=x sent=-60
+         o expect 201
+         shared seat-1 blocked
+         upgrade
+         n send POST k1 01 id=x sent=-60
+         n expect 412 RepeatabilityExpired
+         console 400 SUSPEND p
+         shared seat-1 free
+         counts handovers 1
+         n send POST k1 01 id=x sent=-60
+         n expect 412 RepeatabilityExpired
+         n send POST k2 01 id=y sent=0
+         n expect 201
+         p expect 1 write k1",
+    );
+}
+
 #[test]
 fn both_processes_go_on_with_new_bookings_and_with_those_that_never_ran() {
     play(
--- a/tests/scenario/mod.rs
+++ b/tests/scenario/mod.rs
@@ -54,7 +54,8 @@
 //! both SUSPEND a b            calls about these at once, in turn at the one and the other process
 //! former hangs                the process that is to be the former one stands still (SIGSTOP); `former resumes` behind `upgrade`
 //! back out                    the next process is killed, and the former one goes on alone; `shared NAME is TEXT` writes a file
-//!                             of theirs, `shared NAME missing`: there is no such file
+//!                             of theirs, `shared NAME missing`: there is no such file; `blocked`, `free`: a
+//!                             folder stands in its place, and no longer
 //! former 200 RESTORE p        the same on the former one's console; `former stop`, `former gone` and `former kill`
 //! wait 50                     milliseconds; `clock` begins a span that must not have passed `within 3000`
 //! ```
@@ -240,6 +241,16 @@
                 let shared = self.setup.shared.as_ref().expect("start handed");
                 assert!(!shared.join("linentrail-t").join(name).exists(), "{line}");
             }
+            ["shared", name, blocked @ ("blocked" | "free")] => {
+                let path = self.setup.shared.as_ref().expect("start handed").join("linentrail-t").join(name);
+                match blocked {
+                    "blocked" => {
+                        let _ = std::fs::remove_file(&path);
+                        std::fs::create_dir(path).unwrap();
+                    }
+                    _ => std::fs::remove_dir(path).unwrap(),
+                }
+            }
             ["shared", name, "is", ..] => {
                 let shared = self.setup.shared.as_ref().expect("start handed");
                 std::fs::write(shared.join("linentrail-t").join(name), rest(3)).unwrap();
