Read no stale session while the other process of a proxy cannot be seen

What callers saw: where the shared folder could not be used at a start, a session read by the new process, without a position, came from a replica that lacked what the session had written by the former one.

Cause: the same as for repeat ids: 'no folder' was taken for 'no other process', so that 'no commit heard' counted as 'no commit'.

Change: until the folder is joined any session may have been written to up to now, so that its reads go to members known to be that recent, as where a file of commits cannot be read (UnseenPeer).

Measured: the new test fails before (a stale value by OData) and passes; all of operations and repeat_ids pass.

--- a/src/handover/commits.rs
+++ b/src/handover/commits.rs
@@ -181,6 +181,17 @@
     }
 }
 
+/// Another process that may live and cannot be seen: any session may have been written to up to now.
+pub struct UnseenPeer;
+
+impl Beside for UnseenPeer {
+    fn wrote(&mut self, _: &str, _: Position) {}
+
+    fn news(&mut self) -> PeerCommits {
+        PeerCommits { commits: Vec::new(), complete: false }
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -18,7 +18,7 @@
 use crate::net::budget::Budget;
 use crate::overlay::{Hands, No};
 use crate::store::actor::Scribe;
-use commits::Log;
+use commits::{Log, UnseenPeer};
 use files::{Folder, FollowedFile};
 use id_exchange::IdExchange;
 use shared_folder::SharedFolder;
@@ -204,6 +204,8 @@
         clock: Clock,
         ids: Option<RepeatIds>,
     ) {
+        let unseen: Option<Box<dyn Beside>> = Some(Box::new(UnseenPeer));
+        control.request(|reply| Order::Beside(unseen, reply)).await;
         let folder = loop {
             tokio::time::sleep(JOIN_INTERVAL).await;
             let place = place.clone();
@@ -213,8 +215,11 @@
         };
         log::info!("the folder of the handover can be used now");
         shared.join(folder.clone());
-        let mut handover = Handover::new(folder, control, budget, clock, ids);
+        let mut handover = Handover::new(folder, control.clone(), budget, clock, ids);
         handover.begin().await;
+        if handover.lent.is_none() {
+            control.request(|reply| Order::Beside(None, reply)).await;
+        }
         handover.run().await;
     }
 
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -515,6 +515,26 @@
     );
 }
 
+#[test]
+fn a_session_reads_what_it_has_written_where_the_processes_cannot_see_each_other() {
+    // A folder where a lock should be; the replica is far behind.
+    play(
+        "member p primary
+         member r replica 600000
+         start odata console handed
+         o send POST k1 02 id=x sent=0
+         o expect 201
+         shared seat-1 blocked
+         upgrade
+         n send GET k1 my-booking
+         n expect 200 \"Ag\"
+         shared seat-1 free
+         counts handovers 1
+         n send GET k1 my-booking
+         n expect 200 \"Ag\"",
+    );
+}
+
 #[test]
 fn both_told_to_end_answer_what_they_have_taken() {
     play(
