Copy a running proxy's folder in the rig without the files that go meanwhile

What was seen: tests/agreement.rs, a_voter_whose_store_is_lost_or_rolled_back_learns_before_it_votes, ended in 1 of 9 runs beside 14 busy loops with 'it runs to its end: Os { code: 2, kind: NotFound }', before any check.

Cause: the rig's 'store kept' copies the folder of a proxy that lives; a file written aside was listed, and renamed before it was copied.

Change: unfinished files, which no start reads, are left out, and one that has gone is passed over. No rule of the checker changes.

--- a/crates/standins/src/rig/harm.rs
+++ b/crates/standins/src/rig/harm.rs
@@ -2,7 +2,7 @@
 
 use super::script::Harm;
 use std::fs;
-use std::io::{Error, Result};
+use std::io::{Error, ErrorKind, Result};
 use std::os::unix::fs::PermissionsExt;
 use std::path::{Path, PathBuf};
 
@@ -14,8 +14,7 @@
     let mut files = Vec::new();
     for entry in fs::read_dir(folder)? {
         let (entry, told) = entry.and_then(|e| e.metadata().map(|m| (e, m)))?;
-        let whole = entry.path().extension().is_none_or(|ending| ending != UNFINISHED);
-        if told.is_file() && told.len() > 0 && whole {
+        if told.is_file() && told.len() > 0 && !is_unfinished(&entry.path()) {
             files.push((told.modified()?, entry.path()));
         }
     }
@@ -23,13 +22,22 @@
     files.pop().map(|(_, path)| path).ok_or_else(|| Error::other(format!("{} is empty", folder.display())))
 }
 
+fn is_unfinished(path: &Path) -> bool {
+    path.extension().is_some_and(|ending| ending == UNFINISHED)
+}
+
+/// Copies a folder whose process may be writing to it: files that are unfinished or go meanwhile are left out.
 fn copy(from: &Path, to: &Path) -> Result<()> {
     let _ = fs::remove_dir_all(to);
     fs::create_dir_all(to)?;
     for entry in fs::read_dir(from)? {
         let entry = entry?;
-        if entry.file_type()?.is_file() {
-            fs::copy(entry.path(), to.join(entry.file_name()))?;
+        if !entry.file_type()?.is_file() || is_unfinished(&entry.path()) {
+            continue;
+        }
+        match fs::copy(entry.path(), to.join(entry.file_name())) {
+            Err(e) if e.kind() == ErrorKind::NotFound => {}
+            copied => drop(copied?),
         }
     }
     Ok(())
@@ -79,6 +87,31 @@
         fs::remove_dir_all(&folder).expect("the folder");
     }
 
+    #[test]
+    fn a_file_that_is_being_written_while_its_folder_is_kept_is_left_out() {
+        let folder = std::env::temp_dir().join(format!("linentrail-harm-kept-{}", std::process::id()));
+        let _ = fs::remove_dir_all(&folder);
+        fs::create_dir_all(&folder).expect("a folder");
+        fs::write(folder.join("snapshot"), [0; 100]).expect("a file");
+        let ends = std::sync::atomic::AtomicBool::new(false);
+        std::thread::scope(|scope| {
+            scope.spawn(|| {
+                // As a store writes: aside, then in its place.
+                while !ends.load(std::sync::atomic::Ordering::Relaxed) {
+                    fs::write(folder.join("snapshot.new"), [0; 100]).expect("a file");
+                    fs::rename(folder.join("snapshot.new"), folder.join("snapshot")).expect("a file");
+                }
+            });
+            let copied = (0..2_000).try_for_each(|_| carry_out(&folder, Harm::Kept));
+            ends.store(true, std::sync::atomic::Ordering::Relaxed);
+            copied.expect("a copy each time");
+        });
+        let kept = folder.with_extension("kept");
+        assert!(kept.join("snapshot").exists() && !kept.join("snapshot.new").exists());
+        fs::remove_dir_all(&folder).expect("the folder");
+        fs::remove_dir_all(kept).expect("the copy");
+    }
+
     #[test]
     fn each_harm_is_what_it_says() {
         let folder = std::env::temp_dir().join(format!("linentrail-harm-{}", std::process::id()));
