Write down again what an agreement's voter could not write down

What operators saw: a change that was proposed while the disks of most voters failed for a moment never came into force, with the disks long well again; a voter that could not write down what it had learned after the loss of its store never voted again.

Cause: a document, and votes learned anew, were handed to the store once; a failed write was told in the log and forgotten, while nothing else asks for them again (votes on a ballot are asked again by the proposer).

Change: both are written again every 200 ms until they are, as long as they are still wanted; a later learning takes the place of an earlier one, also where its write ends first. Counted in agreement_failures.

--- a/src/parley/mod.rs
+++ b/src/parley/mod.rs
@@ -28,6 +28,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, oneshot, watch};
 
@@ -43,7 +44,9 @@
 const VOTES: &str = "votes";
 const DOCUMENT: &str = "document-";
 /// How often the list's version is looked at, and the lease is told to the core.
-const LOOK: std::time::Duration = std::time::Duration::from_millis(50);
+const LOOK: Duration = Duration::from_millis(50);
+/// Before something is written again that could not be.
+const WRITE_RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
 /// What the operators ask.
 #[derive(Debug)]
@@ -71,8 +74,11 @@
 /// Something that a task has done.
 enum Done {
     Written(u64),
-    Relearned,
+    Relearned(u64),
+    /// The votes that were learned anew, by their number, and why they could not be written.
+    Unlearned(u64, Vec<u8>, String),
     Unwritten(String),
+    DocumentUnwritten(Hash, String),
     Fetched(Hash, Option<Vec<u8>>),
     Kept(Hash),
     Dropped,
@@ -183,6 +189,8 @@
     done: mpsc::Sender<Done>,
     ends: mpsc::Receiver<Done>,
     nonce: u64,
+    /// How often this voter has learned anew.
+    relearned: u64,
 }
 
 impl Parley {
@@ -243,6 +251,7 @@
             done,
             ends,
             nonce: now,
+            relearned: 0,
             with,
         };
         Ok((parley, asked))
@@ -297,7 +306,9 @@
         let now = self.with.clock.now();
         match done {
             Done::Written(number) => return self.instance.written(number, now),
-            Done::Relearned => {
+            // What was learned still later has to be written first.
+            Done::Relearned(number) if number != self.relearned => {}
+            Done::Relearned(_) => {
                 log::info!("this voter votes again");
                 self.instance.learned();
             }
@@ -305,6 +316,16 @@
                 count(Count::agreement_failures);
                 log::warn!("a vote cannot be written down and is not given: {why}");
             }
+            Done::Unlearned(number, votes, why) => {
+                count(Count::agreement_failures);
+                log::warn!("votes that were learned anew cannot be written down yet: {why}");
+                self.write_learned(number, votes, WRITE_RETRY_INTERVAL);
+            }
+            Done::DocumentUnwritten(hash, why) => {
+                count(Count::agreement_failures);
+                log::warn!("a document cannot be written down yet: {why}");
+                self.write_document(hash, WRITE_RETRY_INTERVAL);
+            }
             Done::Fetched(hash, bytes) => {
                 self.fetching.remove(&hash);
                 let opened = bytes.and_then(|b| Some((Document::open(&b, &self.with.keys).ok()?, b)));
@@ -360,24 +381,51 @@
             let Some(old) = old.min_by_key(|(_, kept)| age(kept)).map(|(h, _)| *h) else { break };
             self.documents.remove(&old);
             self.instance.forget(&old);
-            self.write(format!("{DOCUMENT}{}", hex(&old)), Vec::new(), Done::Dropped);
+            self.write(Duration::ZERO, format!("{DOCUMENT}{}", hex(&old)), Vec::new(), |told| {
+                told.map_or_else(Done::Unwritten, |()| Done::Dropped)
+            });
         }
         if self.with.scribe.is_some() {
-            self.write(format!("{DOCUMENT}{}", hex(&hash)), bytes.to_vec(), Done::Kept(hash));
+            self.write_document(hash, Duration::ZERO);
         } else {
             self.instance.document(hash);
         }
     }
 
-    fn write(&self, name: String, bytes: Vec<u8>, then: Done) {
+    /// Writes a document down, unless it is no longer kept.
+    fn write_document(&self, hash: Hash, after: Duration) {
+        let Some(kept) = self.documents.get(&hash) else { return };
+        self.write(after, format!("{DOCUMENT}{}", hex(&hash)), kept.bytes.to_vec(), move |told| match told {
+            Ok(()) => Done::Kept(hash),
+            Err(why) => Done::DocumentUnwritten(hash, why),
+        });
+    }
+
+    /// Writes down what this voter has learned anew, unless it has learned again since then.
+    fn write_learned(&self, number: u64, votes: Vec<u8>, after: Duration) {
+        if number != self.relearned {
+            return;
+        }
+        let again = votes.clone();
+        self.write(after, VOTES.into(), votes, move |told| match told {
+            Ok(()) => Done::Relearned(number),
+            Err(why) => Done::Unlearned(number, again, why),
+        });
+    }
+
+    fn write(
+        &self,
+        after: Duration,
+        name: String,
+        bytes: Vec<u8>,
+        then: impl FnOnce(Result<(), String>) -> Done + Send + 'static,
+    ) {
         let Some(scribe) = self.with.scribe.clone() else { return };
         let done = self.done.clone();
         tokio::spawn(async move {
-            let told = match scribe.keep(name, bytes).await {
-                Ok(()) => then,
-                Err(why) => Done::Unwritten(why),
-            };
-            let _ = done.send(told).await;
+            tokio::time::sleep(after).await;
+            let told = scribe.keep(name, bytes).await;
+            let _ = done.send(then(told)).await;
         });
     }
 
@@ -403,9 +451,14 @@
                     let _ = self.socket.try_send_to(&datagram, at);
                 }
                 Out::Write(number, votes) => {
-                    self.write(VOTES.into(), write_votes(&votes), Done::Written(number));
+                    self.write(Duration::ZERO, VOTES.into(), write_votes(&votes), move |told| {
+                        told.map_or_else(Done::Unwritten, |()| Done::Written(number))
+                    });
+                }
+                Out::Relearn(votes) => {
+                    self.relearned += 1;
+                    self.write_learned(self.relearned, write_votes(&votes), Duration::ZERO);
                 }
-                Out::Relearn(votes) => self.write(VOTES.into(), write_votes(&votes), Done::Relearned),
                 Out::Fetch(from, hash) => {
                     let here = self.documents.contains_key(&hash) || self.fetching.len() >= FETCHES;
                     if !here && self.fetching.insert(hash) {
--- a/tests/agreement.rs
+++ b/tests/agreement.rs
@@ -298,6 +298,55 @@
     assert!((3..=30).contains(&files), "{files}");
 }
 
+#[test]
+fn a_document_that_could_not_be_written_down_is_written_once_the_disk_is_well() {
+    let outcome = play_with(
+        &format!(
+            "{WORLD}end 9000
+             at 1500 p1,p2 disk broken
+             at 1700 p4 proposes /limits/max_attempts 3
+             at 4000 p1,p2 disk well"
+        ),
+        |setup, n, folder| {
+            // Votes can be written; documents, without which no voter accepts, cannot.
+            let documents = folder.join(format!("linentrail-p{n}/document"));
+            setup.environment.push(("LINENTRAIL_FAULT_FOLDER".into(), documents.display().to_string()));
+        },
+    );
+    assert_eq!(all_agree(&outcome, 5, "settings"), 2);
+    assert!(outcome.counters.get("agreement_failures") >= Some(&2), "{:?}", outcome.counters);
+}
+
+#[test]
+fn a_voter_that_could_not_write_down_what_it_learned_votes_once_the_disk_is_well() {
+    let outcome = play_with(
+        &format!(
+            "{WORLD}end 10000
+             at 1500 p1 does kill
+             at 1600 p1 store wiped
+             at 1650 p1 disk broken
+             at 1700 p1 does start
+             at 4000 p1 disk well
+             at 5000 p2 does kill
+             at 5500 p4 proposes /limits/max_attempts 3
+             at 8000 p2 does start"
+        ),
+        |setup, n, folder| {
+            let votes = folder.join(format!("linentrail-p{n}/votes"));
+            setup.environment.push(("LINENTRAIL_FAULT_FOLDER".into(), votes.display().to_string()));
+        },
+    );
+    // With two of three voters left the one that had to learn is needed.
+    let others_back = |e: &&Event| e.at < 8_000_000;
+    let acts = |e: &Event| matches!(&e.what, What::Acts { kind, versions, .. } if kind == "settings" && versions.len() == 2);
+    assert!(
+        outcome.events.iter().filter(others_back).any(acts),
+        "the change is under way before the other is back"
+    );
+    assert_eq!(all_agree(&outcome, 5, "settings"), 2);
+    assert!(outcome.counters.get("agreement_failures") >= Some(&1), "{:?}", outcome.counters);
+}
+
 #[test]
 fn two_operators_who_propose_at_once_get_one_change_and_one_no() {
     let outcome = play(&format!(
