Name the hand-over's slots, its peer process and its limits as the field does

Seat, accompanied, beside, LOOK, FIRST_WORD, LONGEST and others are of the former house style (naming.md). Order::Beside is Order::Peer, the trait Beside CommitExchange, Log CommitLog, main's beside off_thread. The lock files keep their names, as a former version that shares the folder knows them.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -6,8 +6,8 @@
 use super::live::LiveRequest;
 use super::session_ledger::SessionLedger;
 use super::{
-    violated, Answer, Attempt, Beside, Ending, Input, Listed, Members, Order, Request, Taken, Value, Work,
-    REQUEST,
+    violated, Answer, Attempt, CommitExchange, Ending, Input, Listed, Members, Order, Request, Taken, Value,
+    Work, REQUEST,
 };
 use crate::clock::Clock;
 use crate::interface::*;
@@ -72,7 +72,7 @@
     pub(super) taken: Vec<(oneshot::Sender<Taken>, Taken)>,
     pub(super) overlay: Overlay,
     /// Another process of this proxy, while one lives.
-    pub(super) beside: Option<Box<dyn Beside>>,
+    pub(super) peer_commits: Option<Box<dyn CommitExchange>>,
     live: FxHashMap<RequestId, LiveRequest>,
     /// The names of those.
     names: HashSet<Bytes>,
@@ -118,7 +118,7 @@
             orders,
             taken: Vec::new(),
             overlay: Overlay::default(),
-            beside: None,
+            peer_commits: None,
             live: FxHashMap::default(),
             names: HashSet::new(),
             sessions: SessionLedger::new(SESSIONS),
@@ -363,7 +363,7 @@
             for session in sessions(&live.request) {
                 self.sessions.wrote(session, commit);
                 let told = self.member_clock.told(commit);
-                self.beside.iter_mut().for_each(|other| other.wrote(session, told));
+                self.peer_commits.iter_mut().for_each(|other| other.wrote(session, told));
             }
         }
         let in_time = now <= live.came + live.class().aim;
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -233,7 +233,7 @@
 
 /// Another process of this proxy, as far as a session's commits must reach it before the client that wrote is answered.
 /// Neither call may take longer than a look at memory.
-pub trait Beside: Send {
+pub trait CommitExchange: Send {
     /// A session's write went through here.
     fn wrote(&mut self, session: &str, at: Position);
     /// Those that went through there since the last call.
@@ -287,7 +287,7 @@
     /// What was learned so far.
     Export(oneshot::Sender<Known>),
     /// Another process of this proxy lives beside this one, or no longer does.
-    Beside(Option<Box<dyn Beside>>, oneshot::Sender<()>),
+    Peer(Option<Box<dyn CommitExchange>>, oneshot::Sender<()>),
     /// What another process of this proxy has learned.
     Learn(Known, oneshot::Sender<()>),
     /// The rules in force hold until then; nothing is sent after that unless told so again.
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -89,10 +89,10 @@
                 let _ = reply.send(self.export(now));
                 return Vec::new();
             }
-            Order::Beside(beside, reply) => {
+            Order::Peer(peer_commits, reply) => {
                 // What the one that has gone said last still counts.
                 self.catch_up();
-                self.beside = beside;
+                self.peer_commits = peer_commits;
                 let _ = reply.send(());
                 return Vec::new();
             }
@@ -145,7 +145,7 @@
 
     /// Takes in what sessions have written by another process of this proxy.
     pub(super) fn catch_up(&mut self) {
-        let Some(other) = &mut self.beside else { return };
+        let Some(other) = &mut self.peer_commits else { return };
         let PeerCommits { commits, complete } = other.news();
         let news = commits.into_iter().map(|(name, told)| (name, self.member_clock.local(told)));
         let (all, named): (Vec<_>, Vec<_>) = news.partition(|(name, _)| name.is_empty());
--- a/src/handover/commits.rs
+++ b/src/handover/commits.rs
@@ -5,7 +5,7 @@
 //! only while both live; what was committed before, each has from the other's file of what it has learned.
 
 use crate::core::counters::{count, Count};
-use crate::core::{Beside, PeerCommits};
+use crate::core::{CommitExchange, PeerCommits};
 use crate::interface::Position;
 use std::fs::File;
 use std::io::{self, Write};
@@ -14,15 +14,15 @@
 use std::sync::Arc;
 
 /// The longest name of a session; a longer one's commits count for all sessions.
-const LONGEST: usize = 255;
+const MAX_NAME_LEN: usize = 255;
 /// The longest file: some hours of two processes beside each other.
-const MOST: u64 = 4 * 1024 * 1024;
+const MAX_FILE_LEN: u64 = 4 * 1024 * 1024;
 /// Read at a time.
-const CHUNK: usize = 16 * 1024;
+const READ_LEN: usize = 16 * 1024;
 
 /// One commit, as it stands in the file: the length of the name, the name, the position.
 pub fn record(session: &str, at: Position) -> Vec<u8> {
-    let name = if session.len() > LONGEST { "" } else { session };
+    let name = if session.len() > MAX_NAME_LEN { "" } else { session };
     let mut record = Vec::with_capacity(name.len() + 9);
     record.push(name.len() as u8);
     record.extend_from_slice(name.as_bytes());
@@ -94,7 +94,7 @@
     }
 
     fn write(file: &mut File, bytes: &[u8]) -> io::Result<()> {
-        if file.metadata()?.len() > MOST {
+        if file.metadata()?.len() > MAX_FILE_LEN {
             return Err(io::Error::other("the file is full"));
         }
         file.write_all(bytes)
@@ -120,7 +120,7 @@
 }
 
 /// Both files, each read or appended to by this process alone.
-pub struct Log {
+pub struct CommitLog {
     own: OwnFile,
     other: PathBuf,
     /// The other's file, as far as it was read; another process there has another file.
@@ -131,7 +131,7 @@
     rest: Vec<u8>,
 }
 
-impl Log {
+impl CommitLog {
     /// On this process's file, and the other's.
     ///
     /// # Errors
@@ -139,7 +139,7 @@
     pub fn open(own: &PathBuf, other: PathBuf) -> io::Result<Self> {
         let file = File::options().create(true).append(true).open(own)?;
         let own = OwnFile { path: own.clone(), file: Some(file), pending: Vec::new(), told: 0, waiting: 0 };
-        Ok(Log { own, other, file: None, lost: false, at: 0, rest: Vec::new() })
+        Ok(CommitLog { own, other, file: None, lost: false, at: 0, rest: Vec::new() })
     }
 
     fn read(&mut self) -> io::Result<()> {
@@ -151,7 +151,7 @@
             self.rest.clear();
         }
         let Some((file, _)) = &self.file else { return Ok(()) };
-        let mut chunk = [0; CHUNK];
+        let mut chunk = [0; READ_LEN];
         loop {
             let n = file.read_at(&mut chunk, self.at)?;
             if n == 0 {
@@ -163,7 +163,7 @@
     }
 }
 
-impl Beside for Log {
+impl CommitExchange for CommitLog {
     fn wrote(&mut self, session: &str, at: Position) {
         self.own.append(session, at);
     }
@@ -184,7 +184,7 @@
 /// Another process that may live and cannot be seen: any session may have been written to up to now.
 pub struct UnseenPeer;
 
-impl Beside for UnseenPeer {
+impl CommitExchange for UnseenPeer {
     fn wrote(&mut self, _: &str, _: Position) {}
 
     fn news(&mut self) -> PeerCommits {
@@ -215,16 +215,16 @@
         let dir = std::env::temp_dir().join(format!("linentrail-commits-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a folder");
         let (a, b) = (dir.join("a"), dir.join("b"));
-        let mut here = Log::open(&a, b.clone()).expect("fine");
+        let mut here = CommitLog::open(&a, b.clone()).expect("fine");
         assert!(here.news().commits.is_empty(), "there is no other yet");
-        let mut there = Log::open(&b, a.clone()).expect("fine");
+        let mut there = CommitLog::open(&b, a.clone()).expect("fine");
         there.wrote("k", 5);
         assert_eq!(here.news().commits, [("k".into(), 5)]);
         assert!(here.news().commits.is_empty() && there.news().commits.is_empty());
         // Another process takes the other's place.
         std::fs::write(dir.join("new"), b"").expect("fine");
         std::fs::rename(dir.join("new"), &b).expect("fine");
-        let mut there = Log::open(&b, a).expect("fine");
+        let mut there = CommitLog::open(&b, a).expect("fine");
         there.wrote("k", 9);
         assert_eq!(here.news().commits, [("k".into(), 9)]);
         let _ = std::fs::remove_dir_all(dir);
@@ -235,11 +235,11 @@
         let dir = std::env::temp_dir().join(format!("linentrail-commits-full-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a folder");
         let (a, b) = (dir.join("a"), dir.join("b"));
-        let whole = record("k", 3).repeat(MOST as usize / record("k", 3).len() + 1);
+        let whole = record("k", 3).repeat(MAX_FILE_LEN as usize / record("k", 3).len() + 1);
         std::fs::write(&a, whole).expect("fine");
-        let mut there = Log::open(&b, a.clone()).expect("fine");
+        let mut there = CommitLog::open(&b, a.clone()).expect("fine");
         assert!(!there.news().commits.is_empty());
-        let mut here = Log::open(&a, b).expect("fine");
+        let mut here = CommitLog::open(&a, b).expect("fine");
         here.wrote("k", 5);
         let news = there.news().commits;
         assert!(news.iter().any(|(name, at)| &**name == "k" && *at == 5), "{news:?}");
@@ -251,8 +251,8 @@
         let dir = std::env::temp_dir().join(format!("linentrail-commits-broken-{}", std::process::id()));
         std::fs::create_dir_all(dir.join("sub")).expect("a folder");
         let (a, b) = (dir.join("sub/a"), dir.join("b"));
-        let mut here = Log::open(&a, b.clone()).expect("fine");
-        let mut there = Log::open(&b, a.clone()).expect("fine");
+        let mut here = CommitLog::open(&a, b.clone()).expect("fine");
+        let mut there = CommitLog::open(&b, a.clone()).expect("fine");
         here.wrote("k", 5);
         assert_eq!(there.news(), PeerCommits { commits: vec![("k".into(), 5)], complete: true });
         // Its file ends with a part of a record, and neither it nor another can be written.
@@ -277,11 +277,11 @@
         let (a, b) = (dir.join("a"), dir.join("b"));
         // A link to itself cannot be opened, and is no file that is not there.
         std::os::unix::fs::symlink(&b, &b).expect("a link");
-        let mut here = Log::open(&a, b.clone()).expect("fine");
+        let mut here = CommitLog::open(&a, b.clone()).expect("fine");
         assert!(!here.news().complete, "it may have committed");
         std::fs::remove_file(&b).expect("it was there");
         assert!(!here.news().complete, "nor is it known what stood there");
-        Log::open(&b, a).expect("fine").wrote("k", 5);
+        CommitLog::open(&b, a).expect("fine").wrote("k", 5);
         assert_eq!(here.news(), PeerCommits { commits: vec![("k".into(), 5)], complete: true });
         let _ = std::fs::remove_dir_all(dir);
     }
@@ -291,8 +291,8 @@
         let dir = std::env::temp_dir().join(format!("linentrail-commits-anew-{}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("a folder");
         let (a, b) = (dir.join("a"), dir.join("b"));
-        let mut here = Log::open(&a, b.clone()).expect("fine");
-        let mut there = Log::open(&b, a.clone()).expect("fine");
+        let mut here = CommitLog::open(&a, b.clone()).expect("fine");
+        let mut there = CommitLog::open(&b, a.clone()).expect("fine");
         here.wrote("k", 5);
         assert!(there.news().complete);
         // Its answer is out, and the other has not looked since, when the file takes no more.
--- a/src/handover/files.rs
+++ b/src/handover/files.rs
@@ -1,4 +1,4 @@
-//! The folder that the processes of one proxy share: seats, the lock, and files that are whole or not there.
+//! The folder that the processes of one proxy share: slots, the lock, and files that are whole or not there.
 
 use std::fs::{self, File, TryLockError};
 use std::io::{self, ErrorKind, Write};
@@ -7,12 +7,12 @@
 use std::time::{Duration, SystemTime};
 
 /// Processes of one proxy that may live at a time.
-pub const SEATS: usize = 2;
-/// A look at a seat takes its lock for a moment, and one that ends holds its seat a while; whoever wants a seat then
+pub const SLOTS: usize = 2;
+/// A look at a slot takes its lock for a moment, and one that ends holds its slot a while; whoever wants a slot then
 /// tries again.
-const PAUSE: Duration = Duration::from_millis(20);
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// The longest file read.
-const LONGEST: u64 = 4 * 1024 * 1024;
+const MAX_FILE_LEN: u64 = 4 * 1024 * 1024;
 
 /// What shows that a file has changed.
 pub type Mark = Option<(SystemTime, u64)>;
@@ -52,15 +52,20 @@
     }
 }
 
-/// The folder, with the seat held in it. The seat is free again when this is dropped, or its process ends in any way.
+/// The folder, with the slot held in it. The slot is free again when this is dropped, or its process ends in any way.
 #[derive(Debug)]
 pub struct Folder {
     path: PathBuf,
-    /// Which seat it is.
-    pub seat: usize,
-    _seat: File,
+    /// Which slot it is.
+    pub slot: usize,
+    _lock: File,
     /// Another process lived at the last look; until one has succeeded it may.
-    accompanied: AtomicBool,
+    peer_alive: AtomicBool,
+}
+
+/// The file whose lock tells that the process in a slot lives. Former versions know it by this name, too.
+fn lock_of(slot: usize) -> String {
+    format!("seat-{slot}")
 }
 
 fn locked(file: &File) -> io::Result<bool> {
@@ -71,12 +76,12 @@
     }
 }
 
-fn made(path: &Path) -> io::Result<File> {
+fn open_lock_file(path: &Path) -> io::Result<File> {
     File::options().create(true).truncate(false).read(true).write(true).open(path)
 }
 
 impl Folder {
-    /// Takes a seat in the folder, which is made where it is not there; none while others hold all seats. What cannot be done
+    /// Takes a slot in the folder, which is made where it is not there; none while others hold all slots. What cannot be done
     /// is tried so many times.
     ///
     /// # Errors
@@ -88,39 +93,39 @@
             if matches!(outcome, Ok(Some(_))) {
                 break;
             }
-            std::thread::sleep(PAUSE);
+            std::thread::sleep(RETRY_INTERVAL);
         }
         outcome
     }
 
     fn try_join(path: &Path) -> io::Result<Option<Self>> {
         fs::create_dir_all(path)?;
-        for seat in 0..SEATS {
-            let file = made(&path.join(format!("seat-{seat}")))?;
+        for slot in 0..SLOTS {
+            let file = open_lock_file(&path.join(lock_of(slot)))?;
             if locked(&file)? {
-                let accompanied = AtomicBool::new(true);
-                return Ok(Some(Folder { path: path.to_path_buf(), seat, _seat: file, accompanied }));
+                let peer_alive = AtomicBool::new(true);
+                return Ok(Some(Folder { path: path.to_path_buf(), slot, _lock: file, peer_alive }));
             }
         }
         Ok(None)
     }
 
-    /// The other seat.
+    /// The other slot.
     pub fn other(&self) -> usize {
-        1 - self.seat
+        1 - self.slot
     }
 
-    /// Whether another process lives, as of the last look at its seat that could be taken.
-    pub fn accompanied(&self) -> bool {
+    /// Whether another process lives, as of the last look at its slot that could be taken.
+    pub fn peer_alive(&self) -> bool {
         match self.other_lives() {
-            Ok(lives) => self.accompanied.store(lives, Ordering::Relaxed),
+            Ok(lives) => self.peer_alive.store(lives, Ordering::Relaxed),
             Err(e) => log::warn!("the folder of the handover cannot be used: {e}"),
         }
-        self.accompanied.load(Ordering::Relaxed)
+        self.peer_alive.load(Ordering::Relaxed)
     }
 
     fn other_lives(&self) -> io::Result<bool> {
-        let file = made(&self.path.join(format!("seat-{}", self.other())))?;
+        let file = open_lock_file(&self.path.join(lock_of(self.other())))?;
         match file.try_lock_shared() {
             Ok(()) => Ok(false),
             Err(TryLockError::WouldBlock) => Ok(true),
@@ -134,7 +139,7 @@
     /// # Errors
     /// When the folder cannot be used.
     pub fn lock(&self) -> io::Result<Option<File>> {
-        let file = made(&self.path.join("lock"))?;
+        let file = open_lock_file(&self.path.join("lock"))?;
         Ok(locked(&file)?.then_some(file))
     }
 
@@ -152,7 +157,7 @@
     pub fn read(&self, name: &str) -> io::Result<Option<Vec<u8>>> {
         let path = self.path.join(name);
         match fs::metadata(&path) {
-            Ok(told) if told.len() > LONGEST => Err(ErrorKind::FileTooLarge.into()),
+            Ok(told) if told.len() > MAX_FILE_LEN => Err(ErrorKind::FileTooLarge.into()),
             Ok(_) => fs::read(&path).map(Some),
             Err(e) if e.kind() == ErrorKind::NotFound => Ok(None),
             Err(e) => Err(e),
@@ -169,7 +174,7 @@
     /// # Errors
     /// When it cannot be written; the former one then stays.
     pub fn write(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        let aside = self.path.join(format!("{name}.{}", self.seat));
+        let aside = self.path.join(format!("{name}.{}", self.slot));
         let mut file = File::create(&aside)?;
         file.write_all(bytes)?;
         drop(file);
@@ -188,47 +193,47 @@
     }
 
     #[test]
-    fn two_have_a_seat_each_and_a_third_none_until_one_goes() {
-        let path = folder("seats");
-        let a = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
-        assert!(!a.accompanied());
-        let b = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
-        assert!(a.seat != b.seat && a.accompanied() && b.accompanied());
+    fn two_have_a_slot_each_and_a_third_none_until_one_goes() {
+        let path = folder("slots");
+        let a = Folder::join(path.clone(), 3).expect("fine").expect("a slot");
+        assert!(!a.peer_alive());
+        let b = Folder::join(path.clone(), 3).expect("fine").expect("a slot");
+        assert!(a.slot != b.slot && a.peer_alive() && b.peer_alive());
         assert!(Folder::join(path.clone(), 3).expect("fine").is_none());
         drop(a);
-        assert!(!b.accompanied());
+        assert!(!b.peer_alive());
         assert!(Folder::join(path.clone(), 3).expect("fine").is_some());
         let _ = fs::remove_dir_all(path);
     }
 
     #[test]
-    fn another_process_has_not_gone_where_its_seat_cannot_be_looked_at() {
+    fn another_process_has_not_gone_where_its_slot_cannot_be_looked_at() {
         let path = folder("unseen");
-        let a = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
-        let b = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
-        assert!(a.accompanied());
+        let a = Folder::join(path.clone(), 3).expect("fine").expect("a slot");
+        let b = Folder::join(path.clone(), 3).expect("fine").expect("a slot");
+        assert!(a.peer_alive());
         // A folder in its place cannot be opened for the look.
-        let seat = a.place(&format!("seat-{}", b.seat));
-        fs::rename(&seat, a.place("aside")).expect("fine");
-        fs::create_dir(&seat).expect("fine");
-        assert!(a.accompanied(), "it lives as far as is known");
-        fs::remove_dir(&seat).expect("fine");
-        fs::rename(a.place("aside"), &seat).expect("fine");
+        let lock = a.place(&lock_of(b.slot));
+        fs::rename(&lock, a.place("aside")).expect("fine");
+        fs::create_dir(&lock).expect("fine");
+        assert!(a.peer_alive(), "it lives as far as is known");
+        fs::remove_dir(&lock).expect("fine");
+        fs::rename(a.place("aside"), &lock).expect("fine");
         drop(b);
-        assert!(!a.accompanied());
+        assert!(!a.peer_alive());
         let _ = fs::remove_dir_all(path);
     }
 
     #[test]
     fn another_process_that_could_not_be_looked_for_yet_may_live() {
         let path = folder("unlooked");
-        let a = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
+        let a = Folder::join(path.clone(), 3).expect("fine").expect("a slot");
         // A folder in its place cannot be opened for the look.
-        let seat = a.place(&format!("seat-{}", a.other()));
-        fs::create_dir(&seat).expect("fine");
-        assert!(a.accompanied());
-        fs::remove_dir(&seat).expect("fine");
-        assert!(!a.accompanied());
+        let lock = a.place(&lock_of(a.other()));
+        fs::create_dir(&lock).expect("fine");
+        assert!(a.peer_alive());
+        fs::remove_dir(&lock).expect("fine");
+        assert!(!a.peer_alive());
         let _ = fs::remove_dir_all(path);
     }
 
@@ -247,8 +252,8 @@
     #[test]
     fn one_at_a_time_has_the_lock_and_a_write_shows_in_the_mark() {
         let path = folder("lock");
-        let a = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
-        let b = Folder::join(path.clone(), 3).expect("fine").expect("a seat");
+        let a = Folder::join(path.clone(), 3).expect("fine").expect("a slot");
+        let b = Folder::join(path.clone(), 3).expect("fine").expect("a slot");
         let held = a.lock().expect("fine").expect("free");
         assert!(b.lock().expect("fine").is_none());
         drop(held);
--- a/src/handover/handover_tests.rs
+++ b/src/handover/handover_tests.rs
@@ -5,7 +5,7 @@
 fn folder(name: &str) -> Folder {
     let path = std::env::temp_dir().join(format!("linentrail-handover-{name}-{}", std::process::id()));
     let _ = std::fs::remove_dir_all(&path);
-    Folder::join(path, 3).expect("fine").expect("a seat")
+    Folder::join(path, 3).expect("fine").expect("a slot")
 }
 
 /// A core that does whatever it is asked and knows of nobody out.
--- a/src/handover/id_exchange.rs
+++ b/src/handover/id_exchange.rs
@@ -74,7 +74,7 @@
     pub fn new(folder: Arc<Folder>, ids: Option<RepeatIds>) -> Self {
         let directory = ClaimDirectory::new(folder.place(DIRECTORY));
         let (wanted, told) = (FollowedFile::default(), FollowedFile::default());
-        let random = RandomState::new().hash_one(folder.seat);
+        let random = RandomState::new().hash_one(folder.slot);
         let token = format!("{}-{random:016x}", std::process::id());
         IdExchange {
             folder,
@@ -133,7 +133,7 @@
     /// Writes this process's question down, once.
     fn ask(&mut self) -> io::Result<()> {
         if let Some(question) = &self.unasked {
-            self.folder.write(&wanted_of(self.folder.seat), &serde_json::to_vec(question)?)?;
+            self.folder.write(&wanted_of(self.folder.slot), &serde_json::to_vec(question)?)?;
             self.unasked = None;
         }
         Ok(())
@@ -171,7 +171,7 @@
 
     fn tell(&self, question: &Question, ledger: LedgerSummary) -> io::Result<()> {
         let told = Told { token: question.token.clone(), ledger };
-        self.folder.write(&told_of(self.folder.seat), &serde_json::to_vec(&told)?)
+        self.folder.write(&told_of(self.folder.slot), &serde_json::to_vec(&told)?)
     }
 
     /// Takes up the answer to this process's question.
--- a/src/handover/mod.rs
+++ b/src/handover/mod.rs
@@ -13,12 +13,12 @@
 use crate::clock::Clock;
 use crate::core::counters::{count, Count};
 use crate::core::repeat_ids::RepeatIds;
-use crate::core::{Beside, Order, Taken};
+use crate::core::{CommitExchange, Order, Taken};
 use crate::knowledge::format;
 use crate::net::budget::Budget;
 use crate::overlay::{Hands, No};
 use crate::store::actor::Scribe;
-use commits::{Log, UnseenPeer};
+use commits::{CommitLog, UnseenPeer};
 use files::{Folder, FollowedFile};
 use id_exchange::IdExchange;
 use shared_folder::SharedFolder;
@@ -30,11 +30,11 @@
 use tokio::task::AbortHandle;
 
 /// Between two looks at the folder: what the operators say at one process binds the other within a second.
-const LOOK: Duration = Duration::from_millis(100);
+const LOOK_INTERVAL: Duration = Duration::from_millis(100);
 /// How long the one that begins waits for what the other has learned, and how long a call waits for the lock.
-const FIRST_WORD: Duration = Duration::from_millis(800);
-const LOCK: Duration = Duration::from_millis(500);
-const PAUSE: Duration = Duration::from_millis(5);
+const FIRST_KNOWLEDGE_TIMEOUT: Duration = Duration::from_millis(800);
+const LOCK_TIMEOUT: Duration = Duration::from_millis(500);
+const RETRY_INTERVAL: Duration = Duration::from_millis(5);
 /// Between two tries to join a folder that could not be used at the start.
 const JOIN_INTERVAL: Duration = Duration::from_millis(200);
 /// The file of what the operators said.
@@ -46,12 +46,12 @@
     PathBuf::from(shared).join(format!("linentrail-{}", name.chars().map(plain).collect::<String>()))
 }
 
-fn commits_of(seat: usize) -> String {
-    format!("commits-{seat}")
+fn commits_of(slot: usize) -> String {
+    format!("commits-{slot}")
 }
 
-fn known_of(seat: usize) -> String {
-    format!("known-{seat}")
+fn known_of(slot: usize) -> String {
+    format!("known-{slot}")
 }
 
 /// Tells the log why a file was passed over.
@@ -154,10 +154,12 @@
                 if let Some(file) = folder.lock()? {
                     return Ok(file);
                 }
-                tokio::time::sleep(PAUSE).await;
+                tokio::time::sleep(RETRY_INTERVAL).await;
             }
         };
-        tokio::time::timeout(LOCK, free).await.unwrap_or_else(|_| Err(io::Error::other("the lock is taken")))
+        tokio::time::timeout(LOCK_TIMEOUT, free)
+            .await
+            .unwrap_or_else(|_| Err(io::Error::other("the lock is taken")))
     }
 }
 
@@ -182,7 +184,7 @@
 }
 
 impl Handover {
-    /// One for a folder in which a seat is held; `ids` are those of the bookings that this process takes, if it does.
+    /// One for a folder in which a slot is held; `ids` are those of the bookings that this process takes, if it does.
     pub fn new(
         folder: Arc<Folder>,
         control: ControlHandle,
@@ -204,8 +206,8 @@
         clock: Clock,
         ids: Option<RepeatIds>,
     ) {
-        let unseen: Option<Box<dyn Beside>> = Some(Box::new(UnseenPeer));
-        control.request(|reply| Order::Beside(unseen, reply)).await;
+        let unseen: Option<Box<dyn CommitExchange>> = Some(Box::new(UnseenPeer));
+        control.request(|reply| Order::Peer(unseen, reply)).await;
         let folder = loop {
             tokio::time::sleep(JOIN_INTERVAL).await;
             let place = place.clone();
@@ -218,7 +220,7 @@
         let mut handover = Handover::new(folder, control.clone(), budget, clock, ids);
         handover.begin().await;
         if handover.lent.is_none() {
-            control.request(|reply| Order::Beside(None, reply)).await;
+            control.request(|reply| Order::Peer(None, reply)).await;
         }
         handover.run().await;
     }
@@ -229,26 +231,26 @@
         // the file itself: the clocks of two processes may differ.
         self.known = FollowedFile::since(self.folder.mark(&known_of(self.folder.other())));
         self.follow().await;
-        // A file of this process's own, whatever the last one in this seat has left.
-        if let Err(e) = self.folder.write(&commits_of(self.folder.seat), &[]) {
+        // A file of this process's own, whatever the last one in this slot has left.
+        if let Err(e) = self.folder.write(&commits_of(self.folder.slot), &[]) {
             log::warn!("the folder of the handover cannot be used: {e}");
         }
-        let accompanied = self.folder.accompanied();
-        self.id_exchange.begin(accompanied).await;
-        if !accompanied {
+        let peer_alive = self.folder.peer_alive();
+        self.id_exchange.begin(peer_alive).await;
+        if !peer_alive {
             return;
         }
         self.share().await;
         let word = async {
             while self.learn().await.is_none() {
-                tokio::time::sleep(PAUSE).await;
+                tokio::time::sleep(RETRY_INTERVAL).await;
             }
             while self.id_exchange.is_waiting() {
-                tokio::time::sleep(PAUSE).await;
-                self.id_exchange.look(self.folder.accompanied()).await;
+                tokio::time::sleep(RETRY_INTERVAL).await;
+                self.id_exchange.look(self.folder.peer_alive()).await;
             }
         };
-        match tokio::time::timeout(FIRST_WORD, word).await {
+        match tokio::time::timeout(FIRST_KNOWLEDGE_TIMEOUT, word).await {
             Ok(()) => log::info!("another process of this proxy serves; what it has learned is taken over"),
             Err(_) => {
                 log::warn!("another process of this proxy serves, but does not tell what it has learned")
@@ -259,24 +261,24 @@
     /// Follows the folder until the core has ended.
     pub async fn run(mut self) {
         loop {
-            tokio::time::sleep(LOOK).await;
+            tokio::time::sleep(LOOK_INTERVAL).await;
             self.follow().await;
-            let with = self.folder.accompanied();
-            if with != self.lent.is_some() {
-                if with {
+            let peer_alive = self.folder.peer_alive();
+            if peer_alive != self.lent.is_some() {
+                if peer_alive {
                     log::info!("another process of this proxy has begun; each keeps to half of the limits");
                     self.share().await;
                 } else {
                     log::info!("the other process of this proxy has ended");
                     self.lent.take().inspect(AbortHandle::abort);
-                    self.control.request(|reply| Order::Beside(None, reply)).await;
+                    self.control.request(|reply| Order::Peer(None, reply)).await;
                 }
             }
-            self.id_exchange.look(with).await;
-            if with && self.tell().await.is_none() {
+            self.id_exchange.look(peer_alive).await;
+            if peer_alive && self.tell().await.is_none() {
                 return;
             }
-            if with {
+            if peer_alive {
                 self.learn().await;
             }
         }
@@ -294,13 +296,13 @@
         });
         self.lent = Some(task.abort_handle());
         // Before the first client comes all is free at once; later nobody waits for it.
-        let _ = tokio::time::timeout(PAUSE, held).await;
+        let _ = tokio::time::timeout(RETRY_INTERVAL, held).await;
         // From now on the other hears of each commit; what came before it learns next.
-        let place = |seat| self.folder.place(&commits_of(seat));
-        match Log::open(&place(self.folder.seat), place(self.folder.other())) {
+        let place = |slot| self.folder.place(&commits_of(slot));
+        match CommitLog::open(&place(self.folder.slot), place(self.folder.other())) {
             Ok(log) => {
-                let beside: Option<Box<dyn Beside>> = Some(Box::new(log));
-                self.control.request(|reply| Order::Beside(beside, reply)).await;
+                let commits: Option<Box<dyn CommitExchange>> = Some(Box::new(log));
+                self.control.request(|reply| Order::Peer(commits, reply)).await;
             }
             Err(e) => log::warn!("the folder of the handover cannot be used: {e}"),
         }
@@ -317,7 +319,7 @@
     /// Writes down what was learned here; none once the core has ended.
     async fn tell(&mut self) -> Option<()> {
         let known = self.control.request(Order::Export).await?;
-        let name = known_of(self.folder.seat);
+        let name = known_of(self.folder.slot);
         if let Err(e) = self.folder.write(&name, &format::write_known(&known, self.clock.now())) {
             log::warn!("what was learned cannot be written down: {e}");
         }
--- a/src/knowledge/evidence.rs
+++ b/src/knowledge/evidence.rs
@@ -26,7 +26,7 @@
     /// The member told it to this process.
     Own,
     /// The member told it to another living process of this proxy.
-    Beside,
+    PeerProcess,
     /// It was written down before this process began.
     Stored,
 }
@@ -57,7 +57,7 @@
 pub fn position(facts: &MemberFacts, source: Source, listed: Listed) -> Use {
     match source {
         Source::Own => Use::Proof,
-        Source::Beside => Use::Bound,
+        Source::PeerProcess => Use::Bound,
         Source::Stored if facts.position > 0 && same_life(facts, listed) => Use::Bound,
         Source::Stored => Use::Nothing,
     }
@@ -68,7 +68,7 @@
     match (source, facts.primary) {
         (_, None) => Use::Nothing,
         (Source::Own, _) => Use::Proof,
-        (Source::Beside, _) => Use::Bound,
+        (Source::PeerProcess, _) => Use::Bound,
         (Source::Stored, _) if other_life(facts, listed) => Use::Nothing,
         (Source::Stored, _) => Use::Hint,
     }
@@ -151,7 +151,7 @@
             assert_eq!(of(start, listed), Use::Nothing, "{start:?} {listed:?}");
         }
         assert_eq!(position(&facts(None), Source::Own, Listed::Unheard), Use::Proof);
-        assert_eq!(position(&facts(None), Source::Beside, Listed::Unheard), Use::Bound);
+        assert_eq!(position(&facts(None), Source::PeerProcess, Listed::Unheard), Use::Bound);
     }
 
     #[test]
--- a/src/main.rs
+++ b/src/main.rs
@@ -114,7 +114,7 @@
 
 /// Does a part of the start that may wait for others; where it can, beside the clients that come meanwhile, on a thread that
 /// an ordinary start does not need.
-async fn beside<T: Send + 'static>(
+async fn off_thread<T: Send + 'static>(
     waits: bool,
     work: impl FnOnce() -> Result<T, String> + Send + 'static,
 ) -> Result<T, String> {
@@ -158,7 +158,7 @@
         }
     }
     let store_file = file.store.clone();
-    let start = beside(file.store.enabled, move || recovery::start(&store_file, loaded));
+    let start = off_thread(file.store.enabled, move || recovery::start(&store_file, loaded));
     let Start { told, sound, stored, store, memory: votes, own } = start.await?;
     let Sound { names, settings, times } = sound;
     let zones = names.zones.clone();
@@ -172,7 +172,7 @@
     );
     let place = meeting_place(&told.name, handed.is_some());
     let shared_folder = match place.clone() {
-        Some(place) => beside(true, move || join_folder(&place)).await?,
+        Some(place) => off_thread(true, move || join_folder(&place)).await?,
         None => SharedFolder::default(),
     };
     let clock = Clock::start();
@@ -323,7 +323,7 @@
             _ = int.recv() => break,
         }
     }
-    let accompanied = shared_folder.get().is_some_and(|folder| folder.accompanied());
+    let peer_alive = shared_folder.get().is_some_and(|folder| folder.peer_alive());
     let longest_deadline =
         move || read_under.borrow().classes.iter().map(|class| class.deadline).max().unwrap_or(0);
     let last_writing = async {
@@ -332,7 +332,7 @@
         }
     };
     let shutdown = Shutdown { clock, phase, accepting, clients, answer_limit };
-    shutdown.run(accompanied, file.still_coming, longest_deadline, last_writing).await;
+    shutdown.run(peer_alive, file.still_coming, longest_deadline, last_writing).await;
     cli::say(format_args!("counters: {}{}", counters::line(), meter::line()));
     Ok(())
 }
--- a/src/shutdown.rs
+++ b/src/shutdown.rs
@@ -41,16 +41,16 @@
 }
 
 impl Shutdown {
-    /// Ends the process in order. `accompanied`: another process takes clients from the same listener. New clients are taken
+    /// Ends the process in order. `peer_alive`: another process takes clients from the same listener. New clients are taken
     /// for `still_coming`; the longest deadline of requests is asked for after that; `last_writing` comes when all have their answers.
     pub async fn run(
         mut self,
-        accompanied: bool,
+        peer_alive: bool,
         still_coming: Duration,
         longest_deadline: impl FnOnce() -> Time,
         last_writing: impl Future<Output = ()>,
     ) {
-        if accompanied {
+        if peer_alive {
             // Whoever comes from now on is the next process's, which has the same listener.
             log::info!("told to end: connections close with their next answer, the others in a while");
             let _ = self.phase.send(Phase::Leaving);
