--- a/crates/standins/src/rig/script.rs
+++ b/crates/standins/src/rig/script.rs
@@ -113,6 +113,17 @@
     Disk(Who, Option<DiskError>),
 }
 
+impl Step {
+    /// Whether it is over only when the rules that proxies agree on have changed.
+    pub fn changes_rules(&self) -> bool {
+        match self {
+            Step::ProposeInTurn(..) => true,
+            Step::Console(_, call) => call.starts_with("FLEET"),
+            _ => false,
+        }
+    }
+}
+
 /// A member's make.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Make {
