End the rig's watch for run delays before its run ends

What was seen: 196 proxies of finished test runs on the machine, each with some 2% of a core, and a load of 59.

Change: dropping the watch waits for its thread.

--- a/crates/standins/src/rig/events.rs
+++ b/crates/standins/src/rig/events.rs
@@ -315,7 +315,7 @@
 const STALL: Us = 20_000;
 
 /// Watches the machine until it is dropped.
-pub struct Watch(pub(super) Arc<AtomicBool>);
+pub struct Watch(Arc<AtomicBool>);
 
 impl Drop for Watch {
     fn drop(&mut self) {
--- a/crates/standins/src/rig/run_delay.rs
+++ b/crates/standins/src/rig/run_delay.rs
@@ -1,10 +1,11 @@
 //! How long processes were ready to run and the machine did not let them, as the kernel counts it (`/proc/PID/schedstat`).
 
-use super::events::{Log, Us, Watch, What};
+use super::events::{Log, Us, What};
 use super::world::World;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 /// Between two looks at the kernel's counts.
@@ -12,11 +13,24 @@
 /// Delays below this are not noted.
 const NOTED_MIN: Us = 10_000;
 
+/// Watches until it is dropped, which waits for the watch to end: nothing may hold the world, and its processes, behind it.
+pub struct Watch {
+    stop: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        let _ = self.thread.take().map(JoinHandle::join);
+    }
+}
+
 /// Notes in the world's log from now on when the rig's own threads, or a proxy, were delayed.
 pub fn watch(world: &World) -> Watch {
     let stop = Arc::new(AtomicBool::new(false));
     let (world, ends) = (world.clone(), stop.clone());
-    std::thread::spawn(move || {
+    let thread = std::thread::spawn(move || {
         let mut delays = Delays::default();
         while !ends.load(Ordering::Relaxed) {
             let rig = delays.of_rig();
@@ -28,7 +42,7 @@
             std::thread::sleep(INTERVAL);
         }
     });
-    Watch(stop)
+    Watch { stop, thread: Some(thread) }
 }
 
 fn note(log: &Log, proxy: Option<u32>, us: Us) {
