--- a/src/core/repeat_ids.rs
+++ b/src/core/repeat_ids.rs
@@ -13,6 +13,7 @@
 use crate::interface::Time;
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
+use std::fmt::Write;
 use std::io;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -177,7 +178,12 @@
 
     /// The name under which an id, of any length and bytes, is entered and claimed.
     pub fn name(id: &str) -> String {
-        Sha256::digest(id).iter().map(|byte| format!("{byte:02x}")).collect()
+        let digest = Sha256::digest(id);
+        let mut name = String::with_capacity(2 * digest.len());
+        for byte in digest {
+            let _ = write!(name, "{byte:02x}");
+        }
+        name
     }
 
     /// How long ids are remembered, in us.
