Stop the limit for the rest of a message while a reply is written

What callers saw: a command that was begun behind a read of a large value was closed with 08P01 "a message was begun and not ended in time" as soon as the value had been passed on, if that took 2.4 s.

Cause: the limit ran on while the session wrote a reply and read nothing, so that the rest of a message larger than the socket's buffers could not come.

Change: the time of the write is added to the moment from which the limit counts.

--- a/src/pg/session.rs
+++ b/src/pg/session.rs
@@ -219,8 +219,11 @@
 
     /// Sends a reply, and those after it that are ready.
     async fn send_reply(&mut self, reply: Reply) -> Result<(), WireError> {
+        let write_began = Instant::now();
         // The write has a timeout: a client that reads nothing must not hold its permit forever.
         write_replies(&mut self.conn, reply, &mut self.pending.0).await?;
+        // Nothing was read meanwhile, so the rest of a message could not arrive.
+        self.partial_since = self.partial_since.map(|since| since + write_began.elapsed());
         release_large_buffers(&mut self.conn);
         self.idle_since = Instant::now();
         if self.state.command_seen {
