Answer OData requests read ahead before the error of what follows them

What callers saw: of four requests written at once and followed by unreadable input, one was answered; the second got the 400 of that input, and the connection was closed with three requests read and not answered.

Cause: an error in reading ahead was answered right behind the request being executed, not behind those already read.

Change: the session keeps the error and tells it once no request is left before it. Measured: the new test in tests/pipelining.rs failed before (400 in place of the second answer) and passes.

--- a/src/odata/session.rs
+++ b/src/odata/session.rs
@@ -59,19 +59,14 @@
     End(CloseReason),
 }
 
-/// The response to a request, and whether reading ahead failed meanwhile.
-struct ResponseReady {
-    response: HttpResponse,
-    /// Set if the input after the request cannot be read.
-    read_error: Option<HttpError>,
-}
-
 /// A client connection that is being served.
 pub(super) struct Session {
     front: Arc<Front>,
     conn: Conn,
     /// Requests that were read while another one was executed.
     read_ahead: VecDeque<Incoming>,
+    /// Why the input after those requests cannot be read. They are answered first.
+    read_error: Option<HttpError>,
     /// Whether a request was received.
     request_seen: bool,
     /// Whether a request is partially received.
@@ -97,6 +92,7 @@
             front,
             conn,
             read_ahead,
+            read_error: None,
             request_seen: false,
             partial: false,
             idle_since,
@@ -133,12 +129,12 @@
                 },
             };
             (self.partial, self.request_seen) = (false, true);
-            let Some(ResponseReady { mut response, read_error }) = self.answer(&request).await? else {
+            let Some(mut response) = self.answer(&request).await? else {
                 return Ok(client_close::closed_by_client(self.conn));
             };
             let shutting_down = *closing.borrow() >= ProcessPhase::HandingOver
                 && self.read_ahead.is_empty()
-                && read_error.is_none()
+                && self.read_error.is_none()
                 && !client_close::has_unanswered_input(&mut self.conn);
             response.connection_close = request.connection_close || shutting_down;
             let close = response.connection_close;
@@ -150,9 +146,6 @@
                 let reason = if shutting_down { CloseReason::Shutdown } else { CloseReason::ClientLeft };
                 return Ok(Box::pin(client_close::close_as_announced(self.conn, reason)).await);
             }
-            if let Some(error) = read_error {
-                return Box::pin(self.end_with_error(error)).await;
-            }
             release_large_buffers(&mut self.conn);
             self.idle_since = Instant::now();
             self.read_deadline = self.idle_since + IDLE_TIMEOUT;
@@ -170,6 +163,9 @@
         if let Some(request) = self.read_ahead.pop_front() {
             return WaitResult::Input(request);
         }
+        if let Some(error) = self.read_error.take() {
+            return WaitResult::Error(error);
+        }
         let (partial, request_seen, idle_since) = (self.partial, self.request_seen, self.idle_since);
         tokio::select! {
             biased;
@@ -193,21 +189,20 @@
     /// Executes a request and reads ahead meanwhile, which also detects that the client has left. Once enough
     /// has been read ahead, waits only for the client to close the connection. Returns `None` if the client
     /// has left.
-    async fn answer(&mut self, request: &HttpRequest) -> Result<Option<ResponseReady>, HttpError> {
+    async fn answer(&mut self, request: &HttpRequest) -> Result<Option<HttpResponse>, HttpError> {
         count(Count::odata_requests);
         // Only the first request may have been sent before this session first read the connection.
         let waited = stall::queued_time(self.waiting_since.take());
         let mut answer = pin!(self.front.answer(request, self.conn.get_ref().client_connection(), waited));
-        let mut read_error = None;
         loop {
-            let may_read = self.read_ahead.len() < MAX_READ_AHEAD && read_error.is_none();
+            let may_read = self.read_ahead.len() < MAX_READ_AHEAD && self.read_error.is_none();
             tokio::select! {
                 biased;
-                response = &mut answer => return Ok(Some(ResponseReady { response, read_error })),
+                response = &mut answer => return Ok(Some(response)),
                 read = read_next_or_close(&mut self.conn, may_read, true) => match read {
                     ReadEvent::Message(Some(Ok(next))) => self.read_ahead.push_back(next),
                     ReadEvent::Message(Some(Err(e @ HttpError::Io(_)))) => return Err(e),
-                    ReadEvent::Message(Some(Err(e))) => read_error = Some(e),
+                    ReadEvent::Message(Some(Err(e))) => self.read_error = Some(e),
                     ReadEvent::Message(None) => return Ok(None),
                     ReadEvent::Partial => {}
                 },
--- a/tests/pipelining.rs
+++ b/tests/pipelining.rs
@@ -106,3 +106,16 @@
     within_timeout(client.send(rest));
     assert_eq!(within_timeout(client.answer()), ClientAnswer::Served(Vec::new()));
 }
+
+/// Guards against requests that were read ahead and are closed unanswered, as input that cannot be read follows them.
+#[test]
+fn requests_before_unreadable_input_by_odata_are_answered() {
+    let (_member, proxy) = world();
+    let mut client = within_timeout(ODataClient::connect(proxy.odata.expect("an OData address")));
+    let requests = ODataClient::encode(&read()).repeat(4);
+    within_timeout(client.write(format!("{requests}no request\r\n\r\n").as_bytes()));
+    for number in 0..4 {
+        assert_eq!(within_timeout(client.answer()), ClientAnswer::Served(Vec::new()), "request {number}");
+    }
+    assert_eq!(within_timeout(client.answer()), ClientAnswer::Failed("400".to_string()));
+}
