Give keyed requests by OData a key by which members know repeats

What callers saw: in a keyed class a booking by OData ran twice when a connection was reset after it had run; the client got one 201.

Cause: the proxy sends a keyed request again, as its class allows, but the statements rendered for OData had no `k`, and a shard drops a repeat by that alone. core::Operation had no field for it; the repeat id served the proxy's own ledger only.

Change: in a keyed class each request by OData has a key.

--- a/crates/standins/src/member.rs
+++ b/crates/standins/src/member.rs
@@ -208,7 +208,7 @@
     primary: bool,
     lag: u64,
     positions: PositionPolicy,
-    statements: VecDeque<String>,
+    statements: VecDeque<Statement>,
     statements_received: u64,
     answers_written: u64,
     connections_opened: u64,
@@ -218,6 +218,14 @@
     started_at: Instant,
 }
 
+/// A statement that a member has received.
+struct Statement {
+    /// `read KEY` or `write KEY`.
+    what: String,
+    /// The idempotency key that it carries.
+    idempotency_key: Option<String>,
+}
+
 /// Number of received statements that are kept for scenarios to check.
 const MAX_STATEMENTS: usize = 4096;
 
@@ -399,12 +407,19 @@
 
     /// How many of the kept statements (the last 4096) are this one, written as `read KEY` or `write KEY`.
     pub fn statement_count(&self, what: &str) -> usize {
-        self.state().statements.iter().filter(|s| *s == what).count()
+        self.state().statements.iter().filter(|s| s.what == what).count()
     }
 
     /// The kept statements (the last 4096), oldest first.
     pub fn statements(&self) -> Vec<String> {
-        self.state().statements.iter().cloned().collect()
+        self.state().statements.iter().map(|s| s.what.clone()).collect()
+    }
+
+    /// The idempotency keys of the kept statements (the last 4096) that are this one, oldest first.
+    pub fn idempotency_keys(&self, what: &str) -> Vec<Option<String>> {
+        let state = self.state();
+        let statements = state.statements.iter().filter(|s| s.what == what);
+        statements.map(|s| s.idempotency_key.clone()).collect()
     }
 
     /// The numbers of statements received, answers written (including those to probes), and connections
@@ -505,7 +520,8 @@
         let key = sql.split('\'').nth(1).unwrap_or_default();
         let field = |name: &str| sql.rsplit_once(&format!("{name}="))?.1.split([',', ' ']).next();
         let write = sql.starts_with("INSERT");
-        self.record_statement(format!("{} {key}", if write { "write" } else { "read" }));
+        let what = format!("{} {key}", if write { "write" } else { "read" });
+        self.record_statement(Statement { what, idempotency_key: field(",k").map(str::to_string) });
         let id = field("id").unwrap_or_default();
         let number = u64::from_str_radix(id, 16).unwrap_or(0);
         self.log_event(|member| EventKind::Given { member, id: number });
@@ -624,13 +640,13 @@
         Some(())
     }
 
-    fn record_statement(&self, what: String) {
+    fn record_statement(&self, statement: Statement) {
         let mut state = self.state();
         state.statements_received += 1;
         if state.statements.len() >= MAX_STATEMENTS {
             state.statements.pop_front();
         }
-        state.statements.push_back(what);
+        state.statements.push_back(statement);
     }
 
     /// Applies the fault of a behaviour to a complete answer.
--- a/src/core/live.rs
+++ b/src/core/live.rs
@@ -109,8 +109,8 @@
     }
 
     /// Whether the client's retry after a refusal could run again what may have run already. Members discard
-    /// duplicates of a keyed request by its id, but a front that generates the statement gives each of the client's
-    /// tries a new id.
+    /// duplicates of a keyed request by its key within a window. A client of a front that generates the statement does
+    /// not know that window, and without a repeat id each of its tries gets a new key.
     pub fn retry_would_run_again(&self) -> bool {
         let keyed = matches!(self.class().effect, Effect::Keyed { .. });
         keyed && matches!(self.request.work, Work::Operation(_)) && !self.had_no_effect()
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -63,6 +63,11 @@
     Operation(Arc<Operation>),
 }
 
+/// A key that all attempts of one request carry, and no other request's. Members run only the first of those that they
+/// get within the window of the class.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct IdempotencyKey(pub u64);
+
 /// An operation on one record.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Operation {
@@ -80,6 +85,8 @@
     pub after: Option<Position>,
     /// The client marked this as a retry.
     pub repeat: bool,
+    /// By which members discard duplicates; given for the classes that need it.
+    pub idempotency_key: Option<IdempotencyKey>,
     /// The record's key; see [`is_valid_key`].
     pub key: String,
     /// The value of a record to create; `None` for a read.
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -8,7 +8,7 @@
 use crate::core::bookings::{BookingOutcome, BookingTry, Bookings};
 use crate::core::counters::{count, Count};
 use crate::core::repeat_ledger::ClaimRequest;
-use crate::core::{Answer, ClientConnection, Handle, Operation, Request, Work};
+use crate::core::{Answer, ClientConnection, Handle, IdempotencyKey, Operation, Request, Work};
 use crate::http::{HttpError, HttpRequest, HttpResponse, HttpServer};
 use crate::interface::*;
 use crate::net::answer_limit::AnswerLimit;
@@ -121,7 +121,8 @@
             Ok(Call::Service) => reply::service(format),
             Ok(Call::Metadata) => reply::metadata(format),
             Ok(Call::Read(params, key)) => {
-                let mut request = self.build_request(&class_table, params, &key, None);
+                let idempotency_key = self.random_idempotency_key(&class_table.classes[params.class]);
+                let mut request = self.build_request(&class_table, params, &key, None, idempotency_key);
                 request.client = Some(client);
                 let deadline = request.deadline;
                 let safe = class_table.classes[request.class].effect == Effect::Safe;
@@ -132,7 +133,13 @@
                 let call_kind = CallKind::Create { key: &key, minimal, repeatable: repeatable.is_some() };
                 let fingerprint = fingerprint(&class_table, &params, &key, &value);
                 let answer_bytes = value.len() + 512;
-                let mut request = self.build_request(&class_table, params, &key, Some(value));
+                let class = &class_table.classes[params.class];
+                let idempotency_key = match &repeatable {
+                    Some(Repeatable { id, .. }) => idempotency_key(class, id, fingerprint),
+                    None => self.random_idempotency_key(class),
+                };
+                let mut request =
+                    self.build_request(&class_table, params, &key, Some(value), idempotency_key);
                 let deadline = request.deadline;
                 let Some(Repeatable { id, first_sent }) = repeatable else {
                     request.client = Some(client);
@@ -192,15 +199,26 @@
         self.clock.now() + LATE_MARGIN >= deadline
     }
 
+    /// A number that neither this process nor another one uses twice.
+    fn random_number(&self) -> u64 {
+        self.random.hash_one(self.next_id.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// The key of a request without a repeat id. The client's retry is another request.
+    fn random_idempotency_key(&self, class: &Class) -> Option<IdempotencyKey> {
+        is_keyed(class).then(|| IdempotencyKey(self.random_number()))
+    }
+
     fn build_request(
         &self,
         class_table: &Arc<ClassTable>,
         params: CallParams,
         key: &str,
         value: Option<Bytes>,
+        idempotency_key: Option<IdempotencyKey>,
     ) -> Request {
         let CallParams { class, tenant, group, session, after, wait, repeat } = params;
-        let id = self.random.hash_one(self.next_id.fetch_add(1, Ordering::Relaxed));
+        let id = self.random_number();
         let key_text = key.to_string();
         let operation = Operation {
             class_table: class_table.clone(),
@@ -210,6 +228,7 @@
             group,
             after,
             repeat,
+            idempotency_key,
             key: key_text,
             value,
         };
@@ -234,15 +253,33 @@
     }
 }
 
+/// Whether members discard duplicates of the class's requests by a key.
+fn is_keyed(class: &Class) -> bool {
+    matches!(class.effect, Effect::Keyed { .. })
+}
+
+/// The key of a booking with this repeat id. It is the same for the client's retries, through any process or proxy, and
+/// another for a booking with other content, whose client has chosen the same id.
+fn idempotency_key(class: &Class, repeat_id: &str, fingerprint: u64) -> Option<IdempotencyKey> {
+    let content = fingerprint.to_be_bytes();
+    let key = || IdempotencyKey(hash_fields(&[b"idempotency key", repeat_id.as_bytes(), &content]));
+    is_keyed(class).then(key)
+}
+
 /// Fingerprint of a booking's content; the waiting time is not part of it. Uses the names of class and tenant, since a
-/// reload can change their indexes, and a hash that is the same in every version of the program.
+/// reload can change their indexes.
 fn fingerprint(class_table: &ClassTable, params: &CallParams, key: &str, value: &[u8]) -> u64 {
     let group = params.group.to_be_bytes();
     let session = params.session.as_deref().unwrap_or_default();
     let class = class_table.class_name(params.class);
     let tenant = class_table.names.tenants.get(params.tenant).map_or("", |name| name);
+    hash_fields(&[class.as_bytes(), tenant.as_bytes(), &group, session.as_bytes(), key.as_bytes(), value])
+}
+
+/// Hash of fields, each with its length, that is the same in every version of the program.
+fn hash_fields(fields: &[&[u8]]) -> u64 {
     let mut hash = Sha256::new();
-    for field in [class.as_bytes(), tenant.as_bytes(), &group, session.as_bytes(), key.as_bytes(), value] {
+    for field in fields {
         hash.update((field.len() as u64).to_be_bytes());
         hash.update(field);
     }
--- a/src/pg/statement.rs
+++ b/src/pg/statement.rs
@@ -1,7 +1,7 @@
 //! Parsing and rendering of the two statements that clients send, including the fields in their trailing comment.
 
 use crate::class_table::ClassTable;
-use crate::core::{is_valid_key, Operation, Request, Work};
+use crate::core::{is_valid_key, IdempotencyKey, Operation, Request, Work};
 use crate::interface::*;
 use bytes::Bytes;
 use std::ops::Range;
@@ -158,7 +158,8 @@
 
 /// Renders an operation as a statement. Also returns the range of the waiting time in the text.
 pub fn render(operation: &Operation) -> (String, Range<usize>) {
-    let Operation { class_table, id, class, tenant, group, after, repeat, key, value } = operation;
+    let Operation { class_table, id, class, tenant, group, after, repeat, idempotency_key, key, value } =
+        operation;
     let tenants = &class_table.names.tenants;
     let mut text = match value {
         None => format!("{READ}{key}' /* "),
@@ -170,7 +171,11 @@
     }
     text.push_str(",d=");
     let at = text.len();
-    text.push_str(&format!("0,cluster={group}"));
+    text.push('0');
+    if let Some(IdempotencyKey(number)) = idempotency_key {
+        text.push_str(&format!(",k={number:016x}"));
+    }
+    text.push_str(&format!(",cluster={group}"));
     if let Some(after) = after {
         text.push_str(&format!(",after={}", after.div_ceil(1000)));
     }
