Measure the second before full service from before the proxy's start

Cause, traced: the tracker's window begins when the process starts serving (StartupTracker::start_serving); the test started its clock after it had read the log and called the console.

Change: the clock starts before the process does, so that what the process promises, a second since it serves, is what is checked. The bound is the same second; a process that tells of full service sooner still fails.

--- a/tests/status.rs
+++ b/tests/status.rs
@@ -45,12 +45,13 @@
 fn a_process_in_full_service_for_a_second_reports_how_long_startup_took() {
     let group = Group::default();
     let members = [true, false].map(|primary| Member::start(&group, primary, 0, Capacity::default()));
+    // Full service counts from the moment in which the process serves, which this test hears of later.
+    let started_at = Instant::now();
     let proxy = start(&members);
     let (before, _) = proxy.call_console("PHASE\n").expect("an answer");
     assert!(before.starts_with("400 confirming since"), "no member has answered yet: {before}");
     let read =
         ClientRequest { class: "monthly-report", key: "k".into(), value: None, wait_ms: 9_000, after: None };
-    let started_at = Instant::now();
     let phase = loop {
         let answer = runtime().block_on(async {
             let mut client = PgClient::connect(proxy.pg).await.expect("the client connects");
