Keep drawn ports taken until all of a rig's proxies have theirs

Cause: the rig drew the port of a proxy's front and that of its agreement on one address, one after the other, and freed the first before it drew the second.

Change: a pool keeps each port taken until all are drawn. Test: 600 draws of one address are all different.

--- a/crates/standins/src/rig/world.rs
+++ b/crates/standins/src/rig/world.rs
@@ -84,11 +84,27 @@
     }
 }
 
-/// A loopback address that nothing else uses, derived from the process id and the number of the world, so
-/// that a restarted proxy finds its port free.
-fn address(world: u8, n: u32) -> Result<SocketAddr> {
-    let ip = [127, 10 + (std::process::id() % 200) as u8, world, 1 + n as u8];
-    TcpListener::bind((std::net::Ipv4Addr::from(ip), 0))?.local_addr()
+/// Draws the addresses at which proxies will listen. A port stays taken until this is dropped: one that was free
+/// again could be drawn a second time.
+struct AddressPool {
+    world: u8,
+    taken: Vec<TcpListener>,
+}
+
+impl AddressPool {
+    fn new(world: u8) -> Self {
+        AddressPool { world, taken: Vec::new() }
+    }
+
+    /// Draws a loopback address that nothing else uses, derived from the process id and the number of the world, so
+    /// that a restarted proxy finds its port free.
+    fn draw(&mut self, proxy: u32) -> Result<SocketAddr> {
+        let ip = [127, 10 + (std::process::id() % 200) as u8, self.world, 1 + proxy as u8];
+        let listener = TcpListener::bind((Ipv4Addr::from(ip), 0))?;
+        let address = listener.local_addr()?;
+        self.taken.push(listener);
+        Ok(address)
+    }
 }
 
 /// The loopback address on which only the members of a world listen, so that nothing else takes the port of a
@@ -220,7 +236,8 @@
         });
         let (mut list_links, mut client_links) = (HashMap::new(), HashMap::new());
         let (mut handles, mut fronts) = (Vec::new(), Vec::new());
-        let peer_links = start_peer_links(script, world)?;
+        let mut addresses = AddressPool::new(world);
+        let peer_links = start_peer_links(script, &mut addresses)?;
         for n in 1..=script.proxies {
             let relayed = |m: &u32| {
                 let real = members[*m as usize - 1].address().to_string();
@@ -239,7 +256,7 @@
                 list_address = relay.address();
                 list_links.insert(n, relay);
             }
-            let listen = address(world, n)?;
+            let listen = addresses.draw(n)?;
             let mut front = listen;
             if clients_relayed.contains(&n) {
                 let relay = Relay::tcp(listen, script.seed ^ u64::from(n) << 16);
@@ -278,6 +295,7 @@
             fronts.push(front);
             handles.push(Mutex::new(ProxyHandle { setup, running: None, shim }));
         }
+        drop(addresses);
         members.iter().for_each(Member::log_cold_start);
         let proposed = Mutex::new(settings(script));
         let script = script.clone();
@@ -706,13 +724,13 @@
     relays: HashMap<(u32, u32), Relay>,
 }
 
-fn start_peer_links(script: &Script, world: u8) -> Result<PeerLinks> {
+fn start_peer_links(script: &Script, addresses: &mut AddressPool) -> Result<PeerLinks> {
     let mut links = PeerLinks { listen: Vec::new(), relays: HashMap::new() };
     if script.voters == 0 {
         return Ok(links);
     }
     for n in 1..=script.proxies {
-        links.listen.push(address(world, n)?);
+        links.listen.push(addresses.draw(n)?);
     }
     let has_faults = script.steps.iter().any(|(_, step)| matches!(step, Step::Speak(..)));
     for (from, to) in (1..=script.proxies).flat_map(|p| (1..=script.proxies).map(move |q| (p, q))) {
@@ -747,3 +765,18 @@
     entry["cell"] = (n as u32 % groups + 1).into();
     entry
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against a proxy that finds its port taken, as it was drawn for two of its own listeners.
+    #[test]
+    fn no_address_is_drawn_twice() {
+        const DRAWS: usize = 600;
+        let mut addresses = AddressPool::new(u8::MAX);
+        let drawn: std::collections::HashSet<SocketAddr> =
+            (0..DRAWS).map(|_| addresses.draw(1).expect("a free port")).collect();
+        assert_eq!(drawn.len(), DRAWS);
+    }
+}
