Let OData session reads see what was written before the start

What callers saw: a session wrote by PostgreSQL, its process was killed and started again without a store, and the session's read by OData without Skip-After came from a replica that was behind: the write was missing.

Cause: unmarked_writes_until, up to which such a session may have written unknown to the process, was set only where a store was restored. What it guards against does not depend on a store.

Change: it is the time at which the core is made.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -80,8 +80,8 @@
     pub(super) sessions: SessionLedger,
     /// Stored facts about members, kept until a member list shows which of them may be used.
     pub(super) stored_facts: StoredFacts,
-    /// Up to this time, sessions whose reads carry no position may have written without this process knowing
-    /// of it.
+    /// Up to this time, when this process started, sessions whose reads carry no position may have written
+    /// without this process knowing of it.
     pub(super) unmarked_writes_until: Position,
     /// Until this time, suspensions made by the operators may be missing.
     pub(super) unconfirmed_until: Time,
@@ -126,7 +126,7 @@
             open_client_ids: HashSet::new(),
             sessions: SessionLedger::new(MAX_SESSIONS),
             stored_facts: StoredFacts::default(),
-            unmarked_writes_until: 0,
+            unmarked_writes_until: clock.now(),
             unconfirmed_until: 0,
             startup: StartupTracker::new(clock.now()),
             lease: None,
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -207,7 +207,6 @@
     /// Takes in what was stored before this process started. Suspensions, session commits and warm-ups apply from now
     /// on; facts that depend on a member not having restarted wait for a list that confirms it.
     pub(super) fn restore_knowledge(&mut self, all: Knowledge) -> Vec<Event> {
-        self.unmarked_writes_until = self.clock.now();
         let all = Knowledge { learned: map_times(all.learned, |at| self.member_clock.to_local(at)), ..all };
         self.sessions.merge(all.learned.sessions.iter(), all.learned.floor);
         let mut suspensions = self.effective_list.suspensions().clone();
--- a/tests/starting.rs
+++ b/tests/starting.rs
@@ -2,12 +2,12 @@
 //! request gets a final answer, however long the rest of the startup takes.
 #![allow(missing_docs)]
 
-use linentrail_standins::client::{request_id, ClientAnswer, ClientRequest};
+use linentrail_standins::client::{request_id, ClientAnswer, ClientRequest, ODataClient, PgClient};
 use linentrail_standins::group::Group;
 use linentrail_standins::member::{Capacity, Member};
-use linentrail_standins::proxy::{self, ProxyProcess, Setup};
+use linentrail_standins::proxy::{self, Proxy, ProxyProcess, Setup};
 use linentrail_standins::registry::entry;
-use linentrail_standins::wire;
+use linentrail_standins::{runtime, wire};
 use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
@@ -261,3 +261,37 @@
         drop(launched.wait_until_serving(&world.setup).unwrap());
     }
 }
+
+/// Guards against a session read by OData that misses a write made through the process before a kill, where there is no store.
+#[test]
+fn a_session_read_after_a_kill_shows_what_was_written_before_it() {
+    let group = Group::default();
+    // The replica is far behind, and answers reads from what it has.
+    let members = [(true, 0), (false, 60_000)]
+        .map(|(primary, lag)| Member::start(&group, primary, lag, Capacity::default()));
+    let list: Vec<_> = members.iter().enumerate().map(|(n, m)| entry(n, m.address())).collect();
+    let setup = Setup {
+        program: env!("CARGO_BIN_EXE_linentrail").into(),
+        config: proxy::config("127.0.0.1:9", &list, proxy::settings(), 1024, 192),
+        odata: true,
+        ..Setup::default()
+    };
+    let former = Proxy::start(&setup).expect("it starts");
+    let write = ClientRequest { wait_ms: 12_000, ..booking("written") };
+    let written = runtime().block_on(async {
+        let mut client = PgClient::connect(former.pg).await?;
+        client.request(&write).await
+    });
+    let value = write.value.clone().expect("a booking has a value");
+    assert_eq!(written.expect("an answer"), ClientAnswer::Served(value.clone()));
+    drop(former);
+    let proxy = Proxy::start(&setup).expect("it starts again");
+    let read = ClientRequest { class: "my-booking", value: None, ..write };
+    for number in 0..20 {
+        let answer = runtime().block_on(async {
+            let mut client = ODataClient::connect(proxy.odata.expect("an OData address")).await?;
+            client.request(&read).await
+        });
+        assert_eq!(answer.expect("an answer"), ClientAnswer::Served(value.clone()), "read {number}");
+    }
+}
