Send an abandoned booking no more, whatever may have run

What callers saw: nothing; members did. A keyed booking by OData with a repeat id, whose clients had all left, was sent again when its attempt broke, up to its deadline.

Cause: the core told the module that nobody waits only if nothing could have run, and such bookings carry no client for the gate to look at.

Change: the module is always told. An attempt in flight goes on, and its end is the booking's answer: the value, a refusal if nothing ran, or a failure.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -213,12 +213,11 @@
             Input::Abandoned(id) => {
                 let live = self.live.get_mut(&id).filter(|live| live.reply.is_some())?;
                 live.abandoned = true;
-                let had_no_effect = live.had_no_effect();
                 self.withdraw(id);
-                had_no_effect.then(|| {
-                    self.answer(id, Answer::Refused(None));
-                    Event::Disconnected { id }
-                })
+                self.end_if_abandoned(id, now);
+                // Nothing may begin for a client that has left. An attempt in flight goes on: its answer is kept for a
+                // client that retries.
+                Some(Event::Disconnected { id })
             }
             Input::Ended(id, attempt, end) => self.attempt_ended(id, attempt, end, now),
             Input::Probed(member, report, spent) => {
@@ -332,16 +331,23 @@
         if outcome.answered() {
             self.startup.member_answered(now);
         }
-        let live = self.live.get_mut(&id)?;
-        let abandoned = live.abandoned && live.had_no_effect();
-        let complete = live.reply.is_none() || abandoned;
-        if abandoned {
-            self.answer(id, Answer::Refused(None));
-        }
+        self.end_if_abandoned(id, now);
+        let complete = self.live.get(&id).is_none_or(|live| live.reply.is_none());
         self.remove_if_done(id);
         Some(Event::Ended { id, attempt, outcome, complete, spent, note, report })
     }
 
+    /// Answers a request for which nobody waits any more, once no attempt of it is in flight: there will be no other.
+    fn end_if_abandoned(&mut self, id: RequestId, now: Time) {
+        let Some(live) = self.live.get(&id).filter(|live| live.abandoned && live.in_flight() == 0) else {
+            return;
+        };
+        match live.had_no_effect() {
+            true => self.answer(id, Answer::Refused(None)),
+            false => self.fail(id, now),
+        }
+    }
+
     /// The outcome to report to the router. A member that was wrongly taken for the primary, or whose data
     /// was believed to be more recent than it is, may have served a session read without the session's last
     /// write. Such an answer is not passed on, but the attempt still counts as run.
--- a/src/core/actor_tests.rs
+++ b/src/core/actor_tests.rs
@@ -169,6 +169,9 @@
 /// Index of the class of session reads.
 const SESSION_READ: usize = 1;
 
+/// Index of the class of bookings.
+const BOOKING: usize = 3;
+
 /// Index of the class of reads with a maximum age.
 const BOUNDED_READ: usize = 0;
 
@@ -307,3 +310,57 @@
     tokio::time::advance(std::time::Duration::from_millis(100)).await;
     assert!(!begins(), "no newer position is known");
 }
+
+/// Guards against attempts of a keyed booking that begin after all of its clients have left.
+#[test]
+fn an_abandoned_request_is_sent_no_more_and_gets_its_answer_from_the_attempt_in_flight() {
+    const MS: Time = 1_000;
+    in_runtime(|| {
+        for (left_before_the_end, outcome, expected) in [
+            (true, Outcome::Reset, Answer::Failed),
+            (false, Outcome::Reset, Answer::Failed),
+            (true, Outcome::Refused, Answer::Refused(None)),
+        ] {
+            let base = listed(1, None);
+            let primary = ListedMember { member: Member { primary: true, ..base.member.clone() }, ..base };
+            let mut json = linentrail_standins::proxy::settings();
+            json["services"][BOOKING]["idempotency"] = "idempotency_key".into();
+            let pairs = crate::settings::FlatSettings::from_json(&json);
+            let settings = pairs.settings(1).expect("valid settings");
+            let class_table =
+                ClassSlots::default().replace(pairs.names().expect("names"), settings.classes.clone());
+            let mut actor = actor_with(settings, vec![primary]);
+            let (id, now) = (RequestId(1), actor.clock.now());
+            let (reply, mut answer) = oneshot::channel();
+            let booking = Request { class: BOOKING, ..session_read(class_table, now + 1_000 * MS) };
+            let submit = Input::Submit(id, booking, reply);
+            let mut inputs = |actor: &mut Actor<RecordingMembers>, input: Input| {
+                let events: Vec<Event> = actor.handle_input(input, now).into_iter().collect();
+                actor.step(now, &events);
+            };
+            inputs(&mut actor, submit);
+            while actor.members.attempts.is_empty() {
+                actor.carry_out(now, Action::Send { id, member: MemberId(1), stop_at: None });
+            }
+            let sent = actor.members.attempts.len();
+            let ended = AttemptEnd { outcome, value: None, note: None, report: None, spent: 1 };
+            if left_before_the_end {
+                inputs(&mut actor, Input::Abandoned(id));
+                assert!(answer.try_recv().is_err(), "an attempt is in flight");
+                inputs(&mut actor, Input::Ended(id, 0, ended));
+            } else {
+                let event = actor.handle_input(Input::Ended(id, 0, ended), now).expect("an event");
+                inputs(&mut actor, Input::Abandoned(id));
+                actor.step(now, &[event]);
+            }
+            for at in (now..now + 1_000 * MS).step_by(10 * MS as usize) {
+                let report = Report { position: Some(at), primary: Some(true), busy: None };
+                let event = actor.handle_input(Input::Probed(MemberId(1), Some(report), 0), at);
+                actor.step(at, &[Event::Wake { tag: 0 }, event.expect("an event")]);
+            }
+            assert_eq!(actor.members.attempts.len(), sent, "no other attempt begins");
+            assert_eq!(answer.try_recv(), Ok(expected), "{outcome:?}");
+            assert!(actor.live.is_empty(), "nothing is left of the request");
+        }
+    });
+}
--- a/src/core/bookings.rs
+++ b/src/core/bookings.rs
@@ -136,7 +136,7 @@
                 tokio::select! {
                     biased;
                     answer = &mut pending => break answer,
-                    // If nobody waits any more, the request is abandoned: it is sent no more unless it may have run.
+                    // If nobody waits any more, the request is abandoned: no other attempt begins.
                     () = waiters.all_left.notified() => if waiters.count.load(Ordering::Relaxed) == 0 {
                         pending.abandon();
                     },
--- a/src/core/live.rs
+++ b/src/core/live.rs
@@ -38,7 +38,7 @@
     /// The position that a session read must reflect beyond what members check for it; 0 if none.
     pub unchecked_position: Position,
     attempts: SmallVec<[LiveAttempt; 4]>,
-    /// Nobody waits for the answer any more, but the request continues if it may have run.
+    /// Nobody waits for the answer any more: no other attempt may begin.
     pub abandoned: bool,
 }
 
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -243,8 +243,8 @@
     Submit(RequestId, Request, oneshot::Sender<Answer>),
     /// The client of a request has disconnected.
     Disconnected(RequestId),
-    /// Nobody waits for the answer any more. Unlike after a disconnect, the request continues if it may have
-    /// begun.
+    /// Nobody waits for the answer any more. Unlike after a disconnect, the answer of an attempt in flight is
+    /// still wanted.
     Abandoned(RequestId),
     /// An attempt has ended.
     Ended(RequestId, u32, AttemptEnd),
@@ -380,7 +380,8 @@
 }
 
 impl Pending {
-    /// Gives up waiting: the request is refused if nothing of it can have run, and continues otherwise.
+    /// Gives up waiting: no other attempt begins. The request is refused if nothing of it can have run; otherwise its
+    /// answer is that of the attempt in flight, if there is one.
     pub fn abandon(&self) {
         self.notify_core(Input::Abandoned(self.id));
     }
