--- a/src/net/budget.rs
+++ b/src/net/budget.rs
@@ -28,9 +28,8 @@
 const MAX_ERROR_DELAY: Time = 800_000;
 
 /// One in this many of all descriptors may belong to clients that were served and have no open request; above that,
-/// the connection that has been idle longest is closed. Clients may hold only a third of the descriptors: clients
-/// that send one request and then keep the connection open, or are slow to close it, would otherwise leave none for
-/// the others.
+/// the connection that has been idle longest is closed. Clients that send one request and then keep the connection
+/// open, or are slow to close it, would otherwise leave none for the others.
 const IDLE_DIVISOR: usize = 6;
 
 /// A connection without any request so far is evicted only after no byte has arrived on it for this long, as its
