--- a/src/core/actor_tests.rs
+++ b/src/core/actor_tests.rs
@@ -334,23 +334,23 @@
             let (reply, mut answer) = oneshot::channel();
             let booking = Request { class: BOOKING, ..session_read(class_table, now + 1_000 * MS) };
             let submit = Input::Submit(id, booking, reply);
-            let mut inputs = |actor: &mut Actor<RecordingMembers>, input: Input| {
+            let handle = |actor: &mut Actor<RecordingMembers>, input: Input| {
                 let events: Vec<Event> = actor.handle_input(input, now).into_iter().collect();
                 actor.step(now, &events);
             };
-            inputs(&mut actor, submit);
+            handle(&mut actor, submit);
             while actor.members.attempts.is_empty() {
                 actor.carry_out(now, Action::Send { id, member: MemberId(1), stop_at: None });
             }
             let sent = actor.members.attempts.len();
             let ended = AttemptEnd { outcome, value: None, note: None, report: None, spent: 1 };
             if left_before_the_end {
-                inputs(&mut actor, Input::Abandoned(id));
+                handle(&mut actor, Input::Abandoned(id));
                 assert!(answer.try_recv().is_err(), "an attempt is in flight");
-                inputs(&mut actor, Input::Ended(id, 0, ended));
+                handle(&mut actor, Input::Ended(id, 0, ended));
             } else {
                 let event = actor.handle_input(Input::Ended(id, 0, ended), now).expect("an event");
-                inputs(&mut actor, Input::Abandoned(id));
+                handle(&mut actor, Input::Abandoned(id));
                 actor.step(now, &[event]);
             }
             for at in (now..now + 1_000 * MS).step_by(10 * MS as usize) {
