Let scenarios of the rig limit proxies to a share of a processor

Staging broke with thousands of members only, where proxies share their processors; the rig gave each process a whole core. A scenario may now name a share (processes that have used more are stopped until they have caught up), spare members that replace others in one list, and whole lists although nothing has changed. Members end with their world, as a second world of 4,300 would find no descriptor otherwise. The log leaves out that members are active which it never called draining: the checker reads the same from it.

--- a/crates/standins/src/member.rs
+++ b/crates/standins/src/member.rs
@@ -9,11 +9,12 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{Ipv4Addr, SocketAddr};
 use std::str::FromStr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Semaphore};
+use tokio::task::AbortHandle;
 
 /// Position of an unexpected error in an otherwise complete answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -238,6 +239,8 @@
     changed: watch::Sender<u64>,
     /// Whether the member is up.
     up: watch::Sender<bool>,
+    /// The task that accepts connections.
+    listening: OnceLock<AbortHandle>,
     /// Its number in a run of the rig, and the event log in which it records what it receives.
     log: Option<(u32, EventLog)>,
 }
@@ -298,9 +301,11 @@
             state: state.into(),
             changed: watch::channel(0).0,
             up: watch::channel(true).0,
+            listening: OnceLock::new(),
             log,
         }));
-        runtime().spawn(this.clone().listen(listener));
+        let task = runtime().spawn(this.clone().listen(listener));
+        this.0.listening.get_or_init(|| task.abort_handle());
         this
     }
 
@@ -359,6 +364,12 @@
         }
     }
 
+    /// Ends the member for good: it resets its connections and gives its port back.
+    pub fn end(&self) {
+        self.set_up(false);
+        self.0.listening.get().into_iter().for_each(AbortHandle::abort);
+    }
+
     /// Takes the member down, which resets all its connections, or starts it again.
     pub fn set_up(&self, up: bool) {
         if up {
--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -4,7 +4,7 @@
 use crate::rig::events::{EventKind, EventLog};
 use crate::{listener, runtime};
 use serde_json::{json, Value};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -84,6 +84,8 @@
     log: EventLog,
     /// The member addresses that this proxy is shown instead of the real ones.
     seen: Arc<HashMap<String, String>>,
+    /// Members that were logged as draining. A member that never was need not be logged as active.
+    drained: Arc<Mutex<HashSet<u32>>>,
     /// Answers that the proxy has not yet confirmed, by version. Used when a relay in front of the proxy may delay
     /// written answers; none if a written answer counts as received.
     unconfirmed: Option<Arc<Mutex<Unconfirmed>>>,
@@ -124,11 +126,15 @@
 
     /// Logs the lifecycle of each member in a received answer. The number of a member is part of its instance id.
     fn log_lifecycles(&self, entries: &Value) {
+        let mut drained = self.drained.lock().unwrap_or_else(PoisonError::into_inner);
         for entry in entries.as_array().into_iter().flatten() {
             let id = entry["instanceId"].as_str().and_then(|id| id.rsplit('-').next());
             let Some(index) = id.and_then(|id| u32::from_str_radix(id, 16).ok()) else { continue };
             let on = entry["lifecycle"] != "active";
-            self.log.record(EventKind::Drains { proxy: self.proxy, member: index + 1, on });
+            let known = if on { drained.insert(index + 1) || on } else { drained.contains(&(index + 1)) };
+            if known {
+                self.log.record(EventKind::Drains { proxy: self.proxy, member: index + 1, on });
+            }
         }
     }
 
@@ -217,7 +223,13 @@
         relayed: bool,
     ) -> SocketAddr {
         let unconfirmed = relayed.then(Arc::default);
-        self.open(Some(ProxyListener { proxy, log, seen: Arc::new(seen), unconfirmed }))
+        self.open(Some(ProxyListener {
+            proxy,
+            log,
+            seen: Arc::new(seen),
+            drained: Arc::default(),
+            unconfirmed,
+        }))
     }
 
     /// Replaces the full list without waking watches.
@@ -409,6 +421,30 @@
         self.set_field(index, "startedAtMs", crate::now_ms());
     }
 
+    /// Replaces members in one change: those at `left` leave, and `newcomers` are added to the list. Wakes watches.
+    pub fn replace_members(&self, left: &[usize], newcomers: Vec<Value>) {
+        let version = self.with(|list| {
+            let mut change = newcomers.clone();
+            for index in left {
+                list.1[*index]["lifecycle"] = "left".into();
+                change.push(list.1[*index].clone());
+            }
+            list.1.as_array_mut().into_iter().for_each(|whole| whole.extend(newcomers.iter().cloned()));
+            (list.0, list.2) = (list.0 + 1, change.into());
+            list.0
+        });
+        self.changed.send_replace(version);
+    }
+
+    /// Skips a version, so that the callers' next answers are the whole list. Wakes watches.
+    pub fn send_whole_list(&self) {
+        let version = self.with(|list| {
+            list.0 += 2;
+            list.0
+        });
+        self.changed.send_replace(version);
+    }
+
     fn set_field(&self, index: usize, field: &str, value: impl Into<Value>) {
         let value = value.into();
         let version = self.with(|list| {
--- a/crates/standins/src/rig/mod.rs
+++ b/crates/standins/src/rig/mod.rs
@@ -8,6 +8,7 @@
 pub mod events;
 pub mod harm;
 pub mod measure;
+pub mod processor_share;
 pub mod relay;
 pub mod run;
 pub mod run_delay;
--- a/crates/standins/src/rig/run.rs
+++ b/crates/standins/src/rig/run.rs
@@ -4,9 +4,9 @@
 use super::clients;
 use super::events::{Event, EventKind, EventLog, Micros};
 use super::measure::{recovery, times_to_full_service, Recovery};
-use super::run_delay;
 use super::script::{Script, Step};
 use super::world::World;
+use super::{processor_share, run_delay};
 use crate::proxy::Setup;
 use std::collections::BTreeMap;
 use std::io::Result;
@@ -88,6 +88,7 @@
     let _watch = log.watch_stalls();
     let world = World::start(script, program, log.clone(), adjust_setup)?;
     let _delays = run_delay::watch(&world);
+    let _share = script.processor_share.map(|share| processor_share::limit(&world, share));
     let began = Instant::now();
     progress(&format!("{} proxies serve after {} ms", script.proxies, log.now() / 1000));
     let load_ended = Arc::new(AtomicBool::new(false));
--- a/crates/standins/src/rig/script.rs
+++ b/crates/standins/src/rig/script.rs
@@ -14,7 +14,7 @@
 /// Maximum number of proxies in a scenario. The machine usually allows fewer.
 pub const PROXIES_MAX: u32 = 2_048;
 /// Maximum number of members in a scenario.
-const MEMBERS_MAX: u32 = 4_096;
+const MEMBERS_MAX: u32 = 6_400;
 
 /// A selection of proxies or members.
 #[derive(Debug, Clone, PartialEq)]
@@ -107,6 +107,11 @@
     Ill(DiscoveryBehaviour),
     /// Discovery reports a new state of a member.
     Lists(u32, String),
+    /// Discovery answers all watches with the whole list, although nothing has changed.
+    WholeList,
+    /// Discovery reports, in one change, that this percentage of the members has left and that as many spare
+    /// members have started. Primaries stay.
+    Replace(u32),
     /// Switches the failures of system calls, which the scenario's `calls` lines configure, on or off.
     CallsFail(Who, bool),
     /// Sets the offset of the proxies' wall clocks, in us.
@@ -131,6 +136,8 @@
 pub struct MemberSetup {
     /// Number of members.
     pub members: u32,
+    /// Number of further members that start with the others and are not listed until they replace some of them.
+    pub spare: u32,
     /// Number of groups.
     pub groups: u32,
     /// Requests that a member processes at once.
@@ -176,6 +183,8 @@
     pub sessions_carried: bool,
     /// Requests per second, and the number of clients that send them.
     pub load: (f64, u32),
+    /// The share of a processor that each proxy gets; `None`: as much as it uses.
+    pub processor_share: Option<f64>,
     /// Percentage of requests whose clients disconnect before the answer.
     pub leaving_percent: u32,
     /// Number of clients that send incomplete messages.
@@ -205,6 +214,7 @@
             announced_proxies: 0,
             member_setup: MemberSetup {
                 members: 4,
+                spare: 0,
                 groups: 1,
                 slots: 4,
                 work: (ms(20), ms(40)),
@@ -222,6 +232,7 @@
             effects: [Effect::Safe, Effect::Safe, Effect::Safe, Effect::Unsafe],
             sessions_carried: true,
             load: (60.0, 24),
+            processor_share: None,
             leaving_percent: 0,
             bad_clients: 0,
             idle_clients: 0,
@@ -352,6 +363,11 @@
             ["sessions", "remembered"] => self.sessions_carried = false,
             ["load", rate, "clients", n] => self.load = (number(rate)?, number(n)?),
             ["calls", name, "1", "in", every] => self.calls.push((call(name)?, number(every)?)),
+            ["share", share] => {
+                let share = number(share)?;
+                let valid = Some(share).filter(|share| (0.0..=1.0).contains(share) && *share > 0.0);
+                self.processor_share = Some(valid.ok_or("the share must be above 0 and at most 1")?);
+            }
             ["clients", "leave", percent] => self.leaving_percent = number(percent)?,
             ["clients", "idle", n] => {
                 self.idle_clients = number(n)?;
@@ -389,10 +405,13 @@
     }
 
     fn validate(&self) -> Result<(), String> {
-        let MemberSetup { members, groups, slots, work, .. } = self.member_setup;
+        let MemberSetup { members, spare, groups, slots, work, .. } = self.member_setup;
         for (valid, what) in [
             ((1..=PROXIES_MAX).contains(&self.proxies), format!("1 to {PROXIES_MAX} proxies are possible")),
-            ((1..=MEMBERS_MAX).contains(&members), format!("1 to {MEMBERS_MAX} members are possible")),
+            (
+                members >= 1 && members.saturating_add(spare) <= MEMBERS_MAX,
+                format!("1 to {MEMBERS_MAX} members are possible, with the spare ones"),
+            ),
             (
                 groups >= 1 && groups <= members,
                 "there must be 1 or more groups, each with a member".to_string(),
@@ -436,11 +455,12 @@
             }
             Step::Does(m, _) | Step::MemberDown(m) | Step::MemberUp(m) => all_exist(m, members),
             Step::Primary(m) | Step::Lists(m, _) => *m <= members,
-            Step::Ill(_) => true,
+            Step::Replace(percent) => percent * members / 100 <= self.member_setup.spare,
+            Step::Ill(_) | Step::WholeList => true,
         };
         match self.steps.iter().find(|(_, step)| !names_existing(step)) {
             Some((at, _)) => Err(format!(
-                "the step at {} ms names a proxy or member that is not there, or needs voters",
+                "the step at {} ms names a proxy or member that is not there, or needs voters or more spare members",
                 at.as_millis()
             )),
             None => Ok(()),
@@ -452,6 +472,10 @@
     fn describe(&mut self, words: &[&str]) -> Result<(), String> {
         let rest = match words {
             [] => return Ok(()),
+            ["spare", n, rest @ ..] => {
+                self.spare = number(n)?;
+                rest
+            }
             ["groups", n, rest @ ..] => {
                 self.groups = number(n)?;
                 rest
@@ -517,6 +541,11 @@
             Who::These(these) if these.len() == 1 => Step::Lists(these[0], state.to_string()),
             _ => return Err("discovery changes the state of one member at a time".to_string()),
         },
+        ["list", "does", "whole"] => Step::WholeList,
+        ["list", "does", "replace", share] => match members(share)? {
+            Who::Share(percent) => Step::Replace(percent),
+            _ => return Err("discovery replaces a share of the members, like 33%".to_string()),
+        },
         ["list", "does", ..] => Step::Ill(rest(2).parse()?),
         ["clients", "link", to, ..] if words.len() > 3 => Step::ClientLink(proxies(to)?, rest(3).parse()?),
         [of, "link", "list", ..] if words.len() > 3 => Step::ListLink(proxies(of)?, rest(3).parse()?),
--- a/crates/standins/src/rig/world.rs
+++ b/crates/standins/src/rig/world.rs
@@ -4,14 +4,14 @@
 
 use super::events::{Effect, EventKind, EventLog, KeyScope};
 use super::relay::{Fault, Relay};
-use super::script::{Script, Step, StoreDamage, Who};
+use super::script::{MemberSetup, Script, Step, StoreDamage, Who};
 use crate::group::Group;
 use crate::member::{AnswerStatus, Capacity, Member, WhenBehind};
 use crate::proxy::{self, signal_all, Proxy, Setup};
 use crate::registry::{entry, rewrite_address, Registry};
 use crate::shim::Shim;
 use serde_json::Value;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::io::{Error, Result};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -73,6 +73,8 @@
     /// process starts or ends.
     fronts: Vec<SocketAddr>,
     folder: PathBuf,
+    /// The processes that a step has stopped, which nothing else may resume.
+    stopped: Mutex<BTreeSet<u32>>,
 }
 
 impl Drop for Inner {
@@ -80,6 +82,7 @@
         self.handles
             .iter()
             .for_each(|s| drop(s.lock().unwrap_or_else(PoisonError::into_inner).running.take()));
+        self.members.iter().for_each(Member::end);
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
@@ -207,9 +210,9 @@
             started.set_position_policy(member_setup.positions);
             started
         };
-        let members: Vec<Member> = (0..member_setup.members).map(member).collect();
-        let list: Vec<Value> =
-            members.iter().enumerate().map(|(n, m)| list_entry(n, m, member_setup.groups)).collect();
+        let members: Vec<Member> = (0..member_setup.members + member_setup.spare).map(member).collect();
+        let listed = members.iter().enumerate().take(member_setup.members as usize);
+        let list: Vec<Value> = listed.map(|(n, m)| list_entry(n, m, member_setup.groups)).collect();
         let registry = Registry::with_rate(script.list_capacity.0, script.list_capacity.1);
         registry.set_list(list.clone().into());
         let folder = std::env::temp_dir().join(format!("linentrail-rig-{}-{world}", std::process::id()));
@@ -313,6 +316,7 @@
             handles,
             fronts,
             folder,
+            stopped: Mutex::default(),
         };
         let world = World(Arc::new(inner));
         world.start_all(&(1..=world.0.script.proxies).collect::<Vec<_>>(), Duration::ZERO)?;
@@ -465,6 +469,11 @@
         handles.filter_map(|(n, handle)| Some((n, handle.try_lock().ok()?.running.as_ref()?.id()))).collect()
     }
 
+    /// The processes that a step has stopped.
+    pub fn stopped(&self) -> MutexGuard<'_, BTreeSet<u32>> {
+        self.0.stopped.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn record_down(&self, processes: &[(u32, u32)], stopped: bool) {
         for (proxy, _) in processes {
             self.0.log.record(EventKind::Down { proxy: *proxy, stopped });
@@ -528,8 +537,10 @@
             Step::Stop(who, span) => {
                 let ids = self.ids(who);
                 self.record_down(&ids, true);
+                self.stopped().extend(ids.iter().map(|(_, id)| id));
                 self.signal(&ids, "STOP", Duration::ZERO);
                 std::thread::sleep(*span);
+                self.stopped().retain(|id| ids.iter().all(|(_, resumed)| resumed != id));
                 self.signal(&ids, "CONT", Duration::ZERO);
                 for (proxy, _) in ids {
                     self.0.log.record(EventKind::Resumed { proxy });
@@ -598,6 +609,8 @@
             Step::CallsFail(who, on) => self.shims(who, |shim| shim.set_call_faults(*on))?,
             Step::ClockStep(who, us) => self.shims(who, |shim| shim.set_clock_step(*us))?,
             Step::Disk(who, error) => self.shims(who, |shim| shim.set_disk_error(*error))?,
+            Step::WholeList => self.0.registry.send_whole_list(),
+            Step::Replace(percent) => self.replace(*percent),
             Step::Ill(ill) => self.0.registry.set_behaviour(*ill),
             Step::Lists(m, state) => self.0.registry.set_lifecycle(*m as usize - 1, state),
         }
@@ -618,6 +631,20 @@
         }
     }
 
+    /// Replaces this percentage of the members by spare ones, primaries excepted.
+    fn replace(&self, percent: u32) {
+        let MemberSetup { members, spare, groups, .. } = self.0.script.member_setup;
+        let mut leaving: Vec<usize> = (groups as usize..members as usize).collect();
+        fastrand::Rng::with_seed(self.0.script.seed).shuffle(&mut leaving);
+        leaving.truncate((members * percent / 100).min(spare) as usize);
+        let newcomers = (members as usize..).take(leaving.len()).map(|n| {
+            let mut entry = list_entry(n, &self.0.members[n], groups);
+            entry["startedAtMs"] = crate::now_ms().into();
+            entry
+        });
+        self.0.registry.replace_members(&leaving, newcomers.collect());
+    }
+
     /// Makes a member the primary of its group and all other members of the group replicas.
     fn primary(&self, new: u32) {
         let (member_setup, lag) =
