Measure how long the thread works between two waits, and what took longest

All requests share one thread, and nothing told how long it was busy. New counters: work_longest_us and work_long (over 20 ms) between two waits for events, core_step_longest_us, list_read_longest_us and reload_longest_us; work of over 20 ms that is the longest of its kind is logged with what it worked on (target work).

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -6,6 +6,7 @@
 use super::lease::Lease;
 use super::live::LiveRequest;
 use super::session_ledger::SessionLedger;
+use super::work_time::{self, Work as LongWork};
 use super::{
     report_violation, Answer, Attempt, AttemptEnd, CommitExchange, CoreCommand, Input, ListedMember, Members,
     Request, SuspensionResult, Value, Work, REQUEST_LOG_TARGET,
@@ -169,7 +170,8 @@
                 }
                 () = timer.as_mut(), if armed_for.is_some() => true,
             };
-            let now = self.clock.now();
+            let began = std::time::Instant::now();
+            let (now, input_count) = (self.clock.now(), inputs.len());
             if woken || self.wake.is_some_and(|t| now >= t) {
                 // One pending wake-up is enough: the router requests the next one whenever it is woken.
                 events.extend(self.wake.take().map(|tag| Event::Wake { tag }));
@@ -189,6 +191,9 @@
                 let _ = reply.send(answer);
             }
             self.advance_startup(now);
+            work_time::record(LongWork::CoreStep, began, || {
+                format!("{input_count} inputs, {} entries in the router's tables", self.router.entry_count())
+            });
         }
     }
 
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -113,6 +113,11 @@
     store_failures,
     store_settings_taken,
     store_list_taken,
+    work_long,
+    work_longest_us,
+    core_step_longest_us,
+    list_read_longest_us,
+    reload_longest_us,
     phase_overstays,
     full_service,
     full_service_ms,
@@ -135,6 +140,11 @@
     COUNTS[what as usize].fetch_add(more, Ordering::Relaxed);
 }
 
+/// Raises a counter that holds a maximum, and returns whether it was lower.
+pub fn raise(what: Count, value: u64) -> bool {
+    COUNTS[what as usize].fetch_max(value, Ordering::Relaxed) < value
+}
+
 /// Current value of a counter.
 pub fn counter_value(what: Count) -> u64 {
     COUNTS[what as usize].load(Ordering::Relaxed)
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -14,6 +14,7 @@
 pub mod repeat_ids;
 pub mod repeat_ledger;
 pub mod session_ledger;
+pub mod work_time;
 
 use crate::class_table::ClassTable;
 pub use crate::effective_list::ListedMember;
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,7 +15,7 @@
 use linentrail::core::counters::{self, Count};
 use linentrail::core::repeat_ids::RepeatIds;
 use linentrail::core::repeat_ledger::LedgerSize;
-use linentrail::core::{CoreCommand, Handle, Input};
+use linentrail::core::{work_time, CoreCommand, Handle, Input};
 use linentrail::discovery_schedule::{CallSchedule, Delivery};
 use linentrail::dnssd::browse::Browser;
 use linentrail::dnssd::records;
@@ -432,7 +432,14 @@
     let result = match arguments.command.or(legacy_command) {
         None | Some(Command::Serve) => {
             let mut builder = tokio::runtime::Builder::new_current_thread();
-            let runtime = builder.enable_all().on_thread_unpark(stall::thread_unparked).build();
+            let runtime = builder
+                .enable_all()
+                .on_thread_park(work_time::thread_parks)
+                .on_thread_unpark(|| {
+                    stall::thread_unparked();
+                    work_time::thread_unparked();
+                })
+                .build();
             runtime.map_err(|e| format!("runtime: {e}")).and_then(|r| r.block_on(run(began)))
         }
         Some(Command::Check { file }) => return check(&file),
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -16,6 +16,7 @@
 use super::socket::Socket;
 use super::transient;
 use crate::core::counters::{count, Count};
+use crate::core::work_time::{self, Work};
 use crate::core::{Input, ListedMember};
 use crate::discovery_schedule::{CallSchedule, Delivery, FailedCallAction, ListCall};
 use crate::http::{Headers, HttpClient, HttpRequest};
@@ -436,9 +437,11 @@
     }
 
     fn accept_list(&mut self, body: &[u8]) -> Option<(ListKind, Vec<ListedMember>)> {
+        let began = std::time::Instant::now();
         let json = Some(body).filter(|body| min_value_count(body) <= MAX_LIST_VALUES);
         let json = json.and_then(|body| serde_json::from_slice(body).ok());
         let read = json.and_then(|json| self.lists.read(&json, self.held));
+        work_time::record(Work::ListRead, began, || format!("a list of {} bytes", body.len()));
         if read.is_none() {
             count(Count::list_dropped);
             log::warn!(
--- a/src/reload.rs
+++ b/src/reload.rs
@@ -7,6 +7,7 @@
 use crate::clock::Clock;
 use crate::config::{self, Config, ValidatedConfig};
 use crate::core::counters::{count, Count};
+use crate::core::work_time::{self, Work};
 use crate::core::CoreCommand;
 use crate::discovery_schedule::Delivery;
 use crate::handover::ControlHandle;
@@ -75,7 +76,10 @@
             }
             let (mut delay, mut retry_until) = (RETRY_DELAY, Instant::now() + RETRY_PERIOD);
             let fault = loop {
-                match config::reload(&self.current) {
+                let began = std::time::Instant::now();
+                let read = config::reload(&self.current);
+                work_time::record(Work::Reload, began, || "a configuration".to_string());
+                match read {
                     Ok((config, checked, text)) => {
                         self.apply_file(config, checked, &text).await;
                         self.config_from_store.store(false, Ordering::Relaxed);
