Start a member's actor when it gets its first work

A list of thousands of members started a task and a mailbox for each, and looked for each known member through all entries of a whole list: 10 million comparisons where nothing has changed (14% of the samples while whole lists came). Most members of a large fleet get no request from one proxy. Departed members are kept in the order of their leaving rather than searched for at each list.

--- a/src/net/member_actors.rs
+++ b/src/net/member_actors.rs
@@ -14,7 +14,8 @@
 use crate::interface::*;
 use crate::policy::invariants::Violation;
 use crate::settings::SocketTimes;
-use std::collections::HashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
+use std::collections::VecDeque;
 use tokio::sync::mpsc;
 
 /// Capacity of an actor's mailbox.
@@ -23,8 +24,9 @@
 /// longer than any attempt lasts. Actors have to be removed, as members are replaced all the time.
 const DEPARTED_RETENTION: Time = 5_000_000;
 
+/// A member, and its actor once something was sent to it: most members of a large fleet are never used.
 struct ActorHandle {
-    commands: mpsc::Sender<MemberCommand>,
+    commands: Option<mpsc::Sender<MemberCommand>>,
     state: SharedMemberState,
     /// The member was announced as leaving.
     leaving: bool,
@@ -32,30 +34,39 @@
 }
 
 impl ActorHandle {
-    /// Sends a command, so that the actor looks at the shared state sooner. Returns `false` if the mailbox is full.
-    fn send(&self, command: MemberCommand) -> bool {
-        let sent = self.commands.try_send(command).is_ok();
+    /// Sends a command. Returns `false` if the mailbox is full.
+    fn send_to(commands: &mpsc::Sender<MemberCommand>, command: MemberCommand) -> bool {
+        let sent = commands.try_send(command).is_ok();
         if !sent {
             count(Count::orders_dropped);
         }
         sent
     }
 
+    /// Makes the actor look at the shared state. Without an actor nothing depends on it yet.
+    fn notify(&self, command: MemberCommand) {
+        if let Some(commands) = &self.commands {
+            Self::send_to(commands, command);
+        }
+    }
+
     /// Allows no new attempt, and withdraws those of which nothing has been written yet.
     fn withdraw_all(&self) {
         self.state.lock().gate.withdraw_all();
-        self.send(MemberCommand::Withdrawn);
+        self.notify(MemberCommand::Withdrawn);
     }
 
     fn close_idle(&self) {
         self.state.lock().idle_closes += 1;
-        self.send(MemberCommand::Changed);
+        self.notify(MemberCommand::Changed);
     }
 }
 
 /// The actors of all members.
 pub struct MemberActors<W> {
-    actors: HashMap<MemberId, ActorHandle>,
+    actors: FxHashMap<MemberId, ActorHandle>,
+    /// The departed members in the order of their departure, each with its time.
+    departed: VecDeque<(Time, MemberId)>,
     core: mpsc::Sender<Input>,
     discovery: mpsc::Sender<discovery::ListRequest>,
     budget: Budget,
@@ -74,21 +85,56 @@
         times: SocketTimes,
         wire: W,
     ) -> Self {
-        MemberActors { actors: HashMap::new(), core, discovery, budget, clock, times, wire }
+        MemberActors {
+            actors: FxHashMap::default(),
+            departed: VecDeque::new(),
+            core,
+            discovery,
+            budget,
+            clock,
+            times,
+            wire,
+        }
     }
 
-    fn send(&self, member: MemberId, command: MemberCommand) -> bool {
-        self.actors.get(&member).is_some_and(|a| a.send(command))
+    /// Sends a command to a member's actor, which is started by the first one. Returns `false` if there is no such
+    /// member or its mailbox is full.
+    fn send(&mut self, member: MemberId, command: MemberCommand) -> bool {
+        let Some(actor) = self.actors.get_mut(&member) else { return false };
+        let commands = actor.commands.get_or_insert_with(|| {
+            let (commands, mailbox) = mpsc::channel(MAILBOX_SIZE);
+            let (core, budget, wire) = (self.core.clone(), self.budget.clone(), self.wire.clone());
+            let task =
+                member_actor::MemberActor::new(member, actor.state.clone(), core, budget, self.clock, wire);
+            tokio::spawn(task.run(mailbox));
+            commands
+        });
+        ActorHandle::send_to(commands, command)
     }
 
     fn remove(&mut self, member: MemberId) {
         let now = self.clock.now();
         if let Some(actor) = self.actors.get_mut(&member) {
-            actor.departed.get_or_insert(now);
+            if actor.departed.is_none() {
+                actor.departed = Some(now);
+                self.departed.push_back((now, member));
+            }
             actor.withdraw_all();
             actor.close_idle();
         }
     }
+
+    /// Removes the actors of members that departed some time ago and have not returned since.
+    fn remove_departed(&mut self, now: Time) {
+        while let Some((at, member)) =
+            self.departed.front().copied().filter(|(at, _)| now >= at + DEPARTED_RETENTION)
+        {
+            self.departed.pop_front();
+            if self.actors.get(&member).is_some_and(|actor| actor.departed == Some(at)) {
+                self.actors.remove(&member);
+            }
+        }
+    }
 }
 
 impl<W: MemberProtocol> Members for MemberActors<W> {
@@ -99,10 +145,11 @@
             report_violation(attempt.id, Some(member), Violation::SentToLeaving);
             return false;
         }
-        actor.state.lock().gate.register(key);
-        let sent = actor.send(MemberCommand::Attempt(attempt));
+        let state = actor.state.clone();
+        state.lock().gate.register(key);
+        let sent = self.send(member, MemberCommand::Attempt(attempt));
         if !sent {
-            actor.state.lock().gate.end(key);
+            state.lock().gate.end(key);
         }
         sent
     }
@@ -110,14 +157,14 @@
     fn cancel(&mut self, member: MemberId, id: RequestId, number: u32) {
         if let Some(actor) = self.actors.get(&member) {
             actor.state.lock().gate.withdraw((id, number));
-            actor.send(MemberCommand::Cancel(id, number));
+            actor.notify(MemberCommand::Cancel(id, number));
         }
     }
 
     fn withdraw(&mut self, member: MemberId, id: RequestId, number: u32) {
         let Some(actor) = self.actors.get(&member) else { return };
         if actor.state.lock().gate.withdraw((id, number)) {
-            actor.send(MemberCommand::Cancel(id, number));
+            actor.notify(MemberCommand::Cancel(id, number));
         }
     }
 
@@ -138,19 +185,16 @@
                 self.remove(member.id);
                 continue;
             }
-            let (core, budget, wire) = (self.core.clone(), self.budget.clone(), self.wire.clone());
-            let (clock, times) = (self.clock, self.times);
-            let actor = self.actors.entry(member.id).or_insert_with(|| {
-                let (commands, mailbox) = mpsc::channel(MAILBOX_SIZE);
-                let state = SharedMemberState::new(*address, times);
-                let task =
-                    member_actor::MemberActor::new(member.id, state.clone(), core, budget, clock, wire);
-                tokio::spawn(task.run(mailbox));
-                ActorHandle { commands, state, leaving: false, departed: None }
+            let times = self.times;
+            let actor = self.actors.entry(member.id).or_insert_with(|| ActorHandle {
+                commands: None,
+                state: SharedMemberState::new(*address, times),
+                leaving: false,
+                departed: None,
             });
             actor.departed = None;
             if actor.state.set_address(*address) {
-                actor.send(MemberCommand::Withdrawn);
+                actor.notify(MemberCommand::Withdrawn);
             }
             actor.leaving = member.service_state == ServiceState::Draining;
             if actor.leaving {
@@ -158,22 +202,18 @@
             }
         }
         if matches!(kind, ListKind::Disk | ListKind::Full) {
-            let ids: Vec<MemberId> = self.actors.keys().copied().collect();
-            for id in ids {
-                if !entries.iter().any(|e| e.member.id == id) {
-                    self.remove(id);
-                }
-            }
+            let listed: FxHashSet<MemberId> = entries.iter().map(|e| e.member.id).collect();
+            let gone: Vec<MemberId> = self.actors.keys().copied().filter(|id| !listed.contains(id)).collect();
+            gone.into_iter().for_each(|id| self.remove(id));
         }
-        let now = self.clock.now();
-        self.actors.retain(|_, actor| actor.departed.is_none_or(|t| now < t + DEPARTED_RETENTION));
+        self.remove_departed(self.clock.now());
     }
 
     fn set_socket_times(&mut self, times: SocketTimes) {
         self.times = times;
         for actor in self.actors.values() {
             actor.state.lock().times = times;
-            actor.send(MemberCommand::Changed);
+            actor.notify(MemberCommand::Changed);
         }
     }
 
