Read lists in parts, and only those entries that are new

Callers waited while a whole list was read: 58 ms for 500 KB in one go, as a tree of values of each of which every part was its own allocation.

Entries are cut out as text and looked up among those of the last whole list; only others are parsed, straight into their fields. After 64 entries other tasks run. What counts as a valid entry is the same.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -23,8 +23,13 @@
 use crate::interface::*;
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
+use rustc_hash::{FxHashMap, FxHashSet};
+use serde::de::{Deserializer, IgnoredAny, MapAccess, SeqAccess, Visitor};
+use serde::Deserialize;
+use serde_json::value::RawValue;
 use serde_json::{json, Value as Json};
-use std::collections::{HashMap, HashSet};
+use std::borrow::Cow;
+use std::fmt::{self, Display};
 use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -71,17 +76,25 @@
 /// after.
 #[derive(Default)]
 pub struct MemberNumbers {
-    by_id: HashMap<String, (MemberId, Option<Instant>)>,
-    in_use: HashSet<MemberId>,
+    by_id: FxHashMap<Arc<str>, (MemberId, Option<Instant>)>,
+    in_use: FxHashSet<MemberId>,
 }
 
 impl MemberNumbers {
     /// Returns the number of an id named by a list. An id that ends in eight hex digits gets these as its number,
     /// so that all proxies order members alike; other ids are hashed.
     pub fn number_for(&mut self, id: &str) -> MemberId {
-        if let Some((number, left)) = self.by_id.get_mut(id) {
-            *left = None;
-            return *number;
+        self.identify(id).1
+    }
+
+    /// As [`MemberNumbers::number_for`], with the id as it is stored here.
+    fn identify(&mut self, id: &str) -> (Arc<str>, MemberId) {
+        if let Some((stored, (number, _))) = self.by_id.get_key_value(id) {
+            let found = (stored.clone(), *number);
+            if let Some((_, left)) = self.by_id.get_mut(id) {
+                *left = None;
+            }
+            return found;
         }
         let suffix = id.len().checked_sub(8).and_then(|at| id.get(at..));
         let hash = || id.bytes().fold(0x811c_9dc5u32, |h, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
@@ -89,8 +102,9 @@
         while !self.in_use.insert(number) {
             number = MemberId(number.0.wrapping_add(1));
         }
-        self.by_id.insert(id.to_string(), (number, None));
-        number
+        let stored: Arc<str> = id.into();
+        self.by_id.insert(stored.clone(), (number, None));
+        (stored, number)
     }
 
     /// Updates the ids after a list, given a predicate for those that have `left`. Departed ids are dropped after a
@@ -123,12 +137,14 @@
     pub numbers: MemberNumbers,
     /// Whole lists in a row that were dropped for being older than the one held.
     older: u32,
+    /// The entries of the last whole list, by their text: most of the next one's are the same.
+    parsed: FxHashMap<Box<str>, ListedMember>,
 }
 
 impl ListReader {
     /// Creates a reader with the names of the zones.
     pub fn new(zones: Vec<String>) -> Self {
-        ListReader { zones, numbers: MemberNumbers::default(), older: 0 }
+        ListReader { zones, numbers: MemberNumbers::default(), older: 0, parsed: FxHashMap::default() }
     }
 
     /// Returns the list's version, whether the list is whole, and its entries. Returns `None` for a list that must
@@ -137,58 +153,222 @@
         let version = json.get("generation")?.as_u64()?;
         let whole = json.get("reset").and_then(Json::as_bool).unwrap_or(false);
         let items = json.get("instances")?.as_array()?;
+        self.admit(version, whole, items.len(), held)?;
+        let entries: Vec<ListedMember> =
+            items.iter().filter_map(|item| self.entry(ListEntry::deserialize(item), item)).collect();
+        self.release_departed(whole, &entries);
+        Some((version, whole, entries))
+    }
+
+    /// As [`ListReader::read`], from text. Lets other tasks run between parts of a long list.
+    async fn read_text(&mut self, text: &[u8], held: Option<u64>) -> Option<(u64, bool, Vec<ListedMember>)> {
+        let ListText { generation, reset, instances } = serde_json::from_slice(text).ok()?;
+        let (version, whole) = (generation.as_u64()?, reset.as_bool().unwrap_or(false));
+        self.admit(version, whole, instances.len(), held)?;
+        let mut entries = Vec::with_capacity(instances.len());
+        let mut parsed = FxHashMap::default();
+        for part in instances.chunks(ENTRIES_PER_PART) {
+            let began = std::time::Instant::now();
+            for item in part {
+                let Some((text, entry)) = self.entry_from_text(item) else { continue };
+                entries.push(entry.clone());
+                if whole {
+                    parsed.insert(text, entry);
+                }
+            }
+            work_time::record(Work::ListRead, began, || format!("{} entries of a list", part.len()));
+            tokio::task::yield_now().await;
+        }
+        self.release_departed(whole, &entries);
+        if whole {
+            self.parsed = parsed;
+        }
+        Some((version, whole, entries))
+    }
+
+    /// Returns an entry with its text, which is parsed unless the last whole list had it, too.
+    fn entry_from_text(&mut self, text: &RawValue) -> Option<(Box<str>, ListedMember)> {
+        if let Some((text, entry)) = self.parsed.remove_entry(text.get()) {
+            // The number may have been given up in the meantime, if a list of changes removed the member.
+            if self.numbers.identify(&entry.name).1 == entry.member.id {
+                return Some((text, entry));
+            }
+        }
+        let entry = self.entry(serde_json::from_str(text.get()), &text)?;
+        Some((text.get().into(), entry))
+    }
+
+    /// Whether a list of this version and length may be used.
+    fn admit(&mut self, version: u64, whole: bool, length: usize, held: Option<u64>) -> Option<()> {
         let older = held.is_some_and(|held| version < held);
         self.older = if older && whole { self.older + 1 } else { 0 };
-        if older && self.older < ACCEPT_OLDER_AFTER || items.len() > MAX_LIST_ENTRIES {
+        if older && self.older < ACCEPT_OLDER_AFTER || length > MAX_LIST_ENTRIES {
             return None;
         }
         self.older = 0;
-        let mut entries = Vec::new();
-        for item in items {
-            match self.entry(item) {
-                Some(entry) => entries.push(entry),
-                None => {
-                    count(Count::list_bad_entries);
-                    log::warn!("skipping an invalid entry of the member list: {item}");
-                }
-            }
-        }
-        let named: HashMap<MemberId, ServiceState> =
+        Some(())
+    }
+
+    fn release_departed(&mut self, whole: bool, entries: &[ListedMember]) {
+        let named: FxHashMap<MemberId, ServiceState> =
             entries.iter().map(|e| (e.member.id, e.member.service_state)).collect();
         let left = |id| match named.get(&id) {
             Some(service_state) => *service_state == ServiceState::Removed,
             None => whole,
         };
         self.numbers.release_departed(left, Instant::now());
-        Some((version, whole, entries))
     }
 
-    fn entry(&mut self, item: &Json) -> Option<ListedMember> {
-        let text = |name: &str| item.get(name).and_then(Json::as_str);
-        let service_state = match text("lifecycle")? {
+    /// Returns an entry; one that cannot be used is counted and logged.
+    fn entry(&mut self, parsed: serde_json::Result<ListEntry>, text: &dyn Display) -> Option<ListedMember> {
+        let entry = parsed.ok().and_then(|entry| self.listed_member(&entry));
+        if entry.is_none() {
+            count(Count::list_bad_entries);
+            log::warn!("skipping an invalid entry of the member list: {text}");
+        }
+        entry
+    }
+
+    fn listed_member(&mut self, entry: &ListEntry) -> Option<ListedMember> {
+        let service_state = match entry.lifecycle.text()? {
             "active" => ServiceState::Active,
             "leaving" => ServiceState::Draining,
             "left" => ServiceState::Removed,
             _ => return None,
         };
-        let zone = text("zone").and_then(|z| self.zones.iter().position(|n| n == z));
-        let id = text("instanceId")?;
-        let started = item.get("startedAtMs").and_then(Json::as_u64).filter(|ms| *ms > 0);
+        let zone = entry.zone.text().and_then(|z| self.zones.iter().position(|n| n == z));
+        let id = entry.instance_id.text()?;
+        let address = entry.host_port.text()?.parse().ok()?;
+        let group = entry.cell.number()?;
+        let started = entry.started_at_ms.number().filter(|ms| *ms > 0);
+        let (name, id) = self.numbers.identify(id);
         Some(ListedMember {
-            name: id.into(),
-            address: text("hostPort")?.parse().ok()?,
+            name,
+            address,
             member: Member {
-                id: self.numbers.number_for(id),
+                id,
                 zone: zone.map_or(u32::MAX, |z| z as u32),
-                group: item.get("cell")?.as_u64()?,
+                group,
                 service_state,
-                primary: text("mode") == Some("read-write"),
+                primary: entry.mode.text() == Some("read-write"),
                 up_since: started.map(|ms| ms.saturating_mul(1000)),
             },
         })
     }
 }
 
+/// Entries of a list that are read before other tasks may run.
+const ENTRIES_PER_PART: usize = 64;
+
+/// A list, its entries not parsed yet.
+#[derive(Deserialize)]
+struct ListText<'a> {
+    generation: Json,
+    #[serde(default)]
+    reset: Json,
+    #[serde(borrow)]
+    instances: Vec<&'a RawValue>,
+}
+
+/// An entry of a list. A field of another type than expected counts as missing.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ListEntry<'a> {
+    #[serde(borrow, default)]
+    instance_id: Field<'a>,
+    #[serde(borrow, default)]
+    host_port: Field<'a>,
+    #[serde(borrow, default)]
+    zone: Field<'a>,
+    #[serde(borrow, default)]
+    cell: Field<'a>,
+    #[serde(borrow, default)]
+    lifecycle: Field<'a>,
+    #[serde(borrow, default)]
+    mode: Field<'a>,
+    #[serde(borrow, default)]
+    started_at_ms: Field<'a>,
+}
+
+/// The value of a field.
+#[derive(Default)]
+enum Field<'a> {
+    Number(u64),
+    Text(Cow<'a, str>),
+    #[default]
+    Other,
+}
+
+impl<'de: 'a, 'a> Deserialize<'de> for Field<'a> {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        deserializer.deserialize_any(FieldVisitor)
+    }
+}
+
+struct FieldVisitor;
+
+impl<'de> Visitor<'de> for FieldVisitor {
+    type Value = Field<'de>;
+
+    fn expecting(&self, formatter: &mut fmt::Formatter) -> fmt::Result {
+        formatter.write_str("a value")
+    }
+
+    fn visit_borrowed_str<E>(self, text: &'de str) -> Result<Self::Value, E> {
+        Ok(Field::Text(Cow::Borrowed(text)))
+    }
+
+    fn visit_str<E>(self, text: &str) -> Result<Self::Value, E> {
+        Ok(Field::Text(Cow::Owned(text.to_string())))
+    }
+
+    fn visit_u64<E>(self, number: u64) -> Result<Self::Value, E> {
+        Ok(Field::Number(number))
+    }
+
+    fn visit_i64<E>(self, _: i64) -> Result<Self::Value, E> {
+        Ok(Field::Other)
+    }
+
+    fn visit_f64<E>(self, _: f64) -> Result<Self::Value, E> {
+        Ok(Field::Other)
+    }
+
+    fn visit_bool<E>(self, _: bool) -> Result<Self::Value, E> {
+        Ok(Field::Other)
+    }
+
+    fn visit_unit<E>(self) -> Result<Self::Value, E> {
+        Ok(Field::Other)
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, values: A) -> Result<Self::Value, A::Error> {
+        IgnoredAny.visit_seq(values).map(|_| Field::Other)
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, fields: A) -> Result<Self::Value, A::Error> {
+        IgnoredAny.visit_map(fields).map(|_| Field::Other)
+    }
+}
+
+impl Field<'_> {
+    fn text(&self) -> Option<&str> {
+        if let Field::Text(text) = self {
+            Some(text)
+        } else {
+            None
+        }
+    }
+
+    fn number(&self) -> Option<u64> {
+        if let Field::Number(number) = self {
+            Some(*number)
+        } else {
+            None
+        }
+    }
+}
+
 /// A lower bound of the number of values in a JSON text: each value but the first follows one of these bytes.
 fn min_value_count(body: &[u8]) -> usize {
     body.iter().filter(|byte| matches!(byte, b',' | b':' | b'[' | b'{')).count()
@@ -433,15 +613,17 @@
                 Err(_) => tokio::time::timeout(FINAL_READ_TIMEOUT, answer).await.ok()?,
             }
         };
-        Some(body.and_then(|body| self.accept_list(&body)))
+        match body {
+            Some(body) => Some(self.accept_list(&body).await),
+            None => Some(None),
+        }
     }
 
-    fn accept_list(&mut self, body: &[u8]) -> Option<(ListKind, Vec<ListedMember>)> {
-        let began = std::time::Instant::now();
-        let json = Some(body).filter(|body| min_value_count(body) <= MAX_LIST_VALUES);
-        let json = json.and_then(|body| serde_json::from_slice(body).ok());
-        let read = json.and_then(|json| self.lists.read(&json, self.held));
-        work_time::record(Work::ListRead, began, || format!("a list of {} bytes", body.len()));
+    async fn accept_list(&mut self, body: &[u8]) -> Option<(ListKind, Vec<ListedMember>)> {
+        let read = match min_value_count(body) <= MAX_LIST_VALUES {
+            true => self.lists.read_text(body, self.held).await,
+            false => None,
+        };
         if read.is_none() {
             count(Count::list_dropped);
             log::warn!(
