Leave the member list out of a configuration that is read again

At SIGHUP the configuration is read on the thread that answers, with 'known', a list of all members, which the running process never looks at: for 3,200 members half a megabyte as a tree of values, which was then kept. It is passed over as text now; a start reads it as before.

--- a/crates/standins/src/rig/processor_share.rs
+++ b/crates/standins/src/rig/processor_share.rs
@@ -3,6 +3,7 @@
 
 use super::world::World;
 use rustix::process::{kill_process, Pid, Signal};
+use std::collections::hash_map::Entry;
 use std::collections::HashMap;
 use std::fs::File;
 use std::os::unix::fs::FileExt;
@@ -39,8 +40,8 @@
             let running = world.process_ids();
             processes.retain(|id, _| running.iter().any(|(_, running)| running == id));
             for (_, id) in running {
-                if !processes.contains_key(&id) {
-                    Process::new(id).map(|process| processes.insert(id, process));
+                if let Entry::Vacant(vacant) = processes.entry(id) {
+                    Process::new(id).map(|process| vacant.insert(process));
                 }
             }
             let held = world.stopped().clone();
--- a/src/config.rs
+++ b/src/config.rs
@@ -4,7 +4,8 @@
 use crate::interface::Settings;
 use crate::settings::{FlatSettings, Names, SocketTimes};
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::value::RawValue;
+use serde_json::{Map, Value};
 
 /// A parsed configuration.
 #[derive(Debug, Clone)]
@@ -23,7 +24,7 @@
     pub max_descriptors: usize,
     /// Maximum memory, in bytes.
     pub max_memory_bytes: usize,
-    /// The member list to start with: the last one that this proxy had.
+    /// The member list to start with: the last one that this proxy had. Empty after a reload.
     pub initial_list: Value,
     /// The settings, flattened.
     pub settings: FlatSettings,
@@ -87,7 +88,8 @@
     running: &Config,
     variable: impl Fn(&str) -> Option<String>,
 ) -> Result<(Config, ValidatedConfig), String> {
-    let new = parse(text, variable)?;
+    // The running process has a newer list than the file.
+    let (new, _) = parse_fields(text, variable)?;
     let missing = new.all_fields.missing_keys(&running.all_fields);
     if !missing.is_empty() {
         let (first, rest) = (
@@ -106,14 +108,33 @@
     Ok((new, validated))
 }
 
-/// Parses a configuration. A value that `variable` returns for an environment variable takes precedence over
+/// The text of a configuration: its fields, and the member list, which may be as long as a list of discovery.
+#[derive(Deserialize)]
+struct ConfigText<'a> {
+    #[serde(borrow, default)]
+    known: Option<&'a RawValue>,
+    #[serde(flatten)]
+    fields: Map<String, Value>,
+}
+
+/// Parses a configuration as at startup. A value that `variable` returns for an environment variable takes precedence over
 /// the file.
 ///
 /// # Errors
 /// With a single message on what is missing or malformed, for instance in a file that is only partly written.
 pub fn parse(text: &[u8], variable: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-    let mut json: Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-    let initial_list = json.as_object_mut().and_then(|fields| fields.remove("known")).unwrap_or_default();
+    let (config, initial_list) = parse_fields(text, variable)?;
+    let initial_list = initial_list.map(|list| serde_json::from_str(list.get())).transpose();
+    Ok(Config { initial_list: initial_list.map_err(|e| e.to_string())?.unwrap_or_default(), ..config })
+}
+
+/// Parses a configuration except for its member list, which is returned as text.
+fn parse_fields(
+    text: &[u8],
+    variable: impl Fn(&str) -> Option<String>,
+) -> Result<(Config, Option<&RawValue>), String> {
+    let ConfigText { known, fields } = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    let json = Value::Object(fields);
     let text = |name: &str, variable_name: &str| {
         let file = || json.get(name).and_then(Value::as_str).filter(|v| !v.is_empty()).map(str::to_string);
         variable(variable_name)
@@ -127,7 +148,7 @@
     };
     let seed = json.get("seed").and_then(Value::as_str).unwrap_or("0");
     let name = variable("BALANCER_NAME").or_else(|| Some(json.get("name")?.as_str()?.to_string()));
-    Ok(Config {
+    let config = Config {
         name: name.unwrap_or_default(),
         listen: text("listen", "BALANCER_LISTEN")?,
         console: console.filter(|v| !v.is_empty()),
@@ -135,10 +156,11 @@
         seed: u64::from_str_radix(seed, 16).map_err(|_| format!("the seed '{seed}' is not hex"))?,
         max_descriptors: limit("/limits/sockets", 1024),
         max_memory_bytes: limit("/limits/memory_mb", 192).saturating_mul(1024 * 1024),
-        initial_list,
+        initial_list: Value::Null,
         settings: FlatSettings::from_json(json.get("settings").unwrap_or(&Value::Null)),
         all_fields: FlatSettings::from_json(&json),
-    })
+    };
+    Ok((config, known))
 }
 
 /// Reads the file that `BALANCER_CONFIG` names and returns its path and contents.
