Soak also with thousands of members, shares of a core and long lists

The soak had 2 to 12 members and gave each process a whole core. Half of the seeds now have 100 to 3,200 members, in groups of 4 to 400, with a part replaced in one list, a part going down and whole lists; half give each proxy 3 to 25% of a core. All other choices of a seed are as before.

A pause for lack of a share is 0.1 s at most: the platform holds a proxy up for 0.15 s at most between clock and write, and a debt of 20 ms made one stop of 0.7 s, in which a statement that had passed its checks was sent after its client had gone. With a share the soak draws no such hold-up besides.

--- a/crates/standins/src/rig/draw.rs
+++ b/crates/standins/src/rig/draw.rs
@@ -42,6 +42,8 @@
     groups: u32,
     /// Time at which the last fault must have ended, in ms.
     last_fault_ms: u32,
+    /// The members that a fault of all links affects.
+    linked_members: String,
 }
 
 /// Generates a scenario with 3 to 8 proxies, 2 to 6 members, and 1 to 5 faults that may overlap.
@@ -53,6 +55,7 @@
         members: groups * rng.u32(2..=3),
         groups,
         last_fault_ms: LAST_FAULT_MS,
+        linked_members: ALL_MEMBERS.to_string(),
     };
     let cold = if rng.bool() { " cold 0.3 4000" } else { "" };
     let mut world = vec![
@@ -79,7 +82,13 @@
 /// between proxies, and lost stores.
 pub fn draw_agreeing(seed: u64) -> RandomScenario {
     let mut rng = Rng::with_seed(seed);
-    let size = WorldSize { proxies: rng.u32(5..=9), members: 3, groups: 1, last_fault_ms: LAST_FAULT_MS };
+    let size = WorldSize {
+        proxies: rng.u32(5..=9),
+        members: 3,
+        groups: 1,
+        last_fault_ms: LAST_FAULT_MS,
+        linked_members: ALL_MEMBERS.to_string(),
+    };
     let voters = if rng.bool() { 3 } else { 5 };
     let world = vec![
         format!("seed {seed}"),
@@ -168,13 +177,20 @@
     let mut rng = Rng::with_seed(seed);
     let groups = rng.u32(1..=3);
     let (proxies, members) = (rng.u32(10..=40), groups * rng.u32(2..=4));
-    let size = WorldSize { proxies, members, groups, last_fault_ms: SOAK_LAST_FAULT_MS };
+    let scale = draw_scale(seed, members, groups);
+    let Scale { members, groups, .. } = scale;
+    let linked_members = match members > MAX_LINKED_MEMBERS {
+        true => (1..=MAX_LINKED_MEMBERS).map(|n| format!("m{n}")).collect::<Vec<_>>().join(","),
+        false => ALL_MEMBERS.to_string(),
+    };
+    let size = WorldSize { proxies, members, groups, last_fault_ms: SOAK_LAST_FAULT_MS, linked_members };
     let reads = draw_read_setup(seed);
     let mut world = vec![
         format!("seed {seed}"),
         format!("proxies {proxies}"),
         format!(
-            "members {members} groups {groups} slots 16 work 4 12 handshake {} lag {} cold 0.3 4000{}",
+            "members {members} spare {} groups {groups} slots 16 work 4 12 handshake {} lag {} cold 0.3 4000{}",
+            scale.spare,
             rng.u32(0..=10),
             rng.u32(0..=20),
             reads.members
@@ -199,9 +215,14 @@
         ("pause", 150..=1_000),
     ] {
         if rng.u32(0..3) == 0 {
-            world.push(format!("calls {call} 1 in {}", rng.u32(every)));
+            let line = format!("calls {call} 1 in {}", rng.u32(every));
+            // A proxy with a share of a processor is held up by that already.
+            if scale.processor_share.is_none() || call != "pause" {
+                world.push(line);
+            }
         }
     }
+    world.extend(scale.processor_share.map(|share| format!("share {share}")));
     world.extend(reads.world);
     let mut faults: Vec<_> = (0..rng.u32(3..=6)).map(|_| fault(&mut rng, &size)).collect();
     faults.extend((0..rng.u32(1..=3)).map(|_| machine_fault(&mut rng, &size)));
@@ -219,6 +240,7 @@
             world.push(format!("clients idle {}", proxies * sockets / 4));
         }
     }
+    faults.extend(scale.faults);
     faults.push((
         "calls",
         vec!["at 300 proxies calls fail".into(), format!("at {SOAK_LAST_FAULT_MS} proxies calls well")],
@@ -226,6 +248,47 @@
     RandomScenario { world, faults }
 }
 
+/// Selects all members in a scenario.
+const ALL_MEMBERS: &str = "members";
+/// Number of members that a fault of the links to all members affects in a large world: each link needs a relay.
+const MAX_LINKED_MEMBERS: u32 = 24;
+/// Gives the scale its own random sequence, so that it does not change the other random choices of a seed.
+const SCALE_SEED: u64 = 0x7363_616c;
+/// Number of members of a group in the large worlds, on average.
+const GROUP_SIZES: [u32; 4] = [4, 4, 40, 400];
+/// The shares of a processor that proxies get.
+const PROCESSOR_SHARES: [f64; 4] = [0.03, 0.05, 0.1, 0.25];
+
+/// The random choices of a soak about the number of members and the machine.
+struct Scale {
+    members: u32,
+    groups: u32,
+    spare: u32,
+    processor_share: Option<f64>,
+    faults: Vec<(&'static str, Vec<String>)>,
+}
+
+/// In half of the runs there are hundreds or thousands of members, and discovery sends long lists; in half of all
+/// runs the proxies get a share of a processor.
+fn draw_scale(seed: u64, members: u32, groups: u32) -> Scale {
+    let mut rng = Rng::with_seed(seed ^ SCALE_SEED);
+    let processor_share = rng.bool().then(|| PROCESSOR_SHARES[rng.usize(0..PROCESSOR_SHARES.len())]);
+    if rng.bool() {
+        return Scale { members, groups, spare: 0, processor_share, faults: Vec::new() };
+    }
+    let members = [rng.u32(100..800), rng.u32(800..2_000), 3_200][rng.usize(0..3)];
+    let groups = (members / GROUP_SIZES[rng.usize(0..GROUP_SIZES.len())]).max(2);
+    let percent = rng.u32(10..=33);
+    let mut at = || rng.u32(FIRST_FAULT_MS..SOAK_LAST_FAULT_MS - 1_000);
+    let (replaced, down, whole) = (at(), at(), at());
+    let faults = vec![
+        ("replace", vec![format!("at {replaced} list does replace {percent}%")]),
+        ("members down", vec![format!("at {down} {percent}% does down")]),
+        ("whole lists", (0..3).map(|n| format!("at {} list does whole", whole + n * 300)).collect()),
+    ];
+    Scale { members, groups, spare: members * percent / 100 + 1, processor_share, faults }
+}
+
 /// Gives the reads their own random sequence, so that they do not change the other random choices of a seed.
 const READS_SEED: u64 = 0x7265_6164;
 
@@ -350,7 +413,7 @@
             ("stop", vec![format!("at {from} {who} does stop {}", to - from)])
         }
         4 | 5 => {
-            let (who, what) = (some(rng), if rng.bool() { member(rng) } else { "members".to_string() });
+            let (who, what) = (some(rng), if rng.bool() { member(rng) } else { size.linked_members.clone() });
             let cut = format!("{who} link {what} {}", link(rng));
             ("link", two(cut, format!("{who} link {what} well")))
         }
--- a/crates/standins/src/rig/processor_share.rs
+++ b/crates/standins/src/rig/processor_share.rs
@@ -14,6 +14,8 @@
 
 /// Interval between two looks at the processes.
 const INTERVAL: Duration = Duration::from_millis(1);
+/// Longest pause. The platform holds a proxy up for 150 ms at most; whoever owes more is paused again right after.
+const MAX_PAUSE: Duration = Duration::from_millis(100);
 /// Processor time, in ns, that an idle process saves up at most.
 const MAX_CREDIT_NS: f64 = 500_000.0;
 
@@ -64,7 +66,7 @@
     used_ns: f64,
     credit_ns: f64,
     seen_at: Instant,
-    paused: bool,
+    paused_at: Option<Instant>,
 }
 
 impl Process {
@@ -72,7 +74,7 @@
         let schedstat = File::open(format!("/proc/{id}/schedstat")).ok()?;
         let used_ns = processor_time(&schedstat)?;
         let id = Pid::from_raw(i32::try_from(id).ok()?)?;
-        Some(Process { id, schedstat, used_ns, credit_ns: 0.0, seen_at: Instant::now(), paused: false })
+        Some(Process { id, schedstat, used_ns, credit_ns: 0.0, seen_at: Instant::now(), paused_at: None })
     }
 
     /// Pauses the process if it has used more than its share, and resumes it once its share has caught up.
@@ -82,15 +84,16 @@
         let earned_ns = (now - self.seen_at).as_nanos() as f64 * share;
         self.credit_ns = (self.credit_ns + earned_ns).min(MAX_CREDIT_NS) - (used_ns - self.used_ns);
         (self.used_ns, self.seen_at) = (used_ns, now);
-        if self.credit_ns >= 0.0 {
+        let paused_long = self.paused_at.is_some_and(|at| now - at >= MAX_PAUSE);
+        if self.credit_ns >= 0.0 || paused_long {
             self.resume();
-        } else if !self.paused {
-            self.paused = kill_process(self.id, Signal::STOP).is_ok();
+        } else if self.paused_at.is_none() && kill_process(self.id, Signal::STOP).is_ok() {
+            self.paused_at = Some(now);
         }
     }
 
     fn resume(&mut self) {
-        if std::mem::take(&mut self.paused) {
+        if self.paused_at.take().is_some() {
             // Fails only if the process has ended.
             let _ = kill_process(self.id, Signal::CONT);
         }
