Guard: nothing is sent after a request's end, and late answers are counted

The guard of decisions (policy::invariants) let an attempt for a request that had its answer, or whose client had gone, be turned away silently by another check; it is a violation now, counted as the others.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -421,6 +421,9 @@
             }
         }
         let in_time = now <= live.arrived_at + live.class().aim;
+        if value.is_some() && live.reply.is_some() {
+            report_if_lost(live, id, now);
+        }
         if let (Some(value), Some(reply)) = (value, live.reply.take()) {
             count(Count::served);
             let member = live.member(attempt).map_or(0, |member| member.0);
@@ -441,6 +444,9 @@
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(live) = self.live.get_mut(&id) else { return };
+        if live.reply.is_some() {
+            report_if_lost(live, id, self.clock.now());
+        }
         let Some(reply) = live.reply.take() else { return };
         log::debug!(
             target: REQUEST_LOG_TARGET, id = id.0, answer:? = answer, attempts = live.attempt_count(),
@@ -567,6 +573,19 @@
     }
 }
 
+/// Counts and logs a final answer that comes so late that its request is lost.
+fn report_if_lost(live: &LiveRequest, id: RequestId, now: Time) {
+    if !live.progress().is_lost(now) {
+        return;
+    }
+    count(Count::answers_lost);
+    log::warn!(
+        target: REQUEST_LOG_TARGET, id = id.0, attempts = live.attempt_count(),
+        late_us = now.saturating_sub(live.request.deadline), since_arrival_us = now.saturating_sub(live.arrived_at);
+        "the final answer comes too late"
+    );
+}
+
 /// The sessions that a request belongs to: its own, and the one named by its key.
 fn sessions(request: &Request) -> impl Iterator<Item = &Arc<str>> {
     request.session.iter().chain(&request.key_session)
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -75,6 +75,7 @@
     withheld_client_gone,
     orders_dropped,
     violations,
+    answers_lost,
     handover_commits_failed,
     member_clock_offsets,
     accept_failures,
--- a/src/core/live.rs
+++ b/src/core/live.rs
@@ -110,6 +110,7 @@
             group: self.request.group,
             first_possible_run: self.first_possible_run().map(|attempt| attempt.sent),
             deadline: self.request.deadline,
+            ended: self.reply.is_none() || self.abandoned,
         }
     }
 
--- a/src/policy/invariants.rs
+++ b/src/policy/invariants.rs
@@ -15,6 +15,8 @@
     pub first_possible_run: Option<Time>,
     /// When its client stops waiting.
     pub deadline: Time,
+    /// Its client has its final answer, or has gone.
+    pub ended: bool,
 }
 
 /// The zone and group of a member, which determine whether it recognizes a request as a repeat.
@@ -44,8 +46,13 @@
     SentTooLate,
     /// A new request would be sent to a member that is listed as leaving.
     SentToLeaving,
+    /// A request would be sent after its end: its client has its answer, or has gone.
+    SentAfterEnd,
 }
 
+/// How long after its deadline a request's final answer counts as lost, in us.
+pub const MAX_ANSWER_DELAY: Time = 500_000;
+
 impl RequestProgress {
     /// Whether another attempt may be sent.
     ///
@@ -53,6 +60,7 @@
     /// The rule that it would break.
     pub fn may_send(&self, now: Time) -> Result<(), Violation> {
         match (self.effect, self.first_possible_run) {
+            _ if self.ended => Err(Violation::SentAfterEnd),
             (Effect::Unsafe, Some(_)) => Err(Violation::UnsafeResent),
             _ if now >= self.dedup_until() => Err(Violation::KeyedResentLate),
             _ if now >= self.deadline => Err(Violation::SentTooLate),
@@ -90,6 +98,12 @@
         }
     }
 
+    /// Whether a final answer that is given now comes so late that the request is lost. The answer is given all the
+    /// same; what made it late was not this decision.
+    pub fn is_lost(&self, now: Time) -> bool {
+        now > self.deadline.saturating_add(MAX_ANSWER_DELAY)
+    }
+
     /// Whether it may be refused with the promise that trying again is harmless.
     ///
     /// # Errors
--- a/src/policy/invariants_tests.rs
+++ b/src/policy/invariants_tests.rs
@@ -1,7 +1,12 @@
 use super::*;
 
-const NOTHING_SENT: RequestProgress =
-    RequestProgress { effect: Effect::Unsafe, group: 1, first_possible_run: None, deadline: 100 };
+const NOTHING_SENT: RequestProgress = RequestProgress {
+    effect: Effect::Unsafe,
+    group: 1,
+    first_possible_run: None,
+    deadline: 100,
+    ended: false,
+};
 
 #[test]
 fn an_unsafe_request_that_may_have_run_is_neither_sent_again_nor_refused() {
@@ -15,6 +20,20 @@
     assert_eq!((safe.may_send(1), safe.may_refuse()), (Ok(()), Ok(())));
 }
 
+#[test]
+fn a_request_that_has_ended_is_not_sent_whatever_may_have_run() {
+    for effect in [Effect::Safe, Effect::Unsafe] {
+        let ended = RequestProgress { effect, ended: true, ..NOTHING_SENT };
+        assert_eq!(ended.may_send(1), Err(Violation::SentAfterEnd));
+    }
+}
+
+#[test]
+fn an_answer_is_lost_from_half_a_second_behind_the_deadline_on() {
+    let request = RequestProgress { deadline: 1_000_000, ..NOTHING_SENT };
+    assert!(!request.is_lost(1_500_000) && request.is_lost(1_500_001));
+}
+
 #[test]
 fn a_keyed_request_that_may_have_run_is_repeated_in_its_window_and_refused_only_if_all_members_deduplicate() {
     for (group, refused) in [
