Resume a process of the rig that its share no longer limits

A step that ends processes holds their handles, and the thread that limits shares then forgot a process that it had paused: it stayed stopped until its kill.

--- a/crates/standins/src/rig/processor_share.rs
+++ b/crates/standins/src/rig/processor_share.rs
@@ -54,7 +54,6 @@
             }
             std::thread::sleep(INTERVAL);
         }
-        processes.values_mut().for_each(Process::resume);
     });
     ShareLimit { stop, thread: Some(thread) }
 }
@@ -100,6 +99,13 @@
     }
 }
 
+/// A process that is no longer limited, as a step is about to end it, must not stay paused.
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.resume();
+    }
+}
+
 /// The first number in `schedstat`: ns spent on a processor.
 fn processor_time(schedstat: &File) -> Option<f64> {
     let mut buffer = [0; 64];
