Export only what members have shown to the other process of an upgrade

While two processes of a proxy live each writes what it has learned ten times a second and reads the other's: an entry for every listed member, of thousands most without any content. The test names all 100 members before, one after.

--- a/src/core/actor_tests.rs
+++ b/src/core/actor_tests.rs
@@ -89,6 +89,24 @@
     });
 }
 
+/// Guards against files of all members, written ten times a second while two processes of a proxy live.
+#[test]
+fn only_members_that_have_shown_something_are_exported() {
+    in_runtime(|| {
+        let mut actor = actor((1..=100).map(|id| listed(id, Some(1_000_000))).collect());
+        let now = actor.clock.now();
+        let facts = MemberFacts { position: now - 5_000, primary: Some(false), ..MemberFacts::default() };
+        let learned = LearnedFacts { members: [("m7".into(), facts)].into(), ..LearnedFacts::default() };
+        let events = actor.learn(&learned);
+        actor.step(now, &events);
+        let (reply, mut exported) = oneshot::channel();
+        actor.handle_command(CoreCommand::ExportLearned(reply));
+        let exported = exported.try_recv().expect("an answer");
+        let names: Vec<&str> = exported.members.keys().map(AsRef::as_ref).collect();
+        assert_eq!(names, ["m7"]);
+    });
+}
+
 fn stored_knowledge(members: &[(&str, MemberFacts)]) -> Knowledge {
     let members = members.iter().map(|(name, facts)| ((*name).into(), facts.clone())).collect();
     Knowledge { learned: LearnedFacts { members, ..LearnedFacts::default() }, ..Knowledge::default() }
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -172,8 +172,8 @@
     fn export(&self, now: Time) -> LearnedFacts {
         let named: FxHashMap<MemberId, &Arc<str>> =
             self.effective_list.listed().map(|e| (e.member.id, &e.name)).collect();
-        let members =
-            self.router.learned_members().filter_map(|m| Some(((*named.get(&m.id)?).clone(), m.facts)));
+        let learned = self.router.learned_members().filter(|m| !m.facts.is_empty());
+        let members = learned.filter_map(|m| Some(((*named.get(&m.id)?).clone(), m.facts)));
         let (sessions, floor) = self.sessions.since(now.saturating_sub(EXPORTED_COMMIT_AGE));
         let known =
             LearnedFacts { members: members.collect(), sessions: sessions.into_iter().collect(), floor };
--- a/src/knowledge/mod.rs
+++ b/src/knowledge/mod.rs
@@ -33,6 +33,11 @@
 }
 
 impl MemberFacts {
+    /// Whether the member has shown nothing yet, so that nobody learns anything from these facts.
+    pub fn is_empty(&self) -> bool {
+        self.position == 0 && self.primary.is_none() && self.warm_up_start.is_none()
+    }
+
     /// Merges other facts about the same member. Facts from before its latest start no longer apply and are dropped.
     pub fn merge(&mut self, other: &MemberFacts) {
         if self.start != other.start {
