Read a list that has arrived to its end, even if discovery moves meanwhile

Reading gave way to other tasks inside the call that a move of discovery aborts, so that the answer was dropped and the list was asked for anew.

--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -4,6 +4,7 @@
 use crate::rig::events::{EventKind, EventLog};
 use crate::{listener, runtime};
 use serde_json::{json, Value};
+use std::borrow::Cow;
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -19,6 +20,34 @@
 /// Version, full list, latest change.
 type List = (u64, Value, Value);
 
+/// An answer that all callers with the same version get. Made once, as making it takes long with thousands of members.
+struct Answer {
+    version: u64,
+    is_full: bool,
+    entries: Value,
+    /// The members among the entries, and whether each is closed to new requests.
+    lifecycles: Vec<(u32, bool)>,
+    body: String,
+}
+
+impl Answer {
+    fn new(version: u64, is_full: bool, entries: Value) -> Self {
+        let lifecycle = |entry: &Value| {
+            // The number of a member is part of its instance id.
+            let id = entry["instanceId"].as_str().and_then(|id| id.rsplit('-').next());
+            let index = id.and_then(|id| u32::from_str_radix(id, 16).ok())?;
+            Some((index + 1, entry["lifecycle"] != "active"))
+        };
+        let lifecycles = entries.as_array().into_iter().flatten().filter_map(lifecycle).collect();
+        let body = Self::body(version, is_full, &entries);
+        Answer { version, is_full, entries, lifecycles, body }
+    }
+
+    fn body(version: u64, is_full: bool, entries: &Value) -> String {
+        json!({"generation": version, "reset": is_full, "instances": entries}).to_string()
+    }
+}
+
 /// How discovery answers calls.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum DiscoveryBehaviour {
@@ -91,24 +120,23 @@
     unconfirmed: Option<Arc<Mutex<Unconfirmed>>>,
 }
 
-/// Entries of answers by version. The oldest are dropped if the proxy never confirms any.
-type Unconfirmed = BTreeMap<u64, Value>;
+/// Answers by version. The oldest are dropped if the proxy never confirms any.
+type Unconfirmed = BTreeMap<u64, Arc<Answer>>;
 const MAX_UNCONFIRMED: usize = 64;
 
 impl ProxyListener {
     /// Called before an answer is written. Logs the active members first, because the proxy may receive the answer
     /// and send requests to them at once.
-    fn before_write(&self, entries: &Value) {
-        let serves = entries.as_array().into_iter().flatten().filter(|e| e["lifecycle"] == "active");
-        self.log_lifecycles(&serves.cloned().collect());
+    fn before_write(&self, answer: &Answer) {
+        self.log_lifecycles(answer.lifecycles.iter().filter(|(_, closed)| !closed));
     }
 
     /// Called after an answer was written. Logs its entries as received, or stores them if a relay may still hold
     /// them.
-    fn after_write(&self, version: u64, entries: Value) {
-        let Some(unconfirmed) = &self.unconfirmed else { return self.log_lifecycles(&entries) };
+    fn after_write(&self, answer: Arc<Answer>) {
+        let Some(unconfirmed) = &self.unconfirmed else { return self.log_lifecycles(&answer.lifecycles) };
         let mut unconfirmed = unconfirmed.lock().unwrap_or_else(PoisonError::into_inner);
-        unconfirmed.insert(version, entries);
+        unconfirmed.insert(answer.version, answer);
         while unconfirmed.len() > MAX_UNCONFIRMED {
             unconfirmed.pop_first();
         }
@@ -119,21 +147,20 @@
         let Some(unconfirmed) = &self.unconfirmed else { return };
         let mut unconfirmed = unconfirmed.lock().unwrap_or_else(PoisonError::into_inner);
         let later = unconfirmed.split_off(&(version + 1));
-        for entries in std::mem::replace(&mut *unconfirmed, later).values() {
-            self.log_lifecycles(entries);
+        for answer in std::mem::replace(&mut *unconfirmed, later).values() {
+            self.log_lifecycles(&answer.lifecycles);
         }
     }
 
-    /// Logs the lifecycle of each member in a received answer. The number of a member is part of its instance id.
-    fn log_lifecycles(&self, entries: &Value) {
+    /// Logs the lifecycle of each member in a received answer.
+    fn log_lifecycles<'a>(&self, lifecycles: impl IntoIterator<Item = &'a (u32, bool)>) {
         let mut drained = self.drained.lock().unwrap_or_else(PoisonError::into_inner);
-        for entry in entries.as_array().into_iter().flatten() {
-            let id = entry["instanceId"].as_str().and_then(|id| id.rsplit('-').next());
-            let Some(index) = id.and_then(|id| u32::from_str_radix(id, 16).ok()) else { continue };
-            let on = entry["lifecycle"] != "active";
-            let known = if on { drained.insert(index + 1) || on } else { drained.contains(&(index + 1)) };
-            if known {
-                self.log.record(EventKind::Drains { proxy: self.proxy, member: index + 1, on });
+        for (member, closed) in lifecycles {
+            if *closed {
+                drained.insert(*member);
+            }
+            if drained.contains(member) {
+                self.log.record(EventKind::Drains { proxy: self.proxy, member: *member, on: *closed });
             }
         }
     }
@@ -161,6 +188,8 @@
     changed: watch::Sender<u64>,
     state: Arc<Mutex<(DiscoveryBehaviour, Calls)>>,
     rate_limit: Arc<RateLimit>,
+    /// The answers for the current version.
+    answers: Arc<Mutex<Vec<Arc<Answer>>>>,
 }
 
 impl Default for Registry {
@@ -204,12 +233,13 @@
             changed: watch::channel(1).0,
             state: Arc::default(),
             rate_limit: Arc::new(rate_limit),
+            answers: Arc::default(),
         }
     }
 
     /// Starts with a full list and returns the address.
     pub fn start(&self, whole: Value) -> SocketAddr {
-        self.with(|list| list.1 = whole);
+        self.set_list(whole);
         self.open(None)
     }
 
@@ -234,7 +264,11 @@
 
     /// Replaces the full list without waking watches.
     pub fn set_list(&self, whole: Value) {
-        self.with(|list| list.1 = whole);
+        self.with(|list| {
+            list.1 = whole;
+            // The version stays the same.
+            self.answers.lock().unwrap_or_else(PoisonError::into_inner).clear();
+        });
     }
 
     fn open(&self, listener_state: Option<ProxyListener>) -> SocketAddr {
@@ -343,25 +377,15 @@
                 return None;
             }
         }
-        let (version, whole, change) = self.with(|list| list.clone());
-        // Only the latest change is kept; a caller that missed more gets the full list.
-        let (is_full, entries) = match after {
-            Some(after) if version == after => (false, json!([])),
-            Some(after) if version == after + 1 => (false, change),
-            // A member that has left appears in changes only.
-            _ => (
-                true,
-                whole
-                    .as_array()
-                    .into_iter()
-                    .flatten()
-                    .filter(|e| e["lifecycle"] != "left")
-                    .cloned()
-                    .collect(),
-            ),
+        let prepared = self.answer_after(after);
+        let (version, is_full) = (prepared.version, prepared.is_full);
+        let relayed = listener_state.filter(|listener| !listener.seen.is_empty());
+        let shown = relayed.map(|listener| listener.with_shown_addresses(prepared.entries.clone()));
+        let body = match &shown {
+            Some(shown) => Cow::Owned(Answer::body(version, is_full, shown)),
+            None => Cow::Borrowed(&prepared.body),
         };
-        let shown = listener_state.map_or(entries.clone(), |d| d.with_shown_addresses(entries.clone()));
-        let body = json!({"generation": version, "reset": is_full, "instances": shown}).to_string();
+        let shown = shown.as_ref().unwrap_or(&prepared.entries);
         let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         let text = match behaviour() {
             DiscoveryBehaviour::Well | DiscoveryBehaviour::Hasty => answer(&body),
@@ -395,17 +419,44 @@
             DiscoveryBehaviour::Well | DiscoveryBehaviour::Hasty | DiscoveryBehaviour::Indented
         );
         if let Some(listener_state) = listener_state.filter(|_| complete) {
-            listener_state.before_write(&entries);
+            listener_state.before_write(&prepared);
         }
         let written = stream.write_all(text.as_bytes()).await.ok();
         match (written.is_some() && complete, listener_state) {
-            (true, Some(listener_state)) => listener_state.after_write(version, entries),
+            (true, Some(listener_state)) => listener_state.after_write(prepared.clone()),
             (false, Some(_)) if written.is_some() => drop(unanswered()),
             _ => {}
         }
         written
     }
 
+    /// The answer for a caller that has the list of version `after`.
+    fn answer_after(&self, after: Option<u64>) -> Arc<Answer> {
+        self.with(|(version, whole, change)| {
+            let version = *version;
+            if after == Some(version) {
+                return Arc::new(Answer::new(version, false, json!([])));
+            }
+            // Only the latest change is kept; a caller that missed more gets the full list.
+            let is_full = after.is_none_or(|after| version != after + 1);
+            let mut answers = self.answers.lock().unwrap_or_else(PoisonError::into_inner);
+            if let Some(made) = answers.iter().find(|made| made.version == version && made.is_full == is_full)
+            {
+                return made.clone();
+            }
+            // A member that has left appears in changes only.
+            let listed = |e: &&Value| e["lifecycle"] != "left";
+            let entries = match is_full {
+                true => whole.as_array().into_iter().flatten().filter(listed).cloned().collect(),
+                false => change.clone(),
+            };
+            let made = Arc::new(Answer::new(version, is_full, entries));
+            answers.retain(|other| other.version == version);
+            answers.push(made.clone());
+            made
+        })
+    }
+
     /// Changes the lifecycle of an entry and wakes watches.
     pub fn set_lifecycle(&self, index: usize, lifecycle: &str) {
         self.set_field(index, "lifecycle", lifecycle);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -510,7 +510,12 @@
                 answer = self.call() => answer,
             };
             let silent = answer.is_none();
-            let (kind, entries) = answer.flatten().unwrap_or((ListKind::Failed, Vec::new()));
+            // A list that has arrived is read to its end, even if discovery moves meanwhile.
+            let list = match answer.flatten() {
+                Some(body) => self.accept_list(&body).await,
+                None => None,
+            };
+            let (kind, entries) = list.unwrap_or((ListKind::Failed, Vec::new()));
             log::debug!(
                 target: LOG_TARGET,
                 "{kind:?} entries={} generation={} us={}",
@@ -585,7 +590,7 @@
 
     /// Makes one call: for the whole list, or a watch for changes since the version held. Returns `None` if the
     /// call timed out, and `Some(None)` if the answer is unusable.
-    async fn call(&mut self) -> Option<Option<(ListKind, Vec<ListedMember>)>> {
+    async fn call(&mut self) -> Option<Option<Bytes>> {
         // Even a sleep of zero length takes up to a millisecond.
         if !self.pause.is_zero() {
             tokio::time::sleep(self.pause).await;
@@ -605,17 +610,11 @@
             }
         };
         let timeout = Duration::from_micros(delivery.timeout(call));
-        let body = {
-            let mut answer = pin!(self.fetch(target));
-            match tokio::time::timeout(timeout, answer.as_mut()).await {
-                Ok(body) => body,
-                // After the process was stopped, a timer can expire before the sockets have been polled.
-                Err(_) => tokio::time::timeout(FINAL_READ_TIMEOUT, answer).await.ok()?,
-            }
-        };
-        match body {
-            Some(body) => Some(self.accept_list(&body).await),
-            None => Some(None),
+        let mut answer = pin!(self.fetch(target));
+        match tokio::time::timeout(timeout, answer.as_mut()).await {
+            Ok(body) => Some(body),
+            // After the process was stopped, a timer can expire before the sockets have been polled.
+            Err(_) => tokio::time::timeout(FINAL_READ_TIMEOUT, answer).await.ok(),
         }
     }
 
