Let attempts after a long wait see a list that is read in parts

A list of one part is read without a pause now, as before, and while a longer one is read the rounds do not count, for 256 of them at most.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -29,6 +29,7 @@
 use serde_json::value::RawValue;
 use serde_json::{json, Value as Json};
 use std::borrow::Cow;
+use std::cell::Cell;
 use std::fmt::{self, Display};
 use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -167,7 +168,11 @@
         self.admit(version, whole, instances.len(), held)?;
         let mut entries = Vec::with_capacity(instances.len());
         let mut parsed = FxHashMap::default();
-        for part in instances.chunks(ENTRIES_PER_PART) {
+        let _reading = ReadingList::begin();
+        for (n, part) in instances.chunks(ENTRIES_PER_PART).enumerate() {
+            if n > 0 {
+                tokio::task::yield_now().await;
+            }
             let began = std::time::Instant::now();
             for item in part {
                 let Some((text, entry)) = self.entry_from_text(item) else { continue };
@@ -177,7 +182,6 @@
                 }
             }
             work_time::record(Work::ListRead, began, || format!("{} entries of a list", part.len()));
-            tokio::task::yield_now().await;
         }
         self.release_departed(whole, &entries);
         if whole {
@@ -257,6 +261,31 @@
     }
 }
 
+thread_local! {
+    static READING_LIST: Cell<bool> = const { Cell::new(false) };
+}
+
+/// Whether a part of a list that has arrived is still to be read on this thread.
+pub fn is_reading_list() -> bool {
+    READING_LIST.get()
+}
+
+/// Marks that a list is being read until dropped.
+struct ReadingList;
+
+impl ReadingList {
+    fn begin() -> Self {
+        READING_LIST.set(true);
+        ReadingList
+    }
+}
+
+impl Drop for ReadingList {
+    fn drop(&mut self) {
+        READING_LIST.set(false);
+    }
+}
+
 /// Entries of a list that are read before other tasks may run.
 const ENTRIES_PER_PART: usize = 64;
 
--- a/src/net/member_actor.rs
+++ b/src/net/member_actor.rs
@@ -6,6 +6,7 @@
 
 use super::budget::Budget;
 use super::connection_pool::{Pool, SocketCheck};
+use super::discovery::is_reading_list;
 use super::member_protocol::{Confirmation, Exchange, MemberConnection, MemberProtocol, StaleInput};
 use super::member_state::SharedMemberState;
 use super::timeout::ReusableTimer;
@@ -36,10 +37,18 @@
 /// Scheduler rounds needed to read a new member list, pass it to the core and carry it out.
 const YIELDS: usize = 4;
 
-/// Lets the runtime poll its sockets, and other tasks process the input.
+/// Most rounds for which an attempt waits for a long list to be read.
+const MAX_LIST_YIELDS: usize = 256;
+
+/// Lets the runtime poll its sockets, and other tasks process the input, lists that are read in parts to their end.
 async fn process_pending_input() {
-    for _ in 0..YIELDS {
+    let mut rounds = 0;
+    for _ in 0..MAX_LIST_YIELDS {
         tokio::task::yield_now().await;
+        rounds = if is_reading_list() { 0 } else { rounds + 1 };
+        if rounds == YIELDS {
+            return;
+        }
     }
 }
 
