Report a late answer where the answer is taken, and name two things plainly

The check for a late answer asked before each of two places whether there was still somebody to answer, right before the same question decided it. The removed entries of a whole list are unlisted_as_removed; nothing is taken. No change of behaviour.

--- a/src/config.rs
+++ b/src/config.rs
@@ -117,8 +117,8 @@
     fields: Map<String, Value>,
 }
 
-/// Parses a configuration as at startup. A value that `variable` returns for an environment variable takes precedence over
-/// the file.
+/// Parses a configuration as at startup. A value that `variable` returns for an environment variable takes
+/// precedence over the file.
 ///
 /// # Errors
 /// With a single message on what is missing or malformed, for instance in a file that is only partly written.
--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -421,10 +421,8 @@
             }
         }
         let in_time = now <= live.arrived_at + live.class().aim;
-        if value.is_some() && live.reply.is_some() {
-            report_if_lost(live, id, now);
-        }
         if let (Some(value), Some(reply)) = (value, live.reply.take()) {
+            report_if_lost(live, id, now);
             count(Count::served);
             let member = live.member(attempt).map_or(0, |member| member.0);
             log::debug!(target: REQUEST_LOG_TARGET, id = id.0, attempt, member; "served");
@@ -444,10 +442,8 @@
 
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(live) = self.live.get_mut(&id) else { return };
-        if live.reply.is_some() {
-            report_if_lost(live, id, self.clock.now());
-        }
         let Some(reply) = live.reply.take() else { return };
+        report_if_lost(live, id, self.clock.now());
         log::debug!(
             target: REQUEST_LOG_TARGET, id = id.0, answer:? = answer, attempts = live.attempt_count(),
             out = live.in_flight(), may_have_run = live.may_have_run();
--- a/src/effective_list.rs
+++ b/src/effective_list.rs
@@ -95,7 +95,7 @@
     /// [`applied_as`]: the members that take no new requests come first.
     pub fn list(&mut self, kind: ListKind, entries: Vec<ListedMember>, now: Time) -> Vec<ListedMember> {
         let mut changes = match kind {
-            ListKind::Disk | ListKind::Full => self.take_unlisted(&entries),
+            ListKind::Disk | ListKind::Full => self.unlisted_as_removed(&entries),
             _ => Vec::new(),
         };
         let known = |list: &Self, entry: &ListedMember| {
@@ -121,7 +121,7 @@
     }
 
     /// The entries of the members that a whole list does not name, as removed.
-    fn take_unlisted(&self, entries: &[ListedMember]) -> Vec<ListedMember> {
+    fn unlisted_as_removed(&self, entries: &[ListedMember]) -> Vec<ListedMember> {
         let named: FxHashSet<&Arc<str>> = entries.iter().map(|e| &e.name).collect();
         let unlisted = self.listed.values().filter(|entry| !named.contains(&entry.name));
         unlisted.cloned().map(|entry| entry.with_state(ServiceState::Removed)).collect()
