Give the rig's three background threads one handle

The limiter of shares, the watch of run delays and the watch of stalls each had a stop flag, a thread and a handle of their own; the last did not join its thread. rig::background has it once, and joins.

--- a/crates/standins/src/rig/events.rs
+++ b/crates/standins/src/rig/events.rs
@@ -2,10 +2,11 @@
 //! themselves saw or did. The log is written and read as JSON lines, so that the checker can judge a recorded
 //! run again.
 
+use super::background::BackgroundThread;
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::io::{self, BufRead, Write};
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -323,15 +324,6 @@
 /// A sleep that takes longer than requested by more than this is recorded as a stall.
 const STALL_MIN: Micros = 20_000;
 
-/// Handle of the thread that detects stalls of the machine. The thread ends when the handle is dropped.
-pub struct StallWatch(Arc<AtomicBool>);
-
-impl Drop for StallWatch {
-    fn drop(&mut self) {
-        self.0.store(true, Ordering::Relaxed);
-    }
-}
-
 #[derive(Default)]
 struct EventBuffer {
     events: Vec<Event>,
@@ -422,10 +414,9 @@
     }
 
     /// Starts recording stalls of the machine, until the returned handle is dropped.
-    pub fn watch_stalls(&self) -> StallWatch {
-        let (log, stop) = (self.clone(), Arc::new(AtomicBool::new(false)));
-        let stopped = stop.clone();
-        std::thread::spawn(move || {
+    pub fn watch_stalls(&self) -> BackgroundThread {
+        let log = self.clone();
+        BackgroundThread::start(move |stopped| {
             while !stopped.load(Ordering::Relaxed) {
                 let began = Instant::now();
                 std::thread::sleep(STALL_CHECK_INTERVAL);
@@ -434,8 +425,7 @@
                     log.record(EventKind::Stall { us });
                 }
             }
-        });
-        StallWatch(stop)
+        })
     }
 
     /// All events so far, and the number of events that were lost because the log was full.
--- a/crates/standins/src/rig/mod.rs
+++ b/crates/standins/src/rig/mod.rs
@@ -2,6 +2,7 @@
 //! independent of the proxy's code, fault injection between any two parties, and a scenario language that says what
 //! happens when (`docs/rig.md`).
 
+pub mod background;
 pub mod checker;
 pub mod clients;
 pub mod draw;
--- a/crates/standins/src/rig/processor_share.rs
+++ b/crates/standins/src/rig/processor_share.rs
@@ -1,15 +1,14 @@
 //! Limits each proxy to a share of a processor, as on a machine that other programs use, too: a process that has used
 //! more than its share is stopped until its share has caught up.
 
+use super::background::BackgroundThread;
 use super::world::World;
 use rustix::process::{kill_process, Pid, Signal};
 use std::collections::hash_map::Entry;
 use std::collections::HashMap;
 use std::fs::File;
 use std::os::unix::fs::FileExt;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
-use std::thread::JoinHandle;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 /// Interval between two looks at the processes.
@@ -19,24 +18,11 @@
 /// Processor time, in ns, that an idle process saves up at most.
 const MAX_CREDIT_NS: f64 = 500_000.0;
 
-/// Handle of the thread that limits the processes. Dropping it ends the thread and resumes the processes.
-pub struct ShareLimit {
-    stop: Arc<AtomicBool>,
-    thread: Option<JoinHandle<()>>,
-}
-
-impl Drop for ShareLimit {
-    fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
-        let _ = self.thread.take().map(JoinHandle::join);
-    }
-}
-
 /// Limits the running proxies of a world, and those that start later, to this share of a processor each.
-pub fn limit(world: &World, share: f64) -> ShareLimit {
-    let stop = Arc::new(AtomicBool::new(false));
-    let (world, stopped) = (world.clone(), stop.clone());
-    let thread = std::thread::spawn(move || {
+/// Dropping the result resumes them.
+pub fn limit(world: &World, share: f64) -> BackgroundThread {
+    let world = world.clone();
+    BackgroundThread::start(move |stopped| {
         let mut processes: HashMap<u32, Process> = HashMap::new();
         while !stopped.load(Ordering::Relaxed) {
             let running = world.process_ids();
@@ -54,8 +40,7 @@
             }
             std::thread::sleep(INTERVAL);
         }
-    });
-    ShareLimit { stop, thread: Some(thread) }
+    })
 }
 
 /// A process and the processor time that it may still use.
--- a/crates/standins/src/rig/run_delay.rs
+++ b/crates/standins/src/rig/run_delay.rs
@@ -1,11 +1,10 @@
 //! Measures how long processes were ready to run but not scheduled, as counted by the kernel (`/proc/PID/schedstat`).
 
+use super::background::BackgroundThread;
 use super::events::{EventKind, EventLog, Micros};
 use super::world::World;
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::Arc;
-use std::thread::JoinHandle;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 /// Interval between two reads of the kernel's counters.
@@ -13,25 +12,10 @@
 /// Shorter delays are not recorded.
 const RECORDED_MIN: Micros = 10_000;
 
-/// Handle of the thread that records delays. Dropping it stops and joins the thread, so that the thread does not
-/// keep the world and its processes alive any longer.
-pub struct DelayWatch {
-    stop: Arc<AtomicBool>,
-    thread: Option<JoinHandle<()>>,
-}
-
-impl Drop for DelayWatch {
-    fn drop(&mut self) {
-        self.stop.store(true, Ordering::Relaxed);
-        let _ = self.thread.take().map(JoinHandle::join);
-    }
-}
-
 /// Starts recording the delays of the rig's own threads and of the proxies in the world's log.
-pub fn watch(world: &World) -> DelayWatch {
-    let stop = Arc::new(AtomicBool::new(false));
-    let (world, stopped) = (world.clone(), stop.clone());
-    let thread = std::thread::spawn(move || {
+pub fn watch(world: &World) -> BackgroundThread {
+    let world = world.clone();
+    BackgroundThread::start(move |stopped| {
         let mut delays = RunDelays::default();
         while !stopped.load(Ordering::Relaxed) {
             let rig = delays.of_rig();
@@ -42,8 +26,7 @@
             }
             std::thread::sleep(INTERVAL);
         }
-    });
-    DelayWatch { stop, thread: Some(thread) }
+    })
 }
 
 fn record(log: &EventLog, proxy: Option<u32>, us: Micros) {
