Move the reading of lists out of the discovery actor, without change

net::discovery had grown to 700 lines: the actor, the numbers of members, the reader of lists and the fields of an entry. The reader is net::list_reader, the text of a list and its entries net::list_entry; the limits on a list stand with what they limit. The names that others use stay at net::discovery, too.

--- a/src/net/member_actor.rs
+++ b/src/net/member_actor.rs
@@ -6,7 +6,7 @@
 
 use super::budget::Budget;
 use super::connection_pool::{Pool, SocketCheck};
-use super::discovery::is_reading_list;
+use super::list_reader::is_reading_list;
 use super::member_protocol::{Confirmation, Exchange, MemberConnection, MemberProtocol, StaleInput};
 use super::member_state::SharedMemberState;
 use super::timeout::ReusableTimer;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,8 @@
 pub mod connection_pool;
 pub mod discovery;
 pub mod frames;
+mod list_entry;
+pub mod list_reader;
 pub mod listen;
 pub mod member_actor;
 pub mod member_actors;
