--- a/crates/lab/src/fleet/hunt.rs
+++ b/crates/lab/src/fleet/hunt.rs
@@ -108,7 +108,7 @@
 ) -> Result<(BTreeSet<Rule>, Vec<String>), Failure> {
     let wrong = |w: Vec<_>| Failure::CheckFailed(format!("a generated scenario is invalid: {w:?}"));
     let script = Script::read(&scenario.text()).map_err(wrong)?;
-    let verdict = play(&script, program, stop, false).await?.verdict;
+    let verdict = play(&script, program, stop, false, None).await?.verdict;
     Ok((
         verdict.counts.keys().copied().collect(),
         verdict.breaches.iter().map(report::format_breach).collect(),
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 use crate::world::find_program;
 use crate::Failure;
 use clap::Args;
+use linentrail_standins::proxy::Setup;
 use linentrail_standins::rig::checker;
 use linentrail_standins::rig::events;
 use linentrail_standins::rig::run::{run as run_once, Outcome};
@@ -38,6 +39,9 @@
     /// File for the events of the last run, one JSON object per line
     #[arg(long)]
     log: Option<PathBuf>,
+    /// Log filter of the proxies, whose log is then printed on standard error
+    #[arg(long)]
+    proxy_log: Option<String>,
     /// File for a plot of the figures over the number of proxies (SVG)
     #[arg(long)]
     plot: Option<PathBuf>,
@@ -64,15 +68,27 @@
     })
 }
 
-/// Runs a scenario on a blocking thread; prints its progress if `verbose`.
-async fn play(script: &Script, program: &Path, stop: &StopFlag, verbose: bool) -> Result<Outcome, Failure> {
+/// Runs a scenario on a blocking thread; prints its progress if `verbose`, and the proxies' log if `proxy_log`, their
+/// log filter, is set.
+async fn play(
+    script: &Script,
+    program: &Path,
+    stop: &StopFlag,
+    verbose: bool,
+    proxy_log: Option<String>,
+) -> Result<Outcome, Failure> {
     let (script, program, flag) = (script.clone(), program.to_path_buf(), stop.flag());
+    let echo_log = move |setup: &mut Setup, _: u32, _: &Path| {
+        if let Some(filter) = &proxy_log {
+            (setup.echo_log, setup.log) = (true, Some(filter.clone()));
+        }
+    };
     let print = move |what: &str| {
         if verbose {
             eprintln!("{what}");
         }
     };
-    let play = move || run_once(&script, &program, |_, _, _| {}, print, &flag);
+    let play = move || run_once(&script, &program, echo_log, print, &flag);
     let done = tokio::task::spawn_blocking(play).await;
     let failed = |what: String| Failure::CheckFailed(format!("the run failed: {what}"));
     done.map_err(|e| failed(e.to_string()))?.map_err(|e| failed(e.to_string()))
@@ -99,7 +115,14 @@
             script.announced_proxies =
                 options.told.unwrap_or(if as_many { proxies } else { script.announced_proxies });
             eprintln!("{proxies} proxies, seed {seed}, {name}");
-            let outcome = play(&script, program, stop, options.seeds == 1 && sizes.len() == 1).await?;
+            let outcome = play(
+                &script,
+                program,
+                stop,
+                options.seeds == 1 && sizes.len() == 1,
+                options.proxy_log.clone(),
+            )
+            .await?;
             if let Some(path) = &options.log {
                 let bad = |e: std::io::Error| Failure::InvalidInput(format!("{}: {e}", path.display()));
                 let file = std::fs::File::create(path).map_err(bad)?;
--- a/src/net/member_actor.rs
+++ b/src/net/member_actor.rs
@@ -287,13 +287,10 @@
                         process_pending_input().await;
                     }
                     // From here on, nothing may wait before the first byte is written.
-                    if state.begin(&attempt, &clock).is_err() {
+                    let Ok(wait) = state.begin(&attempt, &clock) else {
                         let outcome = Outcome::Superseded;
                         return (Some(connection), Exchange { outcome, ..Exchange::default() });
-                    }
-                    // Members are told how long this proxy waits. Rounded up, as 0 would mean that the time is
-                    // over.
-                    let wait = attempt.stop_at.saturating_sub(clock.now()).div_ceil(1000).max(1);
+                    };
                     let mut exchange = connection.run(&attempt.work, wait, stale, &mut written).await;
                     // Statements that may be sent again need no proof that they never ran.
                     if !attempt.safe && exchange.reusable && exchange.outcome.never_ran() {
--- a/src/net/member_state.rs
+++ b/src/net/member_state.rs
@@ -4,7 +4,8 @@
 
 use crate::clock::Clock;
 use crate::core::counters::{count, Count};
-use crate::core::Attempt;
+use crate::core::{Attempt, REQUEST_LOG_TARGET};
+use crate::interface::Time;
 use crate::policy::begin::{client_check_due, AttemptKey, BeginContext, BeginGate, WithholdReason};
 use crate::settings::SocketTimes;
 use std::net::SocketAddr;
@@ -55,11 +56,11 @@
 
     /// Marks an attempt as begun if it still may begin. Called right before its first byte is written, so
     /// that an attempt is not sent if it became invalid during the wait for a connection or a stall of the
-    /// process.
+    /// process. Returns the time limit for the member, in ms.
     ///
     /// # Errors
     /// The reason why the attempt must not begin.
-    pub fn begin(&self, attempt: &Attempt, clock: &Clock) -> Result<(), WithholdReason> {
+    pub fn begin(&self, attempt: &Attempt, clock: &Clock) -> Result<Time, WithholdReason> {
         let now = clock.now();
         let context = BeginContext {
             now,
@@ -70,13 +71,21 @@
             client_gone: client_check_due(now, attempt.client_seen) && attempt.client_gone(),
         };
         let begun = self.lock().gate.begin(attempt.key(), context);
-        if let Err(why) = begun {
-            count(withheld_counter(why));
-            log::debug!(
-                target: crate::core::REQUEST_LOG_TARGET,
-                id = attempt.id.0, attempt = attempt.number, why:? = why;
-                "withheld"
-            );
+        match begun {
+            Ok(time_limit) => log::debug!(
+                target: REQUEST_LOG_TARGET,
+                id = attempt.id.0, attempt = attempt.number, time_limit_ms = time_limit,
+                since_arrival_us = now.saturating_sub(attempt.client_seen);
+                "begun"
+            ),
+            Err(why) => {
+                count(withheld_counter(why));
+                log::debug!(
+                    target: REQUEST_LOG_TARGET,
+                    id = attempt.id.0, attempt = attempt.number, why:? = why;
+                    "withheld"
+                );
+            }
         }
         begun
     }
--- a/src/odata/session.rs
+++ b/src/odata/session.rs
@@ -18,7 +18,7 @@
 use crate::core::counters::{count, Count};
 use crate::http::{HttpError, HttpRequest, HttpResponse, HttpServer, Incoming};
 use crate::net::budget::MIN_QUIET_TIME;
-use crate::net::client_close::{self, CloseReason, ConnectionClosed};
+use crate::net::client_close::{self, CloseReason, ConnectionClosed, CONNECTION_LOG};
 use crate::net::frames::{
     read_next, read_next_or_close, release_large_buffers, ReadEvent, INITIAL_BUFFER_SIZE,
 };
@@ -201,6 +201,10 @@
         count(Count::odata_requests);
         // Only the first request may have been sent before this session first read the connection.
         let waited = stall::queued_time(self.waiting_since.take());
+        log::debug!(
+            target: CONNECTION_LOG, client = self.conn.get_ref().port(), waited_us = waited;
+            "request read"
+        );
         let mut answer = pin!(self.front.answer(request, self.conn.get_ref().client_connection(), waited));
         loop {
             let may_read = self.read_ahead.len() < MAX_READ_AHEAD && self.read_error.is_none();
--- a/src/pg/session.rs
+++ b/src/pg/session.rs
@@ -303,7 +303,10 @@
                 let client = self.conn.get_ref();
                 request.deadline = front.answer_limit.cap(request.deadline.saturating_sub(DEADLINE_MARGIN));
                 request.client = Some(client.client_connection());
-                log::debug!(target: CONNECTION_LOG, client = client.port(), name:? = request.name; "request read");
+                log::debug!(
+                    target: CONNECTION_LOG, client = client.port(), name:? = request.name, waited_us = waited;
+                    "request read"
+                );
                 let write = request.class_table.classes[request.class].consistency == Consistency::Write;
                 PendingReply::Waiting(front.core.submit(request).await, write)
             }
--- a/src/policy/begin.rs
+++ b/src/policy/begin.rs
@@ -37,6 +37,14 @@
     pub client_gone: bool,
 }
 
+impl BeginContext {
+    /// How long the member is told that its answer is waited for, in ms. Rounded up, as 0 would mean that the time
+    /// is over.
+    fn time_limit(&self) -> Time {
+        self.stop_at.saturating_sub(self.now).div_ceil(1_000).max(1)
+    }
+}
+
 /// Why an attempt does not begin. Nothing of it was written, so its request may go to another member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum WithholdReason {
@@ -83,11 +91,11 @@
         self.waiting.contains(&key)
     }
 
-    /// Begins a waiting attempt, which is possible once.
+    /// Begins a waiting attempt, which is possible once. Returns the time limit for the member, in ms.
     ///
     /// # Errors
     /// The reason why it must not begin.
-    pub fn begin(&mut self, key: AttemptKey, context: BeginContext) -> Result<(), WithholdReason> {
+    pub fn begin(&mut self, key: AttemptKey, context: BeginContext) -> Result<Time, WithholdReason> {
         if !self.waiting.remove(&key) {
             return Err(WithholdReason::Withdrawn);
         }
@@ -107,7 +115,7 @@
             return Err(WithholdReason::ClientGone);
         }
         self.begun.insert(key);
-        Ok(())
+        Ok(context.time_limit())
     }
 
     /// Whether an attempt has begun and not ended.
--- a/src/policy/begin_tests.rs
+++ b/src/policy/begin_tests.rs
@@ -17,7 +17,7 @@
     let mut gate = BeginGate::default();
     assert_eq!(gate.begin(KEY, VALID), Err(WithholdReason::Withdrawn), "it was never registered");
     gate.register(KEY);
-    assert_eq!(gate.begin(KEY, VALID), Ok(()));
+    assert_eq!(gate.begin(KEY, VALID), Ok(1));
     assert!(gate.has_begun(KEY) && !gate.is_waiting(KEY));
     assert_eq!(gate.begin(KEY, VALID), Err(WithholdReason::Withdrawn), "it has begun already");
     assert!(gate.end(KEY) && !gate.end(KEY));
@@ -29,7 +29,7 @@
         let (mut gate, other) = (BeginGate::default(), (RequestId(8), 1));
         gate.register(KEY);
         gate.register(other);
-        assert_eq!(gate.begin(other, VALID), Ok(()));
+        assert_eq!(gate.begin(other, VALID), Ok(1));
         if all {
             gate.withdraw_all();
         } else {
