--- a/tests/thousands_of_members.rs
+++ b/tests/thousands_of_members.rs
@@ -73,3 +73,35 @@
 fn requests_are_lost_while_a_third_of_a_group_of_800_members_is_down() {
     play(4, "at 3000 33% does down");
 }
+
+/// Runs a scenario of four proxies, each with 3% of a processor, to its end.
+fn play_four(scenario: &str) {
+    let _lock = RUN_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+    let text = format!("proxies 4\nload 32 clients 16\nshare 0.03\nend 8000\n{scenario}");
+    let script = Script::read(&text).expect("a valid scenario");
+    let program = Path::new(env!("CARGO_BIN_EXE_linentrail"));
+    let outcome =
+        run(&script, program, |_, _, _| {}, |_| {}, &AtomicBool::new(false)).expect("the run completes");
+    assert!(outcome.verdict.passed(), "{:#?} {:?}", outcome.verdict.breaches, outcome.counters);
+}
+
+#[test]
+fn members_are_told_too_much_time_for_requests_that_waited_in_the_backlog_of_a_crowd() {
+    play_four(
+        "seed 5
+        members 12 groups 3 slots 16 work 4 12 handshake 9 lag 13
+        sockets 128
+        clients surge 200",
+    );
+}
+
+#[test]
+fn members_are_told_too_much_time_for_requests_that_waited_while_a_first_list_was_read() {
+    play_four(
+        "seed 7023
+        members 3200 spare 897 groups 800 slots 16 work 4 12 handshake 7 lag 9
+        store every 359
+        list rate 60 queue 200
+        at 3000 list does replace 28%",
+    );
+}
