--- a/tests/module.rs
+++ b/tests/module.rs
@@ -957,7 +957,8 @@
 
 #[test]
 fn a_read_is_not_cut_off_as_lost_where_no_other_member_could_answer_it() {
-    for (members, cut_off) in [(vec![member(2, false)], false), (vec![member(2, false), member(3, false)], true)]
+    for (members, cut_off) in
+        [(vec![member(2, false)], false), (vec![member(2, false), member(3, false)], true)]
     {
         let mut d = RouterDriver::without_members(settings());
         d.list(ListKind::Disk, members);
