Count what input waited since the last poll, however short the pauses

Members were told up to 0.5 s too much time, and answers came late, where a proxy has a small share of a core. Cause: net::stall took two readings of the clock 40 ms apart for a hold-up, and forgot them at each park. Now the bound comes from the driver's polls: input that is read has arrived since the poll before; polls are tracked by a task that yields, while the thread works for more than 5 ms without a wait.

--- a/src/main.rs
+++ b/src/main.rs
@@ -138,6 +138,7 @@
         (install_handler(SignalKind::hangup())?, install_handler(SignalKind::user_defined1())?);
     let (mut term, mut int) =
         (install_handler(SignalKind::terminate())?, install_handler(SignalKind::interrupt())?);
+    tokio::spawn(stall::track_polls());
     let inherited = std::env::var(INHERITED_LISTENER_VARIABLE).ok().filter(|v| !v.is_empty());
     // Before the configuration is read, so that clients that connect in the meantime find a listener.
     let early_listener = listen_early(inherited.as_deref()).await?;
@@ -434,7 +435,10 @@
             let mut builder = tokio::runtime::Builder::new_current_thread();
             let runtime = builder
                 .enable_all()
-                .on_thread_park(work_time::thread_parks)
+                .on_thread_park(|| {
+                    stall::thread_parks();
+                    work_time::thread_parks();
+                })
                 .on_thread_unpark(|| {
                     stall::thread_unparked();
                     work_time::thread_unparked();
--- a/src/net/stall.rs
+++ b/src/net/stall.rs
@@ -1,124 +1,136 @@
-//! Detects stalls of the process, caused by the machine or by a long step of its own. Input that arrived in the
-//! sockets during a stall has waited, and the time until its deadline has passed meanwhile.
+//! Tells how long input may have waited in the kernel before it was read: while the thread worked on something else,
+//! or while the machine held the process up. The time until the input's deadline has passed meanwhile.
 //!
-//! The runtime's thread reads the clock at each call that may take long. Two readings far apart without an idle
-//! period between them are a stall. A stall soon after another one continues it, as input that arrived during the
-//! first may not have been read before the second. While the thread is idle no stall can be detected; arriving
-//! input wakes the thread.
+//! Input that a task reads was reported by one poll of the runtime's driver, and had not arrived at the poll before.
+//! So what is known of the polls bounds the wait:
+//!
+//! | event | input that is read after it has arrived since |
+//! | --- | --- |
+//! | the thread resumes from a wait | this moment; or the last poll before, if the thread worked for long before the wait |
+//! | a task resumes that had yielded ([`track_polls`]) | its run before that |
+//!
+//! A hold-up that lies wholly within a wait for events can't be seen.
 
 use crate::interface::Time;
 use std::cell::Cell;
 use std::time::{Duration, Instant};
+use tokio::sync::Notify;
 
-/// Two clock readings at least this far apart are a stall, as no normal step of the process takes that long.
-const MIN_STALL: Duration = Duration::from_millis(40);
-/// Input that arrived during a stall, in the sockets or in the listen backlog, has been read by this long after its
-/// end.
-const CATCH_UP_TIME: Duration = Duration::from_millis(60);
+/// Work between two polls that takes less leaves no input waiting for long.
+const MIN_LONG_WORK: Duration = Duration::from_millis(10);
+/// The longest hold-up within a wait for events that is allowed for. A longer wait shows that nothing had arrived
+/// when it began.
+const MAX_HOLD_UP: Duration = Duration::from_millis(200);
+/// Polls are tracked once the thread has worked for this long without a wait.
+const TRACKING_DELAY: Duration = Duration::from_millis(5);
 
-/// Clock readings of one thread.
+/// What one thread knows of the polls of its driver.
 #[derive(Debug, Clone, Copy)]
-struct ClockReadings {
-    /// The last reading, or the end of the last idle period.
-    last: Instant,
-    stall: Option<Stall>,
-}
-
-/// One stall, or several in quick succession.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Stall {
-    /// When the first stall began.
-    began: Instant,
-    /// When the last stall ended.
-    ended: Instant,
+struct PollTimes {
+    /// Input that is read now has arrived since.
+    input_since: Instant,
+    /// The last known poll began no earlier.
+    polled_since: Instant,
+    /// When polls were last tracked, or the thread last resumed from a wait.
+    tracked_at: Instant,
+    /// When the thread last began to wait.
+    parked_at: Instant,
+    /// [`track_polls`] runs whenever the driver has been polled.
+    tracking: bool,
+    /// Something was read or written since polls were last tracked.
+    active: bool,
 }
 
-impl ClockReadings {
+impl PollTimes {
     fn new(now: Instant) -> Self {
-        ClockReadings { last: now, stall: None }
+        PollTimes {
+            input_since: now,
+            polled_since: now,
+            tracked_at: now,
+            parked_at: now,
+            tracking: false,
+            active: false,
+        }
     }
 
-    fn idle_until(mut self, now: Instant) -> Self {
-        self.last = now;
-        self
+    fn parked(self, now: Instant) -> Self {
+        PollTimes { parked_at: now, ..self }
     }
 
-    fn read(mut self, now: Instant) -> Self {
-        // A stall that begins soon after the end of another one continues it.
-        let last = self.last;
-        self.stall = self.stall.filter(|stall| last < stall.ended + CATCH_UP_TIME);
-        if now.saturating_duration_since(last) >= MIN_STALL {
-            let began = self.stall.map_or(last, |stall| stall.began);
-            self.stall = Some(Stall { began, ended: now });
-        }
-        self.stall = self.stall.filter(|stall| now < stall.ended + CATCH_UP_TIME);
-        self.last = now;
-        self
+    fn unparked(self, now: Instant) -> Self {
+        let worked = self.parked_at.saturating_duration_since(self.polled_since);
+        let waited = now.saturating_duration_since(self.parked_at);
+        let had_arrived = worked >= MIN_LONG_WORK && waited < MAX_HOLD_UP;
+        let input_since = if had_arrived { self.polled_since } else { now };
+        PollTimes { input_since, polled_since: now, tracked_at: now, ..self }
+    }
+
+    /// A task that had yielded resumes: the driver has been polled since its last run.
+    fn polled(self, now: Instant) -> Self {
+        let before = self.tracked_at;
+        PollTimes { input_since: before, polled_since: before, tracked_at: now, active: false, ..self }
     }
 }
 
 thread_local! {
-    static READINGS: Cell<Option<ClockReadings>> = const { Cell::new(None) };
+    static POLL_TIMES: Cell<Option<PollTimes>> = const { Cell::new(None) };
 }
 
-/// Records that the thread has been idle until now.
-pub fn thread_unparked() {
+/// Requests that polls are tracked until the thread is about to wait.
+static TRACKING_REQUESTED: Notify = Notify::const_new();
+
+fn update(change: impl FnOnce(PollTimes, Instant) -> PollTimes) -> PollTimes {
     let now = Instant::now();
-    READINGS.set(Some(READINGS.get().unwrap_or(ClockReadings::new(now)).idle_until(now)));
+    let times = change(POLL_TIMES.get().unwrap_or(PollTimes::new(now)), now);
+    POLL_TIMES.set(Some(times));
+    times
+}
+
+/// Records that the thread is about to wait for events.
+pub fn thread_parks() {
+    update(PollTimes::parked);
+}
+
+/// Records that the thread has resumed from a wait for events.
+pub fn thread_unparked() {
+    update(PollTimes::unparked);
 }
 
-/// Reads the clock. After a stall, returns since when input that is read now may have been in its socket.
+/// Tracks the polls of the driver while the thread works for long without a wait. Runs for as long as the process;
+/// without it, input is taken to have waited since the thread last resumed from a wait.
+pub async fn track_polls() {
+    loop {
+        TRACKING_REQUESTED.notified().await;
+        // A thread on which nothing was read or written since the last run is about to wait.
+        while update(|times, _| PollTimes { tracking: times.active, ..times }).tracking {
+            update(PollTimes::polled);
+            // Resumes only after the driver has been polled.
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+/// Called for each read and write. Returns since when input that is read now may have waited, unless that is so
+/// short that it does not matter.
 pub fn check() -> Option<Instant> {
     let now = Instant::now();
-    let readings = READINGS.get().unwrap_or(ClockReadings::new(now)).read(now);
-    READINGS.set(Some(readings));
-    readings.stall.map(|stall| stall.began)
+    let times = POLL_TIMES.get().unwrap_or(PollTimes::new(now));
+    let worked_long = now.saturating_duration_since(times.tracked_at) >= TRACKING_DELAY;
+    if worked_long && !times.tracking {
+        TRACKING_REQUESTED.notify_one();
+    }
+    POLL_TIMES.set(Some(PollTimes { active: true, tracking: times.tracking || worked_long, ..times }));
+    let waited = now.saturating_duration_since(times.input_since);
+    (waited >= MIN_LONG_WORK).then_some(times.input_since)
 }
 
-/// How long, in us, a request that is read now may have waited in its socket: since a stall began, or since
-/// `waits_since`, if its connection has not been read since then.
+/// How long, in us, a request that is read now may have waited in its socket: since the last poll before it arrived,
+/// or since `waits_since`, if its connection has not been read since then.
 pub fn queued_time(waits_since: Option<Instant>) -> Time {
     let since = waits_since.into_iter().chain(check()).min();
     since.map_or(0, |since| since.elapsed().as_micros() as Time)
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    const MS: Duration = Duration::from_millis(1);
-
-    fn began(readings: ClockReadings, start: Instant) -> Option<Duration> {
-        readings.stall.map(|stall| stall.began - start)
-    }
-
-    #[test]
-    fn a_long_time_between_two_readings_is_a_stall_unless_the_thread_was_idle() {
-        let start = Instant::now();
-        let readings = ClockReadings::new(start).read(start + 10 * MS);
-        assert_eq!(began(readings, start), None);
-        assert_eq!(began(readings.read(start + 160 * MS), start), Some(10 * MS));
-        assert_eq!(began(readings.idle_until(start + 160 * MS).read(start + 161 * MS), start), None);
-    }
-
-    #[test]
-    fn a_stall_is_over_once_its_input_has_been_read() {
-        let start = Instant::now();
-        let stalled = ClockReadings::new(start).read(start + 150 * MS);
-        let reread_until =
-            |until: u32| (151..=until).fold(stalled, |readings, at| readings.read(start + at * MS));
-        assert_eq!(began(reread_until(200), start), Some(Duration::ZERO));
-        assert_eq!(began(reread_until(211), start), None);
-        assert_eq!(began(stalled.idle_until(start + 900 * MS).read(start + 901 * MS), start), None);
-    }
-
-    #[test]
-    fn stalls_in_quick_succession_count_from_the_first() {
-        let start = Instant::now();
-        let stalled = ClockReadings::new(start)
-            .read(start + 150 * MS)
-            .idle_until(start + 170 * MS)
-            .read(start + 320 * MS);
-        assert_eq!(began(stalled, start), Some(Duration::ZERO));
-    }
-}
+#[path = "stall_tests.rs"]
+mod tests;
