Count the time that clients wait in the listen backlog

Members were told up to 0.36 s too much time for first requests of a crowd. Cause: a client was taken to have connected when it was accepted, but the acceptor waits for permits and after failed calls of accept, and all behind wait with it. Now a client counts as waiting since the backlog was last seen empty.

--- a/src/net/accept_queue.rs
+++ b/src/net/accept_queue.rs
@@ -1,13 +1,17 @@
 //! Accepts clients from a listening socket one by one; a failed accept(2) does not skip any of them.
 
 use super::listen::{wait_for_phase, PhaseReceiver, ProcessPhase};
+use super::stall;
 use crate::core::counters::{count, counter_value, Count};
+use futures_util::FutureExt;
 use socket2::SockRef;
 use std::future::Future;
 use std::io::{Error, ErrorKind, Result};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::pin::pin;
+use std::time::{Duration, Instant};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::unconstrained;
 
 /// Delay after a failed accept(2), for example for lack of descriptors. All clients in the backlog wait for it.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(2);
@@ -49,23 +53,36 @@
     }
 }
 
+/// A client that was taken from the backlog.
+pub struct QueuedClient {
+    /// Its connection.
+    pub stream: TcpStream,
+    /// Its address.
+    pub peer: SocketAddr,
+    /// The earliest time at which it can have connected.
+    pub connected_since: Instant,
+}
+
 /// The backlog of a listener, in the kernel's order.
 pub struct AcceptQueue<L> {
     listener: L,
+    /// Clients that are in the backlog now may have connected as early as this; `None` if it was empty when last looked
+    /// at. Nobody tells how long each of them has waited there.
+    backlog_since: Option<Instant>,
 }
 
 impl<L: Listener> AcceptQueue<L> {
-    /// Takes over the listener, which is closed when this is dropped.
-    pub fn new(listener: L) -> Self {
-        AcceptQueue { listener }
+    /// Takes over the listener, which is closed when this is dropped. It has been open since `bound` at the earliest.
+    pub fn new(listener: L, bound: Instant) -> Self {
+        AcceptQueue { listener, backlog_since: Some(bound) }
     }
 
     /// Waits for the next client; returns `None` once the process has reached `phase`. Cancel safe.
     pub async fn next_until(
-        &self,
+        &mut self,
         phase_rx: &mut PhaseReceiver,
         phase: ProcessPhase,
-    ) -> Option<(TcpStream, SocketAddr)> {
+    ) -> Option<QueuedClient> {
         tokio::select! {
             biased;
             () = wait_for_phase(phase_rx, phase) => None,
@@ -73,22 +90,37 @@
         }
     }
 
-    async fn next(&self) -> (TcpStream, SocketAddr) {
+    async fn next(&mut self) -> QueuedClient {
         loop {
-            match self.listener.accept().await {
-                Ok(client) => return client,
-                Err(error) => accept_failed(&error).await,
+            let accepted = {
+                let mut accept = pin!(self.listener.accept());
+                // Only the kernel says that the backlog is empty, not the runtime's budget for a task.
+                match unconstrained(accept.as_mut()).now_or_never() {
+                    Some(accepted) => accepted,
+                    None => {
+                        self.backlog_since = None;
+                        accept.await
+                    }
+                }
+            };
+            match accepted {
+                Ok((stream, peer)) => return self.queued_client(stream, peer),
+                Err(error) => self.accept_failed(&error).await,
             }
         }
     }
 
     /// Takes the next client from the backlog. Returns `None` if there is none, or if accept has failed too often
     /// in a row. Cancel safe.
-    pub async fn next_queued(&self) -> Option<(TcpStream, SocketAddr)> {
+    pub async fn next_queued(&mut self) -> Option<QueuedClient> {
         for _ in 0..MAX_ACCEPT_FAILURES {
             match self.listener.try_accept() {
-                Ok(client) => return client,
-                Err(error) => accept_failed(&error).await,
+                Ok(Some((stream, peer))) => return Some(self.queued_client(stream, peer)),
+                Ok(None) => {
+                    self.backlog_since = None;
+                    return None;
+                }
+                Err(error) => self.accept_failed(&error).await,
             }
         }
         log::error!(
@@ -96,6 +128,19 @@
         );
         None
     }
+
+    fn queued_client(&mut self, stream: TcpStream, peer: SocketAddr) -> QueuedClient {
+        QueuedClient { stream, peer, connected_since: self.backlog_since() }
+    }
+
+    fn backlog_since(&mut self) -> Instant {
+        *self.backlog_since.get_or_insert_with(|| stall::check().unwrap_or_else(Instant::now))
+    }
+
+    async fn accept_failed(&mut self, error: &Error) {
+        self.backlog_since();
+        accept_failed(error).await;
+    }
 }
 
 async fn accept_failed(error: &Error) {
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -1,10 +1,9 @@
 //! Accepts clients for any front, and defines the phases of the process from startup to exit.
 
-use super::accept_queue::{AcceptQueue, Listener};
+use super::accept_queue::{AcceptQueue, Listener, QueuedClient};
 use super::budget::DescriptorBudget;
 use super::client_close::{CloseReason, CloseReport, ConnectionClosed, CONNECTION_LOG};
 use super::socket::Socket;
-use super::stall;
 use crate::core::counters::{count, Count};
 use futures_util::future::FusedFuture;
 use futures_util::FutureExt;
@@ -13,9 +12,8 @@
 use std::fmt::Display;
 use std::future::Future;
 use std::io::{Error, ErrorKind};
-use std::net::SocketAddr;
 use std::time::{Duration, Instant};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::{watch, OwnedSemaphorePermit};
 
 /// How long a client may wait for a permit before it is refused. It is refused sooner where others wait to be
@@ -149,67 +147,59 @@
 /// task of its own, under a permit for refusals.
 pub struct Acceptor<S, L = TcpListener> {
     queue: AcceptQueue<L>,
-    /// The earliest time at which the listener can have been bound.
-    bound: Instant,
     counter: Count,
     clients: DescriptorBudget,
     handler: S,
 }
 
 impl<S: ConnectionHandler, L: Listener> Acceptor<S, L> {
-    /// Creates an acceptor that counts its clients by `counter`.
+    /// Creates an acceptor that counts its clients by `counter`. The listener has been open since `bound` at the
+    /// earliest.
     pub fn new(listener: L, bound: Instant, counter: Count, clients: DescriptorBudget, handler: S) -> Self {
-        Acceptor { queue: AcceptQueue::new(listener), bound, counter, clients, handler }
+        Acceptor { queue: AcceptQueue::new(listener, bound), counter, clients, handler }
     }
 
     /// Accepts clients until shutdown begins. Clients that are in the listener's backlog by then are accepted as
     /// well, as they would be reset when the listener is closed. Returns the acceptor for [`Acceptor::refuse_all`],
     /// except where another process accepts the clients.
-    pub async fn accept_all(self, mut phase_rx: PhaseReceiver) -> Option<Self> {
-        // Clients in the backlog may have connected at any time since the listener was bound.
+    pub async fn accept_all(mut self, mut phase_rx: PhaseReceiver) -> Option<Self> {
+        // The kernel is asked first: the runtime has not heard yet of clients that came before it knew the listener.
         loop {
             let queued = tokio::select! {
                 biased;
                 () = wait_for_phase(&mut phase_rx, ProcessPhase::HandingOver) => None,
                 queued = self.queue.next_queued() => queued,
             };
-            let Some((stream, peer)) = queued else { break };
-            self.admit(self.bound, stream, peer, &phase_rx).await;
+            let Some(client) = queued else { break };
+            self.admit(client, &phase_rx).await;
         }
-        while let Some((stream, peer)) = self.queue.next_until(&mut phase_rx, ProcessPhase::HandingOver).await
-        {
-            self.admit(earliest_connect_time(), stream, peer, &phase_rx).await;
+        while let Some(client) = self.queue.next_until(&mut phase_rx, ProcessPhase::HandingOver).await {
+            self.admit(client, &phase_rx).await;
         }
         // During a handover the remaining clients in the backlog belong to the next process, which shares the
         // listener.
         if *phase_rx.borrow() < ProcessPhase::Closing {
             return None;
         }
-        while let Some((stream, peer)) = self.queue.next_queued().await {
-            self.admit(earliest_connect_time(), stream, peer, &phase_rx).await;
+        while let Some(client) = self.queue.next_queued().await {
+            self.admit(client, &phase_rx).await;
         }
         Some(self)
     }
 
     /// Refuses all further clients until the process ends.
-    pub async fn refuse_all(self, mut phase_rx: PhaseReceiver) {
-        while let Some((stream, peer)) = self.queue.next_until(&mut phase_rx, ProcessPhase::Ended).await {
-            self.refuse_late(stream, peer).await;
+    pub async fn refuse_all(mut self, mut phase_rx: PhaseReceiver) {
+        while let Some(client) = self.queue.next_until(&mut phase_rx, ProcessPhase::Ended).await {
+            self.refuse_late(client).await;
         }
-        while let Some((stream, peer)) = self.queue.next_queued().await {
-            self.refuse_late(stream, peer).await;
+        while let Some(client) = self.queue.next_queued().await {
+            self.refuse_late(client).await;
         }
     }
 
-    /// Serves a client that may have connected as early as `connected_since`: at once, or when a permit becomes
-    /// free within the timeout. Refuses it otherwise.
-    async fn admit(
-        &self,
-        connected_since: Instant,
-        stream: TcpStream,
-        peer: SocketAddr,
-        phase_rx: &PhaseReceiver,
-    ) {
+    /// Serves a client: at once, or when a permit becomes free within the timeout. Refuses it otherwise.
+    async fn admit(&self, client: QueuedClient, phase_rx: &PhaseReceiver) {
+        let QueuedClient { stream, peer, connected_since } = client;
         let client = peer.port();
         let stream = Socket::new(stream);
         if let Some(permit) = self.clients.try_permit() {
@@ -251,7 +241,8 @@
     }
 
     /// Refuses a client that connected too late.
-    async fn refuse_late(&self, stream: TcpStream, peer: SocketAddr) {
+    async fn refuse_late(&self, client: QueuedClient) {
+        let QueuedClient { stream, peer, .. } = client;
         // Clients' permits become free during shutdown, and many clients are refused faster in parallel.
         let permit = match self.clients.try_permit() {
             Some(permit) => Some(permit),
@@ -267,12 +258,6 @@
     }
 }
 
-/// The earliest time at which a client that is accepted now can have connected: clients that connect while the
-/// process is stalled wait in the backlog.
-fn earliest_connect_time() -> Instant {
-    stall::check().unwrap_or_else(Instant::now)
-}
-
 /// Runs a connection's handler and reports why the connection closed.
 async fn run_and_report<E: Display>(
     client: u16,
--- a/src/net/listen_tests.rs
+++ b/src/net/listen_tests.rs
@@ -7,7 +7,9 @@
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use std::io::{Read, Write};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use tokio::net::TcpStream;
 use tokio_util::codec::{BytesCodec, Framed};
 
 /// Answers one byte: `!` where the client is served, `#` where it is refused.
@@ -184,3 +186,23 @@
     let got = backlog_gets(|_| true, ProcessPhase::Closing, accept_and_refuse_all);
     assert!(got.iter().all(|g| g.is_err()), "{got:?}");
 }
+
+#[tokio::test]
+async fn a_client_counts_as_waiting_since_the_backlog_was_last_empty() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let connect = || std::net::TcpStream::connect(address).expect("the machine accepts");
+    let bound = Instant::now();
+    let mut queue = AcceptQueue::new(listener, bound);
+    let (_first, _second) = (connect(), connect());
+    let first = queue.next_queued().await.expect("a client");
+    // The acceptor waits, for example for a permit.
+    tokio::time::sleep(Duration::from_millis(30)).await;
+    let second = queue.next_queued().await.expect("a client");
+    assert_eq!((first.connected_since, second.connected_since), (bound, bound));
+    assert!(queue.next_queued().await.is_none());
+    let emptied_at = Instant::now();
+    let _third = connect();
+    let third = queue.next_queued().await.expect("a client");
+    assert!(third.connected_since >= emptied_at, "the backlog was empty before it came");
+}
