Let a first query that follows the startup's reply keep its time

Only a query that may have come with the startup message can have waited so long: after the startup's reply the kernel is asked whether anything is unread. Without a test of its own.

--- a/src/pg/session.rs
+++ b/src/pg/session.rs
@@ -226,13 +226,23 @@
         self.partial_since = self.partial_since.map(|since| since + write_began.elapsed());
         release_large_buffers(&mut self.conn);
         self.idle_since = Instant::now();
+        self.clear_waiting_since();
         if self.state.command_seen {
-            self.state.waiting_since = None;
             self.closing_when_idle |= self.phase >= ProcessPhase::HandingOver;
         }
         Ok(())
     }
 
+    /// Input that is still to come has not waited since the connection was made. After the startup's reply the kernel
+    /// is asked, as the first query may have come with the startup message.
+    fn clear_waiting_since(&mut self) {
+        let answered_input =
+            |conn: &mut Conn| self.state.command_seen || !client_close::has_unanswered_input(conn);
+        if self.state.waiting_since.is_some() && answered_input(&mut self.conn) {
+            self.state.waiting_since = None;
+        }
+    }
+
     /// Handles a message and queues its reply, if it has one.
     async fn handle_message(&mut self, message: Frontend) {
         (self.partial_since, self.idle_since) = (None, Instant::now());
