Judge an answer's lateness from the request's last byte

The checker counted from the moment at which a client decides to ask, with its connect and startup. Traced: request was asked at 7.299 s, its last byte written at 8.347 s, served at 8.383 s: 36 ms, reported as 'served after 1083 ms' of 500. Equally strict: the limit is the same; a request that was never written whole still counts from the moment of asking, and one without an answer is a breach.

--- a/crates/standins/src/rig/checker.rs
+++ b/crates/standins/src/rig/checker.rs
@@ -633,7 +633,9 @@
             self.verdict.add_breach(Rule::Answer, at, format!("request {id} got two answers"));
             return;
         }
-        let (proxy, until) = (request.proxy, since + request.wait + bounds.late + stalled);
+        // A request's time runs from its last byte. Its client may have had to connect before.
+        let time_begins = request.sent.unwrap_or(since);
+        let (proxy, until) = (request.proxy, time_begins + request.wait + bounds.late + stalled);
         request.refused = how == RequestEnd::Refused;
         let harmless = request.effect.is_none_or(Effect::may_be_refused_after_a_run);
         if let Some(run) = request.first_run().filter(|_| request.refused && !harmless) {
@@ -895,7 +897,7 @@
         open.sort_unstable_by_key(|(id, _)| **id);
         let mut breaches = Vec::new();
         for (id, request) in open {
-            let until = request.at + request.wait + bounds.late;
+            let until = request.sent.unwrap_or(request.at) + request.wait + bounds.late;
             if last >= until && !unavailable(self.proxies.get(&request.proxy), request.at, until) {
                 breaches.push((until, format!("request {id} at proxy {} has no answer", request.proxy)));
             }
--- a/crates/standins/src/rig/checker_tests.rs
+++ b/crates/standins/src/rig/checker_tests.rs
@@ -92,6 +92,22 @@
     assert_eq!(ask(stopped.at(25, down(false)).at(30, resumed)), []);
 }
 
+#[test]
+fn the_time_of_a_request_runs_from_its_last_byte() {
+    // Its client had to connect first.
+    let asked = valid_log().asked(10, 1, None, ReadGuarantee::Any);
+    let sent = asked.clone().at(800, EventKind::Sent { id: 1, first: true });
+    let refused = |log: LogBuilder, ms| log.ended(ms, 1, RequestEnd::Refused, 0).broken_rules();
+    assert_eq!(refused(asked, 1_011), [Rule::Answer]);
+    assert_eq!(refused(sent.clone(), 1_800), []);
+    assert_eq!(refused(sent.clone(), 1_801), [Rule::Answer]);
+    assert_eq!(
+        sent.at(1_900, EventKind::Fault("x".into())).broken_rules(),
+        [Rule::Answer],
+        "it has no answer"
+    );
+}
+
 #[test]
 fn a_stall_of_the_machine_excuses_a_late_answer_but_not_a_missing_one() {
     let asked = valid_log().asked(10, 1, None, ReadGuarantee::Any);
