Look again at clients whose requests waited unread, and count late writes

Class: a time that was right before a stretch and is acted upon after it. A request that stood unread for long counted its client as seen when it was read, so that an attempt could begin within 50 ms without a look at the client; now the client counts as seen when the request can have arrived at the earliest (test of the core, failing by construction before: the field did not exist). The guard (policy::invariants) counts statements whose last byte is written over 150 ms after their check, 'written_late'; 'input_waited_longest_us' tells the longest wait.

--- a/src/core/actor.rs
+++ b/src/core/actor.rs
@@ -533,6 +533,7 @@
         let safe = live.effect() == Effect::Safe;
         let buffer_answer = !safe && live.class().consistency == Consistency::Write;
         let rules_until = self.lease.as_ref().map_or(Time::MAX, Lease::until);
+        let client = live.request.client.as_ref().filter(|_| !live.abandoned);
         let attempt = Attempt {
             id,
             number,
@@ -543,8 +544,8 @@
             rules_until,
             dedup_until: progress.dedup_until(),
             fresh_until: self.router.fresh_until(live.request.group, member, live.class().consistency),
-            client: live.request.client.clone().filter(|_| !live.abandoned),
-            client_seen: live.arrived_at,
+            client: client.map(|client| client.connection.clone()),
+            client_seen: client.map_or(live.arrived_at, |client| client.seen_at),
         };
         let can_send = live.reply.is_some() && now < stop_at && live.attempt_count() <= self.max_attempts;
         if let Err(violation) = allowed {
--- a/src/core/actor_tests.rs
+++ b/src/core/actor_tests.rs
@@ -382,3 +382,44 @@
         }
     });
 }
+
+/// A client that has closed its connection.
+#[derive(Debug)]
+struct ClosedConnection;
+
+impl crate::core::ClientConnection for ClosedConnection {
+    fn is_closed(&self) -> bool {
+        true
+    }
+}
+
+/// Guards against requests that are sent after their clients have left, as they were not read for long.
+#[tokio::test(start_paused = true)]
+async fn a_client_is_looked_at_again_before_an_attempt_if_its_request_has_waited_unread() {
+    const MS: Time = 1_000;
+    const READ_OF_ANY_AGE: usize = 2;
+    let pairs = crate::settings::FlatSettings::from_json(&linentrail_standins::proxy::settings());
+    let settings = pairs.settings(1).expect("valid settings");
+    let class_table = ClassSlots::default().replace(pairs.names().expect("names"), settings.classes.clone());
+    let mut actor = actor_with(settings, vec![listed(2, None)]);
+    tokio::time::advance(std::time::Duration::from_secs(4)).await;
+    let now = actor.clock.now();
+    let connection: Arc<dyn crate::core::ClientConnection> = Arc::new(ClosedConnection);
+    for (id, waited) in [(1, 0), (2, 300 * MS)] {
+        let client = crate::core::RequestClient {
+            connection: Arc::downgrade(&connection),
+            seen_at: now.saturating_sub(waited),
+        };
+        let read = session_read(class_table.clone(), now + 1_000 * MS);
+        let read = Request { class: READ_OF_ANY_AGE, session: None, client: Some(client), ..read };
+        let event = actor
+            .handle_input(Input::Submit(RequestId(id), read, oneshot::channel().0), now)
+            .expect("an event for the router");
+        actor.step(now, &[event]);
+        let attempt = actor.members.attempts.pop().expect("it is sent");
+        let times = crate::settings::SocketTimes { keepalive: Time::MAX, connect_timeout: Time::MAX };
+        let state = SharedMemberState::new(SocketAddr::from(([127, 0, 0, 1], 9)), times);
+        state.lock().gate.register(attempt.key());
+        assert_eq!(state.begin(&attempt, &actor.clock).is_ok(), waited == 0, "waited {waited} us");
+    }
+}
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -138,8 +138,17 @@
     pub repeat: bool,
     /// What the member has to do.
     pub work: Work,
-    /// Used to check whether the client is still connected; `None` if the request continues without a client.
-    pub client: Option<Weak<dyn ClientConnection>>,
+    /// The client; `None` if the request continues without one.
+    pub client: Option<RequestClient>,
+}
+
+/// The client of a request.
+#[derive(Debug, Clone)]
+pub struct RequestClient {
+    /// Used to check whether the client is still connected.
+    pub connection: Weak<dyn ClientConnection>,
+    /// The last time at which it was known to be connected: the earliest at which its request can have arrived.
+    pub seen_at: Time,
 }
 
 /// A client's connection.
--- a/src/net/member_actor.rs
+++ b/src/net/member_actor.rs
@@ -13,9 +13,10 @@
 use crate::clock::Clock;
 use crate::core::counters::{count, Count};
 use crate::core::flow::ChunkSender;
-use crate::core::{Attempt, AttemptEnd, Input};
+use crate::core::{Attempt, AttemptEnd, Input, REQUEST_LOG_TARGET};
 use crate::interface::*;
 use crate::policy::begin::AttemptKey;
+use crate::policy::invariants::is_written_in_time;
 use crate::settings::SocketTimes;
 use rustc_hash::FxHashMap;
 use std::net::SocketAddr;
@@ -276,7 +277,7 @@
         let task = tokio::spawn(Box::pin(async move {
             let stop = clock.instant(attempt.stop_at);
             let mut timer = timer.unwrap_or_else(|| ReusableTimer::until(stop));
-            let mut written = false;
+            let (mut checked_at, mut written) = (None, None);
             let end = {
                 let run = pin!(async {
                     let (mut connection, stale) = match source.connection().await {
@@ -287,6 +288,7 @@
                         process_pending_input().await;
                     }
                     // From here on, nothing may wait before the first byte is written.
+                    checked_at = Some(std::time::Instant::now());
                     let Ok(wait) = state.begin(&attempt, &clock) else {
                         let outcome = Outcome::Superseded;
                         return (Some(connection), Exchange { outcome, ..Exchange::default() });
@@ -301,11 +303,14 @@
                 });
                 timer.run_until(stop, run).await
             };
+            if let (Some(checked_at), Some(written)) = (checked_at, written) {
+                report_if_written_late(&attempt, written.saturating_duration_since(checked_at));
+            }
             let (mut connection, exchange) = match end {
                 Some(end) => end,
                 // Until the last byte has been written, the statement cannot have run.
                 None => {
-                    let outcome = if written { Outcome::Overdue } else { Outcome::Refused };
+                    let outcome = if written.is_some() { Outcome::Overdue } else { Outcome::Refused };
                     (None, Exchange { outcome, ..Exchange::default() })
                 }
             };
@@ -370,6 +375,19 @@
     }
 }
 
+/// Counts and logs a statement that was written so long after its check that it may break a rule.
+fn report_if_written_late(attempt: &Attempt, delay: Duration) {
+    let delay = delay.as_micros() as Time;
+    if is_written_in_time(delay) {
+        return;
+    }
+    count(Count::written_late);
+    log::warn!(
+        target: REQUEST_LOG_TARGET, id = attempt.id.0, attempt = attempt.number, delay_us = delay;
+        "the statement was written long after its check: its time limit is too long, and its client may have left"
+    );
+}
+
 /// Forwards the rest of a value and returns the connection if it can carry another statement.
 async fn forward_rest<L: MemberConnection>(connection: Option<L>, to: ChunkSender) -> Option<L> {
     let mut connection = connection?;
--- a/src/net/member_actors_tests.rs
+++ b/src/net/member_actors_tests.rs
@@ -45,8 +45,14 @@
         false
     }
 
-    async fn run(&mut self, _: &Work, _: Time, _: StaleInput, written: &mut bool) -> Exchange {
-        *written = true;
+    async fn run(
+        &mut self,
+        _: &Work,
+        _: Time,
+        _: StaleInput,
+        written: &mut Option<std::time::Instant>,
+    ) -> Exchange {
+        *written = Some(std::time::Instant::now());
         self.0.written.fetch_add(1, Ordering::Relaxed);
         Exchange { outcome: Outcome::Completed, ..Exchange::default() }
     }
--- a/src/net/member_protocol.rs
+++ b/src/net/member_protocol.rs
@@ -6,6 +6,7 @@
 use crate::interface::*;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::time::Instant;
 use tokio::sync::OwnedSemaphorePermit;
 
 /// The result of one statement.
@@ -70,14 +71,14 @@
     /// if the connection cannot be used any more. Runs no statement.
     fn fence(&mut self) -> impl Future<Output = bool> + Send;
 
-    /// Runs one statement; the proxy waits `wait` ms for its answer. `written` is set as soon as the
-    /// statement's last byte may have reached the member's machine.
+    /// Runs one statement; the proxy waits `wait` ms for its answer. `written` is set to the current time as soon
+    /// as the statement's last byte may have reached the member's machine.
     fn run(
         &mut self,
         work: &Work,
         wait: Time,
         stale: StaleInput,
-        written: &mut bool,
+        written: &mut Option<Instant>,
     ) -> impl Future<Output = Exchange> + Send;
 
     /// Proves, in one round trip, that a complete answer is the only one to its statement. Runs no statement.
--- a/src/net/stall.rs
+++ b/src/net/stall.rs
@@ -11,6 +11,7 @@
 //!
 //! A hold-up that lies wholly within a wait for events can't be seen.
 
+use crate::core::counters::{raise, Count};
 use crate::interface::Time;
 use std::cell::Cell;
 use std::time::{Duration, Instant};
@@ -128,7 +129,9 @@
 /// or since `waits_since`, if its connection has not been read since then.
 pub fn queued_time(waits_since: Option<Instant>) -> Time {
     let since = waits_since.into_iter().chain(check()).min();
-    since.map_or(0, |since| since.elapsed().as_micros() as Time)
+    let waited = since.map_or(0, |since| since.elapsed().as_micros() as Time);
+    raise(Count::input_waited_longest_us, waited);
+    waited
 }
 
 #[cfg(test)]
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -8,7 +8,7 @@
 use crate::core::bookings::{BookingOutcome, BookingTry, Bookings};
 use crate::core::counters::{count, Count};
 use crate::core::repeat_ledger::ClaimRequest;
-use crate::core::{ClientConnection, Handle, IdempotencyKey, Operation, Request, Work};
+use crate::core::{ClientConnection, Handle, IdempotencyKey, Operation, Request, RequestClient, Work};
 use crate::http::{HttpError, HttpRequest, HttpResponse, HttpServer};
 use crate::interface::*;
 use crate::net::answer_limit::AnswerLimit;
@@ -106,6 +106,7 @@
         client: Weak<dyn ClientConnection>,
         waited: Time,
     ) -> Response {
+        let client = RequestClient { connection: client, seen_at: self.clock.now().saturating_sub(waited) };
         let format = match request::response_format(http) {
             Ok(format) => format,
             Err(error) => return error_response(error, ResponseFormat::default()).into(),
@@ -137,7 +138,7 @@
         format: ResponseFormat,
         class_table: &Arc<ClassTable>,
         create: CreateCall,
-        client: Weak<dyn ClientConnection>,
+        client: RequestClient,
     ) -> HttpResponse {
         let CreateCall { params, key, value, repeatable, minimal } = create;
         let call_kind = CallKind::Create { key: &key, minimal, repeatable: repeatable.is_some() };
--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -277,13 +277,13 @@
         work: &Work,
         wait: Time,
         stale_input: StaleInput,
-        written: &mut bool,
+        written: &mut Option<std::time::Instant>,
     ) -> Exchange {
         if self.write(work, wait, stale_input == StaleInput::Possible).await.is_err() {
             // The connection failed before the last byte was written: the statement never ran.
             return Exchange::default();
         }
-        *written = true;
+        *written = Some(std::time::Instant::now());
         let (mut reply, end, had_stray_messages) = self.read_answer(stale_input).await;
         release_large_buffers(&mut self.framed);
         let outcome = match end {
--- a/src/pg/session.rs
+++ b/src/pg/session.rs
@@ -16,6 +16,7 @@
 use super::replies::{next_reply, write_replies, PendingReplies, PendingReply};
 use super::statement::{self, StatementError};
 use crate::core::counters::{count, Count};
+use crate::core::RequestClient;
 use crate::interface::*;
 use crate::net::budget::MIN_QUIET_TIME;
 use crate::net::client_close::{self, CloseReason, ConnectionClosed, CONNECTION_LOG};
@@ -307,12 +308,14 @@
         let front = &self.front;
         let class_table = front.class_table.borrow().clone();
         let waited = stall::queued_time(self.state.waiting_since);
-        match statement::parse(text, &class_table, front.clock.now().saturating_sub(waited)) {
+        let arrived_since = front.clock.now().saturating_sub(waited);
+        match statement::parse(text, &class_table, arrived_since) {
             Ok(mut request) => {
                 self.state.valid_query_seen = true;
                 let client = self.conn.get_ref();
                 request.deadline = front.answer_limit.cap(request.deadline.saturating_sub(DEADLINE_MARGIN));
-                request.client = Some(client.client_connection());
+                let connection = client.client_connection();
+                request.client = Some(RequestClient { connection, seen_at: arrived_since });
                 log::debug!(
                     target: CONNECTION_LOG, client = client.port(), name:? = request.name, waited_us = waited;
                     "request read"
--- a/src/policy/invariants.rs
+++ b/src/policy/invariants.rs
@@ -53,6 +53,16 @@
 /// How long after its deadline a request's final answer counts as lost, in us.
 pub const MAX_ANSWER_DELAY: Time = 500_000;
 
+/// How long after its check a statement's last byte may be written, in us: its time limit and its client's presence
+/// were right at the check, and the rules allow a process to be held up for this long.
+pub const MAX_WRITE_DELAY: Time = 150_000;
+
+/// Whether a statement keeps the rules that were checked `delay` us before its last byte was written. Nothing can be
+/// done about one that does not: the member has it.
+pub fn is_written_in_time(delay: Time) -> bool {
+    delay <= MAX_WRITE_DELAY
+}
+
 impl RequestProgress {
     /// Whether another attempt may be sent.
     ///
--- a/src/policy/invariants_tests.rs
+++ b/src/policy/invariants_tests.rs
@@ -34,6 +34,11 @@
     assert!(!request.is_lost(1_500_000) && request.is_lost(1_500_001));
 }
 
+#[test]
+fn a_statement_is_late_from_150_ms_behind_its_check_on() {
+    assert!(is_written_in_time(150_000) && !is_written_in_time(150_001));
+}
+
 #[test]
 fn a_keyed_request_that_may_have_run_is_repeated_in_its_window_and_refused_only_if_all_members_deduplicate() {
     for (group, refused) in [
