--- a/src/pg/member_tests.rs
+++ b/src/pg/member_tests.rs
@@ -63,9 +63,9 @@
     let address = member(STARTUP_RESPONSE.to_vec(), vec![answer.concat()], after);
     block_on(async {
         let mut connection = connect(address).await.expect("the connection opens");
-        let mut written = false;
+        let mut written = None;
         let exchange = connection.run(&work(text), 1_000, StaleInput::Excluded, &mut written).await;
-        assert!(written);
+        assert!(written.is_some());
         exchange.outcome
     })
 }
@@ -147,7 +147,7 @@
     let address = member(startup_response, vec![Vec::new()], AfterAnswers::WaitForClose);
     let outcome = block_on(async {
         let mut connection = connect(address).await?;
-        Ok(connection.run(&work(WRITE), 1_000, StaleInput::Excluded, &mut false).await.outcome)
+        Ok(connection.run(&work(WRITE), 1_000, StaleInput::Excluded, &mut None).await.outcome)
     });
     assert_eq!(outcome, Err(Outcome::Refused), "no statement may be written on this connection");
 }
