Render the stored member list only when it has changed, and in parts

Callers saw answers late and requests read after a second where a proxy with a store has a small share of a core.

Now the core says whether its list has another revision, entries are rendered 64 at a time as text, and the text is kept.

--- a/src/agreement_io/mod.rs
+++ b/src/agreement_io/mod.rs
@@ -18,7 +18,8 @@
 use crate::core::{CoreCommand, Input};
 use crate::handover::ControlHandle;
 use crate::interface::{ListKind, Time};
-use crate::net::discovery::{self, ListReader};
+use crate::list_export::ListExport;
+use crate::net::discovery::ListReader;
 use crate::net::transient;
 use crate::operators::agreement::{AgreementConfig, OnLeaseExpiry};
 use crate::store::actor::StoreHandle;
@@ -193,6 +194,8 @@
     /// The outcome of the last change that was proposed on this proxy.
     last_change: String,
     task_results: mpsc::Sender<TaskResult>,
+    /// The text of the member list, for other proxies.
+    list_export: ListExport,
     finished_tasks: mpsc::Receiver<TaskResult>,
     nonce: u64,
     /// How many times this voter has recovered votes, which numbers the writes of recovered votes.
@@ -263,6 +266,7 @@
             history: VecDeque::new(),
             last_change: "nothing was proposed here".into(),
             task_results,
+            list_export: ListExport::default(),
             finished_tasks,
             nonce: now,
             recoveries: 0,
@@ -455,13 +459,13 @@
     }
 
     /// The encoded resource that another proxy asks for, if this proxy has it.
-    async fn resource(&self, resource: Resource) -> Option<Bytes> {
+    async fn resource(&mut self, resource: Resource) -> Option<Bytes> {
         match resource {
             Resource::Document(hash) => self.documents.get(&hash).map(|loaded| loaded.bytes.clone()),
             Resource::MemberList => {
-                let listed = self.deps.control.request(CoreCommand::QueryMembers).await?;
                 let version = self.deps.list_version.load(Ordering::Relaxed);
-                Some(discovery::list_to_json(&listed, version, &self.deps.zones).to_string().into())
+                let text = self.list_export.text(&self.deps.control, version, &self.deps.zones).await?;
+                Some(Bytes::from_owner(text.as_bytes().to_vec()))
             }
         }
     }
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -298,6 +298,15 @@
     SuspensionsUnconfirmed,
 }
 
+/// The members as listed by discovery, sorted by name, with their starts by the members' clock.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ListedMembers {
+    /// Revision of the list, which changes with its entries; 0 before the first list.
+    pub revision: u64,
+    /// The entries.
+    pub members: Vec<ListedMember>,
+}
+
 /// Control commands to the core, which do not go through the mailbox of requests.
 pub enum CoreCommand {
     /// Returns whether this process is ready to serve.
@@ -312,8 +321,8 @@
     StartServing(Time, oneshot::Sender<()>),
     /// Returns how far the startup has come.
     QueryStartup(oneshot::Sender<StartupProgress>),
-    /// Returns the members as listed by discovery.
-    QueryMembers(oneshot::Sender<Vec<ListedMember>>),
+    /// Returns the members as listed by discovery, unless the list is still at this revision.
+    QueryMembers(u64, oneshot::Sender<Option<ListedMembers>>),
     /// Suspends a member, by its id.
     Suspend(Arc<str>, oneshot::Sender<SuspensionResult>),
     /// Restores a suspended member.
--- a/src/core/orders.rs
+++ b/src/core/orders.rs
@@ -4,7 +4,7 @@
 use super::actor::Actor;
 use super::counters::{add, count, Count};
 use super::member_times::map_times;
-use super::{CoreCommand, ListedMember, Members, PeerCommits, Readiness};
+use super::{CoreCommand, ListedMember, ListedMembers, Members, PeerCommits, Readiness};
 use crate::interface::*;
 use crate::knowledge::evidence::{ListedStart, StoredFacts, UsableFacts};
 use crate::knowledge::{merge_suspensions, Knowledge, LearnedFacts};
@@ -55,8 +55,10 @@
                 let _ = reply.send(self.startup.progress(now));
                 return Vec::new();
             }
-            CoreCommand::QueryMembers(reply) => {
-                let _ = reply.send(self.listed_by_member_clock());
+            CoreCommand::QueryMembers(known_revision, reply) => {
+                let revision = self.effective_list.revision();
+                let members = || ListedMembers { revision, members: self.listed_by_member_clock() };
+                let _ = reply.send((revision != known_revision).then(members));
                 return Vec::new();
             }
             CoreCommand::QuerySuspensions(reply) => {
--- a/src/effective_list.rs
+++ b/src/effective_list.rs
@@ -88,6 +88,8 @@
     warm_ups: BTreeMap<Arc<str>, Time>,
     /// Members that are suspended in the whole fleet.
     fleet_suspended: BTreeSet<Arc<str>>,
+    /// Incremented whenever `listed` changes.
+    revision: u64,
 }
 
 impl EffectiveList {
@@ -113,6 +115,7 @@
                 self.listed.insert(entry.name.clone(), entry.clone());
             }
         }
+        self.revision += u64::from(!changes.is_empty());
         self.prune(now);
         let mut changes: Vec<ListedMember> =
             changes.into_iter().map(|entry| self.effective_entry(entry)).collect();
@@ -185,6 +188,11 @@
         self.entry(name)
     }
 
+    /// The revision of the listed members: equal revisions have equal entries. 0 before the first list.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
     /// The listed members, as reported by discovery.
     pub fn listed(&self) -> impl Iterator<Item = &ListedMember> {
         self.listed.values()
@@ -205,6 +213,7 @@
                 entry.name.clone()
             })
             .collect();
+        self.revision += u64::from(!names.is_empty());
         names.iter().filter_map(|name| self.entry(name)).collect()
     }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod http;
 mod interface;
 pub mod knowledge;
+pub mod list_export;
 pub mod logs;
 pub mod meter;
 pub mod net;
--- a/src/main.rs
+++ b/src/main.rs
@@ -233,8 +233,15 @@
         let (text_sender, settings) = watch::channel(Some(TimestampedText { at: clock.now(), text }));
         accepted_text = Some(text_sender);
         let (version, zones) = (list_version.clone(), zones.clone());
-        let snapshot_task =
-            SnapshotTask { store_handle, control: control.clone(), clock, settings, version, zones };
+        let snapshot_task = SnapshotTask {
+            store_handle,
+            control: control.clone(),
+            clock,
+            settings,
+            version,
+            zones,
+            list: Default::default(),
+        };
         let snapshot_task = Arc::new(snapshot_task);
         snapshot_at_shutdown = Some(snapshot_task.clone());
         let interval = operators_file.store.snapshot_interval;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -14,7 +14,7 @@
 //! same moment, [`CallSchedule`] spreads the calls.
 
 use super::list_reader::MAX_LIST_ENTRIES;
-pub use super::list_reader::{list_to_json, ListReader, MemberNumbers};
+pub use super::list_reader::{ListReader, MemberNumbers};
 use super::socket::Socket;
 use super::transient;
 use crate::core::counters::{count, Count};
--- a/src/net/list_reader.rs
+++ b/src/net/list_reader.rs
@@ -9,7 +9,7 @@
 use rustc_hash::{FxHashMap, FxHashSet};
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use serde_json::{json, Value as Json};
+use serde_json::Value as Json;
 use std::cell::Cell;
 use std::fmt::Display;
 use std::sync::Arc;
@@ -252,15 +252,3 @@
 fn min_value_count(body: &[u8]) -> usize {
     body.iter().filter(|byte| matches!(byte, b',' | b':' | b'[' | b'{')).count()
 }
-
-/// Formats a list as discovery does, to be stored for a later start.
-pub fn list_to_json(entries: &[ListedMember], version: u64, zones: &[String]) -> Json {
-    let entry = |ListedMember { name, address, member }: &ListedMember| {
-        let lifecycle = if member.service_state == ServiceState::Draining { "leaving" } else { "active" };
-        json!({"instanceId": &**name, "hostPort": address.to_string(), "cell": member.group,
-            "zone": zones.get(member.zone as usize), "lifecycle": lifecycle,
-            "startedAtMs": member.up_since.unwrap_or(0) / 1000})
-    };
-    let entries: Vec<Json> = entries.iter().map(entry).collect();
-    json!({"generation": version, "reset": true, "instances": entries})
-}
--- a/src/recovery.rs
+++ b/src/recovery.rs
@@ -9,7 +9,7 @@
 use crate::handover::ControlHandle;
 use crate::interface::Time;
 use crate::knowledge::{Knowledge, TimestampedText};
-use crate::net::discovery;
+use crate::list_export::ListExport;
 use crate::operators::{self, Fsync, OnBrokenConfig};
 use crate::reload::own_settings;
 use crate::store::actor::StoreHandle;
@@ -21,7 +21,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::sync::watch;
+use tokio::sync::{watch, Mutex};
 
 /// The configuration and the stored state that the proxy starts with.
 pub struct StartupState {
@@ -164,6 +164,8 @@
     pub version: Arc<AtomicU64>,
     /// Names of the zones.
     pub zones: Vec<String>,
+    /// The text of the member list.
+    pub list: Mutex<ListExport>,
 }
 
 impl SnapshotTask {
@@ -181,15 +183,10 @@
     pub async fn write(&self) -> Option<()> {
         let learned = self.control.request(CoreCommand::ExportLearned).await?;
         let suspensions = self.control.request(CoreCommand::QuerySuspensions).await?;
-        let listed = self.control.request(CoreCommand::QueryMembers).await?;
+        let mut list = self.list.lock().await;
+        let text = list.text(&self.control, self.version.load(Ordering::Relaxed), &self.zones).await?;
         let now = self.clock.now();
-        let list = (!listed.is_empty()).then(|| {
-            let version = self.version.load(Ordering::Relaxed);
-            TimestampedText {
-                at: now,
-                text: discovery::list_to_json(&listed, version, &self.zones).to_string().into(),
-            }
-        });
+        let list = (!list.is_empty()).then_some(TimestampedText { at: now, text });
         let settings = self.settings.borrow().clone();
         let knowledge = Box::new(Knowledge { learned, suspensions, settings, list });
         if self.store_handle.snapshot(knowledge, now).await.is_ok() {
