--- a/tests/cli.rs
+++ b/tests/cli.rs
@@ -141,9 +141,9 @@
     child.kill().expect("the process runs");
     child.wait().expect("the process ends");
     std::fs::remove_dir_all(dir).expect("the folder is removed");
-    let attempts = (messages.len() - 2) / 2;
+    let attempts = (messages.len() - 2) / 3;
     let mut expected = vec!["taken"];
-    (0..attempts).for_each(|_| expected.extend(["sent", "attempt ended"]));
+    (0..attempts).for_each(|_| expected.extend(["sent", "begun", "attempt ended"]));
     expected.push("served");
     assert!(attempts >= 1);
     assert_eq!(messages, expected);
