Ask again at once for a list whose answer broke off on the way

Requests reached members up to 1.5 s after discovery had written that they were gone (rule Drain), with 3,200 members and a full core. What discovery has written counts as told, and a list of 300 KB takes many reads. Now an answer that broke off, or whose path broke, is asked for again at once; a second one in a row in its turn, so that a discovery that breaks off all answers is not called in a loop; a reset before any byte, as all proxies get it when discovery goes down, waits as before.

--- a/src/discovery_schedule.rs
+++ b/src/discovery_schedule.rs
@@ -93,13 +93,12 @@
         }
     }
 
-    /// What to do after a failed call. `silent`: it timed out without an answer; otherwise it was refused, reset or
-    /// answered with something other than a list.
-    pub fn after_failure(self, silent: bool) -> FailedCallAction {
-        match self {
-            _ if silent => FailedCallAction::RetryNow,
-            Delivery::Pushed { .. } => FailedCallAction::RetryAfterPause,
-            Delivery::Queried => FailedCallAction::ReportFailure,
+    /// What to do after a call that failed in this way.
+    pub fn after_failure(self, failure: FailedCall) -> FailedCallAction {
+        match (self, failure) {
+            (_, FailedCall::Silent | FailedCall::BrokenOff) => FailedCallAction::RetryNow,
+            (Delivery::Pushed { .. }, FailedCall::Refused) => FailedCallAction::RetryAfterPause,
+            (Delivery::Queried, FailedCall::Refused) => FailedCallAction::ReportFailure,
         }
     }
 }
@@ -118,6 +117,18 @@
     Renewal,
 }
 
+/// How a call failed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FailedCall {
+    /// It timed out without a whole answer.
+    Silent,
+    /// The connection broke in the middle of the answer, or the path to discovery did: it may have written the answer,
+    /// and the proxy counts as informed of what was written.
+    BrokenOff,
+    /// It was refused, reset before an answer, or answered with something other than a list.
+    Refused,
+}
+
 /// What to do after a call that returned no list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FailedCallAction {
--- a/src/discovery_schedule_tests.rs
+++ b/src/discovery_schedule_tests.rs
@@ -78,8 +78,16 @@
             "{call:?}: there is no time for an answer"
         );
     }
-    let failed = |silent| Delivery::Queried.after_failure(silent);
-    assert_eq!((failed(true), failed(false)), (FailedCallAction::RetryNow, FailedCallAction::ReportFailure));
+    let failed = |failure| Delivery::Queried.after_failure(failure);
+    assert_eq!(failed(FailedCall::Silent), FailedCallAction::RetryNow);
+    assert_eq!(failed(FailedCall::Refused), FailedCallAction::ReportFailure);
+}
+
+#[test]
+fn an_answer_that_broke_off_is_asked_for_again_at_once() {
+    for delivery in [Delivery::Queried, Delivery::Pushed { drain_grace: GRACE }] {
+        assert_eq!(delivery.after_failure(FailedCall::BrokenOff), FailedCallAction::RetryNow);
+    }
 }
 
 #[test]
@@ -135,7 +143,7 @@
 fn with_pushed_lists_no_call_is_delayed_for_other_proxies() {
     let pushed = Delivery::Pushed { drain_grace: 500 * MS };
     assert_eq!(
-        (pushed.after_failure(true), pushed.after_failure(false)),
+        (pushed.after_failure(FailedCall::Silent), pushed.after_failure(FailedCall::Refused)),
         (FailedCallAction::RetryNow, FailedCallAction::RetryAfterPause)
     );
     for seed in 0..100 {
--- a/src/http/mod.rs
+++ b/src/http/mod.rs
@@ -438,6 +438,12 @@
     }
 }
 
+impl BuffersPartial for HttpClient {
+    fn holds_partial(&self) -> bool {
+        self.0.partial.is_some()
+    }
+}
+
 impl Decoder for HttpClient {
     type Item = HttpResponse;
     type Error = HttpError;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -13,17 +13,18 @@
 //! later the proxy is assumed to know that list, whether it has fetched it or not. When all proxies may call at the
 //! same moment, [`CallSchedule`] spreads the calls.
 
+use super::frames::{read_next, BuffersPartial, ReadEvent};
 use super::list_reader::MAX_LIST_ENTRIES;
 pub use super::list_reader::{ListReader, MemberNumbers};
 use super::socket::Socket;
 use super::transient;
 use crate::core::counters::{count, Count};
 use crate::core::{Input, ListedMember};
-use crate::discovery_schedule::{CallSchedule, Delivery, FailedCallAction, ListCall};
-use crate::http::{Headers, HttpClient, HttpRequest};
+use crate::discovery_schedule::{CallSchedule, Delivery, FailedCall, FailedCallAction, ListCall};
+use crate::http::{Headers, HttpClient, HttpError, HttpRequest, HttpResponse};
 use crate::interface::*;
 use bytes::Bytes;
-use futures_util::{SinkExt, StreamExt};
+use futures_util::SinkExt;
 use std::pin::pin;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
@@ -98,6 +99,8 @@
     renewing: bool,
     /// Discovery has answered since the process started.
     confirmed: bool,
+    /// The last answer broke off.
+    broke_off: bool,
 }
 
 impl Discovery {
@@ -125,6 +128,7 @@
             unlisted_since: None,
             renewing: false,
             confirmed: false,
+            broke_off: false,
         }
     }
 
@@ -177,24 +181,25 @@
                 }
                 answer = self.call() => answer,
             };
-            let silent = answer.is_none();
             // A list that has arrived is read to its end, even if discovery moves meanwhile.
-            let list = match answer.flatten() {
-                Some(body) => self.accept_list(&body).await,
-                None => None,
+            let list = match answer {
+                Ok(body) => self.accept_list(&body).await.ok_or(FailedCall::Refused),
+                Err(failure) => Err(failure),
             };
+            let failure = list.as_ref().err().copied();
             let (kind, entries) = list.unwrap_or((ListKind::Failed, Vec::new()));
             log::debug!(
-                target: LOG_TARGET,
+                target: LOG_TARGET, failure:? = failure;
                 "{kind:?} entries={} generation={} us={}",
                 entries.len(),
                 self.held.unwrap_or(0),
                 began.elapsed().as_micros()
             );
-            if kind == ListKind::Failed {
+            let failure = self.limit_retries(failure);
+            if let Some(failure) = failure {
                 count(Count::list_failures);
                 (self.connection, self.renewing) = (None, false);
-                if self.retries(silent).await {
+                if self.retries(failure).await {
                     continue;
                 }
             }
@@ -222,9 +227,19 @@
         }
     }
 
+    /// A second answer in a row that broke off counts as refused: a discovery that breaks off all of its answers must
+    /// not be called as fast as it answers.
+    fn limit_retries(&mut self, failure: Option<FailedCall>) -> Option<FailedCall> {
+        let broke_off = failure == Some(FailedCall::BrokenOff);
+        match std::mem::replace(&mut self.broke_off, broke_off) && broke_off {
+            true => Some(FailedCall::Refused),
+            false => failure,
+        }
+    }
+
     /// Whether this actor repeats a failed call itself. Waits for the delay before it.
-    async fn retries(&mut self, silent: bool) -> bool {
-        match self.delivery().after_failure(silent) {
+    async fn retries(&mut self, failure: FailedCall) -> bool {
+        match self.delivery().after_failure(failure) {
             FailedCallAction::RetryNow => return !self.core.is_closed(),
             FailedCallAction::RetryAfterPause => tokio::time::sleep(AGENT_RETRY_INTERVAL).await,
             FailedCallAction::ReportFailure
@@ -256,9 +271,11 @@
         count(Count::list_moves);
     }
 
-    /// Makes one call: for the whole list, or a watch for changes since the version held. Returns `None` if the
-    /// call timed out, and `Some(None)` if the answer is unusable.
-    async fn call(&mut self) -> Option<Option<Bytes>> {
+    /// Makes one call: for the whole list, or a watch for changes since the version held. Returns the answer's body.
+    ///
+    /// # Errors
+    /// How the call failed.
+    async fn call(&mut self) -> Result<Bytes, FailedCall> {
         // Even a sleep of zero length takes up to a millisecond.
         if !self.pause.is_zero() {
             tokio::time::sleep(self.pause).await;
@@ -280,9 +297,11 @@
         let timeout = Duration::from_micros(delivery.timeout(call));
         let mut answer = pin!(self.fetch(target));
         match tokio::time::timeout(timeout, answer.as_mut()).await {
-            Ok(body) => Some(body),
+            Ok(body) => body,
             // After the process was stopped, a timer can expire before the sockets have been polled.
-            Err(_) => tokio::time::timeout(FINAL_READ_TIMEOUT, answer).await.ok(),
+            Err(_) => {
+                tokio::time::timeout(FINAL_READ_TIMEOUT, answer).await.unwrap_or(Err(FailedCall::Silent))
+            }
         }
     }
 
@@ -304,14 +323,15 @@
         Some((if whole { ListKind::Full } else { ListKind::Changes }, entries))
     }
 
-    async fn fetch(&mut self, target: String) -> Option<Bytes> {
+    async fn fetch(&mut self, target: String) -> Result<Bytes, FailedCall> {
         // The request is sent only once: repeated, it would be a new watch anyway.
         let address = self.service.borrow().address.clone();
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
             None => {
                 let connect = transient::connect(address.as_str());
-                let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect).await.ok()?.ok()?;
+                let connected = tokio::time::timeout(CONNECT_TIMEOUT, connect).await;
+                let Ok(Ok(stream)) = connected else { return Err(FailedCall::Refused) };
                 Framed::new(Socket::new(stream), HttpClient::new(MAX_LIST_BYTES))
             }
         };
@@ -320,15 +340,39 @@
         headers.add("Accept", "application/json");
         let method = "GET".to_string();
         let request = HttpRequest { method, target, headers, body: Bytes::new(), connection_close: false };
-        connection.send(request).await.ok()?;
-        let response = connection.next().await?.ok()?;
+        connection.send(request).await.map_err(|_| FailedCall::Refused)?;
+        let response = read_response(&mut connection).await?;
         if response.status != 200 {
-            return None;
+            return Err(FailedCall::Refused);
         }
         if !response.connection_close {
             self.connection = Some(connection);
         }
-        Some(response.body)
+        Ok(response.body)
+    }
+}
+
+/// Whether the path to the peer broke, and not the peer itself: an answer may have been written.
+fn is_path_error(error: &std::io::Error) -> bool {
+    use std::io::ErrorKind;
+    matches!(error.kind(), ErrorKind::TimedOut | ErrorKind::HostUnreachable | ErrorKind::NetworkUnreachable)
+}
+
+/// Reads one response.
+async fn read_response(connection: &mut Framed<Socket, HttpClient>) -> Result<HttpResponse, FailedCall> {
+    let mut begun = false;
+    loop {
+        match read_next(connection, begun).await {
+            ReadEvent::Partial => begun = true,
+            ReadEvent::Message(Some(Ok(response))) => return Ok(response),
+            ReadEvent::Message(end) => {
+                // Its first bytes may have been read together with its end.
+                let holds_bytes = !connection.read_buffer().is_empty() || connection.codec().holds_partial();
+                let path_broke = matches!(end, Some(Err(HttpError::Io(e))) if is_path_error(&e));
+                let broke_off = begun || holds_bytes || path_broke;
+                return Err(if broke_off { FailedCall::BrokenOff } else { FailedCall::Refused });
+            }
+        }
     }
 }
 
