Count the calls of one client's reads with answers together, and apart

Cause: the check counted a moment of the machine. The member answers a fence and its statement by two writes. If the proxy wakes up between them it reads once more, and once in vain: 7 calls, else 5.

Now the members settle it, in two cases in place of each: both answers in one write (new behaviour 'together'), or the second 0.3 ms later ('delayed').

No change to the program.

--- a/crates/lab/src/cost/cases.rs
+++ b/crates/lab/src/cost/cases.rs
@@ -1,6 +1,8 @@
 //! The cases whose cost is measured.
 
 use crate::drive::{Front, Tally};
+use linentrail_standins::member::Behaviour;
+use std::time::Duration;
 
 /// The result that the requests of a case must have.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -13,6 +15,21 @@
     Missed,
 }
 
+/// How a member's answers to the fence of a statement and to the statement itself follow each other. One client in
+/// sequence finds both in one read or in two, depending on the speed of the machine, unless the members settle it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FenceAnswer {
+    /// The members answer each query at once; the machine decides.
+    Unsettled,
+    /// Both answers leave in one write.
+    Together,
+    /// The statement's answer leaves [`APART`] later, when the fence's has been read.
+    Apart,
+}
+
+/// Time between two answers that come apart: short of the rest after which the proxy looks at a connection first.
+const APART: Duration = Duration::from_micros(300);
+
 /// One case to measure.
 #[derive(Debug, Clone)]
 pub struct Case {
@@ -28,6 +45,8 @@
     pub clients: usize,
     /// The expected result of the requests.
     pub kind: ExpectedResult,
+    /// How the answers to a fence and to its statement follow each other.
+    pub fence_answer: FenceAnswer,
     /// Requests to measure in total, before `--short` is applied.
     pub length: u64,
 }
@@ -38,27 +57,32 @@
 /// All cases.
 pub fn all() -> Vec<Case> {
     use ExpectedResult::{Missed, Refused, Served};
+    use FenceAnswer::{Apart, Together, Unsettled};
     use Front::{Odata, Pg};
     [
-        (Pg, "yard-board", SMALL, 1, Served, 3_000),
-        (Pg, "yard-board", SMALL, 8, Served, 8_000),
-        (Pg, "yard-board", SMALL, 64, Served, 24_000),
-        (Pg, "my-booking", SMALL, 1, Served, 2_000),
-        (Pg, "my-booking", SMALL, 64, Served, 16_000),
-        (Pg, "monthly-report", SMALL, 1, Served, 2_000),
-        (Pg, "monthly-report", LARGE, 1, Served, 2_000),
-        (Pg, "monthly-report", LARGE, 64, Served, 6_000),
-        (Pg, "place-order", SMALL, 1, Served, 2_000),
-        (Pg, "place-order", SMALL, 64, Served, 16_000),
-        (Pg, "place-order", LARGE, 1, Served, 1_000),
-        (Pg, "yard-board", SMALL, 64, Refused, 4_800),
-        (Pg, "yard-board", SMALL, 64, Missed, 8_000),
-        (Odata, "yard-board", SMALL, 1, Served, 2_000),
-        (Odata, "yard-board", SMALL, 64, Served, 16_000),
-        (Odata, "monthly-report", LARGE, 1, Served, 1_000),
-        (Odata, "place-order", SMALL, 64, Served, 8_000),
+        (Pg, "yard-board", SMALL, 1, Served, Together, 3_000),
+        (Pg, "yard-board", SMALL, 1, Served, Apart, 3_000),
+        (Pg, "yard-board", SMALL, 8, Served, Unsettled, 8_000),
+        (Pg, "yard-board", SMALL, 64, Served, Unsettled, 24_000),
+        (Pg, "my-booking", SMALL, 1, Served, Together, 2_000),
+        (Pg, "my-booking", SMALL, 1, Served, Apart, 2_000),
+        (Pg, "my-booking", SMALL, 64, Served, Unsettled, 16_000),
+        (Pg, "monthly-report", SMALL, 1, Served, Together, 2_000),
+        (Pg, "monthly-report", SMALL, 1, Served, Apart, 2_000),
+        (Pg, "monthly-report", LARGE, 1, Served, Unsettled, 2_000),
+        (Pg, "monthly-report", LARGE, 64, Served, Unsettled, 6_000),
+        (Pg, "place-order", SMALL, 1, Served, Unsettled, 2_000),
+        (Pg, "place-order", SMALL, 64, Served, Unsettled, 16_000),
+        (Pg, "place-order", LARGE, 1, Served, Unsettled, 1_000),
+        (Pg, "yard-board", SMALL, 64, Refused, Unsettled, 4_800),
+        (Pg, "yard-board", SMALL, 64, Missed, Unsettled, 8_000),
+        (Odata, "yard-board", SMALL, 1, Served, Together, 2_000),
+        (Odata, "yard-board", SMALL, 1, Served, Apart, 2_000),
+        (Odata, "yard-board", SMALL, 64, Served, Unsettled, 16_000),
+        (Odata, "monthly-report", LARGE, 1, Served, Unsettled, 1_000),
+        (Odata, "place-order", SMALL, 64, Served, Unsettled, 8_000),
     ]
-    .map(|(front, class, size, clients, kind, length)| {
+    .map(|(front, class, size, clients, kind, fence_answer, length)| {
         let front_name = if front == Pg { "pg" } else { "odata" };
         let size_name = if size == LARGE { "64k" } else { "8b" };
         let kind_name = match kind {
@@ -66,13 +90,29 @@
             Refused => "-refused",
             Missed => "-missed",
         };
-        let name = format!("{front_name}-{class}-{size_name}-{clients}{kind_name}");
-        Case { name, front, class, size, clients, kind, length }
+        let fence_name = match fence_answer {
+            Unsettled => "",
+            Together => "-together",
+            Apart => "-apart",
+        };
+        let name = format!("{front_name}-{class}-{size_name}-{clients}{kind_name}{fence_name}");
+        Case { name, front, class, size, clients, kind, fence_answer, length }
     })
     .into()
 }
 
 impl Case {
+    /// How the member with this index handles statements; the first is the primary.
+    pub fn behaviour(&self, member: usize) -> Behaviour {
+        match (self.kind, self.fence_answer) {
+            (ExpectedResult::Refused, _) => Behaviour::Full,
+            (ExpectedResult::Missed, _) if member > 0 => Behaviour::Miss,
+            (_, FenceAnswer::Together) => Behaviour::Together,
+            (_, FenceAnswer::Apart) => Behaviour::Delayed(APART),
+            _ => Behaviour::Answer,
+        }
+    }
+
     /// How long the clients wait for an answer, in ms.
     pub fn wait_ms(&self) -> u64 {
         match self.class {
--- a/crates/lab/src/cost/mod.rs
+++ b/crates/lab/src/cost/mod.rs
@@ -21,7 +21,7 @@
 use clap::Args;
 use comfy_table::{presets, CellAlignment, Table};
 use linentrail_standins::client::ClientRequest;
-use linentrail_standins::member::{Behaviour, Capacity};
+use linentrail_standins::member::Capacity;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
@@ -236,12 +236,7 @@
     let key = "7f3a9c21e0b4d655";
     world.group.preset(key, vec![0x5a; case.size].into());
     for (n, member) in world.members.iter().enumerate() {
-        match case.kind {
-            ExpectedResult::Served => {}
-            ExpectedResult::Refused => member.set_behaviour(Behaviour::Full),
-            ExpectedResult::Missed if n > 0 => member.set_behaviour(Behaviour::Miss),
-            ExpectedResult::Missed => {}
-        }
+        member.set_behaviour(case.behaviour(n));
     }
     let value = (case.class == "place-order").then(|| vec![0x5a; case.size]);
     let request = ClientRequest {
--- a/crates/lab/tests/tools.rs
+++ b/crates/lab/tests/tools.rs
@@ -17,7 +17,7 @@
     let bad = dir.join("bad.toml");
     std::fs::write(&bad, "[case.pg-no-such-case]\nallocations = 1\n").expect("a file");
     let unreadable = dir.join("unreadable.toml");
-    std::fs::write(&unreadable, "[case.pg-yard-board-8b-1]\nallocations = \"few\"\n").expect("a file");
+    std::fs::write(&unreadable, "[case.pg-yard-board-8b-8]\nallocations = \"few\"\n").expect("a file");
     let (bad, unreadable) = (bad.to_str().expect("a path"), unreadable.to_str().expect("a path"));
     for (arguments, word) in [
         (&["load", "--rate", "0"][..], "above 0"),
--- a/crates/standins/src/member.rs
+++ b/crates/standins/src/member.rs
@@ -37,6 +37,10 @@
     /// Runs and answers them.
     #[default]
     Answer,
+    /// Runs them; the answer to an empty query and that to a statement received behind it leave in one write.
+    Together,
+    /// Runs them and answers after this delay, which may be shorter than a timer's least.
+    Delayed(Duration),
     /// Runs them, but withholds the answers until the behaviour changes.
     Hold,
     /// Leaves the startup of new connections unanswered until the behaviour changes.
@@ -94,6 +98,8 @@
         let digits = |what| number.parse::<u64>().map_err(|_| format!("{text}: expected a number of {what}"));
         Ok(match word {
             "answer" => Behaviour::Answer,
+            "together" => Behaviour::Together,
+            "delayed" => Behaviour::Delayed(Duration::from_micros(digits("us")?)),
             "hold" => Behaviour::Hold,
             "shut" => Behaviour::Shut,
             "reset" => Behaviour::Reset,
@@ -456,14 +462,18 @@
         wire::put(&mut reply, b'R', &[0; 4]);
         wire::put(&mut reply, b'Z', b"I");
         stream.write_all(&reply).await.ok()?;
+        reply.clear();
         loop {
             let tag = wire::read_async(&mut stream, true, &mut body).await.ok()?;
             if tag != b'Q' {
                 return None;
             }
             let sql = std::str::from_utf8(body.strip_suffix(&[0])?).ok()?;
-            reply.clear();
             let then = self.answer(sql, &mut reply).await;
+            if sql.is_empty() && !stream.buffer().is_empty() && self.state().behaviour == Behaviour::Together
+            {
+                continue;
+            }
             let first = match then {
                 AfterAnswer::Pause(bytes) => bytes.min(reply.len()),
                 AfterAnswer::Trickle(..) => 0,
@@ -493,6 +503,7 @@
                     return None;
                 }
             }
+            reply.clear();
         }
     }
 
@@ -561,7 +572,7 @@
             if behaviour != Behaviour::Error {
                 self.log_event(refused_event);
             }
-            *reply = wire::error(code);
+            reply.extend(wire::error(code));
             match behaviour {
                 Behaviour::Unready => reply.truncate(reply.len() - 6),
                 Behaviour::Noisy => reply.extend([0xff; 40]),
@@ -572,7 +583,7 @@
         }
         if !self.occupy_slot(id).await {
             self.log_event(refused_event);
-            *reply = wire::error("53300");
+            reply.extend(wire::error("53300"));
             return AfterAnswer::ReadNext;
         }
         let (value, commit) = if write {
@@ -689,6 +700,13 @@
                 AfterAnswer::ReadNext
             }
             Behaviour::Behind(later) => AfterAnswer::Copy(later),
+            Behaviour::Delayed(delay) => {
+                let began = Instant::now();
+                while began.elapsed() < delay {
+                    tokio::task::yield_now().await;
+                }
+                AfterAnswer::ReadNext
+            }
             Behaviour::Paused(bytes) => AfterAnswer::Pause(bytes),
             Behaviour::Trickled(bytes, pause) => AfterAnswer::Trickle(bytes, pause),
             Behaviour::Marred(place, code) => {
