Render the entries of the rig's lists once for all callers

Proxies that reach some members through relays got an answer of their own: 3,200 entries cloned and rendered again for each of 37 callers, on the two threads that all members and clients share.

Now each entry is rendered once for each version, and only those with another address again.

--- a/crates/standins/src/registry.rs
+++ b/crates/standins/src/registry.rs
@@ -24,30 +24,68 @@
 struct Answer {
     version: u64,
     is_full: bool,
-    entries: Value,
+    entries: Vec<RenderedEntry>,
     /// The members among the entries, and whether each is closed to new requests.
     lifecycles: Vec<(u32, bool)>,
+    /// The answer with the members' own addresses.
     body: String,
 }
 
+/// An entry with its text, which is rendered once for all callers.
+struct RenderedEntry {
+    value: Value,
+    text: String,
+}
+
 impl Answer {
-    fn new(version: u64, is_full: bool, entries: Value) -> Self {
-        let lifecycle = |entry: &Value| {
+    fn new(version: u64, is_full: bool, entries: impl IntoIterator<Item = Value>) -> Self {
+        let render = |value: Value| RenderedEntry { text: value.to_string(), value };
+        let entries: Vec<RenderedEntry> = entries.into_iter().map(render).collect();
+        let lifecycle = |entry: &RenderedEntry| {
             // The number of a member is part of its instance id.
-            let id = entry["instanceId"].as_str().and_then(|id| id.rsplit('-').next());
+            let id = entry.value["instanceId"].as_str().and_then(|id| id.rsplit('-').next());
             let index = id.and_then(|id| u32::from_str_radix(id, 16).ok())?;
-            Some((index + 1, entry["lifecycle"] != "active"))
+            Some((index + 1, entry.value["lifecycle"] != "active"))
         };
-        let lifecycles = entries.as_array().into_iter().flatten().filter_map(lifecycle).collect();
-        let body = Self::body(version, is_full, &entries);
-        Answer { version, is_full, entries, lifecycles, body }
+        let lifecycles = entries.iter().filter_map(lifecycle).collect();
+        let mut answer = Answer { version, is_full, entries, lifecycles, body: String::new() };
+        answer.body = answer.body_with(&HashMap::new());
+        answer
+    }
+
+    /// The answer for a caller that sees members under the addresses of `seen`.
+    fn body_with(&self, seen: &HashMap<String, String>) -> String {
+        let mut body = format!("{{\"generation\":{},\"instances\":[", self.version);
+        for (n, entry) in self.entries.iter().enumerate() {
+            if n > 0 {
+                body.push(',');
+            }
+            match shown_entry(&entry.value, seen) {
+                Cow::Owned(shown) => body.push_str(&shown.to_string()),
+                Cow::Borrowed(_) => body.push_str(&entry.text),
+            }
+        }
+        body.push_str(&format!("],\"reset\":{}}}", self.is_full));
+        body
     }
 
-    fn body(version: u64, is_full: bool, entries: &Value) -> String {
-        json!({"generation": version, "reset": is_full, "instances": entries}).to_string()
+    /// The same answer in lines.
+    fn indented_body_with(&self, seen: &HashMap<String, String>) -> String {
+        let shown: Vec<_> = self.entries.iter().map(|entry| shown_entry(&entry.value, seen)).collect();
+        format!("{:#}", json!({"generation": self.version, "reset": self.is_full, "instances": shown}))
     }
 }
 
+/// An entry with the address of `seen` in place of its own, if there is one.
+fn shown_entry<'a>(entry: &'a Value, seen: &HashMap<String, String>) -> Cow<'a, Value> {
+    let is_seen = entry["hostPort"].as_str().is_some_and(|address| seen.contains_key(address));
+    let mut entry = Cow::Borrowed(entry);
+    if is_seen {
+        rewrite_address(entry.to_mut(), seen);
+    }
+    entry
+}
+
 /// How discovery answers calls.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum DiscoveryBehaviour {
@@ -164,11 +202,6 @@
             }
         }
     }
-
-    fn with_shown_addresses(&self, mut entries: Value) -> Value {
-        entries.as_array_mut().into_iter().flatten().for_each(|entry| rewrite_address(entry, &self.seen));
-        entries
-    }
 }
 
 /// Limits the rate of calls.
@@ -378,21 +411,17 @@
             }
         }
         let prepared = self.answer_after(after);
-        let (version, is_full) = (prepared.version, prepared.is_full);
-        let relayed = listener_state.filter(|listener| !listener.seen.is_empty());
-        let shown = relayed.map(|listener| listener.with_shown_addresses(prepared.entries.clone()));
-        let body = match &shown {
-            Some(shown) => Cow::Owned(Answer::body(version, is_full, shown)),
-            None => Cow::Borrowed(&prepared.body),
+        let version = prepared.version;
+        let own_addresses = HashMap::new();
+        let seen = listener_state.map_or(&own_addresses, |listener| &*listener.seen);
+        let body = match seen.is_empty() {
+            true => Cow::Borrowed(&prepared.body),
+            false => Cow::Owned(prepared.body_with(seen)),
         };
-        let shown = shown.as_ref().unwrap_or(&prepared.entries);
         let answer = |body: &str| format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len());
         let text = match behaviour() {
             DiscoveryBehaviour::Well | DiscoveryBehaviour::Hasty => answer(&body),
-            DiscoveryBehaviour::Indented => {
-                let list = json!({"generation": version, "reset": is_full, "instances": shown});
-                answer(&format!("{list:#}"))
-            }
+            DiscoveryBehaviour::Indented => answer(&prepared.indented_body_with(seen)),
             DiscoveryBehaviour::Overbooked => BUSY.to_string(),
             DiscoveryBehaviour::Reset => {
                 unanswered();
@@ -435,7 +464,7 @@
         self.with(|(version, whole, change)| {
             let version = *version;
             if after == Some(version) {
-                return Arc::new(Answer::new(version, false, json!([])));
+                return Arc::new(Answer::new(version, false, []));
             }
             // Only the latest change is kept; a caller that missed more gets the full list.
             let is_full = after.is_none_or(|after| version != after + 1);
@@ -446,10 +475,9 @@
             }
             // A member that has left appears in changes only.
             let listed = |e: &&Value| e["lifecycle"] != "left";
-            let entries = match is_full {
-                true => whole.as_array().into_iter().flatten().filter(listed).cloned().collect(),
-                false => change.clone(),
-            };
+            let source = if is_full { &*whole } else { &*change };
+            let entries = source.as_array().into_iter().flatten();
+            let entries = entries.filter(|entry| !is_full || listed(entry)).cloned();
             let made = Arc::new(Answer::new(version, is_full, entries));
             answers.retain(|other| other.version == version);
             answers.push(made.clone());
@@ -506,3 +534,7 @@
         self.changed.send_replace(version);
     }
 }
+
+#[cfg(test)]
+#[path = "registry_tests.rs"]
+mod tests;
