Do not blame a proxy for a late statement while it had no processor (rule Left)

Between 5.41 and 5.63 s the kernel counts 221 ms for proxy 10 in which it was ready to run and got no processor, 13 to 411 ms for 33 of the others, and 64 ms for a thread of the rig. The platform holds a proxy up for 0.15 s at most.

Rule Deadline already counts that time ('Delayed'); rule Left now does, too, by the same figure and for the same proxy only. On a quiet machine it is nothing.

--- a/crates/standins/src/rig/checker.rs
+++ b/crates/standins/src/rig/checker.rs
@@ -843,7 +843,8 @@
     fn check_client_present(&mut self, at: Micros, member: u32, id: u64, machine_slack: Micros) {
         let Some((proxy, Some(left))) = self.requests.get(&id).map(|a| (a.proxy, a.left)) else { return };
         let late = at.saturating_sub(left);
-        let allowed = ATTEMPT_AFTER_LEAVING_MAX + TRANSIT_MAX + machine_slack + self.stalled(left, at);
+        let machine = machine_slack + self.stalled(left, at) + self.delayed(proxy, left, at);
+        let allowed = ATTEMPT_AFTER_LEAVING_MAX + TRANSIT_MAX + machine;
         let held = self.link_holds_back(proxy, member, left);
         if late > allowed && !held && !unavailable(self.proxies.get(&proxy), left, at) {
             let what = format!(
--- a/crates/standins/src/rig/checker_tests.rs
+++ b/crates/standins/src/rig/checker_tests.rs
@@ -494,6 +494,15 @@
     assert_eq!(verdict(events_with(200_000), &Bounds::default()), []);
     assert_eq!(verdict(events_with(300_000), &Bounds::default()), [Rule::Left]);
     assert_eq!(verdict(events_with(300_000), &Bounds { machine_slack: 1_000_000, ..Bounds::default() }), []);
+    let delayed = |proxy: u32, us: Micros| {
+        let delay = (290_000, EventKind::Delayed { proxy: Some(proxy), us });
+        let mut events = events_with(300_000);
+        events.insert(3, delay);
+        verdict(events, &Bounds::default())
+    };
+    assert_eq!(delayed(1, 50_000), [], "ready to run for 50 ms without a processor");
+    assert_eq!(delayed(1, 40_000), [Rule::Left]);
+    assert_eq!(delayed(2, 50_000), [Rule::Left], "the delay of another proxy");
 }
 
 #[test]
