Try a failed accept again at once, and wait from the second failure in a row

Cause: the wait is meant for a lack that lasts, as of descriptors. Most failures concern one call (accept(2): ECONNABORTED, a signal). Now the first in a row is tried again at once.

The test failed before (6 ms instead of none).

--- a/src/net/accept_queue.rs
+++ b/src/net/accept_queue.rs
@@ -13,7 +13,8 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::unconstrained;
 
-/// Delay after a failed accept(2), for example for lack of descriptors. All clients in the backlog wait for it.
+/// Delay after the second and each further accept(2) in a row that failed, for example for lack of descriptors. All
+/// clients in the backlog wait for it.
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(2);
 /// After this many failures in a row the remaining backlog is left unserved: about 3 s, the time within which even
 /// a misbehaving client has to be answered.
@@ -69,12 +70,14 @@
     /// Clients that are in the backlog now may have connected as early as this; `None` if it was empty when last looked
     /// at. Nobody tells how long each of them has waited there.
     backlog_since: Option<Instant>,
+    /// Calls of accept(2) that have failed in a row.
+    failures: u32,
 }
 
 impl<L: Listener> AcceptQueue<L> {
     /// Takes over the listener, which is closed when this is dropped. It has been open since `bound` at the earliest.
     pub fn new(listener: L, bound: Instant) -> Self {
-        AcceptQueue { listener, backlog_since: Some(bound) }
+        AcceptQueue { listener, backlog_since: Some(bound), failures: 0 }
     }
 
     /// Waits for the next client; returns `None` once the process has reached `phase`. Cancel safe.
@@ -130,6 +133,7 @@
     }
 
     fn queued_client(&mut self, stream: TcpStream, peer: SocketAddr) -> QueuedClient {
+        self.failures = 0;
         QueuedClient { stream, peer, connected_since: self.backlog_since() }
     }
 
@@ -137,16 +141,16 @@
         *self.backlog_since.get_or_insert_with(|| stall::check().unwrap_or_else(Instant::now))
     }
 
+    /// Counts a failed accept(2), and waits unless it is the first in a row: most failures concern one call only.
     async fn accept_failed(&mut self, error: &Error) {
         self.backlog_since();
-        accept_failed(error).await;
-    }
-}
-
-async fn accept_failed(error: &Error) {
-    if counter_value(Count::accept_failures).is_multiple_of(ACCEPT_FAILURES_PER_LOG_LINE) {
-        log::warn!("accepting a client failed: {error}");
+        if counter_value(Count::accept_failures).is_multiple_of(ACCEPT_FAILURES_PER_LOG_LINE) {
+            log::warn!("accepting a client failed: {error}");
+        }
+        count(Count::accept_failures);
+        self.failures += 1;
+        if self.failures > 1 {
+            tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
+        }
     }
-    count(Count::accept_failures);
-    tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
 }
--- a/src/net/listen_tests.rs
+++ b/src/net/listen_tests.rs
@@ -206,3 +206,19 @@
     let third = queue.next_queued().await.expect("a client");
     assert!(third.connected_since >= emptied_at, "the backlog was empty before it came");
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_crowd_waits_for_each_accept_that_fails_once() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let _clients: Vec<std::net::TcpStream> =
+        (0..3).map(|_| std::net::TcpStream::connect(address).expect("the machine accepts")).collect();
+    let once_per_client = |call: usize| call.is_multiple_of(2);
+    let listener = Failing { listener, fails: once_per_client, calls: AtomicUsize::new(0) };
+    let mut queue = AcceptQueue::new(listener, Instant::now());
+    let began = tokio::time::Instant::now();
+    for _ in 0..3 {
+        assert!(queue.next_queued().await.is_some());
+    }
+    assert_eq!(began.elapsed(), Duration::ZERO);
+}
