--- a/src/agreement_io/mod.rs
+++ b/src/agreement_io/mod.rs
@@ -465,7 +465,7 @@
             Resource::MemberList => {
                 let version = self.deps.list_version.load(Ordering::Relaxed);
                 let text = self.list_export.text(&self.deps.control, version, &self.deps.zones).await?;
-                Some(Bytes::from_owner(text.as_bytes().to_vec()))
+                Some(Bytes::copy_from_slice(text.as_bytes()))
             }
         }
     }
