Play both kinds of scenarios of thousands_of_members.rs by one function

Cause: play and play_four of tests/thousands_of_members.rs ended in the same lines.

Scenarios, bounds and assertions are the same.

--- a/tests/thousands_of_members.rs
+++ b/tests/thousands_of_members.rs
@@ -28,9 +28,19 @@
     assert!(served as f64 >= ended as f64 * MIN_SERVED_SHARE, "{served} of {ended}: {:?}", outcome.counters);
 }
 
+/// Runs a scenario to its end; it has to keep all rules.
+fn play_scenario(text: &str) -> Outcome {
+    let _lock = RUN_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
+    let script = Script::read(text).expect("a valid scenario");
+    let program = Path::new(env!("CARGO_BIN_EXE_linentrail"));
+    let outcome =
+        run(&script, program, |_, _, _| {}, |_| {}, &AtomicBool::new(false)).expect("the run completes");
+    assert!(outcome.verdict.passed(), "{:#?} {:?}", outcome.verdict.breaches, outcome.counters);
+    outcome
+}
+
 /// Runs one proxy between 3,200 members in this many groups, with 3% of a processor.
 fn play(groups: u32, steps: &str) -> Outcome {
-    let _lock = RUN_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
     let world = "seed 3
         proxies 1
         load 25 clients 10
@@ -38,11 +48,7 @@
         share 0.03
         end 10000";
     let members = format!("members 3200 spare 1100 groups {groups} slots 16 work 4 12 lag 5");
-    let script = Script::read(&format!("{world}\n{members}\n{steps}")).expect("a valid scenario");
-    let program = Path::new(env!("CARGO_BIN_EXE_linentrail"));
-    let outcome =
-        run(&script, program, |_, _, _| {}, |_| {}, &AtomicBool::new(false)).expect("the run completes");
-    assert!(outcome.verdict.passed(), "{:#?} {:?}", outcome.verdict.breaches, outcome.counters);
+    let outcome = play_scenario(&format!("{world}\n{members}\n{steps}"));
     assert!(outcome.verdict.asked > 100, "{} requests", outcome.verdict.asked);
     outcome
 }
@@ -74,15 +80,9 @@
     play(4, "at 3000 33% does down");
 }
 
-/// Runs a scenario of four proxies, each with 3% of a processor, to its end.
+/// Runs a scenario of four proxies, each with 3% of a processor.
 fn play_four(scenario: &str) {
-    let _lock = RUN_LOCK.lock().unwrap_or_else(PoisonError::into_inner);
-    let text = format!("proxies 4\nload 32 clients 16\nshare 0.03\nend 8000\n{scenario}");
-    let script = Script::read(&text).expect("a valid scenario");
-    let program = Path::new(env!("CARGO_BIN_EXE_linentrail"));
-    let outcome =
-        run(&script, program, |_, _, _| {}, |_| {}, &AtomicBool::new(false)).expect("the run completes");
-    assert!(outcome.verdict.passed(), "{:#?} {:?}", outcome.verdict.breaches, outcome.counters);
+    play_scenario(&format!("proxies 4\nload 32 clients 16\nshare 0.03\nend 8000\n{scenario}"));
 }
 
 #[test]
