Keep whether the last accept failed, in place of a count of failures

Cause: AcceptQueue counted the failures in a row, and nothing but 'is it the first' was asked of the count; where accept fails for weeks the count would have run over.

Change: a flag.

--- a/src/net/accept_queue.rs
+++ b/src/net/accept_queue.rs
@@ -70,14 +70,14 @@
     /// Clients that are in the backlog now may have connected as early as this; `None` if it was empty when last looked
     /// at. Nobody tells how long each of them has waited there.
     backlog_since: Option<Instant>,
-    /// Calls of accept(2) that have failed in a row.
-    failures: u32,
+    /// The last accept(2) failed.
+    has_failed: bool,
 }
 
 impl<L: Listener> AcceptQueue<L> {
     /// Takes over the listener, which is closed when this is dropped. It has been open since `bound` at the earliest.
     pub fn new(listener: L, bound: Instant) -> Self {
-        AcceptQueue { listener, backlog_since: Some(bound), failures: 0 }
+        AcceptQueue { listener, backlog_since: Some(bound), has_failed: false }
     }
 
     /// Waits for the next client; returns `None` once the process has reached `phase`. Cancel safe.
@@ -133,7 +133,7 @@
     }
 
     fn queued_client(&mut self, stream: TcpStream, peer: SocketAddr) -> QueuedClient {
-        self.failures = 0;
+        self.has_failed = false;
         QueuedClient { stream, peer, connected_since: self.backlog_since() }
     }
 
@@ -148,8 +148,7 @@
             log::warn!("accepting a client failed: {error}");
         }
         count(Count::accept_failures);
-        self.failures += 1;
-        if self.failures > 1 {
+        if std::mem::replace(&mut self.has_failed, true) {
             tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
         }
     }
