Show that a long value whose row begins in small pieces is never passed on

Cause: while 5 to 10 bytes of a long row have arrived the members' codec refuses it as too long, and a sound answer counts as spoilt. Nothing is fixed.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -6,4 +6,4 @@
 for program in target/release/linentrail target/review-2/cases; do
     [ -x "$program" ] || { echo "$program is missing: build first" >&2; exit 2; }
 done
-exec target/review-2/cases browse "$here"
+exec target/review-2/cases pieces "$here"
--- a/review/standins-2/case_booking.rs
+++ b/review/standins-2/case_booking.rs
@@ -26,7 +26,7 @@
         let setup = proxy::Setup {
             name,
             config: settings::config(name, listen, discovery.address, &entries, &settings::own()),
-            operators: settings::operators(Some(odata), None),
+            operators: settings::operators(Some(odata)),
             console: None,
             listener: None,
             shared: None,
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,7 +2,6 @@
 //! Exit status: 0 if the rule held, 1 if it was broken, 2 if the case could not run.
 
 mod discovery;
-mod dns;
 mod http;
 mod member;
 mod pg;
@@ -11,7 +10,7 @@
 mod settings;
 
 mod case_booking;
-mod case_browse;
+mod case_pieces;
 mod case_pipeline;
 mod case_removal;
 mod case_session;
@@ -48,9 +47,9 @@
     let case = match name.as_str() {
         "booking" => case_booking::run,
         "session" => case_session::run,
+        "pieces" => case_pieces::run,
         "pipeline" => case_pipeline::run,
         "removal" => case_removal::run,
-        "browse" => case_browse::run,
         _ => {
             eprintln!("there is no case {name}");
             std::process::exit(2);
--- a/review/standins-2/member.rs
+++ b/review/standins-2/member.rs
@@ -38,8 +38,6 @@
 /// A statement that a member has received.
 #[derive(Clone, Debug)]
 pub struct Statement {
-    pub member: String,
-    pub at_ms: u64,
     pub write: bool,
     pub key: String,
     pub id: String,
@@ -74,7 +72,7 @@
     write_ms: u64,
     /// Resets a read's connection after this many bytes of the answer; 0: never.
     pub break_reads_after: AtomicU64,
-    /// Writes the beginning of each answer in pieces of this many bytes; 0: at once.
+    /// Writes each answer in pieces: its head in some of this many bytes, the rest in longer ones; 0: at once.
     pub piece: AtomicU64,
     /// The process has died: its connections are reset and new ones refused.
     ended: AtomicBool,
@@ -94,6 +92,26 @@
     unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_LINGER, linger.as_ptr(), 8) };
 }
 
+/// Bytes of an answer that are its head, and the length of the pieces behind it.
+const HEAD: usize = 256;
+const LONG_PIECE: usize = 16 * 1024;
+
+/// Writes an answer in pieces, each 2 ms after the one before. An error comes with the number of bytes written.
+fn write_in_pieces(
+    stream: &mut TcpStream,
+    answer: &[u8],
+    piece: usize,
+) -> std::result::Result<(), (usize, std::io::Error)> {
+    let (head, rest) = answer.split_at(answer.len().min(HEAD));
+    let mut written = 0;
+    for bytes in head.chunks(piece).chain(rest.chunks(LONG_PIECE)) {
+        stream.write_all(bytes).map_err(|error| (written, error))?;
+        written += bytes.len();
+        std::thread::sleep(Duration::from_millis(2));
+    }
+    Ok(())
+}
+
 impl Member {
     pub fn start(
         name: &str,
@@ -184,12 +202,15 @@
                 return Ok(());
             }
             let piece = self.piece.load(Ordering::Relaxed) as usize;
-            let in_pieces = if piece > 0 { answer.len().min(256) } else { 0 };
-            for bytes in answer[..in_pieces].chunks(piece.max(1)) {
-                stream.write_all(bytes)?;
-                std::thread::sleep(Duration::from_millis(2));
+            if piece == 0 {
+                stream.write_all(&answer)?;
+            } else if let Err((written, error)) = write_in_pieces(&mut stream, &answer, piece) {
+                let (name, length) = (&self.name, answer.len());
+                self.journal
+                    .record
+                    .line(format!("{name}: could write {written} of {length} bytes of its answer: {error}"));
+                return Err(error);
             }
-            stream.write_all(&answer[in_pieces..])?;
         }
     }
 
@@ -213,14 +234,12 @@
         let key = quoted.get(1).unwrap_or(&"").to_string();
         let id =
             text.split("id=").nth(1).and_then(|rest| rest.split([',', ' ']).next()).unwrap_or("").to_string();
-        let at_ms = now_ms();
         if write && !self.primary.load(Ordering::Relaxed) {
             self.journal.record.line(format!("{}: turns the write of {key} away, id {id}", self.name));
             return [pg::error("25006", "this is no primary"), self.status(self.position()), pg::ready()]
                 .concat();
         }
-        let statement =
-            Statement { member: self.name.clone(), at_ms, write, key: key.clone(), id: id.clone() };
+        let statement = Statement { write, key: key.clone(), id: id.clone() };
         self.journal.statements.lock().unwrap().push(statement);
         let what = if write { "write" } else { "read" };
         self.journal.record.line(format!("{}: runs the {what} of {key}, id {id}", self.name));
--- a/review/standins-2/settings.rs
+++ b/review/standins-2/settings.rs
@@ -56,15 +56,9 @@
     )
 }
 
-/// The operators' file with the OData front at this address, and members browsed for at this DNS server.
-pub fn operators(odata: Option<SocketAddr>, dns: Option<SocketAddr>) -> String {
-    let odata =
-        odata.map_or(String::new(), |a| format!("odata {{\n  enabled = true\n  listen = \"{a}\"\n}}\n"));
-    let dns = dns.map_or(String::new(), |a| {
-        format!(
-            "dnssd {{\n  browse = true\n  server = \"{a}\"\n  service = \"{}\"\n}}\n",
-            crate::dns::SERVICE
-        )
-    });
-    odata + &dns
+/// The operators' file with the OData front at this address, if there is one.
+pub fn operators(odata: Option<SocketAddr>) -> String {
+    odata.map_or(String::new(), |address| {
+        format!("odata {{\n  enabled = true\n  listen = \"{address}\"\n}}\n")
+    })
 }
