--- a/review/standins-2/case_session.rs
+++ b/review/standins-2/case_session.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 /// Upgrades that are played, each begun while the process before the previous one is still ending.
-const UPGRADES: usize = 4;
+const UPGRADES: usize = 8;
 
 pub fn run(world: &World) -> Outcome {
     let record = world.record.clone();
