--- a/review/standins-2/settings.rs
+++ b/review/standins-2/settings.rs
@@ -23,14 +23,14 @@
 }
 
 /// A deployment like that of the second organisation: lists are pushed and show roles late, a session's read says
-/// nothing of its writes, activations carry a key.
+/// nothing of its writes, activations carry a key. Unlike there, members don't look at how far they are behind.
 pub fn second() -> String {
     r#"{"client_habits":{"marks_retry":false},"discovery":"automatic","instances":3,"my_zone":0,"period_us":5000,
     "zones":["gasan","pangyo","ilsan"],"layers":"activation-db","tier":0,"slot_no":0,"service_type":"replicas",
     "worth_by":"request","weight_source":"nominal","over_share_worth":0.1,
-    "family_info":{"catch_up_wait_us":50000,"counted_from_us":0,"list_role":"late","max_age_us":[3000000,0,0],
+    "family_info":{"catch_up_wait_us":0,"counted_from_us":0,"list_role":"late","max_age_us":[3000000,0,0],
       "needs_by_class":["bounded","session","write"],"session_marks":"remembered","tells_position":true,
-      "waits_for_copy":false,"when_behind":"wait"},
+      "waits_for_copy":false,"when_behind":"off"},
     "services":[
       {"name":"status-view","aim_us":250000,"deadline_us":1000000,"group":"all","idempotency":"read_like","importance":1.0,"late_value":0.0,"stream":false,"window_us":2000000},
       {"name":"own-check","aim_us":200000,"deadline_us":600000,"group":"all","idempotency":"read_like","importance":3.0,"late_value":0.0,"stream":false,"window_us":2000000},
