--- a/review/standins-2/case_session.rs
+++ b/review/standins-2/case_session.rs
@@ -72,6 +72,9 @@
         if !matches!(written, Answer::Served(_)) {
             return Err("the activation was not served".to_string());
         }
+        // The process ends the connection with this answer, and the counter closes its end.
+        let _ = std::io::Read::read_to_end(&mut counter.stream, &mut Vec::new());
+        drop(counter);
         let ended = old.wait_ended(Duration::from_secs(10)).ok_or("the old process did not end")?;
         record.line(format!("version {upgrade} has ended: {ended}"));
         std::thread::sleep(Duration::from_millis(300));
