Count members' messages that cannot be read, and log how much had come

Cause: a member's answer that counts as corrupted is counted in member_spoilt, whatever was wrong with it, and the log of an unreadable message does not tell how much of it had arrived. Change: the counter member_unreadable, and the field 'received' in the log.

--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -89,6 +89,7 @@
     member_idle_closed,
     member_no_seat,
     member_spoilt,
+    member_unreadable,
     member_extras,
     member_bad_reports,
     probes,
--- a/src/pg/member.rs
+++ b/src/pg/member.rs
@@ -176,7 +176,9 @@
                     return (reply, ReplyEnd::Disconnected)
                 }
                 ReadEvent::Message(Some(Err(e))) => {
-                    log::debug!("a member's message cannot be read: {e}");
+                    count(Count::member_unreadable);
+                    let received = self.framed.read_buffer().len();
+                    log::debug!(received; "a member's message cannot be read: {e}");
                     return (reply, ReplyEnd::Corrupt("a message of an answer cannot be read"));
                 }
             };
