Judge a row's length only by its whole head, however its bytes arrive

What callers saw: a read of a value over 64 KiB got 53300 (by OData 503), or XX000 where its class may not be repeated, whenever its member's first bytes came in small pieces; each member that was asked ran it in vain. Cause: ClientCodec::decode tells a long row by its first 11 bytes. With 5 to 10 of them it went on to FrameReader::next, which refuses every message of over 144 KiB, and reserved the memory of the whole message for values between 64 and 144 KiB. Nothing but the place where a piece ended decided. Why this works: no step looks at a row before its head is whole. The one bound that needs less, an impossible length, is checked at its 5th byte.

--- a/crates/standins/src/member.rs
+++ b/crates/standins/src/member.rs
@@ -57,6 +57,8 @@
     Paused(usize),
     /// Runs them and sends the answers in pieces of this many bytes, with this pause after each.
     Trickled(usize, Duration),
+    /// Runs them and sends the first bytes of the answers in pieces of this many bytes, the rest at once.
+    PiecedHead(usize),
     /// Refuses them with 53300, without running them.
     Full,
     /// As `Full`, but omits ReadyForQuery.
@@ -241,6 +243,9 @@
 
 /// Number of received statements that are kept for scenarios to check.
 const MAX_STATEMENTS: usize = 4096;
+/// Length of the part of an answer that [`Behaviour::PiecedHead`] sends in pieces, and the pause after each piece.
+const PIECED_HEAD_LEN: usize = 256;
+const PIECE_INTERVAL: Duration = Duration::from_millis(2);
 
 struct Inner {
     address: SocketAddr,
@@ -271,6 +276,8 @@
     Pause(usize),
     /// Send it in pieces of this many bytes, with this pause after each, and read the next statement.
     Trickle(usize, Duration),
+    /// Send its first bytes in pieces of this many bytes and the rest at once, and read the next statement.
+    TrickleHead(usize),
     Close,
     Reset,
 }
@@ -484,7 +491,7 @@
             }
             let first = match then {
                 AfterAnswer::Pause(bytes) => bytes.min(reply.len()),
-                AfterAnswer::Trickle(..) => 0,
+                AfterAnswer::Trickle(..) | AfterAnswer::TrickleHead(_) => 0,
                 _ => reply.len(),
             };
             stream.write_all(&reply[..first]).await.ok()?;
@@ -501,6 +508,14 @@
                         tokio::time::sleep(pause).await;
                     }
                 }
+                AfterAnswer::TrickleHead(bytes) => {
+                    let (head, rest) = reply.split_at(PIECED_HEAD_LEN.min(reply.len()));
+                    for piece in head.chunks(bytes) {
+                        stream.write_all(piece).await.ok()?;
+                        tokio::time::sleep(PIECE_INTERVAL).await;
+                    }
+                    stream.write_all(rest).await.ok()?;
+                }
                 AfterAnswer::Copy(later) => {
                     tokio::time::sleep(later).await;
                     stream.write_all(&reply).await.ok()?;
@@ -718,6 +733,7 @@
             }
             Behaviour::Paused(bytes) => AfterAnswer::Pause(bytes),
             Behaviour::Trickled(bytes, pause) => AfterAnswer::Trickle(bytes, pause),
+            Behaviour::PiecedHead(bytes) => AfterAnswer::TrickleHead(bytes),
             Behaviour::Marred(place, code) => {
                 insert_error(reply, place, &code);
                 AfterAnswer::ReadNext
--- a/src/pg/member_codec.rs
+++ b/src/pg/member_codec.rs
@@ -1,6 +1,6 @@
 //! Codec for member connections, where the proxy acts as the client: decodes member messages, encodes queries.
 
-use super::frames::{BodyReader, FrameReader, WireError, MAX_MESSAGE_LEN};
+use super::frames::{BodyReader, FrameReader, WireError};
 use crate::core::flow;
 use crate::net::budget::{ByteBudget, ByteReservation};
 use crate::net::frames::BuffersPartial;
@@ -15,6 +15,8 @@
 pub const MAX_BUFFERED_VALUE_LEN: usize = 64 * 1024;
 /// Maximum length of a value: 4 MiB, or its text form, which is `\x` and two hex digits a byte.
 pub const MAX_VALUE_LEN: usize = 2 * 4 * 1024 * 1024 + 2;
+/// Length of the part of a row before its value: tag, message length, number of columns, length of the value.
+const ROW_HEAD_LEN: usize = 11;
 /// Maximum length of a chunk of a streamed value.
 const CHUNK_LEN: usize = 16 * 1024;
 /// Bytes of a streamed value that can be in memory at a time: the queued chunks, the one being read and the one being
@@ -116,6 +118,15 @@
 }
 
 impl ClientCodec {
+    /// Removes the head of a row whose value is streamed, and reserves memory for the stream.
+    fn begin_stream(&mut self, src: &mut BytesMut, length: usize) -> Result<Backend, WireError> {
+        let reservation = self.budget.try_reserve(STREAM_RESERVATION_LEN);
+        self.reservation = Some(reservation.ok_or(WireError::BudgetExhausted)?);
+        self.remaining = length;
+        src.advance(ROW_HEAD_LEN);
+        Ok(Backend::LargeRowStart(length))
+    }
+
     /// Returns the received bytes of a streamed value, up to one chunk.
     fn next_chunk(&mut self, src: &mut BytesMut) -> Option<Backend> {
         let len = src.len().min(self.remaining).min(CHUNK_LEN);
@@ -132,6 +143,45 @@
     }
 }
 
+/// What the first bytes of a row tell about it.
+enum RowHead {
+    /// Too few of them have arrived.
+    Incomplete,
+    /// The row is passed on as a whole.
+    Buffered,
+    /// Its value, of this many bytes, is streamed.
+    Large(usize),
+}
+
+/// Reads the head of a row. The message's length is checked against the value's length before the whole message is
+/// waited for: with a message length that is too large, the rest of the answer would be read as part of the value.
+/// Only both lengths together tell whether a long message is a sound one, so neither is judged without the other.
+fn parse_row_head(src: &[u8]) -> Result<RowHead, WireError> {
+    let Some(message_length) = src.get(1..).and_then(|rest| rest.first_chunk()) else {
+        return Ok(RowHead::Incomplete);
+    };
+    let message_length = u32::from_be_bytes(*message_length) as usize;
+    let Some(value_length) = message_length.checked_sub(ROW_HEAD_LEN - 1) else {
+        return Err(WireError::Malformed("a row does not have one column"));
+    };
+    if value_length > MAX_VALUE_LEN {
+        return Err(WireError::TooLong(message_length));
+    }
+    let Some(head) = src.first_chunk::<ROW_HEAD_LEN>() else { return Ok(RowHead::Incomplete) };
+    // A null value has the length -1 and no bytes.
+    let row_length = (&head[7..]).get_i32();
+    if usize::try_from(row_length.max(0)) != Ok(value_length) {
+        return Err(WireError::Malformed("a row's length is off"));
+    }
+    if head[5..7] != [0, 1] {
+        return Err(WireError::Malformed("a row does not have one column"));
+    }
+    match value_length > MAX_BUFFERED_VALUE_LEN {
+        true => Ok(RowHead::Large(value_length)),
+        false => Ok(RowHead::Buffered),
+    }
+}
+
 impl BuffersPartial for ClientCodec {}
 
 impl Decoder for ClientCodec {
@@ -143,7 +193,7 @@
             return Ok(self.next_chunk(src));
         }
         let max_len = |tag| match tag {
-            b'D' => Some(MAX_MESSAGE_LEN),
+            b'D' => Some(ROW_HEAD_LEN - 1 + MAX_BUFFERED_VALUE_LEN),
             b'E' | b'N' | b'S' | b'R' => Some(8 * 1024),
             b'T' | b'C' => Some(512),
             b'K' => Some(264),
@@ -151,26 +201,11 @@
             b'I' => Some(4),
             _ => None,
         };
-        // Checks the message length against the row's own length before waiting for the whole message: with a message
-        // length that is too large, the rest of the answer would be read as part of the value.
-        if src.len() >= 11 && src[0] == b'D' {
-            let (message, row) = ((&src[1..]).get_u32(), (&src[7..]).get_i32());
-            if i64::from(message) != 10 + i64::from(row.max(0)) {
-                return Err(WireError::Malformed("a row's length is off"));
-            }
-            let row = row.max(0) as usize;
-            if row > MAX_VALUE_LEN {
-                return Err(WireError::TooLong(row));
-            }
-            if row > MAX_BUFFERED_VALUE_LEN {
-                if src[5..7] != [0, 1] {
-                    return Err(WireError::Malformed("a row does not have one column"));
-                }
-                self.reservation =
-                    Some(self.budget.try_reserve(STREAM_RESERVATION_LEN).ok_or(WireError::BudgetExhausted)?);
-                self.remaining = row;
-                src.advance(11);
-                return Ok(Some(Backend::LargeRowStart(row)));
+        if src.first() == Some(&b'D') {
+            match parse_row_head(src)? {
+                RowHead::Incomplete => return Ok(None),
+                RowHead::Large(length) => return self.begin_stream(src, length).map(Some),
+                RowHead::Buffered => {}
             }
         }
         let Some(frame) = self.frames.next(src, true, max_len)? else { return Ok(None) };
@@ -196,9 +231,7 @@
             },
             b'T' => Backend::RowDescription(parse_column(&mut body)?),
             b'D' => {
-                if u16::from_be_bytes(body.read_bytes()?) != 1 {
-                    return Err(WireError::Malformed("a row does not have one column"));
-                }
+                body.read_bytes::<2>()?;
                 match i32::from_be_bytes(body.read_bytes()?) {
                     -1 => Backend::DataRow(None),
                     n if usize::try_from(n) == Ok(body.0.len()) => {
@@ -327,3 +360,7 @@
     let (first, wait) = (std::io::Cursor::new(first), std::io::Cursor::new(wait));
     first.chain(head).chain(wait).chain(tail).chain(&[0][..])
 }
+
+#[cfg(test)]
+#[path = "member_codec_tests.rs"]
+mod tests;
--- a/tests/flows.rs
+++ b/tests/flows.rs
@@ -217,6 +217,23 @@
     }
 }
 
+/// Guards against a large value that no member can give, as the head of its row arrives in pieces.
+#[test]
+fn a_large_value_whose_row_begins_in_pieces_is_cut_off() {
+    for (size, effect) in [(100_000, "read_like"), (150_000, "non_idempotent"), (MIB, "idempotency_key")] {
+        let world = world_of(size, 64, effect);
+        let pieces = [3, 5, 6, 7, 8, 9, 10, 12, 16, 31];
+        for piece in pieces {
+            world.member.set_behaviour(Behaviour::PiecedHead(piece));
+            let mut client = connect(world.proxy.pg);
+            client.write_all(&query("big")).expect("the request is written");
+            assert!(answer(&mut client) == Some(value(size)), "{size} bytes, pieces of {piece}");
+            assert!(value_by_odata(&world) == Some(value(size)), "{size} bytes by OData, pieces of {piece}");
+        }
+        assert_eq!(world.member.statement_count("read big"), 2 * pieces.len());
+    }
+}
+
 /// Sends a read of the large value by PostgreSQL.
 fn request_by_postgresql(world: &World) -> TcpStream {
     let mut client = connect(world.proxy.pg);
