Answer what stands behind a large value that breaks off

What callers saw: a client that writes a read and an order at once on one connection lost its connection within the read's value when the member reset its own, and with it the answer to the order, which had run and must not be sent again. The same by OData for requests read ahead, for a member that falls silent (the connection ended 3 s later), and at the end of a process whose clients still take a value. Cause: a value that is cut off was an error of the session: stream_row (and StreamedResponse::write_to) returned it, and the session's loop ended with all answers that were owed. Nothing was read while a value was streamed. Change: a streamed row is a pending reply like others (pg::row_stream). Where more is to be answered a row that breaks off is filled up to the length that it has announced, and its answer ends with XX000 in place of CommandComplete, as the protocol allows; by OData the body is filled up and is no JSON, as the standard asks of in-stream errors. Else the connection ends as before, but only after the kernel was asked for unread input. A value of which nothing has come for 1 s is given up 100 ms before an answer behind it is due, any value shortly before the process may be killed (core::flow::give_up_at). Why this works: no way out of either loop is left by which the fault of a value ends a connection on which an answer is owed. The stand-in's behaviour 'broken' spares shorter answers.

--- a/crates/standins/src/member.rs
+++ b/crates/standins/src/member.rs
@@ -51,7 +51,7 @@
     ResetHeld,
     /// Runs them and closes the connection in the middle of the answer.
     Half,
-    /// Runs them and resets the connection after this many bytes of the answer.
+    /// Runs them and resets the connection after this many bytes of the answer, if it is longer.
     Broken(usize),
     /// Runs them, sends this many bytes of the answer, and withholds the rest until the behaviour changes.
     Paused(usize),
@@ -711,7 +711,7 @@
                 reply.truncate(20);
                 AfterAnswer::Close
             }
-            Behaviour::Broken(bytes) => {
+            Behaviour::Broken(bytes) if bytes < reply.len() => {
                 reply.truncate(bytes);
                 AfterAnswer::Reset
             }
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -104,6 +104,8 @@
     dnssd_skipped,
     flows,
     flows_broken,
+    flows_given_up,
+    flows_padded,
     console_connections,
     console_calls,
     console_refused,
--- a/src/core/flow.rs
+++ b/src/core/flow.rs
@@ -4,15 +4,32 @@
 //! The member's side sends chunks and waits while the client has not taken them; the front receives them. The
 //! value is complete only if the stream ends with [`Chunk::End`]. A stream that ends without it was cut off,
 //! and the front must make that visible to the client.
+//!
+//! Answers to later requests of the same connection follow the value. While some are owed, a value that has stopped
+//! arriving is given up in time for the earliest of them: [`give_up_at`].
 
 use bytes::Bytes;
-use std::sync::Arc;
-use tokio::sync::{mpsc, Mutex};
+use std::future::poll_fn;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
 
 /// Maximum number of queued chunks. With the one being read and the one being written, this bounds the memory
 /// per stream.
 pub const MAX_QUEUED_CHUNKS: usize = 2;
 
+/// A value that has been silent for less than this is never given up for the sake of the answers behind it.
+pub const MIN_SILENCE: Duration = Duration::from_secs(1);
+/// How long before an answer is due the value before it is given up: the rest of the response has to be written, too.
+pub const ANSWER_MARGIN: Duration = Duration::from_millis(100);
+
+/// When a value of which nothing has arrived since `silent_since` is given up, if an answer behind it is due at `due`.
+pub fn give_up_at(silent_since: Instant, due: Instant) -> Instant {
+    (silent_since + MIN_SILENCE).max(due.checked_sub(ANSWER_MARGIN).unwrap_or(due))
+}
+
 /// An item of a value's stream.
 #[derive(Debug)]
 pub enum Chunk {
@@ -56,8 +73,8 @@
     }
 
     /// The next chunk; `None` if the stream was cut off.
-    async fn next(&self) -> Option<Chunk> {
-        self.0.chunks.lock().await.recv().await
+    fn poll_next(&self, cx: &mut Context<'_>) -> Poll<Option<Chunk>> {
+        self.0.chunks.lock().unwrap_or_else(PoisonError::into_inner).poll_recv(cx)
     }
 }
 
@@ -93,19 +110,32 @@
         ValueReader { stream, remaining }
     }
 
+    /// Number of bytes of the value that have not been read.
+    pub fn remaining(&self) -> usize {
+        self.remaining
+    }
+
     /// The next bytes of the value; `None` once it is complete. Cancel safe.
     ///
     /// # Errors
     /// When the value was cut off.
     pub async fn next(&mut self) -> Result<Option<Bytes>, CutOff> {
-        match self.stream.next().await {
+        poll_fn(|cx| self.poll_next(cx)).await
+    }
+
+    /// As [`ValueReader::next`].
+    ///
+    /// # Errors
+    /// When the value was cut off.
+    pub fn poll_next(&mut self, cx: &mut Context<'_>) -> Poll<Result<Option<Bytes>, CutOff>> {
+        self.stream.poll_next(cx).map(|chunk| match chunk {
             Some(Chunk::Bytes(bytes)) if bytes.len() <= self.remaining => {
                 self.remaining -= bytes.len();
                 Ok(Some(bytes))
             }
             Some(Chunk::End) if self.remaining == 0 => Ok(None),
             _ => Err(CutOff),
-        }
+        })
     }
 }
 
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -7,6 +7,7 @@
 use crate::clock::Clock;
 use crate::core::bookings::{BookingOutcome, BookingTry, Bookings};
 use crate::core::counters::{count, Count};
+use crate::core::flow::ANSWER_MARGIN;
 use crate::core::repeat_ledger::ClaimRequest;
 use crate::core::{ClientConnection, Handle, IdempotencyKey, Operation, Request, RequestClient, Work};
 use crate::http::{HttpError, HttpRequest, HttpResponse, HttpServer};
@@ -26,6 +27,7 @@
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::codec::Framed;
 
 /// Maximum length of a request body: the longest value in base64url and the rest of its JSON.
@@ -132,6 +134,28 @@
         }
     }
 
+    /// How long the client of a request waits for its response; `None` if the request does not tell.
+    pub(super) fn wait_of(&self, http: &HttpRequest) -> Option<Duration> {
+        let class_table = self.class_table.borrow().clone();
+        match request::parse(http, &class_table) {
+            Ok(Call::Read(params, _) | Call::Create(CreateCall { params, .. })) => {
+                Some(Duration::from_micros(params.wait))
+            }
+            _ => None,
+        }
+    }
+
+    /// The time at which an answer that is `due` then has to be given: earlier if the process ends soon.
+    pub(super) fn cap_due(&self, due: Option<Instant>) -> Instant {
+        let limit = self.clock.instant(self.answer_limit.cap(Time::MAX));
+        due.map_or(limit, |due| due.min(limit))
+    }
+
+    /// Whether the process ends so soon that no more of a value should be waited for.
+    pub(super) fn is_ending_soon(&self) -> bool {
+        self.cap_due(None) <= Instant::now() + ANSWER_MARGIN
+    }
+
     /// Returns the response to the creation of a record.
     async fn create(
         &self,
--- a/src/odata/session.rs
+++ b/src/odata/session.rs
@@ -15,7 +15,9 @@
 use super::front::{error_response, Front, MAX_BODY_LEN};
 use super::reply::{ODataError, Response};
 use super::request::ResponseFormat;
+use super::stream::{write, StreamedResponse};
 use crate::core::counters::{count, Count};
+use crate::core::flow::{give_up_at, CutOff, MIN_SILENCE};
 use crate::http::{HttpError, HttpRequest, HttpResponse, HttpServer, Incoming};
 use crate::net::budget::MIN_QUIET_TIME;
 use crate::net::client_close::{self, CloseReason, ConnectionClosed, CONNECTION_LOG};
@@ -45,6 +47,12 @@
 
 pub(super) type Conn = Framed<Socket, HttpServer>;
 
+/// Input that was read while another request was executed.
+struct ReadAhead {
+    input: Incoming,
+    arrived: Instant,
+}
+
 /// The result of waiting for a request.
 enum WaitResult {
     /// A request, or the head of one whose client waits for `100 Continue`.
@@ -64,7 +72,7 @@
     front: Arc<Front>,
     conn: Conn,
     /// Requests that were read while another one was executed.
-    read_ahead: VecDeque<Incoming>,
+    read_ahead: VecDeque<ReadAhead>,
     /// Why the input after those requests cannot be read. They are answered first.
     read_error: Option<HttpError>,
     /// Whether a request was received.
@@ -140,7 +148,11 @@
             response.set_connection_close(close);
             match response {
                 Response::Whole(response) => self.send(response).await?,
-                Response::Streamed(response) => response.write_to(&mut self.conn).await?,
+                Response::Streamed(response) => {
+                    if let Some(ended) = Box::pin(self.send_streamed(*response, close)).await? {
+                        return Ok(ended);
+                    }
+                }
             }
             if close {
                 let reason = if shutting_down { CloseReason::Shutdown } else { CloseReason::ClientLeft };
@@ -168,8 +180,8 @@
     /// Waits for the next request, or for a reason to close the connection. Once part of a request has been
     /// read, the connection is not closed before that request has a response.
     async fn wait(&mut self, closing: &mut PhaseReceiver) -> WaitResult {
-        if let Some(request) = self.read_ahead.pop_front() {
-            return WaitResult::Input(request);
+        if let Some(ReadAhead { input, .. }) = self.read_ahead.pop_front() {
+            return WaitResult::Input(input);
         }
         if let Some(error) = self.read_error.take() {
             return WaitResult::Error(error);
@@ -211,15 +223,88 @@
             tokio::select! {
                 biased;
                 response = &mut answer => return Ok(Some(response)),
-                read = read_next_or_close(&mut self.conn, may_read, true) => match read {
-                    ReadEvent::Message(Some(Ok(next))) => self.read_ahead.push_back(next),
-                    ReadEvent::Message(Some(Err(e @ HttpError::Io(_)))) => return Err(e),
-                    ReadEvent::Message(Some(Err(e))) => self.read_error = Some(e),
-                    ReadEvent::Message(None) => return Ok(None),
-                    ReadEvent::Partial => {}
+                read = read_next_or_close(&mut self.conn, may_read, true) => {
+                    if !keep_read_ahead(read, &mut self.read_ahead, &mut self.read_error)? {
+                        return Ok(None);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends a response while its value arrives, and reads ahead meanwhile unless the response announces the `close`.
+    /// If the value is cut off, fills the response up for the sake of the requests behind it, or closes the connection
+    /// if there are none.
+    async fn send_streamed(
+        &mut self,
+        mut response: StreamedResponse,
+        close: bool,
+    ) -> Result<Option<ConnectionClosed>, HttpError> {
+        response.write_start(&mut self.conn).await?;
+        let mut silent_since = Instant::now();
+        let mut next_check = silent_since + MIN_SILENCE;
+        loop {
+            let may_read = self.read_ahead.len() < MAX_READ_AHEAD && self.read_error.is_none();
+            tokio::select! {
+                biased;
+                part = response.next_part() => match part {
+                    Ok(Some(part)) => {
+                        write(&mut self.conn, part.as_bytes()).await?;
+                        silent_since = Instant::now();
+                        next_check = silent_since + MIN_SILENCE;
+                        if self.is_answer_owed() && self.front.is_ending_soon() {
+                            break;
+                        }
+                    }
+                    Ok(None) => return Ok(None),
+                    Err(CutOff) => break,
                 },
+                read = read_next_or_close(&mut self.conn, may_read, true), if !close => {
+                    let (read_ahead, read_error) = (&mut self.read_ahead, &mut self.read_error);
+                    // The client has left within the value, so nothing can be answered any more.
+                    if !keep_read_ahead(read, read_ahead, read_error)? {
+                        return Err(HttpError::Io(ErrorKind::UnexpectedEof.into()));
+                    }
+                    next_check = silent_since + MIN_SILENCE;
+                }
+                () = tokio::time::sleep_until(next_check), if self.is_answer_owed() => {
+                    let (now, give_up) = (Instant::now(), give_up_at(silent_since, self.next_due()));
+                    if now >= give_up {
+                        count(Count::flows_given_up);
+                        break;
+                    }
+                    // The shutdown can make answers due earlier.
+                    next_check = give_up.min(now + MIN_SILENCE);
+                }
             }
         }
+        if close {
+            return Err(HttpError::Io(CutOff.into()));
+        }
+        if !self.is_answer_owed() {
+            let no_message = None::<HttpResponse>;
+            let ended = client_close::close_if_idle(&mut self.conn, CloseReason::Broken, no_message).await;
+            if ended.is_some() {
+                return Ok(ended);
+            }
+        }
+        response.write_padding(&mut self.conn).await?;
+        Ok(None)
+    }
+
+    /// Whether input was read that is still to be answered.
+    fn is_answer_owed(&self) -> bool {
+        !self.read_ahead.is_empty() || self.read_error.is_some()
+    }
+
+    /// The earliest time at which a request that was read ahead must be answered.
+    fn next_due(&self) -> Instant {
+        let due = |ahead: &ReadAhead| match &ahead.input {
+            Incoming::Request(request) => Some(ahead.arrived + self.front.wait_of(request)?),
+            Incoming::ExpectContinue => None,
+        };
+        let due = self.read_ahead.iter().filter_map(due).min();
+        self.front.cap_due(due)
     }
 
     /// Answers input that cannot be read, after a delay, and closes the connection, because the start of the
@@ -242,6 +327,27 @@
     }
 }
 
+/// Keeps input that was read while another request was executed. Returns false if the client has left.
+///
+/// # Errors
+/// If the connection is broken.
+fn keep_read_ahead(
+    read: ReadEvent<Result<Incoming, HttpError>>,
+    read_ahead: &mut VecDeque<ReadAhead>,
+    read_error: &mut Option<HttpError>,
+) -> Result<bool, HttpError> {
+    match read {
+        ReadEvent::Message(Some(Ok(input))) => {
+            read_ahead.push_back(ReadAhead { input, arrived: Instant::now() })
+        }
+        ReadEvent::Message(Some(Err(e @ HttpError::Io(_)))) => return Err(e),
+        ReadEvent::Message(Some(Err(e))) => *read_error = Some(e),
+        ReadEvent::Message(None) => return Ok(false),
+        ReadEvent::Partial => {}
+    }
+    Ok(true)
+}
+
 /// Waits until connections are to be closed. One that has received no request must also have been quiet for
 /// `MIN_QUIET_TIME`, as its first request may be in transit.
 async fn closing_and_quiet(closing: &mut PhaseReceiver, request_seen: bool, idle_since: Instant) {
--- a/src/odata/stream.rs
+++ b/src/odata/stream.rs
@@ -2,16 +2,18 @@
 //!
 //! The response begins with the first bytes of the value: the client is owed them by its deadline, and a whole value may take
 //! much longer. What has begun cannot be taken back. The head tells the length of the whole body, so that a client
-//! can tell that a value is cut off: the connection is then closed before that length.
+//! can tell that a value is cut off: the connection is then closed before that length. If further requests are to be
+//! answered on it, the body is filled up instead with what is no JSON.
 
 use super::request::BINARY_RESPONSE;
 use super::session::{Conn, RESPONSE_TIMEOUT};
-use crate::core::flow::{ValueReader, ValueStream};
+use crate::core::counters::{count, Count};
+use crate::core::flow::{CutOff, ValueReader, ValueStream};
 use crate::core::Value;
 use crate::http::{HttpError, ResponseHead};
 use base64::Engine;
 use bytes::{Bytes, BytesMut};
-use std::io::{Error, ErrorKind};
+use std::io::ErrorKind;
 use tokio::io::AsyncWriteExt;
 use tokio_util::codec::Encoder;
 
@@ -21,6 +23,8 @@
 const HEX_PREFIX: &[u8] = b"\\x";
 /// Maximum number of a value's bytes that are encoded at a time, which bounds the memory for their digits.
 const MAX_PIECE_LEN: usize = 12 * 1024;
+/// What fills up a body that breaks off: no character that a string of JSON may hold.
+static PADDING: [u8; MAX_PIECE_LEN] = [b'\n'; MAX_PIECE_LEN];
 /// Number of bytes that one group of base64 digits stands for.
 const BASE64_GROUP_BYTES: usize = 3;
 
@@ -134,6 +138,11 @@
     frame: ResponseFrame,
     transcoder: Transcoder,
     reader: ValueReader,
+    /// Bytes that have arrived and are not encoded yet.
+    received: Bytes,
+    /// Number of bytes of the body that are not written yet.
+    missing: usize,
+    ended: bool,
 }
 
 impl StreamedResponse {
@@ -141,11 +150,15 @@
     pub fn new(mut frame: ResponseFrame, value: &Value, stream: ValueStream) -> Option<Self> {
         let format = ValueFormat::of(value);
         let digits = encoded_len(format.decoded_len(stream.length())?);
-        frame.head.content_length = frame.prefix.len() + digits + frame.suffix.len();
+        let missing = digits + frame.suffix.len();
+        frame.head.content_length = frame.prefix.len() + missing;
         Some(StreamedResponse {
             frame,
             transcoder: Transcoder::new(format),
             reader: ValueReader::new(stream),
+            received: Bytes::new(),
+            missing,
+            ended: false,
         })
     }
 
@@ -154,33 +167,64 @@
         self.frame.head.connection_close = connection_close;
     }
 
-    /// Writes the response, each part as soon as it is there.
+    /// Writes the response up to the first digit of its value.
     ///
     /// # Errors
-    /// If the value is cut off or not in its format, or the client takes nothing for too long. The connection can only
-    /// be dropped then.
-    pub async fn write_to(mut self, conn: &mut Conn) -> Result<(), HttpError> {
+    /// If the client takes nothing for too long.
+    pub async fn write_start(&mut self, conn: &mut Conn) -> Result<(), HttpError> {
         let mut start = std::mem::take(conn.write_buffer_mut());
-        conn.codec_mut().encode(self.frame.head, &mut start)?;
+        conn.codec_mut().encode(self.frame.head.clone(), &mut start)?;
         start.extend_from_slice(&self.frame.prefix);
         write(conn, &start).await?;
         start.clear();
         *conn.write_buffer_mut() = start;
-        while let Some(mut bytes) = self.reader.next().await.map_err(Error::from)? {
-            while !bytes.is_empty() {
-                let piece = bytes.split_to(bytes.len().min(MAX_PIECE_LEN));
-                let digits = self.transcoder.push(piece).ok_or(Error::from(ErrorKind::InvalidData))?;
-                write(conn, digits.as_bytes()).await?;
+        Ok(())
+    }
+
+    /// Waits for the next part of the body; `None` after its end. Cancel safe.
+    ///
+    /// # Errors
+    /// If the value is cut off or not in its format.
+    pub async fn next_part(&mut self) -> Result<Option<String>, CutOff> {
+        while self.received.is_empty() && !self.ended {
+            match self.reader.next().await? {
+                Some(bytes) => self.received = bytes,
+                None => {
+                    self.ended = true;
+                    self.missing = 0;
+                    let suffix = String::from_utf8_lossy(&self.frame.suffix);
+                    return Ok(Some(self.transcoder.finish() + &suffix));
+                }
             }
         }
-        let mut end = self.transcoder.finish().into_bytes();
-        end.extend_from_slice(&self.frame.suffix);
-        write(conn, &end).await
+        if self.ended {
+            return Ok(None);
+        }
+        let piece = self.received.split_to(self.received.len().min(MAX_PIECE_LEN));
+        let digits = self.transcoder.push(piece).ok_or(CutOff)?;
+        self.missing = self.missing.saturating_sub(digits.len());
+        Ok(Some(digits))
+    }
+
+    /// Fills up the body of a response whose value was cut off, so that further responses can follow it. Its JSON
+    /// breaks off within a string, which is how the standard lets clients tell an error after the head ('In-Stream
+    /// Errors').
+    ///
+    /// # Errors
+    /// If the client takes nothing for too long.
+    pub async fn write_padding(mut self, conn: &mut Conn) -> Result<(), HttpError> {
+        count(Count::flows_padded);
+        while self.missing > 0 {
+            let part = &PADDING[..self.missing.min(PADDING.len())];
+            write(conn, part).await?;
+            self.missing -= part.len();
+        }
+        Ok(())
     }
 }
 
 /// Limits the time of a write: a client that reads nothing must not hold its permit forever.
-async fn write(conn: &mut Conn, bytes: &[u8]) -> Result<(), HttpError> {
+pub(super) async fn write(conn: &mut Conn, bytes: &[u8]) -> Result<(), HttpError> {
     match tokio::time::timeout(RESPONSE_TIMEOUT, conn.get_mut().write_all(bytes)).await {
         Ok(written) => Ok(written?),
         Err(_) => Err(HttpError::Io(ErrorKind::TimedOut.into())),
--- a/src/pg/mod.rs
+++ b/src/pg/mod.rs
@@ -6,6 +6,7 @@
 pub mod member;
 pub mod member_codec;
 mod replies;
+mod row_stream;
 #[cfg(test)]
 pub(crate) mod scripted_member;
 mod session;
--- a/src/pg/session.rs
+++ b/src/pg/session.rs
@@ -13,7 +13,8 @@
 
 use super::codec::{AfterError, Frontend, Reply, ServerCodec, WireError};
 use super::front::{error, last_refusal, Front};
-use super::replies::{next_reply, write_replies, PendingReplies, PendingReply};
+use super::replies::{write_replies, PendingReplies, PendingReply, ReplyPart, WaitingReply};
+use super::row_stream::pad_and_fail;
 use super::statement::{self, StatementError};
 use crate::core::counters::{count, Count};
 use crate::core::RequestClient;
@@ -83,10 +84,11 @@
     pub(super) fn new(front: Arc<Front>, waiting_since: Option<std::time::Instant>, stream: Socket) -> Self {
         let conn = Framed::with_capacity(stream, ServerCodec::new(front.bytes.clone()), INITIAL_BUFFER_SIZE);
         let (state, opened) = (SessionState { waiting_since, ..SessionState::default() }, Instant::now());
+        let pending = PendingReplies::new(front.clock, front.answer_limit.clone());
         Session {
             front,
             conn,
-            pending: PendingReplies::default(),
+            pending,
             state,
             opened,
             idle_since: opened,
@@ -128,9 +130,13 @@
             let is_idle = self.is_idle();
             tokio::select! {
                 biased;
-                reply = next_reply(&mut self.pending.0), if !self.pending.0.is_empty() => self.send_reply(reply).await?,
+                part = self.pending.next(), if !self.pending.is_empty() => {
+                    if let Some(ended) = self.send_reply(part).await? {
+                        return Ok(ended);
+                    }
+                }
                 read = read_next_or_close(&mut self.conn, may_read, self.partial_since.is_some()),
-                    if may_read || !self.pending.0.is_empty() =>
+                    if may_read || !self.pending.is_empty() =>
                 {
                     match read {
                         ReadEvent::Partial => self.partial_since = Some(Instant::now()),
@@ -173,13 +179,13 @@
 
     /// Whether no reply is pending and no message is partially received.
     fn is_idle(&self) -> bool {
-        self.pending.0.is_empty() && self.partial_since.is_none()
+        self.pending.is_empty() && self.partial_since.is_none()
     }
 
     /// Whether further queries may be read now.
     fn may_read(&self) -> bool {
         let depth = if self.front.bytes.is_scarce() { MAX_PIPELINED_LOW_MEMORY } else { MAX_PIPELINED };
-        self.pending.0.len() < depth && !self.terminated
+        self.pending.len() < depth && !self.terminated
     }
 
     /// The reason for closing the connection now, if there is one.
@@ -201,10 +207,11 @@
     fn read_deadline(&self) -> Option<Instant> {
         let first = self.opened + FIRST_MESSAGE_TIMEOUT;
         match self.partial_since {
+            _ if self.pending.is_streaming() => None,
             // A partial first message gets no more time than a client that sends nothing.
             Some(since) if self.state.command_seen => Some(since + UNFINISHED_MESSAGE_TIMEOUT),
             Some(_) => Some(first),
-            None if !self.pending.0.is_empty() => None,
+            None if !self.pending.is_empty() => None,
             None if self.state.command_seen => Some(self.idle_since + IDLE_TIMEOUT),
             None if self.closing_when_idle => Some(first.min(self.idle_since + MIN_QUIET_TIME)),
             None => Some(first),
@@ -218,20 +225,42 @@
         client_close::close_if_idle(&mut self.conn, reason, final_reply).await
     }
 
-    /// Sends a reply, and those after it that are ready.
-    async fn send_reply(&mut self, reply: Reply) -> Result<(), WireError> {
-        let write_began = Instant::now();
+    /// Sends a part of a reply, and those after it that are ready. Closes the connection if a value was cut off and
+    /// nothing else is to be answered.
+    async fn send_reply(&mut self, part: ReplyPart) -> Result<Option<ConnectionClosed>, WireError> {
+        let (write_began, is_streamed) = (Instant::now(), !matches!(part, ReplyPart::Reply(_)));
         // The write has a timeout: a client that reads nothing must not hold its permit forever.
-        write_replies(&mut self.conn, reply, &mut self.pending.0).await?;
-        // Nothing was read meanwhile, so the rest of a message could not arrive.
-        self.partial_since = self.partial_since.map(|since| since + write_began.elapsed());
+        if let Some(missing) = write_replies(&mut self.conn, part, &mut self.pending).await? {
+            if let Some(ended) = Box::pin(self.end_cut_off_row(missing)).await? {
+                return Ok(Some(ended));
+            }
+        }
+        // Nothing was read during the write, and the rest of a message has no time limit while a value is streamed.
+        let partial_since = |since: Instant| match is_streamed {
+            true => Instant::now(),
+            false => since + write_began.elapsed(),
+        };
+        self.partial_since = self.partial_since.map(partial_since);
         release_large_buffers(&mut self.conn);
         self.idle_since = Instant::now();
         self.clear_waiting_since();
         if self.state.command_seen {
             self.closing_when_idle |= self.phase >= ProcessPhase::HandingOver;
         }
-        Ok(())
+        Ok(None)
+    }
+
+    /// Ends the answer of a row that was cut off `missing` bytes before its end: with the connection, if nothing else is
+    /// to be answered on it.
+    async fn end_cut_off_row(&mut self, missing: usize) -> Result<Option<ConnectionClosed>, WireError> {
+        if self.pending.is_empty() {
+            let ended = client_close::close_if_idle(&mut self.conn, CloseReason::Broken, None::<Reply>).await;
+            if ended.is_some() {
+                return Ok(ended);
+            }
+        }
+        pad_and_fail(&mut self.conn, missing).await?;
+        Ok(None)
     }
 
     /// Input that is still to come has not waited since the connection was made. After the startup's reply the kernel
@@ -263,7 +292,9 @@
                 self.command(message).await
             }
         };
-        self.pending.0.extend(reply);
+        if let Some(reply) = reply {
+            self.pending.push(reply);
+        }
     }
 
     /// Returns the reply to a message after the startup, if it has one.
@@ -321,7 +352,9 @@
                     "request read"
                 );
                 let write = request.class_table.classes[request.class].consistency == Consistency::Write;
-                PendingReply::Waiting(front.core.submit(request).await, write)
+                let deadline = request.deadline;
+                let pending = front.core.submit(request).await;
+                PendingReply::Waiting(WaitingReply { pending, write, deadline })
             }
             Err(StatementError { code, message }) => {
                 let (after, message) = (AfterError::ReadyForQuery, Bytes::from(message));
@@ -343,13 +376,16 @@
     /// Handles a framing error, after which the next message cannot be found: answers the queries received
     /// before it, unless the client has left, then sends an error and closes the connection.
     async fn end_with_error(mut self, fault: WireError) -> Result<ConnectionClosed, WireError> {
-        while !self.pending.0.is_empty() {
-            let reply = tokio::select! {
+        while !self.pending.is_empty() {
+            let part = tokio::select! {
                 biased;
-                reply = next_reply(&mut self.pending.0) => reply,
+                part = self.pending.next() => part,
                 () = self.conn.get_mut().wait_closed() => return Ok(client_close::closed_by_client(self.conn)),
             };
-            write_replies(&mut self.conn, reply, &mut self.pending.0).await?;
+            if let Some(missing) = write_replies(&mut self.conn, part, &mut self.pending).await? {
+                // The input that could not be read is still to be answered.
+                pad_and_fail(&mut self.conn, missing).await?;
+            }
         }
         let (code, counter) = match fault {
             WireError::Io(_) => return Err(fault),
