Run a booking of an unknown repeat id only if it can be its first try

What callers saw: a charging booking by OData ran twice. Its proxy was killed while the primary ran it, and its client tried again at another proxy with the same repeat id, first send and body, marked as a retry: 201 again. The same through a restarted proxy for a client whose clock was ahead, and for a keyed booking whose key the members had forgotten by then. Cause: RepeatLedger::claim takes an id for new that is not entered and was first sent since this process began, as if no other proxy could have got it. The client's mark of a retry never reached the claim. Change: policy::repeat_proof decides by the class and by the client's word: Skip-Retry, else the settings' habits (client_habits.marks_retry, instances), else a first send within 1.2 s. An unknown retry gets 412 and is counted (odata_unknown_retries); a keyed one runs while members know its key. Ids that were refused here, also for want of room, are remembered (16,384), so that their retry still runs here. Why this works: proxies share nothing, so only the one that got the first try may run a booking; all others can prove nothing and run nothing. By reading also a retry behind a refusal at the door (no permit, no memory) and one that changes process in an upgrade. First tries, retries of what this proxy ran or refused, and classes that may be repeated get 201 as before. Settings has a new field, marks_retries, which the module's tests set.

--- a/src/agreement/rules.rs
+++ b/src/agreement/rules.rs
@@ -129,6 +129,7 @@
             zone: 0,
             // Each proxy takes one share of a member's capacity; more instances make smaller shares.
             instances: a.instances.max(b.instances),
+            marks_retries: a.marks_retries && b.marks_retries,
             classes,
             period: a.period.max(b.period),
             subscribe: a.subscribe,
@@ -201,6 +202,11 @@
         for (field, decision, order) in [
             ("limits.max_attempts", "more attempts for a request", a.max_attempts.cmp(&b.max_attempts)),
             ("instances", "larger shares of a member", b.instances.cmp(&a.instances)),
+            (
+                "client_habits.marks_retry",
+                "bookings first sent a while ago whose clients do not mark them as retries",
+                a.marks_retries.cmp(&b.marks_retries),
+            ),
             ("limits.cancelling", "attempts to be cancelled", a.cancelling.cmp(&b.cancelling)),
             ("limits.probing", "members to be probed", a.probing.cmp(&b.probing)),
             ("limits.retry_after", "retry-after advice", a.retry_after.cmp(&b.retry_after)),
--- a/src/class_table.rs
+++ b/src/class_table.rs
@@ -6,6 +6,7 @@
 //! left in which it stands for another class. So a thousand reloads take no more slots than the open requests need.
 
 use crate::interface::Class;
+use crate::policy::repeat_proof::RetryHabits;
 use crate::settings::Names;
 use std::sync::{Arc, Weak};
 
@@ -18,6 +19,8 @@
     pub classes: Vec<Class>,
     /// The slots of the classes that new requests may name.
     selectable: Vec<bool>,
+    /// What is known of clients' retries.
+    pub retry_habits: RetryHabits,
 }
 
 impl ClassTable {
@@ -42,6 +45,7 @@
 pub struct ClassSlots {
     current: Arc<ClassTable>,
     former: Vec<Weak<ClassTable>>,
+    retry_habits: RetryHabits,
 }
 
 impl ClassSlots {
@@ -50,12 +54,18 @@
         self.current.clone()
     }
 
+    /// Sets what tables from now on tell of clients' retries.
+    pub fn set_retry_habits(&mut self, retry_habits: RetryHabits) {
+        self.retry_habits = retry_habits;
+    }
+
     /// Replaces the current table by one with these classes; `names` has their names in the same order.
     pub fn replace(&mut self, names: Names, classes: Vec<Class>) -> Arc<ClassTable> {
         let old = std::mem::take(&mut self.current);
         self.former.push(Arc::downgrade(&old));
         let mut next = ClassTable {
             names: Names { classes: old.names.classes.clone(), ..names },
+            retry_habits: self.retry_habits,
             ..ClassTable::default()
         };
         (next.classes, next.selectable) = (old.classes.clone(), vec![false; old.classes.len()]);
--- a/src/core/bookings.rs
+++ b/src/core/bookings.rs
@@ -9,6 +9,7 @@
 use super::repeat_ledger::{Claim, ClaimRequest};
 use super::{Answer, Handle, Request};
 use crate::clock::Clock;
+use crate::interface::Time;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use tokio::sync::{watch, Notify};
@@ -20,6 +21,8 @@
     pub id: String,
     /// The data for claiming the id.
     pub candidate: ClaimRequest,
+    /// If the id is new here, the booking's attempts must begin before this time.
+    pub run_until: Option<Time>,
 }
 
 /// Result of one try.
@@ -31,6 +34,8 @@
     IdConflict,
     /// It cannot be proved that the booking has not run already.
     Unprovable,
+    /// The id is not known here, and an earlier try may have run at another proxy.
+    UnknownRetry,
     /// Another process of this proxy has claimed the id, and its answer is not known here.
     ClaimedByPeer,
     /// No room for new ids.
@@ -85,7 +90,7 @@
     }
 
     /// Runs a booking, or waits for the answer if another try runs it already.
-    pub async fn book(&self, booking: BookingTry, request: Request) -> BookingOutcome {
+    pub async fn book(&self, booking: BookingTry, mut request: Request) -> BookingOutcome {
         let deadline = self.clock.instant(request.deadline);
         let (answer_sender, answer) = watch::channel(None);
         let ticket = Ticket { answer, waiters: Arc::default() };
@@ -97,6 +102,7 @@
         let claim = self.ids.claim(&id, booking.candidate, ticket.clone());
         let mut ticket = match claim {
             Claim::New => {
+                request.deadline = request.deadline.min(booking.run_until.unwrap_or(Time::MAX));
                 self.run(id, request, answer_sender, ticket.waiters.clone());
                 ticket
             }
@@ -110,6 +116,7 @@
             }
             Claim::IdConflict => return BookingOutcome::IdConflict,
             Claim::Unprovable => return BookingOutcome::Unprovable,
+            Claim::UnknownRetry => return BookingOutcome::UnknownRetry,
             Claim::ClaimedByPeer => return BookingOutcome::ClaimedByPeer,
             Claim::NoRoom => return BookingOutcome::NoRoom,
         };
@@ -144,7 +151,7 @@
             };
             match answer {
                 // Refused means that nothing ran, so the next try may run the booking.
-                Answer::Refused(_) => this.ids.remove(&id),
+                Answer::Refused(_) => this.ids.release(&id),
                 _ => this.ids.mark_ended(&id),
             }
             let _ = answer_sender.send(Some(answer));
--- a/src/core/counters.rs
+++ b/src/core/counters.rs
@@ -43,6 +43,7 @@
     odata_replayed,
     odata_conflicts,
     odata_unprovable,
+    odata_unknown_retries,
     odata_elsewhere,
     repeat_ids_unshared,
     stale_caught,
--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -12,6 +12,7 @@
 mod live;
 mod member_times;
 mod orders;
+mod refused_ids;
 pub mod repeat_ids;
 pub mod repeat_ledger;
 pub mod session_ledger;
--- a/src/core/repeat_ids.rs
+++ b/src/core/repeat_ids.rs
@@ -119,8 +119,8 @@
                 }
             }
             // The other process may have claimed the id; then the booking may have run and must not be refused.
-            Claim::NoRoom => match store.find(id) {
-                Ok(None) => Claim::NoRoom,
+            Claim::NoRoom | Claim::UnknownRetry => match store.find(id) {
+                Ok(None) => claim,
                 Ok(Some(claimed_for)) => claimed_by_peer(claimed_for, request.fingerprint),
                 Err(e) => unprovable(&e),
             },
@@ -217,10 +217,10 @@
         self.inner().ledger.mark_ended(id);
     }
 
-    /// Removes an id whose request provably never ran, so that either process may run a retry.
-    pub fn remove(&self, id: &str) {
+    /// Releases an id whose request was refused and provably never ran, so that it may be tried again.
+    pub fn release(&self, id: &str) {
         let mut inner = self.inner();
-        inner.ledger.remove(id);
+        inner.ledger.release(id);
         inner.release(id);
     }
 
--- a/src/core/repeat_ledger.rs
+++ b/src/core/repeat_ledger.rs
@@ -1,5 +1,6 @@
 //! Ledger of the repeat ids of charging bookings, and the state of each booking.
 
+use super::refused_ids::RefusedIds;
 use crate::interface::Time;
 use std::collections::HashMap;
 
@@ -20,6 +21,8 @@
     IdConflict,
     /// The id is too old, or older than the ledger: it cannot be proved that the request has not run.
     Unprovable,
+    /// The id is not known here, and an earlier try of the request may have run elsewhere.
+    UnknownRetry,
     /// No room: no entry may be removed before its retention time is over.
     NoRoom,
 }
@@ -60,6 +63,8 @@
     pub answer_bytes: usize,
     /// When the client first sent the request, by the client's clock.
     pub first_sent: Time,
+    /// The request may run although its id is not known here.
+    pub may_run_unknown: bool,
 }
 
 /// A ledger entry as shared with other processes.
@@ -92,6 +97,7 @@
     /// Every id that was first sent at or after this time is known, by the ledger's clock.
     complete_since: Time,
     entries: HashMap<String, Entry<T>>,
+    refused: RefusedIds,
 }
 
 impl<T: Clone> RepeatLedger<T> {
@@ -103,12 +109,13 @@
             retention,
             complete_since: began,
             entries: HashMap::new(),
+            refused: RefusedIds::default(),
         }
     }
 
     /// Claims an id for a request. A new id is entered as running, with this ticket.
     pub fn claim(&mut self, id: &str, request: ClaimRequest, now: Time, ticket: T) -> Claim<T> {
-        let ClaimRequest { fingerprint, answer_bytes, first_sent } = request;
+        let ClaimRequest { fingerprint, answer_bytes, first_sent, may_run_unknown } = request;
         if let Some(entry) = self.entries.get(id) {
             return match (&entry.ticket, entry.fingerprint) {
                 (_, Some(other)) if other != fingerprint => Claim::IdConflict,
@@ -122,9 +129,14 @@
         if first_sent < self.complete_since || now > first_sent.saturating_add(self.retention) {
             return Claim::Unprovable;
         }
+        if !may_run_unknown && !self.refused.contains(id) {
+            return Claim::UnknownRetry;
+        }
         if self.is_full(answer_bytes) {
+            self.refused.insert(id);
             return Claim::NoRoom;
         }
+        self.refused.remove(id);
         let expires_at = now.max(first_sent).saturating_add(self.retention);
         let fingerprint = Some(fingerprint);
         let entry =
@@ -159,7 +171,13 @@
         }
     }
 
-    /// Removes an id whose request provably never ran, so that a retry may run it.
+    /// Removes an id whose request was refused and provably never ran, so that a retry may run it.
+    pub fn release(&mut self, id: &str) {
+        self.remove(id);
+        self.refused.insert(id);
+    }
+
+    /// Removes an id.
     pub fn remove(&mut self, id: &str) {
         if let Some(entry) = self.entries.remove(id) {
             self.size = self.size.minus(LedgerSize { ids: 1, bytes: entry.answer_bytes });
--- a/src/core/repeat_ledger_tests.rs
+++ b/src/core/repeat_ledger_tests.rs
@@ -11,7 +11,7 @@
 }
 
 fn request(fingerprint: u64, first_sent: Time) -> ClaimRequest {
-    ClaimRequest { fingerprint, answer_bytes: 100, first_sent }
+    ClaimRequest { fingerprint, answer_bytes: 100, first_sent, may_run_unknown: true }
 }
 
 #[test]
@@ -87,3 +87,30 @@
     ledger.set_capacity(LedgerSize { ids: 2, bytes: 10_000 });
     assert_eq!(ledger.claim("c", request(1, BEGAN), BEGAN, 7), Claim::NoRoom);
 }
+
+#[test]
+fn a_retry_of_an_unknown_id_runs_only_after_a_refusal_of_this_process() {
+    let mut ledger = ledger();
+    let now = BEGAN + 5;
+    let retry = ClaimRequest { may_run_unknown: false, ..request(1, now) };
+    assert_eq!(ledger.claim("a", retry, now, 7), Claim::UnknownRetry);
+    assert_eq!(ledger.claim("a", request(1, now), now, 7), Claim::New);
+    assert_eq!(ledger.claim("a", retry, now, 8), Claim::Existing(7));
+    // Refused, so that nothing has run: once.
+    ledger.release("a");
+    assert_eq!(ledger.claim("a", retry, now, 9), Claim::New);
+    ledger.remove("a");
+    assert_eq!(ledger.claim("a", retry, now, 9), Claim::UnknownRetry);
+    // The same where there was no room for its first try.
+    for id in ["b", "c", "d", "e"] {
+        assert_eq!(ledger.claim(id, request(1, now), now, 7), Claim::New);
+    }
+    assert_eq!(ledger.claim("f", retry, now, 7), Claim::UnknownRetry);
+    assert_eq!(ledger.claim("f", request(1, now), now, 7), Claim::NoRoom);
+    ledger.release("b");
+    assert_eq!(ledger.claim("f", retry, now, 7), Claim::New);
+    // What is too old stays unprovable.
+    ledger.release("f");
+    ledger.set_complete_since(now + 1);
+    assert_eq!(ledger.claim("f", retry, now, 7), Claim::Unprovable);
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -155,6 +155,8 @@
     pub instances: u32,
     /// The zone of this driver.
     pub zone: u32,
+    /// Whether clients mark their retries.
+    pub marks_retries: bool,
     /// The classes, in the order of the indices that requests use.
     pub classes: Vec<Class>,
     /// Shortest time between two calls of the router.
--- a/src/main.rs
+++ b/src/main.rs
@@ -34,6 +34,7 @@
 use linentrail::net::transient;
 use linentrail::operators::agreement::OnLeaseExpiry;
 use linentrail::operators::{self, DnsSdConfig, OdataConfig};
+use linentrail::policy::repeat_proof::RetryHabits;
 use linentrail::recovery::{self, SnapshotTask, StartupState};
 use linentrail::reload::{log_classes, Reload};
 use linentrail::shutdown::Shutdown;
@@ -175,6 +176,7 @@
     let ValidatedConfig { names, settings, times } = checked;
     let zones = names.zones.clone();
     let mut slots = ClassSlots::default();
+    slots.set_retry_habits(RetryHabits::of(&settings));
     let (class_table, class_table_receiver) = watch::channel(slots.replace(names, settings.classes.clone()));
     log_classes(&slots.current());
     let (memory, idle) = (config.max_memory_bytes >> 20, times.keepalive / 1000);
--- a/src/odata/front.rs
+++ b/src/odata/front.rs
@@ -19,6 +19,7 @@
 use crate::net::listen::{PhaseReceiver, Refusal};
 use crate::net::socket::Socket;
 use crate::net::startup::ClientFront;
+use crate::policy::repeat_proof::{RetryMark, RunPermission, UnknownBooking};
 use bytes::Bytes;
 use sha2::{Digest, Sha256};
 use std::future::Future;
@@ -165,6 +166,7 @@
         client: RequestClient,
     ) -> HttpResponse {
         let CreateCall { params, key, value, repeatable, minimal } = create;
+        let mark = params.mark;
         let call_kind = CallKind::Create { key: &key, minimal, repeatable: repeatable.is_some() };
         let fingerprint = fingerprint(class_table, &params, &key, &value);
         let answer_bytes = value.len() + 512;
@@ -180,8 +182,14 @@
             let answer = self.core.submit(request).await.await;
             return reply::answer(format, call_kind, answer, self.is_late(deadline));
         };
-        let candidate = ClaimRequest { fingerprint, answer_bytes, first_sent };
-        match self.bookings.book(BookingTry { id, candidate }, request).await {
+        let unknown = UnknownBooking { effect: class.effect, mark, first_sent, arrived: client.seen_at };
+        let (may_run_unknown, run_until) = match unknown.permission(class_table.retry_habits) {
+            RunPermission::Unlimited => (true, None),
+            RunPermission::Until(until) => (true, Some(until)),
+            RunPermission::Denied => (false, None),
+        };
+        let candidate = ClaimRequest { fingerprint, answer_bytes, first_sent, may_run_unknown };
+        match self.bookings.book(BookingTry { id, candidate, run_until }, request).await {
             BookingOutcome::Answer(answer) => {
                 reply::answer(format, call_kind, answer, self.is_late(deadline))
             }
@@ -195,6 +203,11 @@
                 let text = "it cannot be proved that it has not run: first sent too long ago, or its id cannot be looked up";
                 error_response(ODataError::new(412, "RepeatabilityExpired", text).rejected(), format)
             }
+            BookingOutcome::UnknownRetry => {
+                count(Count::odata_unknown_retries);
+                let text = "an earlier try of this booking may have run through another proxy: its id is not known here";
+                error_response(ODataError::new(412, "RepeatabilityExpired", text).rejected(), format)
+            }
             BookingOutcome::ClaimedByPeer => {
                 count(Count::odata_elsewhere);
                 let text = "another process of this proxy has taken this id: it may have run there";
@@ -230,8 +243,9 @@
         value: Option<Bytes>,
         idempotency_key: Option<IdempotencyKey>,
     ) -> Request {
-        let CallParams { class, tenant, group, session, after, wait, repeat } = params;
+        let CallParams { class, tenant, group, session, after, wait, mark } = params;
         let id = self.random_number();
+        let repeat = mark == RetryMark::Retry;
         let key_text = key.to_string();
         let operation = Operation {
             class_table: class_table.clone(),
--- a/src/odata/request.rs
+++ b/src/odata/request.rs
@@ -5,6 +5,7 @@
 use crate::core::is_valid_key;
 use crate::http::{Headers, HttpRequest};
 use crate::interface::*;
+use crate::policy::repeat_proof::RetryMark;
 use base64::engine::general_purpose::{GeneralPurpose, GeneralPurposeConfig, URL_SAFE_NO_PAD};
 use base64::engine::DecodePaddingMode;
 use base64::{alphabet, Engine};
@@ -68,8 +69,8 @@
     pub after: Option<Position>,
     /// How long the client waits, in us.
     pub wait: Time,
-    /// The client has sent this request before.
-    pub repeat: bool,
+    /// What the client says of its earlier tries.
+    pub mark: RetryMark,
 }
 
 /// The Repeatable Requests header fields.
@@ -349,7 +350,11 @@
     let session =
         headers.get("Skip-Session").map(check_key).transpose().map_err(|f| f.with_target("Skip-Session"))?;
     let after = headers.get("Skip-After").map(|t| number("Skip-After", t)).transpose()?;
-    let repeat = headers.get("Skip-Retry").is_some_and(|v| v == "1");
+    let mark = match headers.get("Skip-Retry") {
+        None => RetryMark::Unmarked,
+        Some("0") => RetryMark::FirstTry,
+        Some(_) => RetryMark::Retry,
+    };
     let group = number("Skip-Group", required("Skip-Group")?)?;
     Ok(CallParams {
         class,
@@ -358,7 +363,7 @@
         session,
         after: after.map(|ms| ms.saturating_mul(1000)),
         wait,
-        repeat,
+        mark,
     })
 }
 
--- a/src/policy/mod.rs
+++ b/src/policy/mod.rs
@@ -16,6 +16,7 @@
 //! | `list_calls` | when discovery is called, and how long an unconfirmed list may be used |
 //! | [`begin`] | whether an attempt may begin, checked right before its first byte |
 //! | [`invariants`] | rules that are checked again where decisions are carried out |
+//! | [`repeat_proof`] | whether a booking whose repeat id is not known here may run |
 //! | [`member_clock`] | the offset between the members' clock and that of this process |
 //!
 //! `state` holds the router's state and `tuning` its constants.
@@ -31,6 +32,7 @@
 mod membership;
 mod primary;
 mod reads;
+pub mod repeat_proof;
 mod router;
 mod slow_start;
 pub(crate) mod state;
--- a/src/reload.rs
+++ b/src/reload.rs
@@ -14,6 +14,7 @@
 use crate::interface::Settings;
 use crate::knowledge::TimestampedText;
 use crate::net::discovery::DiscoveryService;
+use crate::policy::repeat_proof::RetryHabits;
 use crate::settings::{Names, SocketTimes};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
@@ -109,6 +110,7 @@
 
     /// Applies settings to the core and to new requests.
     async fn apply(&mut self, names: Names, mut settings: Settings, times: SocketTimes) {
+        self.slots.set_retry_habits(RetryHabits::of(&settings));
         let class_table = self.slots.replace(names, std::mem::take(&mut settings.classes));
         settings.classes = class_table.classes.clone();
         // The core goes first: no request may arrive with a class that the core does not know.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -233,6 +233,7 @@
             seed,
             instances: self.required("instances")?,
             zone: self.required("my_zone")?,
+            marks_retries: self.flag("client_habits.marks_retry")?,
             classes,
             period: self.required("period_us")?,
             subscribe: self.choice("discovery", &[("automatic", false), ("subscribe", true)])?,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -24,6 +24,7 @@
         seed: 11,
         instances: 2,
         zone: 0,
+        marks_retries: true,
         classes: vec![
             read(Consistency::Any),
             read(Consistency::Bounded(500 * MS)),
