Let clients take a large value slowly, and read their queries meanwhile

What callers saw: a client that takes 100 or 200 KB a second was cut off after 3.67 of 4.19 MB of a value, and the order sent behind it was never answered, by either front; one that takes 400 KB a second got both. Cause: a write had 5 s from its begin, and the kernel tells of room in a full send buffer only when a third of it is free: some 0.8 MB, which such a client takes in over 5 s. 'No room' was taken for 'takes nothing'. Change: TCP_NOTSENT_LOWAT on clients' sockets, so that the kernel's word follows the client; one module for both fronts' writes (net::client_write), whose 5 s begin again with each byte taken; by PostgreSQL queries are read while a value waits for its client (net::frames::write_or_read), as the test of an order sent meanwhile failed without it: the kernel's buffer had hidden that nothing is read during a write. Taken from sound clients: nothing measured; one that takes nothing for 5 s is closed as before (tests/slow_readers.rs). Tests: a_client_that_takes_a_value_slowly_is_cut_off_with_the_order_behind_it failed before (cut off after 3,671,680 bytes), and passes.

--- a/src/net/frames.rs
+++ b/src/net/frames.rs
@@ -1,11 +1,13 @@
 //! Reading helpers that all framed connections share.
 
 use super::socket::Socket;
-use bytes::BytesMut;
+use bytes::{Buf, Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
 use std::future::poll_fn;
-use std::task::Poll;
-use tokio::io::AsyncRead;
+use std::io::ErrorKind;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio_util::codec::{Decoder, Framed};
 
 /// Initial capacity of a connection's read and write buffers. It is small, as hundreds of connections are idle at a
@@ -34,7 +36,15 @@
     conn: &mut Framed<S, C>,
     partial_seen: bool,
 ) -> ReadEvent<<Framed<S, C> as Stream>::Item> {
-    poll_fn(|cx| match conn.poll_next_unpin(cx) {
+    poll_fn(|cx| poll_read_next(conn, cx, partial_seen)).await
+}
+
+fn poll_read_next<S: AsyncRead + Unpin, C: Decoder + BuffersPartial + Unpin>(
+    conn: &mut Framed<S, C>,
+    cx: &mut Context<'_>,
+    partial_seen: bool,
+) -> Poll<ReadEvent<<Framed<S, C> as Stream>::Item>> {
+    match conn.poll_next_unpin(cx) {
         Poll::Ready(message) => Poll::Ready(ReadEvent::Message(message)),
         Poll::Pending
             if !partial_seen && (!conn.read_buffer().is_empty() || conn.codec().holds_partial()) =>
@@ -42,6 +52,40 @@
             Poll::Ready(ReadEvent::Partial)
         }
         Poll::Pending => Poll::Pending,
+    }
+}
+
+/// What comes first of writing and reading.
+#[derive(Debug)]
+pub enum WriteOrRead<T> {
+    /// Bytes were written.
+    Written,
+    /// Writing failed.
+    WriteFailed(std::io::Error),
+    /// As [`read_next_or_close`].
+    Read(ReadEvent<T>),
+}
+
+/// Writes some of these bytes, or reads while the peer takes none of them. If there are no bytes, only reads; when
+/// `reading` is false, only writes, or waits for the end of the connection. Cancel safe.
+pub async fn write_or_read<C: Decoder + BuffersPartial + Unpin>(
+    conn: &mut Framed<Socket, C>,
+    bytes: &mut Bytes,
+    reading: bool,
+    partial_seen: bool,
+) -> WriteOrRead<<Framed<Socket, C> as Stream>::Item> {
+    if bytes.is_empty() {
+        return WriteOrRead::Read(read_next_or_close(conn, reading, partial_seen).await);
+    }
+    poll_fn(|cx| match Pin::new(conn.get_mut()).poll_write(cx, bytes) {
+        Poll::Ready(Ok(0)) => Poll::Ready(WriteOrRead::WriteFailed(ErrorKind::WriteZero.into())),
+        Poll::Ready(Ok(written)) => {
+            bytes.advance(written);
+            Poll::Ready(WriteOrRead::Written)
+        }
+        Poll::Ready(Err(e)) => Poll::Ready(WriteOrRead::WriteFailed(e)),
+        Poll::Pending if reading => poll_read_next(conn, cx, partial_seen).map(WriteOrRead::Read),
+        Poll::Pending => Poll::Pending,
     })
     .await
 }
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -202,6 +202,7 @@
         let QueuedClient { stream, peer, connected_since } = client;
         let client = peer.port();
         let stream = Socket::new(stream);
+        stream.limit_unsent();
         if let Some(permit) = self.clients.try_permit() {
             count(self.counter);
             log::debug!(target: CONNECTION_LOG, client; "accepted");
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,6 +6,7 @@
 pub mod budget;
 pub mod client_close;
 pub mod client_listeners;
+pub mod client_write;
 pub mod connection_pool;
 pub mod discovery;
 pub mod frames;
--- a/src/net/socket.rs
+++ b/src/net/socket.rs
@@ -32,6 +32,9 @@
     End,
 }
 
+/// Bytes that the kernel takes of a client's answers beyond those that it sends.
+const MAX_UNSENT_LEN: u32 = 64 * 1024;
+
 /// A TCP stream that counts its system calls and clears its readiness only as described in the module's
 /// documentation.
 #[derive(Debug)]
@@ -56,6 +59,12 @@
         }
     }
 
+    /// Bounds what the kernel holds of a client's answers before it sends them, so that its room for more tells what the
+    /// client has taken: a full send buffer has room only when a third of it, of megabytes, is free.
+    pub fn limit_unsent(&self) {
+        let _ = SockRef::from(&*self.stream).set_tcp_notsent_lowat(MAX_UNSENT_LEN);
+    }
+
     /// Returns the stream.
     pub fn get_ref(&self) -> &TcpStream {
         &self.stream
--- a/src/odata/session.rs
+++ b/src/odata/session.rs
@@ -15,26 +15,26 @@
 use super::front::{error_response, Front, MAX_BODY_LEN};
 use super::reply::{ODataError, Response};
 use super::request::ResponseFormat;
-use super::stream::{write, StreamedResponse};
+use super::stream::StreamedResponse;
 use crate::core::counters::{count, Count};
 use crate::core::flow::{give_up_at, CutOff, MIN_SILENCE};
 use crate::http::{HttpError, HttpRequest, HttpResponse, HttpServer, Incoming};
 use crate::net::budget::MIN_QUIET_TIME;
 use crate::net::client_close::{self, CloseReason, ConnectionClosed, CONNECTION_LOG};
+use crate::net::client_write;
 use crate::net::frames::{
     read_next, read_next_or_close, release_large_buffers, ReadEvent, INITIAL_BUFFER_SIZE,
 };
 use crate::net::listen::{wait_for_closing, PhaseReceiver, ProcessPhase, Refusal};
 use crate::net::socket::Socket;
 use crate::net::stall;
-use futures_util::SinkExt;
 use std::collections::VecDeque;
 use std::io::ErrorKind;
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
-use tokio_util::codec::Framed;
+use tokio_util::codec::{Encoder, Framed};
 
 /// Maximum number of requests read ahead on a connection while one is executed.
 const MAX_READ_AHEAD: usize = 8;
@@ -42,8 +42,6 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time that the rest of a partially received request may take.
 const UNFINISHED_REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time limit for writing a response.
-pub(super) const RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
 
 pub(super) type Conn = Framed<Socket, HttpServer>;
 
@@ -166,10 +164,10 @@
 
     /// Sends a response. A client that reads nothing must not hold its permit forever.
     async fn send(&mut self, response: HttpResponse) -> Result<(), HttpError> {
-        match tokio::time::timeout(RESPONSE_TIMEOUT, self.conn.send(response)).await {
-            Ok(sent) => sent,
-            Err(_) => Err(HttpError::Io(ErrorKind::TimedOut.into())),
-        }
+        let mut buffer = std::mem::take(self.conn.write_buffer_mut());
+        self.conn.codec_mut().encode(response, &mut buffer)?;
+        *self.conn.write_buffer_mut() = buffer;
+        Ok(client_write::flush(&mut self.conn).await?)
     }
 
     /// Starts the timeout for the rest of a partially received request.
@@ -249,7 +247,7 @@
                 biased;
                 part = response.next_part() => match part {
                     Ok(Some(part)) => {
-                        write(&mut self.conn, part.as_bytes()).await?;
+                        client_write::write_all(self.conn.get_mut(), part.as_bytes()).await?;
                         silent_since = Instant::now();
                         next_check = silent_since + MIN_SILENCE;
                         if self.is_answer_owed() && self.front.is_ending_soon() {
--- a/src/odata/stream.rs
+++ b/src/odata/stream.rs
@@ -6,15 +6,14 @@
 //! answered on it, the body is filled up instead with what is no JSON.
 
 use super::request::BINARY_RESPONSE;
-use super::session::{Conn, RESPONSE_TIMEOUT};
+use super::session::Conn;
 use crate::core::counters::{count, Count};
 use crate::core::flow::{CutOff, ValueReader, ValueStream};
 use crate::core::Value;
 use crate::http::{HttpError, ResponseHead};
+use crate::net::client_write;
 use base64::Engine;
 use bytes::{Bytes, BytesMut};
-use std::io::ErrorKind;
-use tokio::io::AsyncWriteExt;
 use tokio_util::codec::Encoder;
 
 /// Type id of `bytea`, the only type whose text format is encoded.
@@ -175,9 +174,8 @@
         let mut start = std::mem::take(conn.write_buffer_mut());
         conn.codec_mut().encode(self.frame.head.clone(), &mut start)?;
         start.extend_from_slice(&self.frame.prefix);
-        write(conn, &start).await?;
-        start.clear();
         *conn.write_buffer_mut() = start;
+        client_write::flush(conn).await?;
         Ok(())
     }
 
@@ -216,21 +214,13 @@
         count(Count::flows_padded);
         while self.missing > 0 {
             let part = &PADDING[..self.missing.min(PADDING.len())];
-            write(conn, part).await?;
+            client_write::write_all(conn.get_mut(), part).await?;
             self.missing -= part.len();
         }
         Ok(())
     }
 }
 
-/// Limits the time of a write: a client that reads nothing must not hold its permit forever.
-pub(super) async fn write(conn: &mut Conn, bytes: &[u8]) -> Result<(), HttpError> {
-    match tokio::time::timeout(RESPONSE_TIMEOUT, conn.get_mut().write_all(bytes)).await {
-        Ok(written) => Ok(written?),
-        Err(_) => Err(HttpError::Io(ErrorKind::TimedOut.into())),
-    }
-}
-
 #[cfg(test)]
 #[path = "stream_tests.rs"]
 mod tests;
--- a/src/pg/replies.rs
+++ b/src/pg/replies.rs
@@ -12,6 +12,7 @@
 use crate::interface::Time;
 use crate::net::answer_limit::AnswerLimit;
 use crate::net::client_close::CONNECTION_LOG;
+use crate::net::client_write::{self, WRITE_TIMEOUT};
 use bytes::{Buf, Bytes, BytesMut};
 use futures_util::{FutureExt, SinkExt};
 use std::collections::VecDeque;
@@ -19,13 +20,8 @@
 use std::io::ErrorKind;
 use std::pin::Pin;
 use std::task::{ready, Context, Poll};
-use std::time::Duration;
-use tokio::io::AsyncWriteExt;
 use tokio::time::Sleep;
 
-/// Time limit for a single write to a client.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// A reply that has not been written yet.
 pub(super) enum PendingReply {
     /// Known already.
@@ -166,8 +162,18 @@
 /// A value of at least this size is written directly instead of being copied into the connection's write buffer.
 const MIN_UNBUFFERED_LEN: usize = 16 * 1024;
 
-/// Writes a part of a reply and those after it that are ready, then flushes. If a value is cut off, stops there and
-/// returns how many of its bytes are missing.
+/// What [`write_replies`] leaves to be done.
+pub(super) enum Unwritten {
+    /// Nothing.
+    Nothing,
+    /// Bytes of a value that is streamed.
+    Value(Bytes),
+    /// The rest of a row whose value is cut off; this many bytes are missing.
+    CutOff(usize),
+}
+
+/// Writes a part of a reply and those after it that are ready, then flushes. Stops at the bytes of a value that is
+/// streamed, and where it is cut off.
 ///
 /// # Errors
 /// If the client cannot be written to.
@@ -175,7 +181,7 @@
     conn: &mut Conn,
     part: ReplyPart,
     pending: &mut PendingReplies,
-) -> Result<Option<usize>, WireError> {
+) -> Result<Unwritten, WireError> {
     let mut next = Some(part);
     while let Some(part) = next {
         match part {
@@ -183,25 +189,28 @@
                 write_row_prefix(&value, conn.write_buffer_mut());
                 let mut tail = BytesMut::new();
                 write_row_suffix(&value, write, &mut tail);
-                write_unbuffered(conn, value.bytes.unwrap_or_default().chain(tail)).await?;
+                client_write::write_after_buffer(conn, value.bytes.unwrap_or_default().chain(tail)).await?;
             }
             ReplyPart::Reply(Reply::Row(value, write)) if value.stream.is_some() => {
                 write_row_prefix(&value, conn.write_buffer_mut());
-                write_unbuffered(conn, Bytes::new()).await?;
+                client_write::flush(conn).await?;
                 if let Some(stream) = value.stream.clone() {
                     let row = RowStream::new(value, write, stream);
                     pending.queue.push_front(PendingReply::Streaming(Box::new(row)));
                 }
             }
             ReplyPart::Reply(reply) => with_timeout(conn.feed(reply)).await?,
-            ReplyPart::Bytes(bytes) => write_unbuffered(conn, bytes).await?,
+            ReplyPart::Bytes(bytes) => {
+                client_write::flush(conn).await?;
+                return Ok(Unwritten::Value(bytes));
+            }
             ReplyPart::RowEnd(row) => write_row_suffix(&row.value, row.write, conn.write_buffer_mut()),
-            ReplyPart::CutOff(missing) => return Ok(Some(missing)),
+            ReplyPart::CutOff(missing) => return Ok(Unwritten::CutOff(missing)),
         }
         next = if pending.is_empty() { None } else { pending.next().now_or_never() };
     }
-    with_timeout(SinkExt::<Reply>::flush(conn)).await?;
-    Ok(None)
+    client_write::flush(conn).await?;
+    Ok(Unwritten::Nothing)
 }
 
 /// Whether a value is written directly instead of being copied into the connection's write buffer.
@@ -209,16 +218,6 @@
     value.bytes.as_ref().is_some_and(|bytes| bytes.len() >= MIN_UNBUFFERED_LEN)
 }
 
-/// Writes the connection's write buffer and these bytes, which are not copied.
-async fn write_unbuffered(conn: &mut Conn, bytes: impl Buf) -> Result<(), WireError> {
-    let mut head = std::mem::take(conn.write_buffer_mut());
-    let mut all = (&head[..]).chain(bytes);
-    with_timeout(conn.get_mut().write_all_buf(&mut all)).await?;
-    head.clear();
-    *conn.write_buffer_mut() = head;
-    Ok(())
-}
-
 /// Limits the time of a write: a client that reads nothing must not hold its permit forever.
 pub(super) async fn with_timeout<E: Into<WireError>>(
     write: impl Future<Output = Result<(), E>>,
--- a/src/pg/row_stream.rs
+++ b/src/pg/row_stream.rs
@@ -16,12 +16,12 @@
 use crate::core::counters::{count, Count};
 use crate::core::flow::{give_up_at, ValueReader, ValueStream};
 use crate::core::Value;
+use crate::net::client_write;
 use bytes::Bytes;
 use futures_util::SinkExt;
 use std::future::Future;
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use tokio::io::AsyncWriteExt;
 use tokio::time::{Instant, Sleep};
 
 /// What fills up a row: a digit, so that it is a character of every text format.
@@ -103,11 +103,12 @@
     let mut left = missing;
     while left > 0 {
         let part = &PADDING[..left.min(PADDING.len())];
-        with_timeout(conn.get_mut().write_all(part)).await?;
+        client_write::write_all(conn.get_mut(), part).await?;
         left -= part.len();
     }
     let message = "the value was cut off; its last bytes are padding";
     let failure: Reply = error("XX000", message, AfterError::ReadyForQuery);
     with_timeout(conn.feed(failure)).await?;
-    with_timeout(SinkExt::<Reply>::flush(conn)).await
+    client_write::flush(conn).await?;
+    Ok(())
 }
--- a/src/pg/session.rs
+++ b/src/pg/session.rs
@@ -5,7 +5,7 @@
 //! | --- | --- |
 //! | no command received | the client; `FIRST_MESSAGE_TIMEOUT`; other clients that need a permit, or the shutdown, both after `MIN_QUIET_TIME` |
 //! | message partially received | the rest of the message; `UNFINISHED_MESSAGE_TIMEOUT` |
-//! | replies pending | only the client |
+//! | replies pending | only the client; `WRITE_TIMEOUT` if it takes nothing of them |
 //! | idle | the client; `IDLE_TIMEOUT`; other clients that need a permit; the shutdown |
 //!
 //! Except where the client itself closes, the connection is closed through [`client_close`], which never
@@ -13,7 +13,7 @@
 
 use super::codec::{AfterError, Frontend, Reply, ServerCodec, WireError};
 use super::front::{error, last_refusal, Front};
-use super::replies::{write_replies, PendingReplies, PendingReply, ReplyPart, WaitingReply};
+use super::replies::{write_replies, PendingReplies, PendingReply, ReplyPart, Unwritten, WaitingReply};
 use super::row_stream::pad_and_fail;
 use super::statement::{self, StatementError};
 use crate::core::counters::{count, Count};
@@ -21,7 +21,8 @@
 use crate::interface::*;
 use crate::net::budget::MIN_QUIET_TIME;
 use crate::net::client_close::{self, CloseReason, ConnectionClosed, CONNECTION_LOG};
-use crate::net::frames::{read_next_or_close, release_large_buffers, ReadEvent, INITIAL_BUFFER_SIZE};
+use crate::net::client_write::{self, WRITE_TIMEOUT};
+use crate::net::frames::{release_large_buffers, write_or_read, ReadEvent, WriteOrRead, INITIAL_BUFFER_SIZE};
 use crate::net::listen::{wait_for_phase, PhaseReceiver, ProcessPhase, Refusal};
 use crate::net::socket::Socket;
 use crate::net::stall;
@@ -68,6 +69,9 @@
     pending: PendingReplies,
     state: SessionState,
     opened: Instant,
+    /// Bytes of a streamed value that the client has not taken yet, and when it must have taken some.
+    unsent_value: Bytes,
+    write_deadline: Instant,
     /// When the last message was received or the last reply was sent.
     idle_since: Instant,
     /// When the first bytes of the current, incomplete message were received.
@@ -91,6 +95,8 @@
             pending,
             state,
             opened,
+            unsent_value: Bytes::new(),
+            write_deadline: opened,
             idle_since: opened,
             partial_since: None,
             phase: ProcessPhase::Starting,
@@ -130,19 +136,27 @@
             let is_idle = self.is_idle();
             tokio::select! {
                 biased;
-                part = self.pending.next(), if !self.pending.is_empty() => {
+                part = self.pending.next(), if !self.pending.is_empty() && self.unsent_value.is_empty() => {
                     if let Some(ended) = self.send_reply(part).await? {
                         return Ok(ended);
                     }
                 }
-                read = read_next_or_close(&mut self.conn, may_read, self.partial_since.is_some()),
+                event = write_or_read(&mut self.conn, &mut self.unsent_value, may_read, self.partial_since.is_some()),
                     if may_read || !self.pending.is_empty() =>
                 {
-                    match read {
-                        ReadEvent::Partial => self.partial_since = Some(Instant::now()),
-                        ReadEvent::Message(None) => return Ok(client_close::closed_by_client(self.conn)),
-                        ReadEvent::Message(Some(Ok(message))) => self.handle_message(message).await,
-                        ReadEvent::Message(Some(Err(fault))) => return Box::pin(self.end_with_error(fault)).await,
+                    match event {
+                        WriteOrRead::Written => self.write_deadline = Instant::now() + WRITE_TIMEOUT,
+                        WriteOrRead::WriteFailed(e) => return Err(e.into()),
+                        WriteOrRead::Read(ReadEvent::Partial) => self.partial_since = Some(Instant::now()),
+                        WriteOrRead::Read(ReadEvent::Message(None)) => {
+                            return Ok(client_close::closed_by_client(self.conn))
+                        }
+                        WriteOrRead::Read(ReadEvent::Message(Some(Ok(message)))) => {
+                            self.handle_message(message).await;
+                        }
+                        WriteOrRead::Read(ReadEvent::Message(Some(Err(fault)))) => {
+                            return Box::pin(self.end_with_error(fault)).await
+                        }
                     }
                 }
                 () = handover_reached.as_mut(), if self.phase < ProcessPhase::HandingOver =>
@@ -164,6 +178,10 @@
                     _ if until.is_none_or(|until| Instant::now() < until) => {
                         timer.as_mut().reset(until.unwrap_or_else(|| Instant::now() + IDLE_TIMEOUT));
                     }
+                    // A client that takes nothing must not hold its permit forever.
+                    _ if !self.unsent_value.is_empty() => {
+                        return Err(WireError::Io(std::io::ErrorKind::TimedOut.into()))
+                    }
                     Some(_) => return Box::pin(self.end_with_error(WireError::Unfinished)).await,
                     None if self.close_reason().is_some() => {}
                     None => {
@@ -207,6 +225,7 @@
     fn read_deadline(&self) -> Option<Instant> {
         let first = self.opened + FIRST_MESSAGE_TIMEOUT;
         match self.partial_since {
+            _ if !self.unsent_value.is_empty() => Some(self.write_deadline),
             _ if self.pending.is_streaming() => None,
             // A partial first message gets no more time than a client that sends nothing.
             Some(since) if self.state.command_seen => Some(since + UNFINISHED_MESSAGE_TIMEOUT),
@@ -230,12 +249,18 @@
     async fn send_reply(&mut self, part: ReplyPart) -> Result<Option<ConnectionClosed>, WireError> {
         let (write_began, is_streamed) = (Instant::now(), !matches!(part, ReplyPart::Reply(_)));
         // The write has a timeout: a client that reads nothing must not hold its permit forever.
-        if let Some(missing) = write_replies(&mut self.conn, part, &mut self.pending).await? {
-            if let Some(ended) = Box::pin(self.end_cut_off_row(missing)).await? {
-                return Ok(Some(ended));
+        match write_replies(&mut self.conn, part, &mut self.pending).await? {
+            Unwritten::Nothing => {}
+            Unwritten::Value(bytes) => {
+                (self.unsent_value, self.write_deadline) = (bytes, Instant::now() + WRITE_TIMEOUT);
+            }
+            Unwritten::CutOff(missing) => {
+                if let Some(ended) = Box::pin(self.end_cut_off_row(missing)).await? {
+                    return Ok(Some(ended));
+                }
             }
         }
-        // Nothing was read during the write, and the rest of a message has no time limit while a value is streamed.
+        // Nothing was read during the write; the rest of a message has no time limit while a value is streamed.
         let partial_since = |since: Instant| match is_streamed {
             true => Instant::now(),
             false => since + write_began.elapsed(),
@@ -376,15 +401,18 @@
     /// Handles a framing error, after which the next message cannot be found: answers the queries received
     /// before it, unless the client has left, then sends an error and closes the connection.
     async fn end_with_error(mut self, fault: WireError) -> Result<ConnectionClosed, WireError> {
+        client_write::write_all(self.conn.get_mut(), std::mem::take(&mut self.unsent_value)).await?;
         while !self.pending.is_empty() {
             let part = tokio::select! {
                 biased;
                 part = self.pending.next() => part,
                 () = self.conn.get_mut().wait_closed() => return Ok(client_close::closed_by_client(self.conn)),
             };
-            if let Some(missing) = write_replies(&mut self.conn, part, &mut self.pending).await? {
+            match write_replies(&mut self.conn, part, &mut self.pending).await? {
+                Unwritten::Nothing => {}
+                Unwritten::Value(bytes) => client_write::write_all(self.conn.get_mut(), bytes).await?,
                 // The input that could not be read is still to be answered.
-                pad_and_fail(&mut self.conn, missing).await?;
+                Unwritten::CutOff(missing) => pad_and_fail(&mut self.conn, missing).await?,
             }
         }
         let (code, counter) = match fault {
