--- a/tests/slow_readers.rs
+++ b/tests/slow_readers.rs
@@ -22,6 +22,32 @@
 /// More than twice as long as a client may take nothing.
 const SLOW_PHASE: Duration = Duration::from_secs(12);
 
+fn world() -> (Member, Proxy) {
+    let group = Group::default();
+    group.preset("big", vec![7; VALUE_LEN].into());
+    let member = Member::start(&group, true, 0, Capacity::default());
+    let setup = Setup {
+        program: env!("CARGO_BIN_EXE_linentrail").into(),
+        config: config("127.0.0.1:9", &[entry(0, member.address())], settings(), 1024, 64),
+        odata: true,
+        echo_log: true,
+        ..Setup::default()
+    };
+    let proxy = Proxy::start(&setup).expect("the proxy starts");
+    (member, proxy)
+}
+
+/// A read of the large value.
+fn read() -> ClientRequest {
+    ClientRequest {
+        class: "monthly-report",
+        key: "big".to_string(),
+        value: None,
+        wait_ms: 14_000,
+        after: None,
+    }
+}
+
 /// A connection whose client's kernel holds little that the client has not taken.
 fn connect(address: SocketAddr) -> TcpStream {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
@@ -56,25 +82,9 @@
 
 #[test]
 fn a_client_that_takes_a_value_slowly_is_cut_off_with_the_order_behind_it() {
-    let group = Group::default();
-    group.preset("big", vec![7; VALUE_LEN].into());
-    let member = Member::start(&group, true, 0, Capacity::default());
-    let setup = Setup {
-        program: env!("CARGO_BIN_EXE_linentrail").into(),
-        config: config("127.0.0.1:9", &[entry(0, member.address())], settings(), 1024, 64),
-        odata: true,
-        echo_log: true,
-        ..Setup::default()
-    };
-    let proxy = Proxy::start(&setup).expect("the proxy starts");
+    let (_member, proxy) = world();
     std::thread::sleep(Duration::from_millis(1_100));
-    let read = ClientRequest {
-        class: "monthly-report",
-        key: "big".to_string(),
-        value: None,
-        wait_ms: 14_000,
-        after: None,
-    };
+    let read = read();
     let order = |key: &str| ClientRequest {
         class: "place-order",
         key: key.to_string(),
@@ -100,23 +110,9 @@
 /// Guards against a client that takes nothing and keeps its permit.
 #[test]
 fn a_client_that_takes_nothing_keeps_its_connection() {
-    let group = Group::default();
-    group.preset("big", vec![7; VALUE_LEN].into());
-    let member = Member::start(&group, true, 0, Capacity::default());
-    let setup = Setup {
-        program: env!("CARGO_BIN_EXE_linentrail").into(),
-        config: config("127.0.0.1:9", &[entry(0, member.address())], settings(), 1024, 64),
-        ..Setup::default()
-    };
-    let proxy = Proxy::start(&setup).expect("the proxy starts");
+    let (_member, proxy) = world();
     let mut stream = connect(proxy.pg);
-    let read = ClientRequest {
-        class: "monthly-report",
-        key: "big".to_string(),
-        value: None,
-        wait_ms: 14_000,
-        after: None,
-    };
+    let read = read();
     stream
         .write_all(&[wire::startup(), wire::query(&read.sql(&request_id()))].concat())
         .expect("the request is written");
