Treat clients' retries of reads like first tries before members in slow start

Cause: where nothing shows what members can bear, a retry that its client marks got no token of a member below half of its capacity, while one that is not marked did.

Change: SLOW_START_REPEAT_WEIGHT goes, and with it the argument.

--- a/src/policy/router.rs
+++ b/src/policy/router.rs
@@ -109,7 +109,7 @@
                 // writes.
                 let min_position = min_position.max(proven_position.unwrap_or(0));
                 self.seq += 1;
-                self.grant_token_on_arrival(*group, *class, *repeat);
+                self.grant_token_on_arrival(*group, *class);
                 let open = OpenRequest {
                     class: *class,
                     group: *group,
--- a/src/policy/slow_start.rs
+++ b/src/policy/slow_start.rs
@@ -226,7 +226,7 @@
     /// Grants a token for a request that has just arrived where nothing shows what members can bear: no member is
     /// warm, or this router has only just begun. The shares of a group's replicas are adjacent intervals of one hash
     /// fraction, so that almost every read finds a member even if all are in slow start.
-    pub(super) fn grant_token_on_arrival(&mut self, group: GroupId, class: usize, repeat: bool) {
+    pub(super) fn grant_token_on_arrival(&mut self, group: GroupId, class: usize) {
         self.count_serving_members();
         let (now, primary, needs_primary) = (self.now, self.primary(group), self.needs_primary(class));
         self.completed_load.since.get_or_insert(now);
@@ -246,7 +246,7 @@
             let share = rules.fall_multiple * weight / sharers;
             let in_share = (fraction - before).rem_euclid(1.0) < share;
             before += share;
-            if in_share && (!repeat || needs_primary || weight >= SLOW_START_REPEAT_WEIGHT) {
+            if in_share {
                 m.slow_start_tokens.set_role(needs_primary);
                 m.slow_start_tokens.grant(now);
             }
--- a/src/policy/tuning.rs
+++ b/src/policy/tuning.rs
@@ -115,8 +115,6 @@
 pub(super) const OBSERVED_MIN: Time = 5_000_000;
 /// A router that completes fewer requests of a role than this within the window above does not know it.
 pub(super) const COMPLETED_MIN: f64 = 1.0;
-/// While it does not know, members in slow start get clients' repeats of reads from this weight on.
-pub(super) const SLOW_START_REPEAT_WEIGHT: f64 = 0.5;
 /// Least time in us between two counts of the serving members.
 pub(super) const SERVING_COUNT_INTERVAL: Time = 500_000;
 /// Tokens of members in slow start are valid for the budget's window divided by this.
