--- a/src/interface.rs
+++ b/src/interface.rs
@@ -81,13 +81,13 @@
     pub consistency: Consistency,
     /// The effect of repeating its requests.
     pub effect: Effect,
-    /// Target latency; an answer within it has its full value.
+    /// The operators' target latency. Reported on, and no decision goes by it.
     pub aim: Time,
     /// How long a client waits for an answer.
     pub deadline: Time,
-    /// Value of an answer within the aim, relative to other classes.
+    /// The operators' rating of the class. No decision goes by it.
     pub importance: f64,
-    /// Share of that value that an answer after the aim still has.
+    /// The operators' rating of answers after the aim. No decision goes by it.
     pub late_value: f64,
 }
 
--- a/src/policy/list_calls.rs
+++ b/src/policy/list_calls.rs
@@ -13,8 +13,8 @@
 //! - A window of [`FIRST_WINDOW_MAX`] therefore serves all routers if their calls take up to 4 s in total,
 //!   and the last router has its list by then.
 //! - If even these calls do not fit into the time left after the restart, the rule has priority: once
-//!   [`ListCalls::blocks_sending`] is true, nothing is sent until discovery has answered. The calls cost the
-//!   same either way, and a request that was held back is answered with a refusal.
+//!   [`ListCalls::blocks_sending`] is true, nothing is sent until discovery has answered. A request
+//!   waits for that for as long as its client does.
 //!
 //! A failed call ends the block. Calls fail in the same way, after the same wait, whether discovery is down
 //! or has too many callers, and a process that kept blocking would serve nobody while discovery is down. The
--- a/src/policy/reads.rs
+++ b/src/policy/reads.rs
@@ -33,7 +33,7 @@
     /// The freshness check. A known position is a proven lower bound. Where members check positions
     /// themselves, a member may also be tried if it should have reached the position by its last known lag,
     /// unless the read has missed before; a member without a known position is tried on the default lag. A
-    /// miss costs it nothing and tells its position, for which a probe would cost extra. If members cannot
+    /// miss costs it nothing and tells its position. If members cannot
     /// check the required position, only proof counts.
     pub(super) fn is_recent_enough(&self, m: &MemberState, open: &OpenRequest) -> bool {
         let required = self.required_position(open);
