--- a/src/odata/reply.rs
+++ b/src/odata/reply.rs
@@ -267,8 +267,9 @@
             }
             response
         }
-        // Refused because the deadline was near: reported as a timeout, although a retry is safe here too.
-        Answer::Refused(after) if late => error(ODataError {
+        // A read refused because its deadline was near is reported as a timeout, although a retry is safe here too. A
+        // booking is not: its client has to learn that it did not run.
+        Answer::Refused(after) if late && matches!(call, CallKind::Read(_)) => error(ODataError {
             status: 504,
             code: "Late",
             ..ODataError::retry_later(after, "no answer in time")
