Mark what the router no longer reads of a request, as the linter asks

Cause: the mark of a retry is passed to the router and decides nothing there. Change: the field is ignored by name; a test uses an array.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -342,7 +342,7 @@
         /// A position that this session read must see and that members cannot check: only a member that has
         /// provably reached it may serve the read.
         proven_position: Option<Position>,
-        /// The client has sent this request before.
+        /// The client has sent this request before. No decision of the router goes by it.
         repeat: bool,
         /// It carries a key by which members discard duplicates.
         has_idempotency_key: bool,
--- a/src/policy/router.rs
+++ b/src/policy/router.rs
@@ -88,7 +88,7 @@
                 session,
                 session_position,
                 proven_position,
-                repeat,
+                repeat: _,
                 has_idempotency_key,
             } => {
                 let Some(class_settings) = self.settings.classes.get(*class) else {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -383,7 +383,7 @@
     d.list(ListKind::Full, vec![member(2, false)]);
     let full_until = d.now + 300 * MS;
     let mut in_flight: Vec<(RequestId, u32)> = Vec::new();
-    let mut attempts = vec![0; 6];
+    let mut attempts = [0; 6];
     let mut served = 0;
     let mut actions: Vec<Action> = (0..5).flat_map(|_| d.request(ANY, None).1).collect();
     let deadline = d.now + settings().classes[ANY].deadline;
