Probe members again when the members' clock proves to differ from the assumed one

Cause: positions learned before three answers have confirmed the offset count as an hour old, and a replica of known lag is not probed again for 3 s.

Change: when the offset changes the lag of each member is unknown and it may be probed at once; known positions stay as lower bounds. And an answer is not slow for having waited less than 10 ms, which scheduling alone may take.

--- a/src/core/member_times.rs
+++ b/src/core/member_times.rs
@@ -55,6 +55,7 @@
             return;
         }
         count(Count::member_clock_offsets);
+        self.router.member_clock_changed();
         log::warn!("the members' clock is {} ms ahead of this process's", offset / 1000);
         let changed = self.effective_list.shift_starts(shift);
         if !changed.is_empty() {
--- a/src/policy/primary.rs
+++ b/src/policy/primary.rs
@@ -55,6 +55,14 @@
         }
     }
 
+    /// The clock by which positions are told has turned out to differ from what was assumed: the lag of each member is
+    /// unknown again, and it may be probed at once. Known positions stay, as lower bounds.
+    pub(crate) fn member_clock_changed(&mut self) {
+        for member in self.members.values_mut() {
+            (member.answered_position, member.last_probe) = (None, None);
+        }
+    }
+
     /// Whether a member can be sent a request that only the primary can serve.
     pub(super) fn accepts_primary_request(
         &self,
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -4,7 +4,7 @@
 use super::slow_start::SlowStartTokens;
 use super::tuning::{
     DEVIATIONS, LATENCY_WEIGHT, LOST_FACTOR, MAX_SATURATED_DELAY, MIN_ANSWERS, RECENT_ANSWERS,
-    SATURATED_DELAY, SLOW_FACTOR, SUSPECT_PROBES_MAX, SUSPECT_PROBE_INTERVAL_MAX, UNLOADED_MEMORY,
+    SATURATED_DELAY, SLOW_FACTOR, SLOW_MIN, SUSPECT_PROBES_MAX, SUSPECT_PROBE_INTERVAL_MAX, UNLOADED_MEMORY,
 };
 use crate::interface::*;
 use rustc_hash::FxHashMap;
@@ -220,7 +220,8 @@
     /// How much slower than allowed an attempt was that has waited at its member for longer than it was worked on, as a
     /// factor below 1; `None` if it was not, or while the work is not known.
     pub fn slowdown(&self, spent: Time) -> Option<f64> {
-        let limit = self.unloaded? * SLOW_FACTOR;
+        let unloaded = self.unloaded?;
+        let limit = (unloaded * SLOW_FACTOR).max(unloaded + SLOW_MIN as f64);
         (spent as f64 > limit).then(|| limit / spent as f64)
     }
 }
--- a/src/policy/tuning.rs
+++ b/src/policy/tuning.rs
@@ -82,6 +82,8 @@
 /// An answer that takes this many times as long as the unloaded members take has waited at its member for longer than it
 /// was worked on, which indicates congestion there, whoever caused it.
 pub(super) const SLOW_FACTOR: f64 = 2.0;
+/// A shorter wait than this, in us, indicates nothing: scheduling alone may take as long.
+pub(super) const SLOW_MIN: Time = 10_000;
 /// The unloaded service time rises e-fold within this time, in us, unless answers show that it is lower: answers that
 /// stay slow for longer than most overloads are slow because the work itself takes longer.
 pub(super) const UNLOADED_MEMORY: Time = 120_000_000;
