--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -135,7 +135,9 @@
         let Some(open) = self.open.get(&id) else { return };
         out.push(Action::Explain { id, reason });
         if self.permissions(open, None).1 {
-            let advice = self.settings.retry_after.then(|| self.time_until_capacity(open)).flatten();
+            // A request that has used up its own attempts waits for nothing.
+            let advises = self.settings.retry_after && reason != GiveUpReason::NotRepeatable;
+            let advice = advises.then(|| self.time_until_capacity(open)).flatten();
             let retry_after = advice.map(|advice| advice.min(self.settings.max_retry_after));
             out.push(Action::Refuse { id, retry_after });
         } else {
