--- a/tests/fronts.rs
+++ b/tests/fronts.rs
@@ -103,11 +103,11 @@
          o send GET k1 yard-board Skip-Wait=900
          o expect 504 Retry-After
          p does replica 60000
-         a send raw INSERT INTO records (k, v) VALUES ('k2', '\\x01') RETURNING v /* id=02,c=place-order,t=acme,d=900,cluster=1 */
+         a send raw INSERT INTO records (k, v) VALUES ('k2', '\\x01') RETURNING v /* id=02,c=place-order,t=acme,d=350,cluster=1 */
          a expect error 53300 400
-         o send POST k2 01 id=x sent=0 Skip-Wait=900
+         o send POST k2 01 id=x sent=0 Skip-Wait=2000
          o expect 503 Retry-After: 1
-         o send POST k2 01 id=y sent=0 Skip-Wait=900
+         o send POST k2 01 id=y sent=0 Skip-Wait=2000
          o expect 503 Repeatability-Result: accepted",
     );
 }
