--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -43,7 +43,7 @@
     pub status: AttemptStatus,
     /// True unless the outcome shows that the member never received it.
     pub delivered: bool,
-    /// The member did not run it for a reason that may pass: it was full, too far behind, or could not be reached.
+    /// The member did not run it for a reason that may pass: it was too far behind, or could not be reached.
     pub repeatable_there: bool,
 }
 
