Send reads that lagging replicas turned away to the primary, not to them again

Cause: an attempt that its member turned away for its position did not bar the member, so that a read whose replicas report the position and still turn it away used up its attempts there while the primary could serve it. Change: only a member that could not be reached may be tried again.

--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -20,7 +20,7 @@
         let (member, sent, connection) = (a.member, a.sent, a.connection);
         use Outcome::*;
         a.delivered = !matches!(outcome, Refused | Superseded);
-        a.repeatable_there = matches!(outcome, Refused | Miss);
+        a.repeatable_there = outcome == Refused;
         a.status = if outcome.never_ran() { AttemptStatus::NeverRan } else { AttemptStatus::MayHaveRun };
         let (class, deadline, session) = (open.class, open.deadline, open.session.clone());
         open.errors += u32::from(outcome == Errored);
@@ -60,6 +60,9 @@
             self.stats.admission.raise(now, FLEET_ADMISSION_RECOVERY, FLEET_ADMISSION_STEP);
         }
         if let Some(m) = self.members.get_mut(&member) {
+            if outcome == Saturated {
+                m.saturated_until = now + SATURATED_DELAY;
+            }
             if (late || outcome == Saturated) && sent >= m.admission_lowered_at {
                 let factor = match outcome {
                     Overdue | Cancelled => unanswered_factor,
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -9,8 +9,10 @@
 impl Router {
     pub(super) fn reachable(&self, m: &MemberState) -> bool {
         let suspected = m.suspicion.as_ref().is_some_and(|d| !d.trial_allowed || m.in_flight > 0);
-        let saturated = self.now < m.saturated_until || m.saturated_delay > 0 && m.in_flight > 0;
-        !saturated && m.in_service && !suspected && !m.is_silent(self.now, self.silence_limit)
+        self.now >= m.saturated_until
+            && m.in_service
+            && !suspected
+            && !m.is_silent(self.now, self.silence_limit)
     }
 
     /// Whether a read may go to this member. A member that fails quickly always has the shortest queue, so
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -3,8 +3,8 @@
 
 use super::slow_start::SlowStartTokens;
 use super::tuning::{
-    DEVIATIONS, LATENCY_WEIGHT, LOST_FACTOR, MAX_SATURATED_DELAY, MIN_ANSWERS, RECENT_ANSWERS,
-    SATURATED_DELAY, SLOW_FACTOR, SLOW_MIN, SUSPECT_PROBES_MAX, SUSPECT_PROBE_INTERVAL_MAX, UNLOADED_MEMORY,
+    DEVIATIONS, LATENCY_WEIGHT, LOST_FACTOR, MIN_ANSWERS, RECENT_ANSWERS, SLOW_FACTOR, SLOW_MIN,
+    SUSPECT_PROBES_MAX, SUSPECT_PROBE_INTERVAL_MAX, UNLOADED_MEMORY,
 };
 use crate::interface::*;
 use rustc_hash::FxHashMap;
@@ -43,7 +43,7 @@
     pub status: AttemptStatus,
     /// True unless the outcome shows that the member never received it.
     pub delivered: bool,
-    /// The member did not run it for a reason that may pass: it was too far behind, or could not be reached.
+    /// The member could not be reached, which may pass while the client waits.
     pub repeatable_there: bool,
 }
 
@@ -345,9 +345,6 @@
     pub admission_lowered_at: Time,
     /// It refused a request as saturated and gets nothing new before this time.
     pub saturated_until: Time,
-    /// How long it got nothing for, if it has refused requests as saturated since it last served one. It then gets one
-    /// request at a time.
-    pub saturated_delay: Time,
     /// Recent share of bad results.
     pub errors: MovingAverage,
     /// When an attempt was last sent to it; 0: never.
@@ -382,13 +379,8 @@
     pub fn record_end(&mut self, outcome: Outcome, write: bool, now: Time, warm_after: Time) {
         self.in_flight = self.in_flight.saturating_sub(1);
         self.reads_in_flight = self.reads_in_flight.saturating_sub(u32::from(!write));
-        match outcome {
-            Outcome::Completed => (self.last_used, self.saturated_delay) = (Some(now), 0),
-            Outcome::Saturated if now >= self.saturated_until => {
-                self.saturated_delay = (self.saturated_delay * 2).clamp(SATURATED_DELAY, MAX_SATURATED_DELAY);
-                self.saturated_until = now + self.saturated_delay;
-            }
-            _ => {}
+        if outcome == Outcome::Completed {
+            self.last_used = Some(now);
         }
         if self.in_slow_start(now, warm_after) && !matches!(outcome, Outcome::Completed | Outcome::Superseded)
         {
--- a/src/policy/tuning.rs
+++ b/src/policy/tuning.rs
@@ -144,11 +144,8 @@
 /// Before its slot, a router uses a member for the first time only this long after the first use of another
 /// member of the group, in us, and only for reads that have waited for capacity.
 pub(super) const FIRST_USE_INTERVAL: Time = 80_000;
-/// A member that refused a request as saturated gets nothing for this long, in us. The delay doubles with each refusal
-/// until the member serves a request, ...
+/// A member that refused a request as saturated gets nothing for this long, in us.
 pub(super) const SATURATED_DELAY: Time = 30_000;
-/// ... up to this, in us.
-pub(super) const MAX_SATURATED_DELAY: Time = 400_000;
 /// A member that was unreachable for at least this long, in us, counts as restarted when it is back.
 pub(super) const RESTART_AFTER: Time = 2_000_000;
 /// Weight of the newest answer in the mean service times.
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -377,6 +377,44 @@
     assert_eq!(sent(&d.advance(50 * MS)), vec![(id, 1)]);
 }
 
+#[test]
+fn a_read_that_could_not_reach_its_member_is_sent_again_once_the_member_answers_a_probe() {
+    let mut d = RouterDriver::new(settings());
+    d.list(ListKind::Full, vec![member(2, false)]);
+    let (id, _) = d.request(ANY, None);
+    let actions = d.ended(id, 0, Outcome::Refused, None);
+    assert!(sent(&actions).is_empty() && !refused(&actions, id), "it waits");
+    assert!(sent(&d.advance(100 * MS)).is_empty(), "nothing shows that the member is back");
+    let actions = d.probe_answer(2, d.now, Role::Replica);
+    assert_eq!(sent(&actions), vec![(id, 2)]);
+}
+
+#[test]
+fn a_read_that_lagging_replicas_turn_away_is_not_sent_to_them_again_but_to_the_primary() {
+    let mut d = RouterDriver::new(Settings { when_behind: WhenBehind::Refuses, ..settings() });
+    let (id, mut actions) = d.request(SESSION, Some(60 * MS));
+    let mut went = Vec::new();
+    while went.last() != Some(&1) {
+        assert!(!refused(&actions, id), "the primary could serve it; went to {went:?}");
+        // Probes report the position that the read needs, whatever the replicas say to reads.
+        for probed in probes(&actions) {
+            actions.extend(d.probe_answer(probed, d.now, Role::Replica));
+        }
+        if let Some((_, member)) = sent(&actions).first().copied() {
+            went.push(member);
+            actions = match member {
+                1 => Vec::new(),
+                _ => d.ended(id, went.len() as u32 - 1, Outcome::Miss, note(d.now - 500 * MS, Role::Replica)),
+            };
+        } else {
+            actions = d.advance(10 * MS);
+        }
+    }
+    for replica in [2, 3] {
+        assert!(went.iter().filter(|member| **member == replica).count() <= 1, "{went:?}");
+    }
+}
+
 #[test]
 fn a_read_that_every_member_has_failed_is_refused_at_once() {
     let mut d = RouterDriver::new(settings());
