Keep the table of groups between dispatches, as their order is kept

Cause: the table was made anew at each dispatch, one allocation a request. Change: the router keeps it for its capacity, beside dispatch_order.

--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -4,7 +4,7 @@
 use super::tuning::*;
 use super::Router;
 use crate::interface::*;
-use std::collections::BTreeMap;
+use rustc_hash::FxHashMap;
 
 /// The order in which held requests are dispatched; the lowest goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -14,9 +14,9 @@
     seq: u64,
 }
 
-/// What one dispatch has found out about the groups of the held requests.
+/// What one dispatch has found out about the groups of the held requests: whether they have capacity for reads.
 #[derive(Default)]
-struct DispatchGroups(BTreeMap<GroupId, Option<bool>>);
+pub(super) struct DispatchGroups(FxHashMap<GroupId, Option<bool>>);
 
 impl DispatchGroups {
     /// Returns whether this is the first request of the group.
@@ -73,7 +73,7 @@
         );
         order.sort_unstable();
         let blocked = self.list_calls.blocks_sending(self.now);
-        let mut groups = DispatchGroups::default();
+        let mut groups = std::mem::take(&mut self.dispatch_groups);
         for (_, id) in order.drain(..) {
             let Some(open) = self.open.get(&id) else { continue };
             if let Some(reason) = self.give_up_reason(open) {
@@ -93,6 +93,8 @@
                 self.give_up(id, reason, out);
             }
         }
+        groups.0.clear();
+        self.dispatch_groups = groups;
         self.dispatch_order = order;
     }
 
--- a/src/policy/router.rs
+++ b/src/policy/router.rs
@@ -4,7 +4,7 @@
 //! driver can keep it for its own reads: a read goes to the replica with the fewest reads of this router in
 //! flight, among those that are below a fixed limit and recent enough. If there is none, the read is held.
 
-use super::dispatch::DispatchRank;
+use super::dispatch::{DispatchGroups, DispatchRank};
 use super::list_calls::ListCalls;
 use super::slow_start::CompletedLoad;
 use super::state::*;
@@ -31,6 +31,8 @@
     pub(crate) held: Vec<(u64, RequestId)>,
     /// Scratch buffer for the requests of one dispatch, kept for its capacity.
     pub(super) dispatch_order: Vec<(DispatchRank, RequestId)>,
+    /// Scratch table of one dispatch, kept for its capacity.
+    pub(super) dispatch_groups: DispatchGroups,
     pub(super) service_times: Vec<ServiceTime>,
     /// The silence limit of the current step.
     pub(super) silence_limit: Time,
