Let clients of the refused cost case wait for 50 ms

Cause: a refusal comes when its client's time is over, 500 ms here, so that each segment of the case saw a list renewed and none counted; budgets were not reached. Change: clients of this case wait for 50 ms. Budgets and checks stay; they count what a refusal costs, not how long it waits. A comment named aims.

--- a/crates/lab/src/cost/cases.rs
+++ b/crates/lab/src/cost/cases.rs
@@ -117,6 +117,8 @@
     pub fn wait_ms(&self) -> u64 {
         match self.class {
             _ if self.kind == ExpectedResult::Missed => 10_000,
+            // Refusals come when the client's time is over: short enough that some segments see no renewed list.
+            _ if self.kind == ExpectedResult::Refused => 50,
             "place-order" => 3_000,
             "yard-board" => 500,
             _ => 700,
--- a/crates/lab/src/cost/mod.rs
+++ b/crates/lab/src/cost/mod.rs
@@ -227,8 +227,8 @@
 
 /// Measures one case once.
 async fn measure(case: &Case, program: &Path, short: u64, stop: &StopFlag) -> Result<Figures, Failure> {
-    // A read that waits for a member is refused after a part of its aim. How long it waits depends on the speed of
-    // the machine, so the aims are 20 times longer where reads have to wait.
+    // A read that waits for a member is refused when its client's time is over. How long it waits depends on the speed
+    // of the machine, so deadlines are 20 times longer where reads have to wait.
     let timeout_factor = if case.kind == ExpectedResult::Missed { 20 } else { 1 };
     let (capacity, odata) = (Capacity::default(), case.front == Front::Odata);
     let plan = WorldOptions { program, capacity, lag_ms: 0, odata, timeout_factor };
