Remove what the new waits left behind: a field, a parameter, a double computation

Cause: OpenRequest::reached_member was only written since writes are no longer given up at half of their time; first_use_window got one and the same bound from its one caller; has_capacity computed weight and admission factor twice for each member. Change: the field and the parameter go; admitted_share takes what its callers have.

--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -26,7 +26,6 @@
         open.errors += u32::from(outcome == Errored);
         let write = self.settings.classes[class].consistency == Consistency::Write;
         open.missed |= matches!(outcome, Miss | Stale);
-        open.reached_member |= !matches!(outcome, Refused | Superseded);
         if open.attempts.iter().all(|a| a.status != AttemptStatus::Pending) {
             if open.answered {
                 self.open.remove(&id);
--- a/src/policy/health.rs
+++ b/src/policy/health.rs
@@ -40,7 +40,7 @@
         let weight = m.slow_start_weight(self.now, &self.settings.rules);
         let admission = self.admission(m);
         let whole_reads = self.has_whole_reads(weight, admission);
-        let share = self.admitted_share(m, all);
+        let share = self.admitted_share((weight, admission), all);
         // The same random fraction for all members; with one for each, some member would always admit the
         // request.
         if count >= share.max(1.0) as u32 || share < 1.0 && self.share_fraction(open) >= share {
@@ -71,10 +71,8 @@
         self.even_share(MEMBER_READ_LIMIT) * weight * admission >= 1.0
     }
 
-    /// This router's share of the limit `all` at a member, as far as the member answers in time and is warm.
-    fn admitted_share(&self, m: &MemberState, all: u32) -> f64 {
-        let weight = m.slow_start_weight(self.now, &self.settings.rules);
-        let admission = self.admission(m);
+    /// This router's share of the limit `all` at a member with this slow-start weight and admission factor.
+    fn admitted_share(&self, (weight, admission): (f64, f64), all: u32) -> f64 {
         let warm = if self.has_whole_reads(weight, admission) { weight } else { 1.0 };
         self.even_share(all) * admission * warm
     }
@@ -99,7 +97,9 @@
                 true => (m.in_flight, PRIMARY_READ_LIMIT),
                 false => (m.reads_in_flight, MEMBER_READ_LIMIT),
             };
-            self.usable(m) && in_flight < self.admitted_share(m, all).max(1.0) as u32
+            let weight = m.slow_start_weight(self.now, &self.settings.rules);
+            self.usable(m)
+                && in_flight < self.admitted_share((weight, self.admission(m)), all).max(1.0) as u32
         })
     }
 
--- a/src/policy/reads.rs
+++ b/src/policy/reads.rs
@@ -91,16 +91,16 @@
         })
     }
 
-    /// The window over which all routers spread an action that they could all take at the same moment.
-    pub(super) fn first_use_window(&self, max: Time) -> Time {
-        (Time::from(self.settings.instances) * FIRST_USE_WINDOW_PER_ROUTER).min(max)
+    /// The window over which all routers spread their first use of a member.
+    fn first_use_window(&self) -> Time {
+        (Time::from(self.settings.instances) * FIRST_USE_WINDOW_PER_ROUTER).min(FIRST_USE_WINDOW_MAX)
     }
 
     /// The member was never used, and this router's slot for its first use is still to come. All routers may
     /// learn of a member at the same moment, and their first requests would add up.
     pub(super) fn before_member_slot(&self, id: MemberId, m: &MemberState) -> bool {
         let slot = || {
-            self.first_use_window(FIRST_USE_WINDOW_MAX) as f64
+            self.first_use_window() as f64
                 * hash_fraction(self.settings.seed, u64::from(id.0), FIRST_USE_WINDOW_PER_ROUTER)
         };
         m.last_sent == 0 && self.now < m.last_progress + slot() as Time
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -68,8 +68,6 @@
     pub errors: u32,
     /// A member refused it for its role or position, or served it from data that was too old.
     pub missed: bool,
-    /// At least one attempt was written to a member, whatever its outcome.
-    pub reached_member: bool,
     /// It carries a key by which members discard duplicates.
     pub has_idempotency_key: bool,
     /// A streamed answer has started.
