Count the checks of idle connections apart from what else a request costs

Cause: before a connection to a member is used again its socket is checked if it was idle for 3 ms. With 64 clients on a fast machine hardly any connection is, on a slow one up to all are, so that the check of the budget judged the machine.

Other peeks count as calls, now on slow machines too, where a check that was due could not be told from one that was not.

--- a/crates/lab/src/cost/budget.rs
+++ b/crates/lab/src/cost/budget.rs
@@ -16,6 +16,11 @@
     pub allocated: Option<f64>,
     /// System calls that read, write or peek at a socket.
     pub calls: Option<f64>,
+    /// Such calls without the checks of idle connections. A connection is checked if it was idle for 3 ms before it is
+    /// used again; how many are depends on how fast the machine is.
+    pub calls_without_idle_checks: Option<f64>,
+    /// Checks of idle connections.
+    pub idle_checks: Option<f64>,
     /// Socket calls and wake-ups together.
     pub calls_and_wakeups: Option<f64>,
     /// Bytes copied.
@@ -93,6 +98,12 @@
             ("allocations", budget.allocations, figures.allocations),
             ("allocated", budget.allocated, figures.allocated),
             ("calls", budget.calls, figures.calls()),
+            (
+                "calls_without_idle_checks",
+                budget.calls_without_idle_checks,
+                figures.calls_without_idle_checks(),
+            ),
+            ("idle_checks", budget.idle_checks, figures.idle_checks),
             ("calls_and_wakeups", budget.calls_and_wakeups, figures.calls() + figures.wakeups),
             ("copied", budget.copied, figures.copied),
         ];
@@ -121,6 +132,21 @@
         assert!(toml::from_str::<Budgets>("[case.a]\nalocations = 1").is_err());
     }
 
+    #[test]
+    fn checks_of_idle_connections_are_judged_apart_from_the_other_calls() {
+        let text = "[case.a]\ncalls_without_idle_checks = 5.5\nidle_checks = 1.1";
+        let budgets: Budgets = toml::from_str(text).expect("valid TOML");
+        let over = |peeks, idle_checks| {
+            let figures = Figures { reads: 3.0, writes: 2.0, peeks, idle_checks, ..Figures::default() };
+            budgets.over("a", &figures).into_iter().map(|o| o.what).collect::<Vec<_>>()
+        };
+        assert!(over(1.0, 1.0).is_empty());
+        // Other peeks count as calls, and no request needs two checks.
+        assert_eq!(over(0.6, 0.0), ["a: calls_without_idle_checks"]);
+        assert_eq!(over(1.6, 1.0), ["a: calls_without_idle_checks"]);
+        assert_eq!(over(2.0, 2.0), ["a: idle_checks"]);
+    }
+
     #[test]
     fn a_case_that_is_not_cheaper_than_required_is_reported() {
         let text = "[case.a]\n[case.b]\n[[less]]\ncase = \"a\"\nthan = \"b\"";
--- a/src/meter.rs
+++ b/src/meter.rs
@@ -20,11 +20,13 @@
     Writes,
     /// Calls that peek at a socket without consuming data.
     Peeks,
+    /// Those of the peeks that check a connection which was idle for a while before it is used again.
+    IdleChecks,
     /// Bytes copied in user space while a request or an answer is forwarded.
     Copied,
 }
 
-static COSTS: [AtomicU64; 5] = [const { AtomicU64::new(0) }; 5];
+static COSTS: [AtomicU64; 6] = [const { AtomicU64::new(0) }; 6];
 
 /// Adds to a cost; does nothing without the feature.
 pub fn add(cost: Cost, n: usize) {
@@ -43,11 +45,12 @@
     let (allocations, bytes) = allocations();
     format!(
         " cost_allocations={allocations} cost_allocated={bytes} cost_reads={} cost_empty_reads={} cost_writes={} \
-         cost_peeks={} cost_copied={} cost_wakeups={parks}",
+         cost_peeks={} cost_idle_checks={} cost_copied={} cost_wakeups={parks}",
         of(Cost::Reads),
         of(Cost::EmptyReads),
         of(Cost::Writes),
         of(Cost::Peeks),
+        of(Cost::IdleChecks),
         of(Cost::Copied),
     )
 }
--- a/src/net/member_actor.rs
+++ b/src/net/member_actor.rs
@@ -15,6 +15,7 @@
 use crate::core::flow::ChunkSender;
 use crate::core::{Attempt, AttemptEnd, Input, REQUEST_LOG_TARGET};
 use crate::interface::*;
+use crate::meter::{self, Cost};
 use crate::policy::begin::AttemptKey;
 use crate::policy::invariants::is_written_in_time;
 use crate::settings::SocketTimes;
@@ -251,7 +252,14 @@
         let mut ready = None;
         while ready.is_none() {
             let Some((connection, check)) = self.pool.take(now) else { break };
-            ready = (check == SocketCheck::Skip || connection.0.is_quiet()).then_some(connection);
+            let usable = match check {
+                SocketCheck::Skip => true,
+                SocketCheck::Needed => {
+                    meter::add(Cost::IdleChecks, 1);
+                    connection.0.is_quiet()
+                }
+            };
+            ready = usable.then_some(connection);
         }
         let (ready, timer) = ready.unzip();
         let (address, connect) = {
