Send reads again to members that left them unanswered when no other is left

Cause: a member counted as tried after any attempt, also one that got no answer: lost, overdue, withheld because the process was held up.

Now what a member answers bars it as before (an error, full, behind: it would say the same again), and what it left unanswered bars it until every other member was tried. The limit on attempts holds; a member whose connection broke has to answer a probe first.

--- a/src/policy/attempts.rs
+++ b/src/policy/attempts.rs
@@ -20,7 +20,7 @@
         let (member, sent, connection) = (a.member, a.sent, a.connection);
         use Outcome::*;
         a.delivered = !matches!(outcome, Refused | Superseded);
-        a.repeatable_there = outcome == Refused;
+        a.repeat_there = RepeatThere::after(outcome);
         a.status = if outcome.never_ran() { AttemptStatus::NeverRan } else { AttemptStatus::MayHaveRun };
         let (class, deadline, session) = (open.class, open.deadline, open.session.clone());
         open.errors += u32::from(outcome == Errored);
--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -75,6 +75,7 @@
         let blocked = self.list_calls.blocks_sending(self.now);
         let mut groups = std::mem::take(&mut self.dispatch_groups);
         for (_, id) in order.drain(..) {
+            self.repeat_if_all_members_tried(id);
             let Some(open) = self.open.get(&id) else { continue };
             if let Some(reason) = self.give_up_reason(open) {
                 self.give_up(id, reason, out);
@@ -150,6 +151,15 @@
             && in_service.all(|(id, _)| open.tried(id))
     }
 
+    /// Lets a read that was sent to all members go to those again that left it unanswered.
+    fn repeat_if_all_members_tried(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(|open| self.all_members_tried(open)) {
+            if let Some(open) = self.open.get_mut(&id) {
+                open.repeat_unanswered();
+            }
+        }
+    }
+
     /// What a request that is given up for lack of time has lacked before: time, if it came with too little.
     fn lack_of(&self, id: RequestId) -> GiveUpReason {
         let came_too_late =
@@ -203,7 +213,7 @@
             connection,
             status: AttemptStatus::Pending,
             delivered: true,
-            repeatable_there: false,
+            repeat_there: RepeatThere::No,
         });
         m.last_progress = if m.in_flight == 0 { self.now } else { m.last_progress };
         m.in_flight += 1;
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -24,6 +24,29 @@
     MayHaveRun,
 }
 
+/// Whether a read may be sent again to the member that an attempt was sent to.
+#[derive(Clone, Copy, PartialEq)]
+pub(crate) enum RepeatThere {
+    /// The attempt is in flight, or the member answered and would answer the same again.
+    No,
+    /// The attempt got no answer, which may be the member's fault, so that others are tried first.
+    AfterOthers,
+    /// The member could not be reached, which may pass while the client waits.
+    Yes,
+}
+
+impl RepeatThere {
+    /// After an attempt with this outcome.
+    pub fn after(outcome: Outcome) -> Self {
+        use Outcome::*;
+        match outcome {
+            Refused => RepeatThere::Yes,
+            Overdue | Reset | Cancelled | Superseded => RepeatThere::AfterOthers,
+            Completed | Errored | Saturated | Miss | Stale => RepeatThere::No,
+        }
+    }
+}
+
 /// The kind of connection that an attempt was sent on, as far as the router can tell.
 #[derive(Clone, Copy, PartialEq)]
 pub(crate) enum ConnectionState {
@@ -43,8 +66,7 @@
     pub status: AttemptStatus,
     /// True unless the outcome shows that the member never received it.
     pub delivered: bool,
-    /// The member could not be reached, which may pass while the client waits.
-    pub repeatable_there: bool,
+    pub repeat_there: RepeatThere,
 }
 
 /// A request that is not answered yet, or that still has attempts in flight.
@@ -79,9 +101,15 @@
 }
 
 impl OpenRequest {
-    /// Whether an attempt was sent to this member, and another one would end no better.
+    /// Whether an attempt was sent to this member, and none may follow as yet.
     pub fn tried(&self, member: MemberId) -> bool {
-        self.attempts.iter().any(|a| a.member == member && !a.repeatable_there)
+        self.attempts.iter().any(|a| a.member == member && a.repeat_there != RepeatThere::Yes)
+    }
+
+    /// Allows another attempt at the members that left one unanswered.
+    pub fn repeat_unanswered(&mut self) {
+        let unanswered = self.attempts.iter_mut().filter(|a| a.repeat_there == RepeatThere::AfterOthers);
+        unanswered.for_each(|a| a.repeat_there = RepeatThere::Yes);
     }
 
     /// Whether an attempt was delivered to this member.
