Find once a dispatch whether a held read has a member left, and reuse two checks

Read over once more; no behaviour changes. Whether a held read was sent to all members was found twice in each dispatch; the answer is passed on now, and found again only when attempts were allowed anew. lost_after() repeated what needs_primary() and effect() tell. The table of groups was looked up twice to begin one. A comment named a parameter that is gone.

--- a/src/policy/dispatch.rs
+++ b/src/policy/dispatch.rs
@@ -21,9 +21,9 @@
 impl DispatchGroups {
     /// Returns whether this is the first request of the group.
     fn begin(&mut self, group: GroupId) -> bool {
-        let is_first = !self.0.contains_key(&group);
+        let known_before = self.0.len();
         self.0.entry(group).or_default();
-        is_first
+        self.0.len() > known_before
     }
 
     /// Whether the group has capacity for reads; `find` is called if that is not known.
@@ -75,9 +75,9 @@
         let blocked = self.list_calls.blocks_sending(self.now);
         let mut groups = std::mem::take(&mut self.dispatch_groups);
         for (_, id) in order.drain(..) {
-            self.repeat_if_all_members_tried(id);
+            let member_left = self.has_member_left(id);
             let Some(open) = self.open.get(&id) else { continue };
-            if let Some(reason) = self.give_up_reason(open) {
+            if let Some(reason) = self.give_up_reason(open, member_left) {
                 self.give_up(id, reason, out);
                 continue;
             }
@@ -132,17 +132,17 @@
     }
 
     /// The reason to give up a held request even if a member had capacity for it, if there is one.
-    fn give_up_reason(&self, open: &OpenRequest) -> Option<GiveUpReason> {
+    fn give_up_reason(&self, open: &OpenRequest, member_left: bool) -> Option<GiveUpReason> {
         if self.now + ANSWER_LEAD >= open.deadline {
             Some(GiveUpReason::NoTime)
-        } else if !self.permissions(open, None).0 || self.all_members_tried(open) {
+        } else if !self.permissions(open, None).0 || !member_left {
             Some(GiveUpReason::NotRepeatable)
         } else {
             None
         }
     }
 
-    /// Whether no member is left that a read could wait for.
+    /// Whether a read was sent to all members that it could wait for.
     fn all_members_tried(&self, open: &OpenRequest) -> bool {
         let mut in_service = self.group_members(open.group).filter(|(_, m)| m.in_service).peekable();
         !open.attempts.is_empty()
@@ -151,13 +151,18 @@
             && in_service.all(|(id, _)| open.tried(id))
     }
 
-    /// Lets a read that was sent to all members go to those again that left it unanswered.
-    fn repeat_if_all_members_tried(&mut self, id: RequestId) {
-        if self.open.get(&id).is_some_and(|open| self.all_members_tried(open)) {
-            if let Some(open) = self.open.get_mut(&id) {
-                open.repeat_unanswered();
-            }
+    /// Whether a member is left for a request to wait for. A read that was sent to all members may go again to those that
+    /// left it unanswered.
+    fn has_member_left(&mut self, id: RequestId) -> bool {
+        let all_tried =
+            |router: &Self| router.open.get(&id).is_some_and(|open| router.all_members_tried(open));
+        if !all_tried(self) {
+            return true;
+        }
+        if let Some(open) = self.open.get_mut(&id) {
+            open.repeat_unanswered();
         }
+        !all_tried(self)
     }
 
     /// What a request that is given up for lack of time has lacked before: time, if it came with too little.
@@ -236,14 +241,13 @@
     /// repeats if the work is uneven.
     fn lost_after(&self, id: RequestId, member: MemberId) -> Option<Time> {
         let (open, m) = (self.open.get(&id)?, self.members.get(&member)?);
-        let class = &self.settings.classes[open.class];
         let mean = self.service_times[open.class].known_mean()?;
         let lost_after = mean * LOST_FACTOR;
         let time_for_repeat = self.now + (mean + lost_after) as Time <= open.deadline;
         // The primary is the only member for its requests, and gets the repeat on another connection.
-        let needs_primary = matches!(class.consistency, Consistency::Write | Consistency::Fresh);
+        let needs_primary = self.needs_primary(open.class);
         let stop_early = time_for_repeat
-            && class.effect.of_request(open.has_idempotency_key) != Effect::Unsafe
+            && self.effect(open) != Effect::Unsafe
             && m.admission.value >= LOST_MIN_ADMISSION
             && !m.in_slow_start(self.now, self.settings.rules.warm_after)
             && (needs_primary || self.other_member_allowed(open, member));
--- a/src/policy/state.rs
+++ b/src/policy/state.rs
@@ -164,7 +164,7 @@
 }
 
 impl ServiceTime {
-    /// Records the end of an attempt. One that ended without an answer counts with its duration, limited to `max_factor`
+    /// Records the end of an attempt. One that ended without an answer counts with its duration, limited to [`LOST_FACTOR`]
     /// times the mean: if only answers counted, each attempt that is cut off would lower the mean, so that ever more
     /// would be cut off.
     pub fn record(&mut self, outcome: Outcome, spent: Time, now: Time) {
